Lay out the project: schema, replicated store, checks, architecture

Cause: the repository was empty. The schema of messages and settings, the pure store that the replicated log will drive, and the check command come first, so that parts can be written beside each other.

--- /dev/null
+++ b/src/tanagerturn/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination parts: replicated log, leases, membership, settings history."""
--- /dev/null
+++ b/src/tanagerturn/coordination/store.py
@@ -0,0 +1,244 @@
+"""The replicated store: a pure state machine of keys, leases and change ids.
+
+`Store.apply` is deterministic: members that apply the same commands in the
+same order hold the same state. Time enters only through a command's
+`accepted_at_ms`, which the leader sets before the command is replicated.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from typing import TYPE_CHECKING, Final
+
+from sortedcontainers import SortedDict
+
+from tanagerturn.coordination.ids import Revision
+from tanagerturn.schema import coordination_pb2 as pb
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+KEY_LIMIT_BYTES: Final = 1024
+VALUE_LIMIT_BYTES: Final = 8 * 1024 * 1024
+EVENT_HISTORY_LIMIT: Final = 10_000
+"""Events kept for watchers; one that is further behind gets a snapshot."""
+
+CHANGE_KEEP_MS: Final = 600_000
+"""Time that a change id and its result are remembered, in milliseconds."""
+
+Status = pb.CommandResult.Status
+
+
+class Store:
+    """Keys with revisions, leases with fencing numbers, and change ids."""
+
+    def __init__(self) -> None:
+        self.revision = Revision(0)
+        """Number of the last write."""
+        self.entries: SortedDict[str, pb.KeyValue] = SortedDict()
+        """Present keys, in order."""
+        self.leases: dict[str, pb.Lease] = {}
+        """Leases by name, free ones included: their numbers go on growing."""
+        self.changes: OrderedDict[str, tuple[int, pb.CommandResult]] = OrderedDict()
+        """Change id to the time accepted in milliseconds and the result."""
+        self.events: deque[pb.Event] = deque(maxlen=EVENT_HISTORY_LIMIT)
+        """Last writes, for watchers."""
+        self.events_start = Revision(0)
+        """Watchers at or after this revision can be served from events."""
+
+    def __repr__(self) -> str:
+        return (
+            f"Store(revision={self.revision}, entries={len(self.entries)}, "
+            f"leases={len(self.leases)}, changes={len(self.changes)})"
+        )
+
+    def apply(self, command: pb.Command) -> pb.CommandResult:
+        """Apply one command.
+
+        Args:
+            command: The command, with `accepted_at_ms` set by the leader.
+
+        Returns:
+            The result; the earlier one when the change id is remembered.
+        """
+        self._forget_changes(command.accepted_at_ms)
+        if command.change_id in self.changes:
+            return self.changes[command.change_id][1]
+        result = self._run(command)
+        if command.change_id:
+            self.changes[command.change_id] = (command.accepted_at_ms, result)
+        return result
+
+    def scan(
+        self, prefix: str, after_key: str = "", limit: int = 1000
+    ) -> Iterator[pb.KeyValue]:
+        """Yield up to `limit` entries under a prefix, in key order."""
+        start = max(prefix, after_key)
+        count = 0
+        for key in self.entries.irange(minimum=start):
+            if not key.startswith(prefix) or count == limit:
+                return
+            if key == after_key:
+                continue
+            count += 1
+            yield self.entries[key]
+
+    def batch_since(self, prefix: str, after_revision: int) -> pb.WatchBatch:
+        """Return what a watcher at a revision has to apply to be up to date."""
+        if after_revision < self.events_start or after_revision > self.revision:
+            entries = self.scan(prefix, limit=len(self.entries) + 1)
+            events = [pb.Event(entry=e, revision=e.mod_revision) for e in entries]
+            return pb.WatchBatch(snapshot=True, revision=self.revision, events=events)
+        events = []
+        for event in reversed(self.events):
+            if event.revision <= after_revision:
+                break
+            if event.entry.key.startswith(prefix):
+                events.append(event)
+        events.reverse()
+        return pb.WatchBatch(revision=self.revision, events=events)
+
+    def lease(self, name: str) -> pb.Lease:
+        """Return a lease; one that was never granted is free with number 0."""
+        return self.leases.get(name) or pb.Lease(name=name)
+
+    def _run(self, command: pb.Command) -> pb.CommandResult:
+        kind = command.WhichOneof("kind")
+        if kind == "transaction":
+            return self._transact(command.transaction)
+        if kind == "lease_acquire":
+            return self._acquire(command.lease_acquire)
+        if kind == "lease_renew":
+            return self._renew(command.lease_renew)
+        if kind == "lease_release":
+            return self._release(command.lease_release)
+        if kind == "lease_lapse":
+            return self._lapse(command.lease_lapse)
+        return self._result(Status.INVALID, reason="command has no kind")
+
+    def _transact(self, transaction: pb.Transaction) -> pb.CommandResult:
+        reason = _malformed(transaction)
+        if reason:
+            return self._result(Status.INVALID, reason=reason)
+        for fence in transaction.fences:
+            lease = self.lease(fence.lease)
+            if not lease.holder or lease.fencing_number != fence.fencing_number:
+                return self._result(Status.FENCED, lease=lease)
+        conflicts = self._conflicts(transaction)
+        if conflicts:
+            return self._result(Status.CONFLICT, current=conflicts)
+        if transaction.puts or transaction.deletes:
+            self.revision = Revision(self.revision + 1)
+        for put in transaction.puts:
+            self._put(put.key, put.value)
+        for delete in transaction.deletes:
+            self._delete(delete.key)
+        return self._result(Status.APPLIED)
+
+    def _conflicts(self, transaction: pb.Transaction) -> list[pb.KeyValue]:
+        conflicts = []
+        operations: list[pb.Put | pb.Delete] = [*transaction.puts, *transaction.deletes]
+        for operation in operations:
+            if not operation.HasField("expected_revision"):
+                continue
+            found = self.entries.get(operation.key) or pb.KeyValue(key=operation.key)
+            if found.mod_revision != operation.expected_revision:
+                conflicts.append(found)
+        return conflicts
+
+    def _put(self, key: str, value: bytes) -> None:
+        previous = self.entries.get(key)
+        created = previous.create_revision if previous else self.revision
+        entry = pb.KeyValue(
+            key=key, value=value, create_revision=created, mod_revision=self.revision
+        )
+        self.entries[key] = entry
+        self._record(pb.Event(entry=entry, revision=self.revision))
+
+    def _delete(self, key: str) -> None:
+        if self.entries.pop(key, None) is None:
+            return
+        entry = pb.KeyValue(key=key)
+        self._record(pb.Event(entry=entry, deleted=True, revision=self.revision))
+
+    def _record(self, event: pb.Event) -> None:
+        if len(self.events) == EVENT_HISTORY_LIMIT:
+            self.events_start = Revision(self.events[0].revision)
+        self.events.append(event)
+
+    def _acquire(self, command: pb.LeaseAcquire) -> pb.CommandResult:
+        if not command.name or not command.holder or not command.duration_ms:
+            return self._result(Status.INVALID, reason="lease needs name, holder, time")
+        lease = self.lease(command.name)
+        if lease.holder:
+            same = lease.holder == command.holder
+            return self._result(Status.APPLIED if same else Status.HELD, lease=lease)
+        granted = pb.Lease(
+            name=command.name,
+            holder=command.holder,
+            fencing_number=lease.fencing_number + 1,
+            duration_ms=command.duration_ms,
+        )
+        self.leases[command.name] = granted
+        return self._result(Status.APPLIED, lease=granted)
+
+    def _renew(self, command: pb.LeaseRenew) -> pb.CommandResult:
+        lease = self.lease(command.name)
+        if not lease.holder or lease.fencing_number != command.fencing_number:
+            return self._result(Status.LAPSED, lease=lease)
+        renewed = pb.Lease()
+        renewed.CopyFrom(lease)
+        renewed.renewals += 1
+        self.leases[command.name] = renewed
+        return self._result(Status.APPLIED, lease=renewed)
+
+    def _release(self, command: pb.LeaseRelease) -> pb.CommandResult:
+        lease = self.lease(command.name)
+        if not lease.holder or lease.fencing_number != command.fencing_number:
+            return self._result(Status.LAPSED, lease=lease)
+        return self._free(lease)
+
+    def _lapse(self, command: pb.LeaseLapse) -> pb.CommandResult:
+        lease = self.lease(command.name)
+        decided_on = (command.fencing_number, command.renewals)
+        if not lease.holder or decided_on != (lease.fencing_number, lease.renewals):
+            return self._result(Status.LAPSED, lease=lease)
+        return self._free(lease)
+
+    def _free(self, lease: pb.Lease) -> pb.CommandResult:
+        freed = pb.Lease(name=lease.name, fencing_number=lease.fencing_number)
+        self.leases[lease.name] = freed
+        return self._result(Status.APPLIED, lease=freed)
+
+    def _forget_changes(self, now_ms: int) -> None:
+        while self.changes:
+            accepted_at_ms, _ = next(iter(self.changes.values()))
+            if accepted_at_ms + CHANGE_KEEP_MS > now_ms:
+                return
+            self.changes.popitem(last=False)
+
+    def _result(
+        self,
+        status: pb.CommandResult.Status.ValueType,
+        current: list[pb.KeyValue] | None = None,
+        lease: pb.Lease | None = None,
+        reason: str = "",
+    ) -> pb.CommandResult:
+        return pb.CommandResult(
+            status=status,
+            revision=self.revision,
+            current=current,
+            lease=lease,
+            reason=reason,
+        )
+
+
+def _malformed(transaction: pb.Transaction) -> str:
+    keys = [p.key for p in transaction.puts] + [d.key for d in transaction.deletes]
+    if len(set(keys)) != len(keys):
+        return "a key is written twice in one transaction"
+    if any(not key or len(key.encode()) > KEY_LIMIT_BYTES for key in keys):
+        return f"keys must have 1 to {KEY_LIMIT_BYTES} bytes"
+    if any(len(put.value) > VALUE_LIMIT_BYTES for put in transaction.puts):
+        return f"values must have at most {VALUE_LIMIT_BYTES} bytes"
+    return ""
--- /dev/null
+++ b/src/tanagerturn/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The program tanager-entry."""
--- /dev/null
+++ b/src/tanagerturn/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Generated protobuf messages and services."""
--- /dev/null
+++ b/src/tanagerturn/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about requests, backend servers and capacity."""
--- /dev/null
+++ b/src/tanagerturn/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings: YAML in, checked protobuf messages out."""
--- /dev/null
+++ b/src/tanagerturn/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of engines, services, weight store and cloud."""
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers shared by the test folders."""
