--- /dev/null
+++ b/src/tanagerturn/coordination/_remote_watch.py
@@ -0,0 +1,113 @@
+"""A watch of a remote client: reconnects without a gap."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING, Any, Final
+
+import grpc
+
+from tanagerturn.schema import coordination_pb2 as pb
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tanagerturn.coordination.ids import GroupId, Revision
+    from tanagerturn.coordination.remote import RemoteStateClient
+
+PAUSE_MIN_S: Final = 0.05
+PAUSE_MAX_S: Final = 1.0
+
+
+class RemoteWatch:
+    """A thread that keeps one watch going.
+
+    Args:
+        client: Client with the members' addresses.
+        group: Replication group.
+        prefix: Prefix of the watched keys.
+        after_revision: Revision that the caller has.
+        on_batch: Called with each batch, by this thread.
+    """
+
+    def __init__(
+        self,
+        client: RemoteStateClient,
+        group: GroupId,
+        prefix: str,
+        after_revision: Revision,
+        on_batch: Callable[[pb.WatchBatch], None],
+    ) -> None:
+        self.client = client
+        """Client with the members' addresses."""
+        self.group = group
+        """Replication group."""
+        self.prefix = prefix
+        """Prefix of the watched keys."""
+        self.revision = int(after_revision)
+        """Revision up to which batches were delivered; it never goes back."""
+        self.on_batch = on_batch
+        """Called with each batch."""
+        self.received_bytes = 0
+        """Bytes of all batches received."""
+        self._stopped = threading.Event()
+        self._lock = threading.Lock()
+        self._delivery = threading.RLock()
+        self._call: Any = None
+        self._thread = threading.Thread(
+            target=self._run, name=f"watch-{group}", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the watch; no batch is delivered after the return."""
+        self._stopped.set()
+        with self._lock:
+            if self._call is not None:
+                self._call.cancel()
+        with self._delivery:
+            if self in self.client.watches:
+                self.client.watches.remove(self)
+        if threading.current_thread() is not self._thread:
+            self._thread.join(timeout=PAUSE_MAX_S)
+
+    def _run(self) -> None:
+        attempt = 0
+        pause_s = PAUSE_MIN_S
+        while not self._stopped.is_set():
+            addresses = self.client.addresses
+            address = addresses[attempt % len(addresses)]
+            attempt += 1
+            if self._follow(address):
+                pause_s = PAUSE_MIN_S
+            self._stopped.wait(pause_s)
+            pause_s = min(PAUSE_MAX_S, pause_s * 2)
+
+    def _follow(self, address: str) -> bool:
+        """Deliver batches until the stream ends; tell whether any came."""
+        request = pb.WatchRequest(
+            group=self.group, prefix=self.prefix, after_revision=self.revision
+        )
+        is_delivered = False
+        try:
+            with self._lock:
+                if self._stopped.is_set():
+                    return False
+                self._call = self.client.stub(address).Watch(request)
+            for batch in self._call:
+                self._deliver(batch)
+                is_delivered = True
+        except (grpc.RpcError, ValueError):
+            return is_delivered
+        return is_delivered
+
+    def _deliver(self, batch: pb.WatchBatch) -> None:
+        with self._delivery:
+            if self._stopped.is_set() or batch.revision < self.revision:
+                return
+            self.received_bytes += batch.ByteSize()
+            self.on_batch(batch)
+            self.revision = batch.revision
--- /dev/null
+++ b/src/tanagerturn/coordination/log/_election.py
@@ -0,0 +1,170 @@
+"""Elections: pre-vote, vote, and change of role."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from tanagerturn.coordination.log import _replication
+from tanagerturn.coordination.log._handlers import handle
+from tanagerturn.coordination.log.ready import Role
+from tanagerturn.schema import coordination_pb2 as pb
+
+if TYPE_CHECKING:
+    from google.protobuf.message import Message
+
+    from tanagerturn.coordination.log.core import Core
+
+
+def reset_timer(core: Core, now: float) -> None:
+    """Set the next election, at random within one to two timeouts."""
+    timeout_s = core.options.election_timeout_s
+    core.election_at_s = now + timeout_s * (1 + core.random.random())
+
+
+def follow(core: Core, term: int, leader: str, now: float) -> None:
+    """Become a follower of a term."""
+    if term != core.term:
+        core.term = term
+        core.voted_for = ""
+        core.hard_state_changed = True
+    if core.role is Role.LEADER:
+        core.ready.lost_reads.extend(core.reads.clear())
+        core.progress = {}
+        core.transfer_to = ""
+    core.role = Role.FOLLOWER
+    core.leader = leader
+    core.votes = {}
+    reset_timer(core, now)
+
+
+def hear_leader(core: Core, leader: str, now: float) -> None:
+    """Note a message of the leader of this term."""
+    if core.role is not Role.FOLLOWER or core.leader != leader:
+        follow(core, core.term, leader, now)
+    core.leader_heard_at_s = now
+    reset_timer(core, now)
+
+
+def has_leader(core: Core, now: float) -> bool:
+    """Whether a leader was heard within an election timeout."""
+    if core.role is Role.LEADER:
+        return True
+    heard_s = now - core.leader_heard_at_s
+    return bool(core.leader) and heard_s < core.options.election_timeout_s
+
+
+def ignores(core: Core, payload: Message, now: float) -> bool:
+    """Whether a vote request of a higher term is dropped: a leader is heard."""
+    if not isinstance(payload, pb.VoteRequest) or payload.transfer:
+        return False
+    return has_leader(core, now)
+
+
+def start(core: Core, now: float) -> None:
+    """Ask whether an election could be won, before a new term is begun."""
+    reset_timer(core, now)
+    if not core.is_voter():
+        return
+    core.role = Role.PRE_CANDIDATE
+    core.leader = ""
+    core.votes = {core.options.member: True}
+    request = pb.PreVoteRequest(
+        last_index=core.log.last_index, last_term=core.log.last_term
+    )
+    for voter in core.quorum_voters():
+        if voter != core.options.member:
+            core.send(voter, term=core.term + 1, pre_vote_request=request)
+    _count(core, now)
+
+
+def campaign(core: Core, now: float, *, transfer: bool = False) -> None:
+    """Begin a new term and ask for votes."""
+    if not core.is_voter():
+        return
+    follow(core, core.term + 1, "", now)
+    core.role = Role.CANDIDATE
+    core.voted_for = core.options.member
+    core.votes = {core.options.member: True}
+    request = pb.VoteRequest(
+        last_index=core.log.last_index, last_term=core.log.last_term, transfer=transfer
+    )
+    for voter in core.quorum_voters():
+        if voter != core.options.member:
+            core.reply(voter, vote_request=request)
+    _count(core, now)
+
+
+def _count(core: Core, now: float) -> None:
+    voters = core.quorum_voters()
+    granted = sum(core.votes.get(v) is True for v in voters)
+    refused = sum(core.votes.get(v) is False for v in voters)
+    majority = len(voters) // 2 + 1
+    if granted >= majority:
+        _won(core, now)
+    elif refused >= majority:
+        follow(core, core.term, "", now)
+
+
+def _won(core: Core, now: float) -> None:
+    if core.role is Role.PRE_CANDIDATE:
+        campaign(core, now)
+        return
+    core.role = Role.LEADER
+    core.leader = core.options.member
+    _replication.lead(core, now)
+
+
+def _is_up_to_date(core: Core, last_term: int, last_index: int) -> bool:
+    return (last_term, last_index) >= (core.log.last_term, core.log.last_index)
+
+
+@handle.register(pb.PreVoteRequest)
+def _(
+    payload: pb.PreVoteRequest, core: Core, message: pb.LogMessage, now: float
+) -> None:
+    granted = (
+        message.term > core.term
+        and not has_leader(core, now)
+        and _is_up_to_date(core, payload.last_term, payload.last_index)
+    )
+    term = message.term if granted else core.term
+    response = pb.PreVoteResponse(granted=granted)
+    core.reply(message.sender, term=term, pre_vote_response=response)
+
+
+@handle.register(pb.PreVoteResponse)
+def _(
+    payload: pb.PreVoteResponse, core: Core, message: pb.LogMessage, now: float
+) -> None:
+    if core.role is not Role.PRE_CANDIDATE:
+        return
+    if payload.granted and message.term != core.term + 1:
+        return
+    core.votes[message.sender] = payload.granted
+    _count(core, now)
+
+
+@handle.register(pb.VoteRequest)
+def _(payload: pb.VoteRequest, core: Core, message: pb.LogMessage, now: float) -> None:
+    free = core.voted_for in ("", message.sender)
+    granted = free and _is_up_to_date(core, payload.last_term, payload.last_index)
+    if granted and core.voted_for != message.sender:
+        core.voted_for = message.sender
+        core.hard_state_changed = True
+    if granted:
+        follow(core, core.term, core.leader, now)
+    core.reply(message.sender, vote_response=pb.VoteResponse(granted=granted))
+
+
+@handle.register(pb.VoteResponse)
+def _(payload: pb.VoteResponse, core: Core, message: pb.LogMessage, now: float) -> None:
+    if core.role is not Role.CANDIDATE:
+        return
+    core.votes[message.sender] = payload.granted
+    _count(core, now)
+
+
+@handle.register(pb.TimeoutNow)
+def _(payload: pb.TimeoutNow, core: Core, message: pb.LogMessage, now: float) -> None:
+    if core.role is Role.FOLLOWER and message.sender == core.leader:
+        campaign(core, now, transfer=True)
--- /dev/null
+++ b/src/tanagerturn/coordination/log/_handlers.py
@@ -0,0 +1,31 @@
+"""Dispatch of messages by the type of their payload."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING, cast
+
+from tanagerturn.schema import coordination_pb2 as pb
+
+if TYPE_CHECKING:
+    from google.protobuf.message import Message
+
+    from tanagerturn.coordination.log.core import Core
+
+
+@singledispatch
+def handle(payload: Message, core: Core, message: pb.LogMessage, now: float) -> None:
+    """Handle a payload of the core's own term; unknown ones are dropped."""
+
+
+def payload_of(message: pb.LogMessage) -> Message | None:
+    """Return the payload of a message, None when it has none."""
+    kind = message.WhichOneof("kind")
+    return None if kind is None else cast("Message", getattr(message, kind))
+
+
+def keeps_term(payload: Message) -> bool:
+    """Whether a higher term in this message doesn't mean that it has begun."""
+    if isinstance(payload, pb.PreVoteResponse):
+        return payload.granted
+    return isinstance(payload, pb.PreVoteRequest)
--- /dev/null
+++ b/src/tanagerturn/coordination/log/_replication.py
@@ -0,0 +1,343 @@
+"""Replication: what a leader sends and how others answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from tanagerturn.coordination.ids import LogIndex, MemberId
+from tanagerturn.coordination.log import _election, _reads
+from tanagerturn.coordination.log._handlers import handle
+from tanagerturn.coordination.log.membership import majority_value
+from tanagerturn.coordination.log.progress import Mode, Progress
+from tanagerturn.coordination.log.ready import ChunkReceived, ChunkWanted, Role
+from tanagerturn.schema import coordination_pb2 as pb
+
+if TYPE_CHECKING:
+    from tanagerturn.coordination.log.core import Core
+
+
+def lead(core: Core, now: float) -> None:
+    """Begin to lead a term with an empty entry."""
+    core.uncommitted_bytes = 0
+    core.progress = {}
+    core.heartbeat_at_s = now
+    core.quorum_check_at_s = now + core.options.election_timeout_s
+    update_peers(core, now)
+    append_own(core, pb.Entry(barrier=True))
+
+
+def update_peers(core: Core, now: float) -> None:
+    """Follow the membership: forget removed members, begin with new ones."""
+    peers = {m.id for m in core.log.membership.members} - {core.options.member}
+    for gone in core.progress.keys() - peers:
+        del core.progress[gone]
+    for added in sorted(peers - core.progress.keys()):
+        core.progress[added] = Progress(core.log.last_index + 1, heard_at_s=now)
+
+
+def append_own(core: Core, entry: pb.Entry) -> LogIndex:
+    """Append an entry of the own term as leader."""
+    entry.index = core.log.last_index + 1
+    entry.term = core.term
+    core.log.append(entry)
+    core.uncommitted_bytes += entry.ByteSize()
+    return LogIndex(entry.index)
+
+
+def tick(core: Core, now: float) -> None:
+    """Send heartbeats in time; step down when no majority answers."""
+    if now >= core.quorum_check_at_s:
+        core.quorum_check_at_s = now + core.options.election_timeout_s
+        if not _hears_majority(core, now):
+            _election.follow(core, core.term, "", now)
+            return
+    if core.transfer_to and now >= core.transfer_until_s:
+        core.transfer_to = ""
+    if now < core.heartbeat_at_s:
+        return
+    core.heartbeat_at_s = now + core.options.heartbeat_s
+    for peer, progress in core.progress.items():
+        progress.waiting = False
+        _resend_chunk(core, progress, now)
+        _send_append(core, peer, progress, may_be_empty=True)
+
+
+def _hears_majority(core: Core, now: float) -> bool:
+    voters = core.quorum_voters()
+    heard = sum(
+        voter == core.options.member or _is_heard(core, voter, now) for voter in voters
+    )
+    return heard >= len(voters) // 2 + 1
+
+
+def _is_heard(core: Core, peer: str, now: float) -> bool:
+    progress = core.progress.get(peer)
+    if progress is None:
+        return False
+    return now - progress.heard_at_s <= core.options.election_timeout_s
+
+
+def send_all(core: Core, now: float) -> None:
+    """Send what the members lack, and a round for queued reads."""
+    round_begun = _reads.begin_round(core)
+    for peer, progress in core.progress.items():
+        sent = _send_entries(core, peer, progress)
+        if round_begun and not sent:
+            _send_append(core, peer, progress, may_be_empty=True)
+        _send_chunk(core, peer, progress, now)
+    if round_begun:
+        _reads.confirm(core)
+
+
+def _send_entries(core: Core, peer: str, progress: Progress) -> bool:
+    sent = False
+    while progress.next_index <= core.log.last_index:
+        if not _send_append(core, peer, progress, may_be_empty=False):
+            break
+        sent = True
+    return sent
+
+
+def _send_append(
+    core: Core, peer: str, progress: Progress, *, may_be_empty: bool
+) -> bool:
+    previous = progress.next_index - 1
+    term = core.log.term_at(previous)
+    if term is None and progress.mode is not Mode.SNAPSHOT:
+        progress.send_snapshot(core.log.snapshot)
+    if progress.mode is Mode.SNAPSHOT:
+        if may_be_empty:
+            _send_empty(core, peer, core.log.base_index, core.log.base_term)
+        return False
+    assert term is not None
+    entries, size = _sendable(core, progress)
+    if not entries:
+        if may_be_empty:
+            _send_empty(core, peer, previous, term)
+        return False
+    request = pb.AppendRequest(
+        previous_index=previous,
+        previous_term=term,
+        entries=entries,
+        commit_index=core.commit_index,
+        read_round=core.reads.number,
+    )
+    core.send(peer, append_request=request)
+    if progress.mode is Mode.REPLICATE:
+        progress.sent(previous + len(entries), size)
+    else:
+        progress.waiting = True
+    return progress.mode is Mode.REPLICATE
+
+
+def _send_empty(core: Core, peer: str, previous: int, term: int) -> None:
+    request = pb.AppendRequest(
+        previous_index=previous,
+        previous_term=term,
+        commit_index=min(core.commit_index, previous),
+        read_round=core.reads.number,
+    )
+    core.send(peer, append_request=request)
+
+
+def _sendable(core: Core, progress: Progress) -> tuple[list[pb.Entry], int]:
+    if progress.waiting:
+        return [], 0
+    if progress.in_flight_bytes >= core.options.in_flight_limit_bytes:
+        return [], 0
+    limit = core.options.append_limit_bytes
+    return core.log.batch(progress.next_index, limit)
+
+
+def _send_chunk(core: Core, peer: str, progress: Progress, now: float) -> None:
+    if progress.snapshot is None or progress.chunk_sent_at_s is not None:
+        return
+    progress.chunk_sent_at_s = now
+    wanted = ChunkWanted(
+        MemberId(peer),
+        core.term,
+        progress.snapshot,
+        progress.snapshot_offset,
+        core.options.chunk_limit_bytes,
+    )
+    core.ready.wanted.append(wanted)
+
+
+def _resend_chunk(core: Core, progress: Progress, now: float) -> None:
+    sent_at_s = progress.chunk_sent_at_s
+    if sent_at_s is None:
+        return
+    if now - sent_at_s >= core.options.election_timeout_s:
+        progress.chunk_sent_at_s = None
+
+
+def advance_commit(core: Core) -> None:
+    """Commit what a majority has synced, and answer confirmed reads."""
+    index = majority_value(
+        core.synced_index if voter == core.options.member else _match_of(core, voter)
+        for voter in core.quorum_voters()
+    )
+    if index <= core.commit_index or not core.may_commit(index):
+        return
+    for entry in core.log.after(core.commit_index, index):
+        core.uncommitted_bytes -= entry.ByteSize()
+    core.uncommitted_bytes = max(0, core.uncommitted_bytes)
+    core.commit_index = index
+    _leave_if_removed(core)
+
+
+def _match_of(core: Core, voter: str) -> int:
+    progress = core.progress.get(voter)
+    return progress.match_index if progress else 0
+
+
+def _leave_if_removed(core: Core) -> None:
+    if core.log.membership_index > core.commit_index or core.is_voter():
+        return
+    for peer, progress in core.progress.items():
+        _send_append(core, peer, progress, may_be_empty=True)
+    _election.follow(core, core.term, "", core.heartbeat_at_s)
+
+
+def try_transfer(core: Core) -> None:
+    """Tell the target of a transfer to campaign, once it has the whole log."""
+    progress = core.progress.get(core.transfer_to)
+    if progress is None or progress.match_index < core.log.last_index:
+        return
+    core.send(core.transfer_to, timeout_now=pb.TimeoutNow())
+
+
+@handle.register(pb.AppendRequest)
+def _(
+    payload: pb.AppendRequest, core: Core, message: pb.LogMessage, now: float
+) -> None:
+    if core.role is Role.LEADER:
+        return
+    _election.hear_leader(core, message.sender, now)
+    response = pb.AppendResponse(
+        read_round=payload.read_round, previous_index=payload.previous_index
+    )
+    if _matches(core, payload):
+        response.accepted = True
+        response.match_index = _accept(core, payload)
+    else:
+        response.match_index = _hint(core, payload.previous_index)
+    core.reply(message.sender, append_response=response)
+
+
+def _matches(core: Core, payload: pb.AppendRequest) -> bool:
+    if payload.previous_index <= core.commit_index:
+        return True
+    return core.log.term_at(payload.previous_index) == payload.previous_term
+
+
+def _accept(core: Core, payload: pb.AppendRequest) -> int:
+    for entry in payload.entries:
+        if entry.index <= core.commit_index:
+            continue
+        present = core.log.term_at(entry.index)
+        if present == entry.term:
+            continue
+        if present is not None:
+            _truncate(core, entry.index)
+        core.log.append(entry)
+    matched = payload.previous_index + len(payload.entries)
+    committed = min(payload.commit_index, matched)
+    core.commit_index = max(core.commit_index, committed)
+    return matched
+
+
+def _truncate(core: Core, index: int) -> None:
+    core.log.truncate(index)
+    core.written_index = min(core.written_index, index - 1)
+    core.synced_index = min(core.synced_index, index - 1)
+
+
+def _hint(core: Core, index: int) -> int:
+    if index > core.log.last_index:
+        return core.log.last_index
+    return max(core.commit_index, core.log.first_of_term(index) - 1)
+
+
+@handle.register(pb.AppendResponse)
+def _(
+    payload: pb.AppendResponse, core: Core, message: pb.LogMessage, now: float
+) -> None:
+    progress = core.progress.get(message.sender)
+    if core.role is not Role.LEADER or progress is None:
+        return
+    progress.heard_at_s = now
+    progress.read_round = max(progress.read_round, payload.read_round)
+    _reads.confirm(core)
+    if not payload.accepted:
+        _refused(core, progress, payload)
+        return
+    progress.matched(min(payload.match_index, core.log.last_index))
+    if progress.mode is Mode.PROBE:
+        progress.replicate()
+    if progress.mode is Mode.SNAPSHOT and _match_is_here(core, progress):
+        progress.replicate()
+    advance_commit(core)
+    if core.transfer_to == message.sender:
+        try_transfer(core)
+
+
+def _match_is_here(core: Core, progress: Progress) -> bool:
+    return progress.match_index >= core.log.base_index
+
+
+def _refused(core: Core, progress: Progress, payload: pb.AppendResponse) -> None:
+    if progress.mode is Mode.SNAPSHOT:
+        return
+    if payload.previous_index <= progress.match_index:
+        return
+    if progress.mode is Mode.PROBE and payload.previous_index >= progress.next_index:
+        return
+    progress.probe(min(payload.match_index + 1, payload.previous_index))
+
+
+@handle.register(pb.SnapshotChunk)
+def _(
+    payload: pb.SnapshotChunk, core: Core, message: pb.LogMessage, now: float
+) -> None:
+    if core.role is Role.LEADER:
+        return
+    _election.hear_leader(core, message.sender, now)
+    meta = payload.meta
+    if core.log.term_at(meta.index) == meta.term:
+        core.commit_index = max(core.commit_index, meta.index)
+    if meta.index <= core.commit_index:
+        core.reply_snapshot(meta, meta.size_bytes, installed=True)
+        return
+    expected = _expected_offset(core, meta)
+    if payload.offset != expected:
+        core.reply_snapshot(meta, expected, installed=False)
+        return
+    received = ChunkReceived(meta, payload.offset, payload.data, payload.last)
+    core.ready.chunks.append(received)
+    core.incoming = (meta, expected + len(payload.data))
+    if not payload.last:
+        core.reply_snapshot(meta, expected + len(payload.data), installed=False)
+
+
+def _expected_offset(core: Core, meta: pb.SnapshotMeta) -> int:
+    if core.incoming is None or core.incoming[0] != meta:
+        return 0
+    return core.incoming[1]
+
+
+@handle.register(pb.SnapshotAck)
+def _(payload: pb.SnapshotAck, core: Core, message: pb.LogMessage, now: float) -> None:
+    progress = core.progress.get(message.sender)
+    if core.role is not Role.LEADER or progress is None:
+        return
+    progress.heard_at_s = now
+    if progress.snapshot is None or progress.snapshot.index != payload.index:
+        return
+    if payload.installed:
+        progress.matched(payload.index)
+        progress.replicate()
+        advance_commit(core)
+        return
+    progress.snapshot_offset = payload.next_offset
+    progress.chunk_sent_at_s = None
--- /dev/null
+++ b/src/tanagerturn/coordination/log/changes.py
@@ -0,0 +1,53 @@
+"""Member changes: one at a time, learners first."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from expression import Error, Ok, Result
+
+from tanagerturn.coordination.errors import RefusedError, StepError
+from tanagerturn.coordination.log import _replication
+from tanagerturn.coordination.log.membership import Action, changed
+from tanagerturn.coordination.log.ready import CAUGHT_UP_ENTRIES
+from tanagerturn.schema import coordination_pb2 as pb
+
+if TYPE_CHECKING:
+    from tanagerturn.coordination.ids import LogIndex
+    from tanagerturn.coordination.log.core import Core
+
+
+def propose_change(
+    core: Core, action: int, member: pb.Member, now: float
+) -> Result[LogIndex, StepError]:
+    """Append a changed membership, if one change after another allows it."""
+    reason = _objection(core, action, member.id, now)
+    if reason:
+        return Error(RefusedError("change member", member.id, reason))
+    membership = changed(core.log.membership, action, member)
+    if isinstance(membership, str):
+        return Error(RefusedError("change member", member.id, membership))
+    membership.index = core.log.last_index + 1
+    index = _replication.append_own(core, pb.Entry(membership=membership))
+    _replication.update_peers(core, now)
+    return Ok(index)
+
+
+def _objection(core: Core, action: int, member: str, now: float) -> str:
+    if core.log.membership_index > core.commit_index:
+        return "another change is not committed yet"
+    if core.log.term_at(core.commit_index) != core.term:
+        return "the leader has not committed an entry of its term yet"
+    if action == Action.PROMOTE and not is_caught_up(core, member, now):
+        return "the learner has not caught up"
+    return ""
+
+
+def is_caught_up(core: Core, member: str, now: float) -> bool:
+    """Whether a learner answers and lacks few entries only."""
+    progress = core.progress.get(member)
+    if progress is None or not progress.match_index:
+        return False
+    if now - progress.heard_at_s > core.options.election_timeout_s:
+        return False
+    return progress.match_index + CAUGHT_UP_ENTRIES >= core.log.last_index
--- /dev/null
+++ b/src/tanagerturn/coordination/log/membership.py
@@ -0,0 +1,66 @@
+"""Members of a replication group: quorums, and one change at a time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from tanagerturn.coordination.ids import MemberId
+from tanagerturn.schema import coordination_pb2 as pb
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+Action = pb.MemberChangeRequest.Action
+
+
+def voters(membership: pb.Membership) -> list[MemberId]:
+    """Return the members that vote and count for a majority."""
+    return [MemberId(m.id) for m in membership.members if m.role == pb.VOTER]
+
+
+def find(membership: pb.Membership, member: str) -> pb.Member | None:
+    """Return a member by id, None when it isn't one."""
+    return next((m for m in membership.members if m.id == member), None)
+
+
+def majority_value(values: Iterable[int]) -> int:
+    """Return the highest number that a majority has reached.
+
+    Args:
+        values: One number for each voter; at least one.
+    """
+    ordered = sorted(values, reverse=True)
+    return ordered[len(ordered) // 2]
+
+
+def changed(
+    membership: pb.Membership, action: int, member: pb.Member
+) -> pb.Membership | str:
+    """Return the membership after one change, or why it isn't allowed."""
+    present = find(membership, member.id)
+    result = pb.Membership()
+    result.CopyFrom(membership)
+    if action == Action.ADD_LEARNER:
+        if present is not None:
+            return f"{member.id} is a member already"
+        if not member.id or not member.address:
+            return "a member needs an id and an address"
+        added = result.members.add()
+        added.CopyFrom(member)
+        added.role = pb.LEARNER
+        return result
+    if present is None:
+        return f"{member.id} is not a member"
+    if action == Action.PROMOTE:
+        if present.role != pb.LEARNER:
+            return f"{member.id} is not a learner"
+        for one in result.members:
+            if one.id == member.id:
+                one.role = pb.VOTER
+        return result
+    if action == Action.REMOVE:
+        if voters(membership) == [member.id]:
+            return "the last voter can't be removed"
+        kept = [m for m in membership.members if m.id != member.id]
+        return pb.Membership(members=kept)
+    return "unknown action"
--- /dev/null
+++ b/src/tanagerturn/coordination/remote.py
@@ -0,0 +1,222 @@
+"""A `StateClient` that talks to state members over gRPC."""
+
+from __future__ import annotations
+
+import threading
+import time
+import uuid
+from typing import TYPE_CHECKING, Any, Final
+
+import grpc
+from expression import Error, Ok, Result
+
+from tanagerturn.coordination._remote_watch import RemoteWatch
+from tanagerturn.coordination.channels import TlsFiles, open_channel
+from tanagerturn.coordination.errors import (
+    RefusedError,
+    StepError,
+    UnavailableError,
+)
+from tanagerturn.schema import coordination_pb2 as pb
+from tanagerturn.schema.coordination_pb2_grpc import StateServiceStub
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from tanagerturn.coordination.ids import GroupId, LeaseName, Revision
+
+__all__ = ["LEADER_KEY", "RemoteStateClient", "TlsFiles", "connect"]
+
+LEADER_KEY: Final = "tanager-leader"
+"""Trailing metadata with the leader's address."""
+
+ATTEMPT_S: Final = 1.0
+"""Longest wait for one member before another is tried."""
+
+PAUSE_S: Final = 0.02
+"""Pause before the next attempt when no leader is known."""
+
+REFUSALS: Final = frozenset(
+    {
+        grpc.StatusCode.INVALID_ARGUMENT,
+        grpc.StatusCode.RESOURCE_EXHAUSTED,
+        grpc.StatusCode.PERMISSION_DENIED,
+        grpc.StatusCode.NOT_FOUND,
+        grpc.StatusCode.UNIMPLEMENTED,
+    }
+)
+
+
+class RemoteStateClient:
+    """Calls to state members; follows the leader and tries again in time.
+
+    Args:
+        addresses: IP numbers and ports of state members, one at least.
+        tls: Certificates, None for plain TCP.
+    """
+
+    def __init__(self, addresses: Sequence[str], tls: TlsFiles | None) -> None:
+        self.addresses = list(addresses)
+        """Addresses from settings."""
+        self.tls = tls
+        """Certificates."""
+        self.leaders: dict[str, str] = {}
+        """Address of the leader by replication group, as last heard."""
+        self.watches: list[RemoteWatch] = []
+        """Running watches."""
+        self._lock = threading.Lock()
+        self._channels: dict[str, grpc.Channel] = {}
+        self._stubs: dict[str, StateServiceStub] = {}
+
+    def close(self) -> None:
+        """End all watches and close the connections."""
+        for watch in list(self.watches):
+            watch.stop()
+        with self._lock:
+            channels = list(self._channels.values())
+            self._channels = {}
+            self._stubs = {}
+        for channel in channels:
+            channel.close()
+
+    def stub(self, address: str) -> StateServiceStub:
+        """Return the calls to one member."""
+        with self._lock:
+            if address not in self._stubs:
+                channel = open_channel(address, self.tls)
+                self._channels[address] = channel
+                self._stubs[address] = StateServiceStub(channel)
+            return self._stubs[address]
+
+    def propose(
+        self, group: GroupId, command: pb.Command, timeout_s: float
+    ) -> Result[pb.CommandResult, StepError]:
+        """Commit a command; a transaction without a change id gets one."""
+        sent = pb.Command()
+        sent.CopyFrom(command)
+        if not sent.change_id and sent.HasField("transaction"):
+            sent.change_id = uuid.uuid4().hex
+        request = pb.ProposeRequest(group=group, command=sent)
+        answer = self._call("propose", group, "Propose", request, timeout_s)
+        return answer.map(lambda response: response.result)
+
+    def read(
+        self, group: GroupId, key: str, timeout_s: float
+    ) -> Result[pb.KeyValue | None, StepError]:
+        """Read one key linearizably."""
+        request = pb.RangeRequest(group=group, prefix=key, exact=True, limit=1)
+        answer = self._call("read", group, "Range", request, timeout_s)
+        return answer.map(lambda found: next(iter(found.entries), None))
+
+    def scan(
+        self,
+        group: GroupId,
+        prefix: str,
+        timeout_s: float,
+        after_key: str = "",
+        limit: int = 1000,
+    ) -> Result[pb.RangeResponse, StepError]:
+        """Read the keys under a prefix linearizably."""
+        request = pb.RangeRequest(
+            group=group, prefix=prefix, after_key=after_key, limit=limit
+        )
+        return self._call("scan", group, "Range", request, timeout_s)
+
+    def lease(
+        self, group: GroupId, name: LeaseName, timeout_s: float
+    ) -> Result[pb.Lease, StepError]:
+        """Read a lease linearizably."""
+        request = pb.LeaseRequest(group=group, name=name)
+        answer = self._call("read lease", group, "GetLease", request, timeout_s)
+        return answer.map(lambda response: response.lease)
+
+    def change_member(
+        self, group: GroupId, action: int, member: pb.Member, timeout_s: float
+    ) -> Result[pb.Membership, StepError]:
+        """Add, promote or remove one member of a replication group."""
+        request = pb.MemberChangeRequest(group=group, member=member)
+        request.action = action  # type: ignore[assignment]
+        answer = self._call("change member", group, "ChangeMember", request, timeout_s)
+        return answer.map(lambda response: response.membership)
+
+    def status(
+        self, address: str, timeout_s: float
+    ) -> Result[pb.StatusResponse, StepError]:
+        """Ask one member for its state."""
+        try:
+            return Ok(self.stub(address).Status(pb.Empty(), timeout=timeout_s))
+        except grpc.RpcError as error:
+            return Error(UnavailableError("ask status", address, _details(error)))
+
+    def watch(
+        self,
+        group: GroupId,
+        prefix: str,
+        after_revision: Revision,
+        on_batch: Callable[[pb.WatchBatch], None],
+    ) -> RemoteWatch:
+        """Deliver events under a prefix from a thread of its own."""
+        watch = RemoteWatch(self, group, prefix, after_revision, on_batch)
+        self.watches.append(watch)
+        watch.start()
+        return watch
+
+    def _call(
+        self, step: str, group: str, method: str, request: Any, timeout_s: float
+    ) -> Result[Any, StepError]:
+        deadline_s = time.monotonic() + timeout_s
+        attempt = 0
+        last: StepError = UnavailableError(step, "", "no member was tried")
+        while (left_s := deadline_s - time.monotonic()) > 0:
+            address = self._address(group, attempt)
+            attempt += 1
+            call = getattr(self.stub(address), method)
+            try:
+                return Ok(call(request, timeout=min(left_s, ATTEMPT_S)))
+            except grpc.RpcError as error:
+                last = self._failed(step, group, address, error)
+            except ValueError as error:
+                return Error(UnavailableError(step, address, str(error)))
+            if isinstance(last, RefusedError):
+                return Error(last)
+            if group not in self.leaders:
+                time.sleep(min(PAUSE_S, max(0.0, deadline_s - time.monotonic())))
+        return Error(last)
+
+    def _address(self, group: str, attempt: int) -> str:
+        leader = self.leaders.get(group)
+        return leader or self.addresses[attempt % len(self.addresses)]
+
+    def _failed(
+        self, step: str, group: str, address: str, error: grpc.RpcError
+    ) -> StepError:
+        self.leaders.pop(group, None)
+        code = error.code()
+        if code in REFUSALS:
+            return RefusedError(step, address, _details(error))
+        if code is grpc.StatusCode.FAILED_PRECONDITION:
+            leader = _leader(error)
+            if leader and leader != address:
+                self.leaders[group] = leader
+        return UnavailableError(step, address, _details(error))
+
+
+def connect(addresses: Sequence[str], tls: TlsFiles | None = None) -> RemoteStateClient:
+    """Make a client of state members; it connects on first use.
+
+    Args:
+        addresses: IP numbers and ports of state members, one at least.
+        tls: Certificates, None for plain TCP.
+    """
+    return RemoteStateClient(addresses, tls)
+
+
+def _leader(error: Any) -> str:
+    for key, value in error.trailing_metadata() or ():
+        if key == LEADER_KEY:
+            return str(value)
+    return ""
+
+
+def _details(error: Any) -> str:
+    return f"{error.code().name}: {error.details()}"
--- /dev/null
+++ b/src/tanagerturn/coordination/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Files of a state member: log segments, snapshots, identity and lock."""
--- /dev/null
+++ b/src/tanagerturn/coordination/storage/folder.py
@@ -0,0 +1,113 @@
+"""The data folder of a state member: lock and identity."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+import orjson
+
+from tanagerturn.coordination.errors import StorageError
+from tanagerturn.coordination.storage.group import GroupStorage
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Sequence
+
+    from tanagerturn.coordination.ids import ClusterId, GroupId, MemberId
+    from tanagerturn.coordination.storage.files import Files
+
+FORMAT_VERSION: Final = 1
+IDENTITY: Final = "identity.json"
+LOCK: Final = "lock"
+
+
+@dataclass
+class DataFolder:
+    """An open data folder."""
+
+    files: Files
+    """File operations."""
+    cluster: ClusterId
+    """Cluster that the folder belongs to."""
+    member: MemberId
+    """Member that the folder belongs to."""
+    incarnation: str
+    """Random name given when the folder was made; a new disk has a new one."""
+    release: Callable[[], None]
+    """Releases the lock."""
+
+    def group(self, group: GroupId) -> GroupStorage:
+        """Open the files of a replication group."""
+        return GroupStorage(self.files, self.cluster, group)
+
+    def is_founded(self, groups: Iterable[GroupId]) -> bool:
+        """Whether the member has taken part in all groups."""
+        folders = [self.files.names(f"group-{group}") for group in groups]
+        return all(_has_state(names) for names in folders)
+
+    def close(self) -> None:
+        """Release the lock."""
+        self.release()
+
+
+def open_folder(
+    files: Files, cluster: ClusterId, member: MemberId, incarnation: str | None = None
+) -> DataFolder:
+    """Open or make a member's data folder.
+
+    Args:
+        files: File operations below the folder.
+        cluster: Cluster of the process.
+        member: Id of the process.
+        incarnation: Name for a new folder; random when None.
+
+    Raises:
+        StorageError: The folder is in use, or belongs to another member,
+            cluster or newer program.
+    """
+    release = files.lock(LOCK)
+    try:
+        if IDENTITY not in files.names(""):
+            identity = {
+                "format": FORMAT_VERSION,
+                "cluster": cluster,
+                "member": member,
+                "incarnation": incarnation or os.urandom(8).hex(),
+            }
+            _write_whole(files, IDENTITY, orjson.dumps(identity))
+        found = orjson.loads(files.read(IDENTITY))
+        _check(found, cluster, member)
+    except BaseException:
+        release()
+        raise
+    return DataFolder(files, cluster, member, found["incarnation"], release)
+
+
+def _has_state(names: Sequence[str]) -> bool:
+    return any(name.startswith("log-") or name.endswith(".meta") for name in names)
+
+
+def _check(found: dict[str, object], cluster: str, member: str) -> None:
+    if found["format"] != FORMAT_VERSION:
+        reason = f"format {found['format']} is not {FORMAT_VERSION}"
+        raise StorageError("open data folder", IDENTITY, reason)
+    if (found["cluster"], found["member"]) != (cluster, member):
+        reason = (
+            f"the folder belongs to {found['member']} of cluster {found['cluster']}, "
+            f"not to {member} of {cluster}"
+        )
+        raise StorageError("open data folder", IDENTITY, reason)
+
+
+def _write_whole(files: Files, path: str, data: bytes) -> None:
+    temporary = f"{path}.temporary"
+    files.remove(temporary)
+    file = files.append(temporary)
+    try:
+        file.write(data)
+        file.sync()
+    finally:
+        file.close()
+    files.rename(temporary, path)
+    files.sync_folder("")
--- /dev/null
+++ b/src/tanagerturn/coordination/storage/records.py
@@ -0,0 +1,150 @@
+"""Checksummed records of log files, and what a damaged one means.
+
+A record is a header and a payload. The header has its own checksum, so that a
+changed length is told apart from a write that a crash cut short. Records that
+were synced together have one batch number.
+"""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass
+from enum import Enum, IntEnum
+from typing import TYPE_CHECKING, Final
+
+import google_crc32c
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+HEADER: Final = struct.Struct("<IIQB")
+"""Payload length, payload checksum, batch number, kind."""
+
+HEADER_CHECKSUM: Final = struct.Struct("<I")
+PREFIX_BYTES: Final = HEADER.size + HEADER_CHECKSUM.size
+SECTOR_BYTES: Final = 512
+"""A disk writes a sector wholly or not at all."""
+
+RECORD_LIMIT_BYTES: Final = 256 * 1024 * 1024
+
+
+class Kind(IntEnum):
+    """Kind of a record."""
+
+    HEADER = 1
+    HARD_STATE = 2
+    ENTRY = 3
+
+
+class Tail(Enum):
+    """What follows the last good record of a file."""
+
+    NOTHING = "nothing"
+    TORN = "torn"
+    """A write that was cut short before its sync returned."""
+    DAMAGED = "damaged"
+    """Bytes that were synced have changed."""
+
+
+@dataclass(frozen=True)
+class Record:
+    """One record as read back."""
+
+    kind: int
+    """Kind of the record."""
+    batch: int
+    """Number of the batch that it was synced with."""
+    payload: bytes
+    """Payload."""
+    end: int
+    """Offset after the record, in bytes."""
+
+
+def encode(kind: Kind, batch: int, payload: bytes) -> bytes:
+    """Return the bytes of a record."""
+    header = HEADER.pack(len(payload), google_crc32c.value(payload), batch, kind)
+    return header + HEADER_CHECKSUM.pack(google_crc32c.value(header)) + payload
+
+
+def decode(data: bytes, offset: int) -> Record | None:
+    """Return the record at an offset, None when there is no whole one."""
+    found = _decode_header(data, offset)
+    if found is None:
+        return None
+    length, checksum, batch, kind = found
+    end = offset + PREFIX_BYTES + length
+    payload = data[offset + PREFIX_BYTES : end]
+    if len(payload) < length or google_crc32c.value(payload) != checksum:
+        return None
+    return Record(kind, batch, payload, end)
+
+
+def records(data: bytes) -> Iterator[Record]:
+    """Yield the records from the start up to the first that isn't whole."""
+    offset = 0
+    while True:
+        record = decode(data, offset)
+        if record is None:
+            return
+        yield record
+        offset = record.end
+
+
+def classify(data: bytes, offset: int, last_batch: int) -> Tail:
+    """Tell a torn write from damage.
+
+    Args:
+        data: All bytes of the last log file.
+        offset: Offset after the last good record.
+        last_batch: Batch number of the last good record.
+
+    Returns:
+        `TORN` only when nothing after the offset can have been synced: no
+        later batch is there, and bytes are missing or a sector was not written.
+    """
+    if offset == len(data):
+        return Tail.NOTHING
+    if _has_later_batch(data, offset, last_batch + 1):
+        return Tail.DAMAGED
+    header = _decode_header(data, offset)
+    if header is None:
+        end = min(len(data), offset + PREFIX_BYTES)
+        is_short = end - offset < PREFIX_BYTES
+    else:
+        end = min(len(data), offset + PREFIX_BYTES + header[0])
+        is_short = end - offset < PREFIX_BYTES + header[0]
+    if is_short or _has_empty_sector(data, offset, end):
+        return Tail.TORN
+    return Tail.DAMAGED
+
+
+def _decode_header(data: bytes, offset: int) -> tuple[int, int, int, int] | None:
+    if offset + PREFIX_BYTES > len(data):
+        return None
+    header = data[offset : offset + HEADER.size]
+    (checksum,) = HEADER_CHECKSUM.unpack_from(data, offset + HEADER.size)
+    if google_crc32c.value(header) != checksum:
+        return None
+    length, payload_checksum, batch, kind = HEADER.unpack(header)
+    if length > RECORD_LIMIT_BYTES:
+        return None
+    return length, payload_checksum, batch, kind
+
+
+def _has_later_batch(data: bytes, offset: int, torn_batch: int) -> bool:
+    for start in range(offset + 1, len(data) - PREFIX_BYTES + 1):
+        header = _decode_header(data, start)
+        if header is None or header[2] <= torn_batch:
+            continue
+        if decode(data, start) is not None:
+            return True
+    return False
+
+
+def _has_empty_sector(data: bytes, start: int, end: int) -> bool:
+    while start < end:
+        sector_end = min(end, (start // SECTOR_BYTES + 1) * SECTOR_BYTES)
+        if not any(data[start:sector_end]):
+            return True
+        start = sector_end
+    return False
--- /dev/null
+++ b/src/tanagerturn/coordination/storage/segments.py
@@ -0,0 +1,263 @@
+"""The log of one replication group in append-only files."""
+
+from __future__ import annotations
+
+import errno
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from tanagerturn.coordination.errors import StorageError
+from tanagerturn.coordination.storage.files import (
+    DamageError,
+    DiskFullError,
+    SyncFailedError,
+)
+from tanagerturn.coordination.storage.records import Kind, Tail, classify, encode
+from tanagerturn.coordination.storage.records import records as decode_all
+from tanagerturn.schema import coordination_pb2 as pb
+
+if TYPE_CHECKING:
+    from tanagerturn.coordination.ids import ClusterId, GroupId
+    from tanagerturn.coordination.storage.files import AppendFile, Files
+    from tanagerturn.coordination.storage.records import Record
+
+FORMAT_VERSION: Final = 1
+"""Version of log files and snapshots that is written; older ones are read."""
+
+SEGMENT_LIMIT_BYTES: Final = 8 * 1024 * 1024
+"""A file is closed and a new one begun beyond this size."""
+
+PREFIX: Final = "log-"
+REPAIR: Final = (
+    "remove this member from the group, empty its data folder and let it join "
+    "as a new member"
+)
+
+
+@dataclass
+class Segment:
+    """One log file."""
+
+    path: str
+    """Path of the file."""
+    number: int
+    """Number of the file; later files have larger ones."""
+    last_index: int = 0
+    """Highest index in the file, 0 when it has no entry."""
+    size: int = 0
+    """Synced size in bytes."""
+
+
+class SegmentedLog:
+    """Writes and reads back entries, term and vote.
+
+    Args:
+        files: File operations.
+        folder: Folder of the replication group.
+        cluster: Cluster; files of another are refused.
+        group: Replication group; files of another are refused.
+    """
+
+    def __init__(
+        self, files: Files, folder: str, cluster: ClusterId, group: GroupId
+    ) -> None:
+        self.files = files
+        """File operations."""
+        self.folder = folder
+        """Folder of the replication group."""
+        self.cluster = cluster
+        """Cluster."""
+        self.group = group
+        """Replication group."""
+        self.segments: list[Segment] = []
+        """Log files, oldest first; the last one is written."""
+        self.hard_state = pb.HardState()
+        """Last term and vote."""
+        self.entries: list[pb.Entry] = []
+        """Entries as read back; emptied by `take_entries`."""
+        self.batch = 0
+        """Number of the last batch."""
+        self._file: AppendFile | None = None
+        self._recover()
+
+    def take_entries(self) -> list[pb.Entry]:
+        """Return the entries that were read back, and forget them."""
+        entries, self.entries = self.entries, []
+        return entries
+
+    def write(self, hard_state: pb.HardState | None, entries: list[pb.Entry]) -> None:
+        """Write and sync one batch.
+
+        Raises:
+            DiskFullError: Nothing was written; it may be tried again.
+            SyncFailedError: The process must end.
+        """
+        if hard_state is not None:
+            self.hard_state = hard_state
+        if not self.segments or self.segments[-1].size > SEGMENT_LIMIT_BYTES:
+            self._roll(reset_index=None)
+        self.batch += 1
+        parts = [_entry_record(self.batch, entry) for entry in entries]
+        if hard_state is not None:
+            payload = hard_state.SerializeToString()
+            parts.append(encode(Kind.HARD_STATE, self.batch, payload))
+        self._append(b"".join(parts))
+        segment = self.segments[-1]
+        if entries:
+            segment.last_index = max(segment.last_index, entries[-1].index)
+
+    def reset(self, base_index: int) -> None:
+        """Void all entries; the log goes on after an installed snapshot."""
+        old = list(self.segments)
+        self._roll(reset_index=base_index)
+        for segment in old:
+            self.files.remove(segment.path)
+        self.segments = self.segments[-1:]
+
+    def cut(self, index: int) -> None:
+        """Remove files that hold only entries up to an index."""
+        while len(self.segments) > 1 and self.segments[0].last_index <= index:
+            self.files.remove(self.segments.pop(0).path)
+
+    def size(self) -> int:
+        """Return the size of all files in bytes."""
+        return sum(segment.size for segment in self.segments)
+
+    def close(self) -> None:
+        """Close the file that is written."""
+        if self._file is not None:
+            self._file.close()
+            self._file = None
+
+    def _append(self, data: bytes) -> None:
+        segment = self.segments[-1]
+        file = self._open()
+        try:
+            file.write(data)
+        except OSError as error:
+            self._undo(error)
+        try:
+            file.sync()
+        except OSError as error:
+            raise SyncFailedError("sync log", segment.path, str(error)) from error
+        segment.size += len(data)
+
+    def _undo(self, error: OSError) -> None:
+        segment = self.segments[-1]
+        try:
+            self._open().truncate(segment.size)
+        except OSError as failed:
+            raise SyncFailedError("cut log", segment.path, str(failed)) from failed
+        if error.errno in (errno.ENOSPC, errno.EDQUOT):
+            raise DiskFullError("write log", segment.path, str(error)) from error
+        raise SyncFailedError("write log", segment.path, str(error)) from error
+
+    def _open(self) -> AppendFile:
+        if self._file is None:
+            self._file = self.files.append(self.segments[-1].path)
+        return self._file
+
+    def _roll(self, reset_index: int | None) -> None:
+        number = self.segments[-1].number + 1 if self.segments else 1
+        path = f"{self.folder}/{PREFIX}{number:020d}"
+        header = pb.SegmentHeader(
+            format_version=FORMAT_VERSION,
+            cluster=self.cluster,
+            group=self.group,
+            hard_state=self.hard_state,
+            reset=reset_index is not None,
+            base_index=reset_index or 0,
+        )
+        self.close()
+        self.batch += 1
+        self.segments.append(Segment(path, number))
+        try:
+            self._append(encode(Kind.HEADER, self.batch, header.SerializeToString()))
+        except DiskFullError:
+            self.close()
+            self.files.remove(path)
+            self.segments.pop()
+            raise
+        try:
+            self.files.sync_folder(self.folder)
+        except OSError as error:
+            raise SyncFailedError("sync folder", self.folder, str(error)) from error
+
+    def _recover(self) -> None:
+        names = [n for n in self.files.names(self.folder) if n.startswith(PREFIX)]
+        for name in names:
+            path = f"{self.folder}/{name}"
+            segment = Segment(path, int(name[len(PREFIX) :]))
+            self._read(segment, is_last=name == names[-1])
+
+    def _read(self, segment: Segment, *, is_last: bool) -> None:
+        data = self.files.read(segment.path)
+        offset = 0
+        for record in decode_all(data):
+            self._take(record, segment, offset)
+            offset = record.end
+        tail = classify(data, offset, self.batch) if is_last else Tail.NOTHING
+        if offset < len(data) and tail is not Tail.TORN:
+            raise self._damage(segment, offset, "a synced record is damaged")
+        segment.size = offset
+        if offset == 0:
+            if not is_last:
+                raise self._damage(segment, 0, "the file is empty")
+            self.files.remove(segment.path)
+            return
+        self.segments.append(segment)
+        if tail is Tail.TORN:
+            self._cut_tail(segment)
+
+    def _cut_tail(self, segment: Segment) -> None:
+        file = self._open()
+        try:
+            file.truncate(segment.size)
+            file.sync()
+        except OSError as error:
+            raise SyncFailedError("cut log", segment.path, str(error)) from error
+
+    def _take(self, record: Record, segment: Segment, offset: int) -> None:
+        self.batch = max(self.batch, record.batch)
+        if offset == 0:
+            self._take_header(record, segment)
+        elif record.kind == Kind.HARD_STATE:
+            self.hard_state = pb.HardState.FromString(record.payload)
+        elif record.kind == Kind.ENTRY:
+            self._take_entry(pb.Entry.FromString(record.payload), segment, offset)
+        else:
+            raise self._damage(segment, offset, f"unknown record {record.kind}")
+
+    def _take_header(self, record: Record, segment: Segment) -> None:
+        if record.kind != Kind.HEADER:
+            raise self._damage(segment, 0, "the file has no header")
+        header = pb.SegmentHeader.FromString(record.payload)
+        if header.format_version > FORMAT_VERSION:
+            reason = (
+                f"format version {header.format_version} is newer than "
+                f"{FORMAT_VERSION}; run a newer program"
+            )
+            raise StorageError("read log", segment.path, reason)
+        if (header.cluster, header.group) != (self.cluster, self.group):
+            reason = f"belongs to group {header.group} of cluster {header.cluster}"
+            raise StorageError("read log", segment.path, reason)
+        self.hard_state = header.hard_state
+        if header.reset:
+            self.entries = []
+
+    def _take_entry(self, entry: pb.Entry, segment: Segment, offset: int) -> None:
+        if self.entries:
+            keep = entry.index - self.entries[0].index
+            if keep > len(self.entries):
+                raise self._damage(segment, offset, "entries are missing")
+            del self.entries[max(0, keep) :]
+        self.entries.append(entry)
+        segment.last_index = max(segment.last_index, entry.index)
+
+    def _damage(self, segment: Segment, offset: int, what: str) -> DamageError:
+        reason = f"{what} at offset {offset}; repair: {REPAIR}"
+        return DamageError("read log", segment.path, reason)
+
+
+def _entry_record(batch: int, entry: pb.Entry) -> bytes:
+    return encode(Kind.ENTRY, batch, entry.SerializeToString())
--- a/src/tanagerturn/coordination/store.py
+++ b/src/tanagerturn/coordination/store.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from sortedcontainers import SortedDict
@@ -16,33 +17,79 @@
 from tanagerturn.schema import coordination_pb2 as pb
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
 KEY_LIMIT_BYTES: Final = 1024
 VALUE_LIMIT_BYTES: Final = 8 * 1024 * 1024
 EVENT_HISTORY_LIMIT: Final = 10_000
 """Events kept for watchers; one that is further behind gets a snapshot."""
 
+EVENT_HISTORY_LIMIT_BYTES: Final = 8 * 1024 * 1024
+"""Size of the keys and values of the events kept for watchers."""
+
 CHANGE_KEEP_MS: Final = 600_000
 """Time that a change id and its result are remembered, in milliseconds."""
 
+CHANGE_LIMIT: Final = 20_000
+"""Change ids remembered at most; the oldest are forgotten first."""
+
 Status = pb.CommandResult.Status
 
 
+@dataclass(frozen=True)
+class StoreImage:
+    """A state of the store at one moment, for a snapshot.
+
+    Stored messages are replaced and never changed, so that another thread may
+    write an image out.
+    """
+
+    revision: int
+    """Revision of the store."""
+    clock_ms: int
+    """Clock of the store in milliseconds."""
+    entries: list[pb.KeyValue]
+    """Present keys, in order."""
+    leases: list[pb.Lease]
+    """Leases, by name."""
+    changes: list[tuple[str, tuple[int, pb.CommandResult]]]
+    """Remembered changes, oldest first."""
+
+    def records(self) -> Iterator[pb.StoreRecord]:
+        """Yield the records of a snapshot; equal states yield equal records."""
+        count = 1 + len(self.entries) + len(self.leases) + len(self.changes)
+        header = pb.StoreHeader(revision=self.revision, clock_ms=self.clock_ms)
+        yield pb.StoreRecord(header=header)
+        for entry in self.entries:
+            yield pb.StoreRecord(entry=entry)
+        for lease in self.leases:
+            yield pb.StoreRecord(lease=lease)
+        for change_id, (accepted_at_ms, result) in self.changes:
+            change = pb.RememberedChange(
+                change_id=change_id, accepted_at_ms=accepted_at_ms, result=result
+            )
+            yield pb.StoreRecord(change=change)
+        yield pb.StoreRecord(end=count)
+
+
 class Store:
     """Keys with revisions, leases with fencing numbers, and change ids."""
 
     def __init__(self) -> None:
         self.revision = Revision(0)
         """Number of the last write."""
+        self.clock_ms = 0
+        """Latest time at which a leader accepted a command, in milliseconds."""
         self.entries: SortedDict[str, pb.KeyValue] = SortedDict()
         """Present keys, in order."""
         self.leases: dict[str, pb.Lease] = {}
         """Leases by name, free ones included: their numbers go on growing."""
         self.changes: OrderedDict[str, tuple[int, pb.CommandResult]] = OrderedDict()
         """Change id to the time accepted in milliseconds and the result."""
-        self.events: deque[pb.Event] = deque(maxlen=EVENT_HISTORY_LIMIT)
+        self.events: deque[pb.Event] = deque()
         """Last writes, for watchers."""
+        self.events_bytes = 0
+        """Size of the keys and values of the events."""
         self.events_start = Revision(0)
         """Watchers at or after this revision can be served from events."""
 
@@ -61,14 +108,25 @@
         Returns:
             The result; the earlier one when the change id is remembered.
         """
-        self._forget_changes(command.accepted_at_ms)
+        self.clock_ms = max(self.clock_ms, command.accepted_at_ms)
+        self._forget_changes(self.clock_ms)
         if command.change_id in self.changes:
             return self.changes[command.change_id][1]
         result = self._run(command)
         if command.change_id:
-            self.changes[command.change_id] = (command.accepted_at_ms, result)
+            self.changes[command.change_id] = (self.clock_ms, result)
         return result
 
+    def image(self) -> StoreImage:
+        """Return the present state, for a snapshot."""
+        return StoreImage(
+            revision=self.revision,
+            clock_ms=self.clock_ms,
+            entries=list(self.entries.values()),
+            leases=[self.leases[name] for name in sorted(self.leases)],
+            changes=list(self.changes.items()),
+        )
+
     def scan(
         self, prefix: str, after_key: str = "", limit: int = 1000
     ) -> Iterator[pb.KeyValue]:
@@ -162,9 +220,15 @@
         self._record(pb.Event(entry=entry, deleted=True, revision=self.revision))
 
     def _record(self, event: pb.Event) -> None:
-        if len(self.events) == EVENT_HISTORY_LIMIT:
-            self.events_start = Revision(self.events[0].revision)
         self.events.append(event)
+        self.events_bytes += _event_bytes(event)
+        while (
+            len(self.events) > EVENT_HISTORY_LIMIT
+            or self.events_bytes > EVENT_HISTORY_LIMIT_BYTES
+        ):
+            dropped = self.events.popleft()
+            self.events_bytes -= _event_bytes(dropped)
+            self.events_start = Revision(dropped.revision)
 
     def _acquire(self, command: pb.LeaseAcquire) -> pb.CommandResult:
         if not command.name or not command.holder or not command.duration_ms:
@@ -213,7 +277,8 @@
     def _forget_changes(self, now_ms: int) -> None:
         while self.changes:
             accepted_at_ms, _ = next(iter(self.changes.values()))
-            if accepted_at_ms + CHANGE_KEEP_MS > now_ms:
+            is_recent = accepted_at_ms + CHANGE_KEEP_MS > now_ms
+            if is_recent and len(self.changes) <= CHANGE_LIMIT:
                 return
             self.changes.popitem(last=False)
 
@@ -233,6 +298,46 @@
         )
 
 
+def restore(records: Iterable[pb.StoreRecord]) -> Store:
+    """Build a store from the records of a snapshot.
+
+    Events are not kept: a watcher from before gets a full copy.
+
+    Raises:
+        ValueError: Records are missing or unknown.
+    """
+    store = Store()
+    entries: list[pb.KeyValue] = []
+    count = 0
+    ended = False
+    for record in records:
+        kind = record.WhichOneof("kind")
+        if kind == "header":
+            store.revision = Revision(record.header.revision)
+            store.clock_ms = record.header.clock_ms
+        elif kind == "entry":
+            entries.append(record.entry)
+        elif kind == "lease":
+            store.leases[record.lease.name] = record.lease
+        elif kind == "change":
+            change = record.change
+            store.changes[change.change_id] = (change.accepted_at_ms, change.result)
+        elif kind == "end" and record.end == count:
+            ended = True
+        else:
+            raise ValueError(f"unexpected record {kind} after {count} records")
+        count += 1
+    if not ended:
+        raise ValueError(f"snapshot ends early, after {count} records")
+    store.entries.update((entry.key, entry) for entry in entries)
+    store.events_start = store.revision
+    return store
+
+
+def _event_bytes(event: pb.Event) -> int:
+    return len(event.entry.key) + len(event.entry.value)
+
+
 def _malformed(transaction: pb.Transaction) -> str:
     keys = [p.key for p in transaction.puts] + [d.key for d in transaction.deletes]
     if len(set(keys)) != len(keys):
