Run the replicated log through seeded schedules of failures

A sector of a torn write could also reach into a synced batch, so batches now begin with a sector of their own.

--- /dev/null
+++ b/bench/state_member.py
@@ -0,0 +1,29 @@
+"""Runs one state member for the benchmarks, until its input is closed.
+
+usage: python bench/state_member.py SETTINGS_FILE (a serialized ProcessSettings)
+"""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+from loguru import logger
+
+from tanagerturn.schema import settings_pb2
+from tanagerturn.state.server import start_state
+
+
+def main() -> None:
+    """Start the member, tell so, and wait."""
+    logger.remove()
+    logger.add(sys.stderr, level="WARNING")
+    data = Path(sys.argv[1]).read_bytes()
+    server = start_state(settings_pb2.ProcessSettings.FromString(data))
+    print(server.address, flush=True)
+    sys.stdin.read()
+    server.stop(grace_s=1.0)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/tanagerturn/coordination/storage/records.py
+++ b/src/tanagerturn/coordination/storage/records.py
@@ -25,6 +25,9 @@
 SECTOR_BYTES: Final = 512
 """A disk writes a sector wholly or not at all."""
 
+PADDING: Final = b"\xff"
+"""Not zero: a sector of zeros is one that was not written."""
+
 RECORD_LIMIT_BYTES: Final = 256 * 1024 * 1024
 
 
@@ -34,6 +37,7 @@
     HEADER = 1
     HARD_STATE = 2
     ENTRY = 3
+    PADDING = 4
 
 
 class Tail(Enum):
@@ -66,6 +70,16 @@
     return header + HEADER_CHECKSUM.pack(google_crc32c.value(header)) + payload
 
 
+def padding(batch: int, size: int) -> bytes:
+    """Return a record that fills a file of some size up to a whole sector."""
+    missing = -size % SECTOR_BYTES
+    if not missing:
+        return b""
+    if missing < PREFIX_BYTES:
+        missing += SECTOR_BYTES
+    return encode(Kind.PADDING, batch, PADDING * (missing - PREFIX_BYTES))
+
+
 def decode(data: bytes, offset: int) -> Record | None:
     """Return the record at an offset, None when there is no whole one."""
     found = _decode_header(data, offset)
@@ -132,7 +146,8 @@
 
 
 def _has_later_batch(data: bytes, offset: int, torn_batch: int) -> bool:
-    for start in range(offset + 1, len(data) - PREFIX_BYTES + 1):
+    first = (offset // SECTOR_BYTES + 1) * SECTOR_BYTES
+    for start in range(first, len(data), SECTOR_BYTES):
         header = _decode_header(data, start)
         if header is None or header[2] <= torn_batch:
             continue
@@ -142,8 +157,9 @@
 
 
 def _has_empty_sector(data: bytes, start: int, end: int) -> bool:
+    """Whether a sector of a record holds nothing but zeros up to its end."""
     while start < end:
-        sector_end = min(end, (start // SECTOR_BYTES + 1) * SECTOR_BYTES)
+        sector_end = (start // SECTOR_BYTES + 1) * SECTOR_BYTES
         if not any(data[start:sector_end]):
             return True
         start = sector_end
--- a/src/tanagerturn/coordination/storage/segments.py
+++ b/src/tanagerturn/coordination/storage/segments.py
@@ -12,7 +12,13 @@
     DiskFullError,
     SyncFailedError,
 )
-from tanagerturn.coordination.storage.records import Kind, Tail, classify, encode
+from tanagerturn.coordination.storage.records import (
+    Kind,
+    Tail,
+    classify,
+    encode,
+    padding,
+)
 from tanagerturn.coordination.storage.records import records as decode_all
 from tanagerturn.schema import coordination_pb2 as pb
 
@@ -131,6 +137,7 @@
 
     def _append(self, data: bytes) -> None:
         segment = self.segments[-1]
+        data += padding(self.batch, segment.size + len(data))
         file = self._open()
         try:
             file.write(data)
@@ -216,6 +223,7 @@
             file.sync()
         except OSError as error:
             raise SyncFailedError("cut log", segment.path, str(error)) from error
+        self._append(b"")
 
     def _take(self, record: Record, segment: Segment, offset: int) -> None:
         self.batch = max(self.batch, record.batch)
@@ -224,8 +232,8 @@
         elif record.kind == Kind.HARD_STATE:
             self.hard_state = pb.HardState.FromString(record.payload)
         elif record.kind == Kind.ENTRY:
-            self._take_entry(pb.Entry.FromString(record.payload), segment, offset)
-        else:
+            self._take_entry(pb.Entry.FromString(record.payload), segment)
+        elif record.kind != Kind.PADDING:
             raise self._damage(segment, offset, f"unknown record {record.kind}")
 
     def _take_header(self, record: Record, segment: Segment) -> None:
@@ -245,11 +253,16 @@
         if header.reset:
             self.entries = []
 
-    def _take_entry(self, entry: pb.Entry, segment: Segment, offset: int) -> None:
+    def _take_entry(self, entry: pb.Entry, segment: Segment) -> None:
+        """Take one entry in; it voids what stood at its index and after.
+
+        A gap is left by files whose removal a crash undid; whether a snapshot
+        covers it is checked by the caller.
+        """
         if self.entries:
             keep = entry.index - self.entries[0].index
             if keep > len(self.entries):
-                raise self._damage(segment, offset, "entries are missing")
+                keep = 0
             del self.entries[max(0, keep) :]
         self.entries.append(entry)
         segment.last_index = max(segment.last_index, entry.index)
--- a/src/tanagerturn/coordination/store.py
+++ b/src/tanagerturn/coordination/store.py
@@ -234,9 +234,10 @@
         if not command.name or not command.holder or not command.duration_ms:
             return self._result(Status.INVALID, reason="lease needs name, holder, time")
         lease = self.lease(command.name)
+        if lease.holder and lease.holder != command.holder:
+            return self._result(Status.HELD, lease=lease)
         if lease.holder:
-            same = lease.holder == command.holder
-            return self._result(Status.APPLIED if same else Status.HELD, lease=lease)
+            return self._extend(lease)
         granted = pb.Lease(
             name=command.name,
             holder=command.holder,
@@ -250,10 +251,13 @@
         lease = self.lease(command.name)
         if not lease.holder or lease.fencing_number != command.fencing_number:
             return self._result(Status.LAPSED, lease=lease)
+        return self._extend(lease)
+
+    def _extend(self, lease: pb.Lease) -> pb.CommandResult:
         renewed = pb.Lease()
         renewed.CopyFrom(lease)
         renewed.renewals += 1
-        self.leases[command.name] = renewed
+        self.leases[lease.name] = renewed
         return self._result(Status.APPLIED, lease=renewed)
 
     def _release(self, command: pb.LeaseRelease) -> pb.CommandResult:
--- a/src/tanagerturn/state/messages.py
+++ b/src/tanagerturn/state/messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
@@ -130,15 +130,3 @@
     """Index, term and membership."""
     image: StoreImage
     """State to store."""
-
-
-@dataclass
-class Pending:
-    """A proposal that waits for its commit."""
-
-    term: int
-    """Term of the entry."""
-    answer: Future[Any]
-    """Gets the result."""
-    started_at_s: float = field(default=0.0)
-    """When it was proposed, in seconds."""
--- a/src/tanagerturn/state/metrics.py
+++ b/src/tanagerturn/state/metrics.py
@@ -9,7 +9,7 @@
 from tanagerturn.coordination.log.ready import Role
 
 if TYPE_CHECKING:
-    from tanagerturn.state.group import ReplicationGroup
+    from tanagerturn.coordination.host import GroupHost
 
 LABELS: Final = ("member", "group")
 BUCKETS_S: Final = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1, 5)
@@ -41,19 +41,26 @@
     def __init__(self, member: str, group: str) -> None:
         self.labels = (member, group)
         """Values of the labels."""
-        self.syncs = SYNCS.labels(member, group)
-        """Synced batches."""
-        self.applied = APPLIED.labels(member, group)
-        """Applied entries."""
         self.commit_s = COMMIT_S.labels(member, group)
         """Time from proposal to application."""
+        self._syncs = 0
+        self._applied = 0
 
-    def update(self, owner: ReplicationGroup) -> None:
-        """Set the gauges from the actor's state."""
-        core = owner.core
+    def update(self, host: GroupHost, watchers: int) -> None:
+        """Set the metrics from the member's state.
+
+        Args:
+            host: The member's part in the group.
+            watchers: Watch streams served.
+        """
+        core = host.core
+        SYNCS.labels(*self.labels).inc(host.syncs - self._syncs)
+        APPLIED.labels(*self.labels).inc(host.applied_entries - self._applied)
+        self._syncs = host.syncs
+        self._applied = host.applied_entries
         IS_LEADER.labels(*self.labels).set(core.role is Role.LEADER)
         TERM.labels(*self.labels).set(core.term)
         COMMIT_INDEX.labels(*self.labels).set(core.commit_index)
-        REVISION.labels(*self.labels).set(owner.store.revision)
-        WATCHERS.labels(*self.labels).set(len(owner.watches.watchers))
-        DISK_FULL.labels(*self.labels).set(owner.stalled is not None)
+        REVISION.labels(*self.labels).set(host.store.revision)
+        WATCHERS.labels(*self.labels).set(watchers)
+        DISK_FULL.labels(*self.labels).set(host.stalled is not None)
--- /dev/null
+++ b/tests/support/log_clients.py
@@ -0,0 +1,145 @@
+"""Clients of a simulated group: they write, read, hold leases and resend."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Final
+
+from support.log_checks import Operation, require
+from tanagerturn.coordination.store import Status
+from tanagerturn.schema import coordination_pb2 as pb
+
+if TYPE_CHECKING:
+    from support.log_cluster import Cluster
+
+RESEND_S: Final = 0.5
+LOST_ANSWERS: Final = 0.05
+LEASE_MS: Final = 400
+KEYS: Final = ("a", "b")
+LEASE: Final = "lease"
+
+
+class Client:
+    """One client with one operation at a time."""
+
+    def __init__(self, cluster: Cluster, name: str) -> None:
+        self.cluster = cluster
+        self.name = name
+        self.operation: Operation | None = None
+        self.count = 0
+        self.number = 0
+        """Fencing number that this client holds."""
+        self.revisions = dict.fromkeys(KEYS, 0)
+
+    @property
+    def is_done(self) -> bool:
+        """Whether no operation is left."""
+        return self.operation is None and self.cluster.is_healed
+
+    def next(self) -> None:
+        """Begin the next operation, unless the schedule is over."""
+        if self.cluster.is_healed:
+            return
+        random = self.cluster.random
+        key = random.choice(KEYS)
+        command = None if random.random() < 0.3 else self._command(key)
+        floor = self.cluster.checks.highest_returned
+        self.operation = Operation(command, key, floor, self.cluster.now)
+        self._send(self.operation, hint="")
+
+    def _command(self, key: str) -> pb.Command:
+        random = self.cluster.random
+        self.count += 1
+        change_id = f"{self.name}-{self.count}"
+        if random.random() < 0.2:
+            return self._lease_command()
+        put = pb.Put(key=key, value=change_id.encode())
+        if random.random() < 0.5:
+            put.expected_revision = self.revisions[key]
+        return pb.Command(change_id=change_id, transaction=pb.Transaction(puts=[put]))
+
+    def _lease_command(self) -> pb.Command:
+        if self.number and self.cluster.random.random() < 0.7:
+            renew = pb.LeaseRenew(name=LEASE, fencing_number=self.number)
+            return pb.Command(lease_renew=renew)
+        if self.number and self.cluster.random.random() < 0.3:
+            release = pb.LeaseRelease(name=LEASE, fencing_number=self.number)
+            known = self.cluster.checks.believed_until_s
+            known[(LEASE, self.number)] = self.cluster.now
+            self.number = 0
+            return pb.Command(lease_release=release)
+        acquire = pb.LeaseAcquire(name=LEASE, holder=self.name, duration_ms=LEASE_MS)
+        return pb.Command(lease_acquire=acquire)
+
+    def _send(self, operation: Operation, hint: str) -> None:
+        """Send the operation to a member; send it again when no answer comes."""
+        if self.operation is not operation:
+            return
+        cluster = self.cluster
+        operation.attempts += 1
+        sent_at_s = cluster.now
+        node = cluster.nodes.get(hint) or cluster.random.choice(
+            list(cluster.nodes.values())
+        )
+
+        def answer(result: Any) -> None:
+            if cluster.random.random() < LOST_ANSWERS and not cluster.is_healed:
+                return
+            delay_s = cluster.random.random() * 0.01
+            cluster.at(delay_s, lambda: self._answered(operation, result, sent_at_s))
+
+        if node.host is not None and not node.is_paused:
+            node.act(lambda host: self._call(host, node.moment(), operation, answer))
+        attempt = operation.attempts
+        cluster.at(RESEND_S, lambda: self._resend(operation, attempt))
+
+    def _resend(self, operation: Operation, attempt: int) -> None:
+        if operation.attempts == attempt:
+            self._send(operation, hint="")
+
+    def _call(self, host: Any, at: Any, operation: Operation, answer: Any) -> None:
+        if operation.command is not None:
+            command = pb.Command()
+            command.CopyFrom(operation.command)
+            host.propose(command, at, answer)
+            return
+        key = operation.key
+        host.query(
+            lambda store: (store.revision, store.entries.get(key)),
+            answer,
+            stale_allowed=False,
+        )
+
+    def _answered(self, operation: Operation, result: Any, sent_at_s: float) -> None:
+        if self.operation is not operation:
+            return
+        if result.is_error():
+            hint = getattr(result.error, "leader", "")
+            operation.attempts += 1
+            pause_s = 0.01 if hint else 0.05
+            self.cluster.at(pause_s, lambda: self._send(operation, hint))
+            return
+        self.operation = None
+        checks = self.cluster.checks
+        if operation.command is None:
+            revision, found = result.ok
+            checks.on_read(operation, revision, found)
+            self.revisions[operation.key] = found.mod_revision if found else 0
+        else:
+            checks.on_written(operation, result.ok)
+            self._on_lease(operation.command, result.ok, sent_at_s)
+        self.cluster.at(0.01 + self.cluster.random.random() * 0.05, self.next)
+
+    def _on_lease(
+        self, command: pb.Command, result: pb.CommandResult, sent_at_s: float
+    ) -> None:
+        """Rely on the lease for its duration, counted from the sending."""
+        if not (command.HasField("lease_acquire") or command.HasField("lease_renew")):
+            return
+        if result.status != Status.APPLIED:
+            self.number = 0
+            return
+        require(result.lease.holder == self.name, "a lease was granted to another")
+        self.number = result.lease.fencing_number
+        until_s = sent_at_s + LEASE_MS / 1000
+        known = self.cluster.checks.believed_until_s
+        known[(LEASE, self.number)] = max(known.get((LEASE, self.number), 0), until_s)
--- /dev/null
+++ b/tests/support/log_cluster.py
@@ -0,0 +1,351 @@
+"""Runs a group of members through one seeded schedule of failures."""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass
+from random import Random
+from typing import TYPE_CHECKING, Any, Final
+
+from support.log_checks import Checks, require
+from support.log_clients import Client
+from support.log_node import Node
+from tanagerturn.coordination.log.changes import is_caught_up
+from tanagerturn.coordination.log.membership import Action
+from tanagerturn.coordination.log.ready import Role
+from tanagerturn.schema import coordination_pb2 as pb
+from tanagerturn.state._repair import GroupHealth, next_change
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping, Sequence
+
+CLIENTS: Final = 3
+HEAL_S: Final = 6.0
+
+
+@dataclass(frozen=True)
+class Profile:
+    """Kind of a schedule."""
+
+    voters: int = 3
+    learners: int = 0
+    spares: int = 0
+    drop: float = 0.02
+    duplicate: float = 0.02
+    delay_s: float = 0.02
+    chaos_s: float = 0.2
+    """Mean time between two failures."""
+    length_s: float = 2.5
+    election_s: float = 0.3
+    leader_crash: float = 0.0
+    """Share of new leaders that crash soon."""
+    append_limit_bytes: int = 300
+    snapshot_entries: int = 12
+    loses_hosts: bool = False
+    """Two hosts are lost for good: one, and one more once a spare was added."""
+
+
+class Cluster:
+    """A group of members, its network, its clients and its failures."""
+
+    def __init__(
+        self, seed: int, profile: Profile, node_class: type[Node] = Node
+    ) -> None:
+        self.random = Random(seed)
+        self.profile = profile
+        self.now = 0.0
+        self.tick_s = profile.election_s / 6
+        self.checks = Checks()
+        self.is_healed = False
+        self.blocked: set[tuple[str, str]] = set()
+        self.lost = 0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._number = 0
+        names = [f"v{n}" for n in range(profile.voters)]
+        names += [f"l{n}" for n in range(profile.learners)]
+        self.founding = pb.Membership(members=[_member(name) for name in names])
+        names += [f"s{n}" for n in range(profile.spares)]
+        self.nodes = {name: node_class(self, name) for name in names}
+        self.clients = [Client(self, f"c{n}") for n in range(CLIENTS)]
+
+    def start(self) -> None:
+        """Start all members."""
+        for node in self.nodes.values():
+            node.start(self._founding_of(node))
+            self.at(self.random.random() * self.tick_s, lambda n=node: self._tick(n))
+
+    def run(self) -> None:
+        """Run the schedule, heal, and check what all members hold."""
+        self.start()
+        for client in self.clients:
+            self.at(0.5 + self.random.random() * 0.1, client.next)
+        self._plan_chaos()
+        if self.profile.loses_hosts:
+            self.at(0.8, self._lose_host)
+            self.at(0.8, self._repair)
+        self.run_until(self.profile.length_s)
+        self.heal()
+        self.run_until(self.profile.length_s + HEAL_S, self.is_settled)
+        self.check_end()
+
+    def at(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Plan an action."""
+        self._number += 1
+        heapq.heappush(self._events, (self.now + delay_s, self._number, action))
+
+    def send(self, messages: Sequence[pb.LogMessage]) -> None:
+        """Put messages on the network."""
+        for message in messages:
+            if (message.sender, message.receiver) in self.blocked:
+                continue
+            copies = 1
+            if not self.is_healed:
+                copies = 0 if self.random.random() < self.profile.drop else 1
+                copies += self.random.random() < self.profile.duplicate
+            for _ in range(copies):
+                delay_s = 0.0005 + self.random.random() ** 3 * self.profile.delay_s
+                self.at(delay_s, lambda m=message: self._deliver(m))
+
+    def save_later(self, node: Node, meta: pb.SnapshotMeta, image: Any) -> None:
+        """Store a snapshot as the writer does, while the member goes on."""
+        host = node.host
+
+        def save() -> None:
+            if node.host is not host or host is None:
+                return
+            saved = host.storage.snapshots.save(meta, image.records())
+            host.snapshot_saved(saved)
+
+        self.at(self.random.random() * 0.05, lambda: node.run(save))
+
+    def restart_later(self, node: Node) -> None:
+        """Start a member again after a while."""
+        delay_s = 0.05 if self.is_healed else self.random.random() * 0.6
+        self.at(delay_s, lambda: node.start(self._founding_of(node)))
+
+    def on_leader(self, node: Node) -> None:
+        """Let some new leaders crash soon, some of them after they spoke to none."""
+        if self.is_healed or self.random.random() >= self.profile.leader_crash:
+            return
+        host = node.host
+        delay_s = self.random.random() * 0.04
+        if self.random.random() < 0.5:
+            self._block({(node.member, other) for other in self.nodes}, delay_s)
+        self.at(delay_s, lambda: node.crash() if node.host is host else None)
+
+    def leader(self) -> Node | None:
+        """Return the member that leads the highest term."""
+        leading = [
+            node
+            for node in self.nodes.values()
+            if node.host is not None and node.host.core.role is Role.LEADER
+        ]
+        return max(leading, key=lambda n: n.host.core.term, default=None)
+
+    def _founding_of(self, node: Node) -> pb.Membership | None:
+        is_founder = any(m.id == node.member for m in self.founding.members)
+        return self.founding if is_founder else None
+
+    def run_until(
+        self, end_s: float, is_done: Callable[[], bool] = lambda: False
+    ) -> None:
+        """Let time pass up to a moment, or until something holds."""
+        while self._events and self._events[0][0] <= end_s:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+            if is_done():
+                return
+        self.now = end_s
+
+    def _tick(self, node: Node) -> None:
+        if not node.is_paused:
+            node.act(lambda host: host.tick(node.moment()))
+        self.at(self.tick_s, lambda: self._tick(node))
+
+    def _deliver(self, message: pb.LogMessage) -> None:
+        node = self.nodes[message.receiver]
+        if node.is_paused:
+            wait_s = node.paused_until_s - self.now
+            self.at(wait_s, lambda: self._deliver(message))
+            return
+        node.act(lambda host: host.deliver([message], node.moment()))
+
+    def _plan_chaos(self) -> None:
+        self.at(self.random.expovariate(1 / self.profile.chaos_s), self._chaos)
+
+    def _chaos(self) -> None:
+        if self.is_healed:
+            return
+        node = self.random.choice(list(self.nodes.values()))
+        if self.random.random() < 0.5:
+            node = self.leader() or node
+        self.random.choice(CHAOS)(self, node)
+        self._plan_chaos()
+
+    def _crash(self, node: Node) -> None:
+        if node.host is not None:
+            node.crash()
+
+    def _crash_at_sync(self, node: Node) -> None:
+        node.disk.crash_in = self.random.randint(1, 8)
+
+    def isolate(self, node: Node) -> None:
+        """Cut a member off, one way or both ways."""
+        others = [n for n in self.nodes if n != node.member]
+        ways = self.random.choice(["in", "out", "both"])
+        pairs = {(node.member, o) for o in others if ways != "in"}
+        pairs |= {(o, node.member) for o in others if ways != "out"}
+        self._block(pairs)
+
+    def _split(self, node: Node) -> None:
+        side = {n for n in self.nodes if self.random.random() < 0.5}
+        pairs = {(a, b) for a in self.nodes for b in self.nodes if a != b}
+        self._block({(a, b) for a, b in pairs if (a in side) != (b in side)})
+
+    def _block(self, pairs: set[tuple[str, str]], for_s: float | None = None) -> None:
+        self.blocked |= pairs
+        end_s = self.random.random() * 0.8 if for_s is None else for_s
+        self.at(end_s, lambda: self.blocked.difference_update(pairs))
+
+    def _pause(self, node: Node) -> None:
+        node.paused_until_s = self.now + self.random.random() * 1.0
+
+    def _fill_disk(self, node: Node) -> None:
+        node.disk.is_full = True
+        self.at(
+            self.random.random() * 0.7, lambda: setattr(node.disk, "is_full", False)
+        )
+
+    def _fail_disk(self, node: Node) -> None:
+        node.disk.is_failing = True
+
+    def _jump_wall_clock(self, node: Node) -> None:
+        node.wall_offset_ms += self.random.choice([-3_600_000, 3_600_000])
+
+    def _hand_over(self, node: Node) -> None:
+        node.act(lambda host: host.hand_over(node.moment()))
+
+    def _change_members(self, node: Node) -> None:
+        if not self.profile.spares or self.profile.loses_hosts:
+            return
+        action = self.random.choice([Action.ADD_LEARNER, Action.PROMOTE, Action.REMOVE])
+        target = _member(self.random.choice([n for n in self.nodes if n[0] != "v"]))
+        leader = self.leader()
+        if leader is not None:
+            change = (action, target, leader.moment(), lambda result: None)
+            leader.act(lambda host: host.change_member(*change))
+
+    def _lose_host(self) -> None:
+        left = [n for name, n in self.nodes.items() if name[0] == "v" and not n.is_lost]
+        self.random.choice(left).lose()
+        self.lost = max(1, self.lost)
+
+    def _repair(self) -> None:
+        """Carry out the product's next repair step at the leader."""
+        leader = self.leader()
+        if leader is not None and leader.host is not None and not leader.is_paused:
+            core = leader.host.core
+            membership = core.log.membership
+            unheard_s = {p: self.now - g.heard_at_s for p, g in core.progress.items()}
+            ready = {p for p in core.progress if is_caught_up(core, p, self.now)}
+            known = {m.id for m in membership.members}
+            spares = [_member(n) for n in self.nodes if n[0] == "s" and n not in known]
+            health = GroupHealth(membership, unheard_s, ready)
+            change = next_change(health, spares, self.profile.voters, 0.6)
+            if change is not None:
+                step = (change.action, change.member, leader.moment(), lambda r: None)
+                leader.act(lambda host: host.change_member(*step))
+            is_added = core.log.membership_index and self.lost == 1
+            if is_added and core.commit_index >= core.log.membership_index:
+                self.lost = 2
+                self.at(self.random.random() * 0.5, self._lose_host)
+        self.at(0.1, self._repair)
+
+    def heal(self) -> None:
+        """End all failures but those of lost hosts."""
+        self.is_healed = True
+        self.blocked.clear()
+        for node in self.nodes.values():
+            node.disk.is_full = False
+            node.disk.is_failing = False
+            node.disk.crash_in = None
+            node.paused_until_s = 0.0
+            node.start(self._founding_of(node))
+
+    def is_settled(self) -> bool:
+        """Whether all members have applied all that is committed."""
+        if not all(client.is_done for client in self.clients):
+            return False
+        hosts = [n.host for n in self.members_up()]
+        applied = {h.applied_index if h else -1 for h in hosts}
+        return applied == {len(self.checks.committed)}
+
+    def members_up(self) -> list[Node]:
+        """Return the members of the group as the leader knows it."""
+        leader = self.leader()
+        if leader is None or leader.host is None:
+            return list(self.nodes.values())
+        ids = [m.id for m in leader.host.core.log.membership.members]
+        return [self.nodes[i] for i in ids if not self.nodes[i].is_lost]
+
+    def check_end(self) -> None:
+        """Check logs and states of all members."""
+        for node in self.nodes.values():
+            if node.host is not None:
+                self.checks.on_log(node.host.core)
+        if self.lost > 1:
+            self._check_survivors()
+            return
+        require(self.is_settled(), "the group did not recover")
+        images = [list(n.host.store.image().records()) for n in self.members_up()]
+        require(all(i == images[0] for i in images), "members hold different states")
+
+    def _check_survivors(self) -> None:
+        """Some survivor holds all that was committed, whether or not it leads."""
+        last = max(self.checks.committed, default=0)
+        term = self.checks.committed[last][0] if last else 0
+        alive = [n.host for n in self.nodes.values() if n.host is not None]
+        held = any(h.core.log.term_at(last) in (term, None) for h in alive)
+        enough = any(h.core.log.last_index >= last for h in alive)
+        require(held and enough, "a committed entry was lost with the hosts")
+
+
+CHAOS: Final[Sequence[Callable[[Cluster, Node], None]]] = (
+    Cluster._crash,
+    Cluster._crash,
+    Cluster._crash_at_sync,
+    Cluster._crash_at_sync,
+    Cluster.isolate,
+    Cluster.isolate,
+    Cluster._split,
+    Cluster._pause,
+    Cluster._fill_disk,
+    Cluster._fail_disk,
+    Cluster._jump_wall_clock,
+    Cluster._hand_over,
+    Cluster._change_members,
+)
+
+
+def _member(name: str) -> pb.Member:
+    role = pb.LEARNER if name[0] == "l" else pb.VOTER
+    return pb.Member(id=name, address=f"{name}:1", role=role, incarnation=name)
+
+
+PROFILES: Final[Mapping[str, Profile]] = {
+    "mixed failures": Profile(),
+    "member changes": Profile(learners=2, spares=1, chaos_s=0.15),
+    "leaders that crash early": Profile(
+        append_limit_bytes=1, chaos_s=1.0, drop=0.15, leader_crash=0.8, length_s=4
+    ),
+    "five members, leaders that crash early": Profile(
+        voters=5,
+        append_limit_bytes=1,
+        chaos_s=1.0,
+        drop=0.15,
+        leader_crash=0.8,
+        length_s=5,
+    ),
+    "a second loss in a repair": Profile(spares=2, loses_hosts=True, chaos_s=0.6),
+}
+"""Kinds of schedules by name."""
