--- a/src/tanagerturn/coordination/storage/snapshots.py
+++ b/src/tanagerturn/coordination/storage/snapshots.py
@@ -163,34 +163,33 @@
 
     def _load(self, path: str, meta: pb.SnapshotMeta) -> Store:
         try:
+            self._verify(path, meta)
             return restore(self._records(path, meta))
         except (ValueError, OSError) as error:
             reason = f"{error}; repair: {REPAIR}"
             raise DamageError("read snapshot", path, reason) from error
 
-    def _records(self, path: str, meta: pb.SnapshotMeta) -> Iterator[pb.StoreRecord]:
+    def _verify(self, path: str, meta: pb.SnapshotMeta) -> None:
         checksum = 0
+        offset = 0
+        while block := self.files.read(path, offset, READ_BYTES):
+            checksum = google_crc32c.extend(checksum, block)
+            offset += len(block)
+        if (offset, checksum) != (meta.size_bytes, meta.checksum):
+            raise ValueError(f"checksum of {offset} bytes from offset 0 differs")
+
+    def _records(self, path: str, meta: pb.SnapshotMeta) -> Iterator[pb.StoreRecord]:
         offset = 0
         buffer = b""
         while offset < meta.size_bytes:
             block = self.files.read(path, offset, READ_BYTES)
-            if not block:
-                break
-            checksum = google_crc32c.extend(checksum, block)
             offset += len(block)
             buffer += block
             position = 0
-            while len(buffer) - position >= LENGTH.size:
-                (length,) = LENGTH.unpack_from(buffer, position)
-                end = position + LENGTH.size + length
-                if end > len(buffer):
-                    break
-                payload = buffer[position + LENGTH.size : end]
-                yield _record(payload, offset)
+            while (end := _record_end(buffer, position)) <= len(buffer):
+                yield pb.StoreRecord.FromString(buffer[position + LENGTH.size : end])
                 position = end
             buffer = buffer[position:]
-        if buffer or (offset, checksum) != (meta.size_bytes, meta.checksum):
-            raise ValueError(f"checksum of {offset} bytes differs, at offset 0")
 
     def _metas(self) -> list[str]:
         names = self.files.names(self.folder)
@@ -254,8 +253,9 @@
     yield b"".join(parts)
 
 
-def _record(payload: bytes, offset: int) -> pb.StoreRecord:
-    try:
-        return pb.StoreRecord.FromString(payload)
-    except Exception as error:
-        raise ValueError(f"a record before offset {offset} is damaged") from error
+def _record_end(buffer: bytes, position: int) -> int:
+    start = position + LENGTH.size
+    if start > len(buffer):
+        return start
+    (length,) = LENGTH.unpack_from(buffer, position)
+    return start + int(length)
--- /dev/null
+++ b/tests/coordination/storage/steps/storage_steps.py
@@ -0,0 +1,276 @@
+"""Steps of storage.feature."""
+
+from __future__ import annotations
+
+from random import Random
+from unittest import mock
+
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from support.fake_disk import FakeDisk, Inode, SimulatedCrash
+from tanagerturn.coordination.errors import StorageError
+from tanagerturn.coordination.storage import segments, snapshots
+from tanagerturn.coordination.storage.files import DamageError, DiskFullError
+from tanagerturn.coordination.storage.folder import open_folder
+from tanagerturn.coordination.storage.group import GroupStorage
+from tanagerturn.coordination.store import Store
+from tanagerturn.schema import coordination_pb2 as pb
+
+FOLDER = "group-g"
+
+
+def open_group(disk: FakeDisk) -> GroupStorage:
+    return GroupStorage(disk, "c", "g")
+
+
+def entries(start: int, count: int, term: int = 1, size: int = 40) -> list[pb.Entry]:
+    indexes = range(start, start + count)
+    return [pb.Entry(index=i, term=term, command=b"x" * size) for i in indexes]
+
+
+def write_batches(disk: FakeDisk, count: int, size: int = 40) -> GroupStorage:
+    storage = open_group(disk)
+    for number in range(count):
+        hard_state = pb.HardState(term=1, voted_for=f"m{number}")
+        storage.write(hard_state, entries(number * 2 + 1, 2, size=size))
+    return storage
+
+
+def recovered(disk: FakeDisk) -> list[pb.Entry]:
+    return open_group(disk).recover()[0].entries
+
+
+def refusal(action) -> str:
+    try:
+        action()
+    except StorageError as error:
+        return str(error)
+    return ""
+
+
+@when("random batches are written with a crash at each sync boundary")
+def crashes(context):
+    context.problems = []
+
+    @settings(max_examples=150)
+    @for_all(
+        seed=st.integers(0, 10**6),
+        sizes=st.lists(st.integers(1, 1500), min_size=1, max_size=12),
+        crash_in=st.integers(1, 30),
+    )
+    def check(seed, sizes, crash_in):
+        problem = crash_once(FakeDisk(Random(seed)), sizes, crash_in)
+        context.problems += [problem] if problem else []
+
+    with mock.patch.object(segments, "SEGMENT_LIMIT_BYTES", 4000):
+        check()
+
+
+def crash_once(disk: FakeDisk, sizes: list[int], crash_in: int) -> str:
+    """Write, crash, read back, write again, read back."""
+    synced: list[pb.Entry] = []
+    batch: list[pb.Entry] = []
+    disk.crash_in = crash_in
+    try:
+        storage = open_group(disk)
+        for size in sizes:
+            batch = entries(len(synced) + 1, 2, size=size)
+            storage.write(pb.HardState(term=len(synced) + 1), batch)
+            synced += batch
+            batch = []
+    except SimulatedCrash:
+        pass
+    disk.crash()
+    storage = open_group(disk)
+    found = storage.recover()[0]
+    if found.entries not in [(synced + batch)[:n] for n in range(len(synced), 100)]:
+        return f"{len(synced)} synced, {len(found.entries)} found"
+    if found.hard_state.term < max(0, len(synced) - 1):
+        return "the term went back"
+    more = entries(len(found.entries) + 1, 1)
+    storage.write(None, more)
+    disk.crash()
+    return "" if recovered(disk) == found.entries + more else "a later batch is lost"
+
+
+@then("each restart holds all synced batches and no part of an unknown one")
+def nothing_lost(context):
+    assert not context.problems, context.problems[:3]
+
+
+@when("any byte of a log with {count:d} synced batches is flipped")
+def flip_log(context, count):
+    disk = FakeDisk(Random(1))
+    write_batches(disk, count)
+    written = recovered(disk)
+    path = f"{FOLDER}/log-{1:020d}"
+    data = bytes(disk.inodes[path].data)
+    context.problems = []
+    for offset in range(len(data)):
+        disk.inodes[path] = Inode(bytearray(flipped(data, offset)))
+        said = refusal(lambda: context.problems.append(recovered(disk) == written))
+        if said:
+            is_clear = path in said and "offset" in said and "repair" in said
+            context.problems.append(is_clear)
+
+
+def flipped(data: bytes, offset: int) -> bytes:
+    return data[:offset] + bytes([data[offset] ^ 0x41]) + data[offset + 1 :]
+
+
+@then("the log is refused with file, offset and repair, or nothing is missing")
+@then("the snapshot is refused with file, offset and repair")
+def all_clear(context):
+    wrong = [n for n, is_good in enumerate(context.problems) if not is_good]
+    assert context.problems, "nothing was tried"
+    assert not wrong, f"flips at {wrong[:5]}, {len(wrong)} in all"
+
+
+def a_store() -> Store:
+    store = Store()
+    for number in range(20):
+        put = pb.Put(key=f"key {number}", value=b"value")
+        transaction = pb.Transaction(puts=[put])
+        store.apply(pb.Command(change_id=str(number), transaction=transaction))
+    return store
+
+
+@when("any byte of a snapshot is flipped")
+def flip_snapshot(context):
+    disk = FakeDisk(Random(1))
+    storage = open_group(disk)
+    image = a_store().image()
+    storage.snapshots.save(pb.SnapshotMeta(index=9, term=1), image.records())
+    restored = storage.recover()[1]
+    assert list(restored.image().records()) == list(image.records())
+    context.problems = []
+    for path in [p for p in disk.inodes if "snapshot" in p]:
+        data = bytes(disk.inodes[path].data)
+        for offset in range(len(data)):
+            disk.inodes[path] = Inode(bytearray(flipped(data, offset)))
+            said = refusal(lambda: recovered(disk))
+            is_clear = path in said and "offset" in said and "repair" in said
+            context.problems.append(is_clear)
+        disk.inodes[path] = Inode(bytearray(data))
+
+
+@given("a log of several files")
+def several_files(context):
+    context.disk = FakeDisk(Random(1))
+    with mock.patch.object(segments, "SEGMENT_LIMIT_BYTES", 1000):
+        context.storage = write_batches(context.disk, 12)
+    context.files = [p for p in context.disk.inodes if "/log-" in p]
+    assert len(context.files) > 3
+
+
+@when("a file in the middle is removed")
+def remove_middle(context):
+    context.disk.remove(context.files[1])
+    context.opened = refusal(lambda: recovered(context.disk))
+
+
+@then('opening it is refused because "{reason}"')
+def is_refused(context, reason):
+    assert reason in context.opened, context.opened
+
+
+@given("a log with {count:d} batches")
+def log_with_batches(context, count):
+    context.disk = FakeDisk(Random(1))
+    context.storage = write_batches(context.disk, count)
+
+
+@when("a batch does not fit on the disk")
+def does_not_fit(context):
+    context.disk.is_full = True
+    context.batch = entries(7, 2, size=3000)
+    for _ in range(3):
+        try:
+            context.storage.write(None, context.batch)
+        except DiskFullError:
+            continue
+        raise AssertionError("the disk was full")
+
+
+@then("writing it again succeeds once there is room")
+def write_again(context):
+    context.disk.is_full = False
+    context.storage.write(None, context.batch)
+    context.disk.crash()
+    assert [e.index for e in recovered(context.disk)] == list(range(1, 9))
+
+
+@given("a log of several files behind a snapshot")
+def behind_snapshot(context):
+    several_files(context)
+    context.disk.sync_folder("")
+    meta = pb.SnapshotMeta(index=20, term=1)
+    context.storage.snapshots.save(meta, a_store().image().records())
+    context.kept = recovered(context.disk)
+    context.removed = dict(context.disk.inodes)
+    context.storage.log.cut(20)
+
+
+@when("any one of the removed files comes back after a crash")
+def comes_back(context):
+    gone = [p for p in context.files if p not in context.disk.inodes]
+    assert len(gone) > 2
+    context.reopened = []
+    for path in gone:
+        context.disk.inodes[path] = context.removed[path]
+        context.reopened.append(recovered(context.disk))
+        del context.disk.inodes[path]
+
+
+@then("the log opens with the same entries")
+def same_entries(context):
+    assert all(found == context.kept for found in context.reopened)
+
+
+@given("a log whose entry 5 conflicts with a snapshot up to 5")
+def conflicting(context):
+    context.disk = FakeDisk(Random(1))
+    storage = write_batches(context.disk, 4)
+    meta = pb.SnapshotMeta(index=5, term=3)
+    storage.snapshots.save(meta, a_store().image().records())
+
+
+@then("the log opens empty, and what is written after it stays")
+def opens_empty(context):
+    storage = open_group(context.disk)
+    assert storage.recover()[0].entries == []
+    storage.write(None, entries(6, 2, term=3))
+    context.disk.crash()
+    assert recovered(context.disk) == entries(6, 2, term=3)
+
+
+@given('a data folder of member "{member}" in cluster "{cluster}"')
+def data_folder(context, member, cluster):
+    context.disk = FakeDisk(Random(1))
+    context.folder = open_folder(context.disk, cluster, member, "i")
+
+
+@when('it is opened by member "{member}" in cluster "{cluster}"')
+def opened_by(context, member, cluster):
+    context.folder.close()
+    context.opened = refusal(lambda: open_folder(context.disk, cluster, member))
+
+
+@when("it is opened while it is in use")
+def opened_in_use(context):
+    context.opened = refusal(lambda: open_folder(context.disk, "c", "a"))
+
+
+@given('a "{file}" file of the next format version')
+def next_format(context, file):
+    disk = FakeDisk(Random(1))
+    module = segments if file == "log" else snapshots
+    with mock.patch.object(module, "FORMAT_VERSION", module.FORMAT_VERSION + 1):
+        storage = write_batches(disk, 1)
+        meta = pb.SnapshotMeta(index=1, term=1)
+        storage.snapshots.save(meta, Store().image().records())
+    context.opened = refusal(lambda: recovered(disk))
+    assert not isinstance(context.opened, DamageError)
