Add settings history, lease holder, dissemination and a membership core

A lease's holder counts from before its renewal was sent, less drift and margin.

The membership core has no test yet.

--- /dev/null
+++ b/src/tanagerturn/coordination/dissemination/__init__.py
@@ -0,0 +1,1 @@
+"""Carries accepted settings from the replicated store to every process."""
--- /dev/null
+++ b/src/tanagerturn/coordination/dissemination/delta.py
@@ -0,0 +1,68 @@
+"""Deltas between settings revisions, file by file."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import xxhash
+from expression import Error, Ok, Result
+
+from tanagerturn.schema import coordination_pb2 as pb
+from tanagerturn.schema import dissemination_pb2 as dpb
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+def digest_files(files: Iterable[pb.SettingsFile]) -> int:
+    """Return a hash of the names and contents of all files."""
+    digest = xxhash.xxh64()
+    for file in files:
+        for text in (file.name, file.content):
+            encoded = text.encode()
+            digest.update(len(encoded).to_bytes(8, "big"))
+            digest.update(encoded)
+    return digest.intdigest()
+
+
+def make_delta(
+    before: pb.SettingsRevision | None, after: pb.SettingsRevision
+) -> dpb.SettingsDelta:
+    """Return what leads to a revision, from an earlier one or from nothing."""
+    delta = dpb.SettingsDelta(
+        revision=_without_files(after), digest=digest_files(after.files)
+    )
+    if before is None or not before.number:
+        delta.changed.extend(after.files)
+        return delta
+    known = {file.name: file.content for file in before.files}
+    kept = {file.name for file in after.files}
+    delta.from_number = before.number
+    delta.changed.extend(f for f in after.files if known.get(f.name) != f.content)
+    delta.removed.extend(name for name in known if name not in kept)
+    return delta
+
+
+def apply_delta(
+    before: pb.SettingsRevision, delta: dpb.SettingsDelta
+) -> Result[pb.SettingsRevision, str]:
+    """Return the revision that a delta leads to, or why it does not apply."""
+    if delta.from_number and delta.from_number != before.number:
+        return Error(f"delta starts from {delta.from_number}, not {before.number}")
+    files = {f.name: f for f in before.files} if delta.from_number else {}
+    for name in delta.removed:
+        files.pop(name, None)
+    for file in delta.changed:
+        files[file.name] = file
+    after = _without_files(delta.revision)
+    after.files.extend(files[name] for name in sorted(files))
+    if digest_files(after.files) != delta.digest:
+        return Error(f"files of revision {after.number} do not match their digest")
+    return Ok(after)
+
+
+def _without_files(revision: pb.SettingsRevision) -> pb.SettingsRevision:
+    header = pb.SettingsRevision()
+    header.CopyFrom(revision)
+    del header.files[:]
+    return header
--- /dev/null
+++ b/src/tanagerturn/coordination/leases.py
@@ -0,0 +1,302 @@
+"""The holder's side of leases with fencing numbers.
+
+Clock assumption: the rate of every monotonic clock, the holder's and that of
+the group's leader, is within `CLOCK_DRIFT_BOUND` of true time, and a paused
+process compares its clock again before each order. Wall clocks are not used.
+
+The leader ends a lease no sooner than its duration, by the leader's clock,
+after it applied the last grant or renewal; a new leader starts that time anew.
+The holder counts from before it sent the request, which is earlier, and stops
+sooner by both clocks' drift and a margin. So no two holders believe at once.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING, Final
+
+from loguru import logger
+
+from tanagerturn.schema import coordination_pb2 as pb
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from expression import Result
+
+    from tanagerturn.coordination.client import StateClient
+    from tanagerturn.coordination.errors import StepError
+    from tanagerturn.coordination.ids import GroupId, LeaseName, ProcessId
+
+CLOCK_DRIFT_BOUND: Final = 0.01
+"""Largest deviation of a monotonic clock's rate from true time, as a share."""
+
+MARGIN_SHARE: Final = 0.1
+"""Part of a lease's duration at which the holder stops early."""
+
+RENEW_SHARE: Final = 0.3
+"""Part of a lease's duration after which the holder renews."""
+
+RETRY_SHARE: Final = 0.1
+"""Part of a lease's duration between tries to acquire, or after a failure."""
+
+Status = pb.CommandResult.Status
+
+
+class LeaseStep(Enum):
+    """What a holder has to do next."""
+
+    WAIT = "wait"
+    ACQUIRE = "acquire"
+    RENEW = "renew"
+
+
+@dataclass(frozen=True)
+class LeaseTerms:
+    """Duration of a lease and what the holder takes off it."""
+
+    duration_ms: int
+    """Duration that the group grants, in milliseconds."""
+    drift: float = CLOCK_DRIFT_BOUND
+    """Largest deviation of any monotonic clock's rate, as a share."""
+    margin_share: float = MARGIN_SHARE
+    """Part of the duration at which the holder stops early."""
+
+    @property
+    def usable_ms(self) -> int:
+        """Time on the holder's clock, counted from before the request was sent."""
+        certain = self.duration_ms * (1 - self.drift) / (1 + self.drift)
+        return math.floor(certain - self.duration_ms * self.margin_share)
+
+    @property
+    def renew_ms(self) -> int:
+        """Time after a request was sent at which the next renewal is due."""
+        return math.floor(self.duration_ms * RENEW_SHARE)
+
+    @property
+    def retry_ms(self) -> int:
+        """Time between tries."""
+        return max(1, math.floor(self.duration_ms * RETRY_SHARE))
+
+
+def safe_to_order_at(
+    granted_at_ms: int, terms: LeaseTerms, longest_order_ms: int
+) -> int:
+    """Tell when a new holder may order a target that ignores fencing numbers.
+
+    The earlier holder may have believed for a whole lease after its last
+    renewal, and its last order may take its longest time to have its effect.
+
+    Args:
+        granted_at_ms: When the new holder learned of its grant, by its clock.
+        terms: Terms of the lease, which all holders share.
+        longest_order_ms: Longest time from the sending of an order to its effect.
+
+    Returns:
+        Time on the new holder's clock, in milliseconds.
+    """
+    wait_ms = terms.duration_ms + longest_order_ms
+    return granted_at_ms + math.ceil(wait_ms * (1 + terms.drift) / (1 - terms.drift))
+
+
+class LeaseCore:
+    """Decides when to acquire, renew and stop; all times are monotonic.
+
+    Only a renewal gives the right to act. The answer to an acquisition may tell
+    of a grant to an earlier, delayed request, which the group's leader has
+    timed from then on; a renewal always starts the leader's time anew.
+
+    Args:
+        terms: Terms of the lease.
+    """
+
+    def __init__(self, terms: LeaseTerms) -> None:
+        self.terms = terms
+        """Terms of the lease."""
+        self.fencing_number = 0
+        """Number of the present or last holding; 0 before the first."""
+        self.granted_at_ms = 0
+        """When the grant of the present holding was learned."""
+        self.valid_until_ms = 0
+        """The holder stops at this time."""
+        self.granted = False
+        """The group granted the lease, as far as is known; it may be over."""
+        self.other_holder = ""
+        """Who had the lease at the last refusal."""
+        self.next_at_ms = 0
+        """No request is due before this time."""
+
+    def __repr__(self) -> str:
+        return (
+            f"LeaseCore(number={self.fencing_number}, granted={self.granted}, "
+            f"valid_until_ms={self.valid_until_ms})"
+        )
+
+    def held(self, now_ms: int) -> bool:
+        """Tell whether the holder may act now."""
+        return self.granted and now_ms < self.valid_until_ms
+
+    def next_step(self, now_ms: int) -> LeaseStep:
+        """Return the request that is due."""
+        if now_ms < self.next_at_ms:
+            return LeaseStep.WAIT
+        return LeaseStep.RENEW if self.granted else LeaseStep.ACQUIRE
+
+    def on_acquired(self, result: pb.CommandResult, now_ms: int) -> None:
+        """Take the answer to an acquisition, at the time it came."""
+        if result.status != Status.APPLIED:
+            self.other_holder = result.lease.holder
+            self.next_at_ms = now_ms + self.terms.retry_ms
+            return
+        self.other_holder = ""
+        self.granted = True
+        self.fencing_number = result.lease.fencing_number
+        self.granted_at_ms = now_ms
+        self.valid_until_ms = now_ms
+        self.next_at_ms = now_ms
+
+    def on_renewed(self, result: pb.CommandResult, sent_ms: int, now_ms: int) -> None:
+        """Take the answer to a renewal.
+
+        Args:
+            result: The answer.
+            sent_ms: Time just before the renewal was sent.
+            now_ms: Time at which the answer came.
+        """
+        if result.status != Status.APPLIED:
+            self.on_lost(now_ms)
+            return
+        self.valid_until_ms = max(self.valid_until_ms, sent_ms + self.terms.usable_ms)
+        self.next_at_ms = sent_ms + self.terms.renew_ms
+
+    def on_lost(self, now_ms: int) -> None:
+        """Note that the lease is over: released, or another one may have it."""
+        self.granted = False
+        self.next_at_ms = now_ms + self.terms.retry_ms
+
+    def on_no_answer(self, now_ms: int) -> None:
+        """Note that a request had no answer; it is sent again soon."""
+        self.next_at_ms = now_ms + self.terms.retry_ms
+
+
+class LeaseKeeper:
+    """Acquires and renews one lease through a `StateClient`.
+
+    The holder's id must differ at each start of a process: the group gives a
+    lease back to the holder that has it.
+
+    Args:
+        client: Calls to the replicated store.
+        group: Replication group of the lease.
+        name: Name of the lease.
+        holder: Id of this holder; see `holder_id`.
+        terms: Terms of the lease.
+        clock: Returns the monotonic time in milliseconds.
+    """
+
+    def __init__(
+        self,
+        client: StateClient,
+        group: GroupId,
+        name: LeaseName,
+        holder: str,
+        terms: LeaseTerms,
+        clock: Callable[[], int],
+    ) -> None:
+        self.client = client
+        """Calls to the replicated store."""
+        self.group = group
+        """Replication group of the lease."""
+        self.name = name
+        """Name of the lease."""
+        self.holder = holder
+        """Id of this holder."""
+        self.clock = clock
+        """Returns the monotonic time in milliseconds."""
+        self.core = LeaseCore(terms)
+        """What is known about the lease."""
+
+    @property
+    def fencing_number(self) -> int:
+        """Number of the present or last holding."""
+        return self.core.fencing_number
+
+    def held(self, now_ms: int) -> bool:
+        """Tell whether the holder may act now, by its monotonic clock."""
+        return self.core.held(now_ms)
+
+    def fence(self) -> pb.Fence:
+        """Return the condition that ties a transaction to this holding."""
+        return pb.Fence(lease=self.name, fencing_number=self.core.fencing_number)
+
+    def step(self) -> bool:
+        """Send the requests that are due.
+
+        Returns:
+            Whether the holder holds the lease now.
+        """
+        if self.core.next_step(self.clock()) is LeaseStep.ACQUIRE:
+            self._acquire()
+        if self.core.next_step(self.clock()) is LeaseStep.RENEW:
+            self._renew()
+        return self.core.held(self.clock())
+
+    def release(self) -> None:
+        """Give the lease up; the holder must have stopped acting."""
+        if not self.core.granted:
+            return
+        command = pb.LeaseRelease(name=self.name, fencing_number=self.fencing_number)
+        self.core.on_lost(self.clock())
+        self._send(pb.Command(lease_release=command))
+
+    def dump(self, now_ms: int) -> dict[str, object]:
+        """Return the state for a dump."""
+        return {
+            "lease": self.name,
+            "holder": self.holder,
+            "held": self.held(now_ms),
+            "fencing_number": self.core.fencing_number,
+            "left_ms": max(0, self.core.valid_until_ms - now_ms),
+            "other_holder": self.core.other_holder,
+        }
+
+    def _acquire(self) -> None:
+        command = pb.LeaseAcquire(
+            name=self.name, holder=self.holder, duration_ms=self.core.terms.duration_ms
+        )
+        result = self._send(pb.Command(lease_acquire=command))
+        if result.is_ok():
+            self.core.on_acquired(result.ok, self.clock())
+
+    def _renew(self) -> None:
+        sent_ms = self.clock()
+        was_held = self.core.held(sent_ms)
+        command = pb.LeaseRenew(name=self.name, fencing_number=self.fencing_number)
+        # No change id: an answer out of the store's memory would extend nothing.
+        result = self._send(pb.Command(lease_renew=command))
+        if result.is_error():
+            return
+        self.core.on_renewed(result.ok, sent_ms, self.clock())
+        if was_held != self.core.held(self.clock()):
+            gained = "lost" if was_held else "held"
+            logger.info("lease: {} {} as {}", self.name, gained, self.fencing_number)
+
+    def _send(self, command: pb.Command) -> Result[pb.CommandResult, StepError]:
+        timeout_s = self.core.terms.renew_ms / 1000
+        result = self.client.propose(self.group, command, timeout_s)
+        if result.is_error():
+            self.core.on_no_answer(self.clock())
+            logger.warning("lease: {} has no answer: {}", self.name, result.error)
+        return result
+
+
+def holder_id(process: ProcessId, incarnation: str) -> str:
+    """Return a holder's id that no other start of the process uses.
+
+    Args:
+        process: Name of the process.
+        incarnation: New at each start, for example random digits.
+    """
+    return f"{process}#{incarnation}"
--- /dev/null
+++ b/src/tanagerturn/coordination/membership/__init__.py
@@ -0,0 +1,6 @@
+"""Failure detection between the system's own processes, over UDP.
+
+After SWIM (Das, Gupta, Motivala 2002) and Lifeguard (Dadgar, Phillips, Currey
+2018): direct and indirect probes, incarnation numbers, suspicion, piggybacked
+gossip. The core is pure; `agent` carries it out.
+"""
--- /dev/null
+++ b/src/tanagerturn/coordination/membership/_view.py
@@ -0,0 +1,44 @@
+"""What a dump shows of the table."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from tanagerturn.coordination.membership.table import Health
+
+if TYPE_CHECKING:
+    from tanagerturn.coordination.membership.table import Member, MemberTable
+
+
+def describe(table: MemberTable, now_ms: int) -> dict[str, object]:
+    """Return the processes and the availability zones for a dump."""
+    return {
+        "members": [_describe(member, now_ms) for member in table.members.values()],
+        "zones": [
+            {
+                "availability_zone": zone.availability_zone,
+                "alive": zone.alive,
+                "suspect": zone.suspect,
+                "dead": zone.dead,
+                "lost": zone.lost,
+            }
+            for zone in table.zones()
+        ],
+    }
+
+
+def _describe(member: Member, now_ms: int) -> dict[str, object]:
+    return {
+        "process": member.process,
+        "program": member.info.program,
+        "address": member.info.address,
+        "region": member.info.region,
+        "availability_zone": member.info.availability_zone,
+        "health": Health.Name(member.health).lower(),
+        "for_ms": now_ms - member.since_ms,
+        "incarnation": member.incarnation,
+        "link": member.link.value,
+        "flapping": member.flapping(now_ms),
+        "was_paused": member.paused,
+        "pauses": member.info.pauses,
+    }
--- /dev/null
+++ b/src/tanagerturn/coordination/membership/core.py
@@ -0,0 +1,468 @@
+"""The decisions of one process about all others; pure.
+
+Ticks and packets come in with the present monotonic time; packets go out.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from tanagerturn.coordination.membership._sender import Datagram, Sender
+from tanagerturn.coordination.membership._view import describe
+from tanagerturn.coordination.membership.links import RegionReach, link_members
+from tanagerturn.coordination.membership.probes import (
+    Probe,
+    ProbeOrder,
+    RelayedProbe,
+    RelayedProbes,
+    choose_helpers,
+)
+from tanagerturn.coordination.membership.table import Health, LinkState, Member
+from tanagerturn.schema import membership_pb2 as mpb
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from tanagerturn.coordination.ids import ProcessId
+    from tanagerturn.coordination.membership.config import MembershipConfig
+
+
+@dataclass(frozen=True)
+class MemberEvent:
+    """The health of a process changed."""
+
+    process: ProcessId
+    health: Health.ValueType
+    info: mpb.ProcessInfo
+
+
+@dataclass(frozen=True)
+class PeerSettings:
+    """The settings revision that a process has."""
+
+    process: ProcessId
+    number: int
+
+
+class MembershipCore:
+    """One process's failure detection.
+
+    Args:
+        process: Name of this process.
+        info: What it tells about itself.
+        incarnation: Larger than at any earlier start, as the wall clock is.
+        config: What tunes it.
+        random: Source of all random choices.
+    """
+
+    def __init__(
+        self,
+        process: ProcessId,
+        info: mpb.ProcessInfo,
+        incarnation: int,
+        config: MembershipConfig,
+        random: Random,
+    ) -> None:
+        self.config = config
+        """What tunes failure detection."""
+        self.random = random
+        """Source of all random choices."""
+        self.me = Member(process, info, incarnation, Health.ALIVE, 0)
+        """This process."""
+        self.sender = Sender(self.me, config)
+        """Fills and counts packets; it owns the table and the gossip."""
+        self.table = self.sender.table
+        """All processes that are remembered."""
+        self.order = ProbeOrder(random)
+        """Order of probes in this region."""
+        self.far_order = ProbeOrder(random)
+        """Order of probes into other regions."""
+        self.probe: Probe | None = None
+        """The open probe in this region."""
+        self.far_probe: Probe | None = None
+        """The open probe into another region."""
+        self.relayed = RelayedProbes()
+        """Open probes for others."""
+        self.reach = RegionReach()
+        """When other regions last answered."""
+        self.suspects: dict[ProcessId, int] = {}
+        """Time by which each suspect of this region has to refute."""
+        self.sequence = 0
+        """Of the last probe."""
+        self.unanswered_since_ms: int | None = None
+        """First probe since the last answer to one."""
+        self.sync_target = ""
+        """Address whose pages are being read; empty when none."""
+        self.sync_after = ""
+        """Last process of the last page."""
+        self.last_tick_ms: int | None = None
+        self.next_probe_ms = 0
+        self.next_sync_ms = 0
+        self.next_seed_ms = 0
+        self.leaving = False
+        """This process said that it leaves."""
+        self.duplicate = ""
+        """Address of another process with this one's name; empty when none."""
+        self.events: list[MemberEvent] = []
+        """Changes since the owner last took them."""
+        self.peer_settings: list[PeerSettings] = []
+        """Newer settings of others since the owner last took them."""
+
+    def __repr__(self) -> str:
+        return f"MembershipCore({self.me.process}, present={self.table.present_count})"
+
+    def tick(self, now_ms: int) -> list[Datagram]:
+        """Do what is due; to be called a few times in each probe interval."""
+        self.sender.budget.fill(now_ms)
+        self._note_pause(now_ms)
+        self._advance_probe(now_ms)
+        if now_ms >= self.next_probe_ms:
+            self.next_probe_ms = now_ms + self.config.probe_interval_ms
+            self._start_probe(now_ms)
+            self._start_far_probe(now_ms)
+            self.table.forget_old(now_ms)
+        self._end_suspicions(now_ms)
+        self._contact_missing(now_ms)
+        self._sync(now_ms)
+        return self.sender.take()
+
+    def receive(self, packet: mpb.Packet, address: str, now_ms: int) -> list[Datagram]:
+        """Take a packet that was checked against the cluster's key."""
+        if packet.sender == self.me.process:
+            self.duplicate = address if address != self.me.info.address else ""
+            return []
+        self.sender.budget.fill(now_ms)
+        for update in packet.updates:
+            self._take_update(update, now_ms)
+        member = self.table.get(packet.sender)
+        if member is not None:
+            member.heard_at_ms = now_ms
+            if packet.settings_number > self.sender.settings_number:
+                news = PeerSettings(member.process, packet.settings_number)
+                self.peer_settings.append(news)
+        self._handle(packet, address, now_ms)
+        return self.sender.take()
+
+    def leave(self) -> list[Datagram]:
+        """Say that this process leaves; to be repeated a few times."""
+        self.leaving = True
+        self.me.health = Health.LEFT
+        near = [m for m in self._near() if m.health == Health.ALIVE]
+        for member in self.random.sample(near, min(len(near), 6)):
+            ping = mpb.Ping(sequence=self._next_sequence(), target=member.process)
+            self.sender.send(member.info.address, mpb.Packet(ping=ping), [self.me])
+        return self.sender.take()
+
+    def isolated(self, now_ms: int) -> bool:
+        """Tell whether nobody answers: then this process judges nobody."""
+        if self.unanswered_since_ms is None or self.table.present_count < 3:
+            return False
+        silent_ms = now_ms - self.unanswered_since_ms
+        return silent_ms > 3 * self.config.probe_interval_ms
+
+    def is_link(self) -> bool:
+        """Tell whether this process talks to other regions."""
+        links = link_members(
+            self.table.present(), self.me.info.region, self.config.region_links
+        )
+        return self.me in links
+
+    def take_events(self) -> list[MemberEvent]:
+        """Return and forget the changes since the last call."""
+        events, self.events = self.events, []
+        return events
+
+    def take_peer_settings(self) -> list[PeerSettings]:
+        """Return and forget the newer settings seen since the last call."""
+        seen, self.peer_settings = self.peer_settings, []
+        return seen
+
+    def dump(self, now_ms: int) -> dict[str, object]:
+        """Return the state for a dump."""
+        return {
+            **describe(self.table, now_ms),
+            "incarnation": self.me.incarnation,
+            "pauses": self.me.info.pauses,
+            "isolated": self.isolated(now_ms),
+            "link": self.is_link(),
+            "separated_regions": self.reach.separated(now_ms),
+            "duplicate": self.duplicate,
+            **self.sender.counters(),
+        }
+
+    # Probes
+
+    def _near(self) -> list[Member]:
+        region = self.me.info.region
+        return [
+            m
+            for m in self.table.present()
+            if m.info.region == region and m is not self.me
+        ]
+
+    def _next_sequence(self) -> int:
+        self.sequence += 1
+        return self.sequence
+
+    def _start_probe(self, now_ms: int) -> None:
+        target = self.order.next({m.process: m for m in self._near()})
+        if target is None:
+            return
+        self.probe = self._ping(target, now_ms)
+        if self.unanswered_since_ms is None:
+            self.unanswered_since_ms = now_ms
+
+    def _ping(self, target: Member, now_ms: int) -> Probe:
+        sequence = self._next_sequence()
+        ping = mpb.Ping(sequence=sequence, target=target.process)
+        # A target that others hold suspect or dead has to hear it to refute.
+        first = [target] if target.health != Health.ALIVE else []
+        packet = mpb.Packet(ping=ping)
+        self.sender.send(target.info.address, packet, first, target.info.region)
+        return Probe(target.process, sequence, now_ms)
+
+    def _advance_probe(self, now_ms: int) -> None:
+        probe = self.probe
+        if probe is None:
+            return
+        if now_ms >= self.next_probe_ms:
+            self.probe = None
+            self._fail(probe, now_ms)
+            return
+        waited_ms = now_ms - probe.sent_ms
+        if probe.indirect or waited_ms < self.config.probe_timeout_ms:
+            return
+        probe.indirect = True
+        target = self.table.get(probe.target)
+        if target is None:
+            return
+        alive = [m for m in self._near() if m.health == Health.ALIVE]
+        request = mpb.PingRequest(sequence=probe.sequence, target=probe.target)
+        count = self.config.helpers
+        for helper in choose_helpers(target, alive, count, self.random):
+            packet = mpb.Packet(ping_request=request)
+            self.sender.send(helper.info.address, packet, [])
+
+    def _fail(self, probe: Probe, now_ms: int) -> None:
+        target = self.table.get(probe.target)
+        if target is None:
+            return
+        target.link = LinkState.FAILED
+        if target.health != Health.ALIVE or self.isolated(now_ms):
+            return
+        suspicion = target.update(with_info=False)
+        suspicion.health = Health.SUSPECT
+        self._take_update(suspicion, now_ms)
+
+    def _start_far_probe(self, now_ms: int) -> None:
+        if self.far_probe is not None:
+            missed = self.table.get(self.far_probe.target)
+            self.far_probe = None
+            if missed is not None:
+                missed.link = LinkState.FAILED
+        region = self.me.info.region
+        regions = sorted({m.info.region for m in self.table.present()} - {region})
+        if not regions or not self.is_link():
+            return
+        chosen = self.random.choice(regions)
+        far = [m for m in self.table.present() if m.info.region == chosen]
+        links = link_members(far, chosen, self.config.region_links)
+        # Now and then any process: the links known here may all be gone.
+        candidates = far if self.random.random() < 0.2 else links
+        target = self.far_order.next({m.process: m for m in candidates})
+        if target is not None:
+            self.reach.on_probe(chosen, now_ms)
+            self.far_probe = self._ping(target, now_ms)
+
+    # Packets
+
+    def _handle(self, packet: mpb.Packet, address: str, now_ms: int) -> None:
+        kind = packet.WhichOneof("kind")
+        if kind == "ping":
+            self._on_ping(packet, address, now_ms)
+        elif kind == "ping_request":
+            self._on_ping_request(packet.ping_request, address)
+        elif kind == "ack":
+            self._on_ack(packet, address, now_ms)
+        elif kind == "sync_request":
+            self._on_sync_request(packet.sync_request, address)
+        elif kind == "sync_reply" and address == self.sync_target:
+            self.sync_after = packet.sync_reply.last_process
+            if packet.sync_reply.last:
+                self.sync_target = ""
+
+    def _on_ping(self, packet: mpb.Packet, address: str, now_ms: int) -> None:
+        if packet.ping.target not in ("", self.me.process):
+            return
+        sender = self.table.get(packet.sender)
+        first = []
+        if not packet.ping.target:
+            first.append(self.me)
+        region = self.me.info.region
+        if sender is not None:
+            region = sender.info.region
+            self._note_one_way(sender, now_ms)
+            if sender.health != Health.ALIVE:
+                first.append(sender)
+        ack = mpb.Ack(sequence=packet.ping.sequence, process=self.me.process)
+        self.sender.send(address, mpb.Packet(ack=ack), first, region)
+
+    def _on_ping_request(self, request: mpb.PingRequest, address: str) -> None:
+        target = self.table.get(request.target)
+        if target is None:
+            return
+        sequence = self._next_sequence()
+        self.relayed.add(sequence, RelayedProbe(address, request.sequence))
+        ping = mpb.Ping(sequence=sequence, target=request.target)
+        self.sender.send(target.info.address, mpb.Packet(ping=ping), [target])
+
+    def _on_ack(self, packet: mpb.Packet, address: str, now_ms: int) -> None:
+        ack = packet.ack
+        relayed = self.relayed.pop(ack.sequence)
+        if relayed is not None:
+            answer = mpb.Ack(sequence=relayed.sequence, process=ack.process)
+            self.sender.send(relayed.address, mpb.Packet(ack=answer), [])
+            return
+        self.unanswered_since_ms = None
+        if self.probe and self.probe.sequence == ack.sequence:
+            self._note_answer(self.probe, packet, now_ms)
+            self.probe = None
+        elif self.far_probe and self.far_probe.sequence == ack.sequence:
+            member = self._note_answer(self.far_probe, packet, now_ms)
+            self.far_probe = None
+            if member is not None:
+                self._on_far_answer(member, now_ms)
+        elif not self.sync_target and now_ms >= self.next_sync_ms:
+            self._start_sync(address, now_ms)
+
+    def _note_answer(
+        self, probe: Probe, packet: mpb.Packet, now_ms: int
+    ) -> Member | None:
+        member = self.table.get(probe.target)
+        if member is None or packet.ack.process != probe.target:
+            return None
+        if packet.sender == probe.target:
+            member.link = LinkState.GOOD
+            return member
+        member.link = LinkState.INDIRECT
+        self._note_one_way(member, now_ms)
+        return member
+
+    def _note_one_way(self, member: Member, now_ms: int) -> None:
+        window_ms = 3 * self.config.probe_interval_ms
+        if member.heard_at_ms < 0 or now_ms - member.heard_at_ms > window_ms:
+            return
+        if member.link in (LinkState.INDIRECT, LinkState.FAILED):
+            member.link = LinkState.ONE_WAY
+
+    def _on_far_answer(self, member: Member, now_ms: int) -> None:
+        was_separated = member.info.region in self.reach.separated(now_ms)
+        self.reach.on_answer(member.info.region)
+        if was_separated:
+            self._start_sync(member.info.address, now_ms)
+
+    # Health
+
+    def _take_update(self, update: mpb.Update, now_ms: int) -> None:
+        if update.process == self.me.process:
+            self._refute(update)
+            return
+        if not self.table.apply(update, now_ms):
+            return
+        member = self.table.get(update.process)
+        if member is None:
+            return
+        self.sender.gossip(member)
+        self.events.append(MemberEvent(member.process, member.health, member.info))
+        self.suspects.pop(member.process, None)
+        if member.health == Health.SUSPECT:
+            time_ms = self.config.suspicion_for(self.table.present_count)
+            self.suspects[member.process] = now_ms + time_ms
+
+    def _refute(self, update: mpb.Update) -> None:
+        if update.health == Health.ALIVE or self.leaving:
+            return
+        if update.incarnation >= self.me.incarnation:
+            self._renew_self(update.incarnation + 1)
+
+    def _renew_self(self, incarnation: int) -> None:
+        self.me.incarnation = incarnation
+        self.table.cached_digest = None
+        self.sender.gossip(self.me)
+
+    def _end_suspicions(self, now_ms: int) -> None:
+        if self.isolated(now_ms):
+            return
+        region = self.me.info.region
+        for process, deadline_ms in list(self.suspects.items()):
+            member = self.table.get(process)
+            if member is None or member.info.region != region:
+                # Its own region judges it.
+                del self.suspects[process]
+            elif now_ms >= deadline_ms:
+                death = member.update(with_info=False)
+                death.health = Health.DEAD
+                self._take_update(death, now_ms)
+
+    def _note_pause(self, now_ms: int) -> None:
+        last_ms, self.last_tick_ms = self.last_tick_ms, now_ms
+        if last_ms is None or now_ms - last_ms <= self.config.pause_ms:
+            return
+        # Answers came while this process did not run: nobody is to blame.
+        gap_ms = now_ms - last_ms
+        self.probe = None
+        self.far_probe = None
+        self.unanswered_since_ms = None
+        self.suspects = {p: at + gap_ms for p, at in self.suspects.items()}
+        self.me.info.pauses += 1
+        self._renew_self(self.me.incarnation + 1)
+
+    # Joining, returning and comparing tables
+
+    def _contact_missing(self, now_ms: int) -> None:
+        if now_ms < self.next_seed_ms:
+            return
+        alone = self.table.present_count < 2
+        wait_ms = self.config.seed_interval_ms
+        self.next_seed_ms = now_ms + (
+            self.config.probe_interval_ms if alone else wait_ms
+        )
+        present = {m.info.address for m in self.table.present()}
+        seeds = [s for s in self.config.seeds if s not in present]
+        if seeds:
+            ping = mpb.Ping(sequence=self._next_sequence())
+            packet = mpb.Packet(ping=ping)
+            self.sender.send(self.random.choice(seeds), packet, [self.me])
+        dead = [m for m in self.table.members.values() if m.health == Health.DEAD]
+        if dead:
+            self._ping(self.random.choice(dead), now_ms)
+
+    def _sync(self, now_ms: int) -> None:
+        if not self.sync_target and now_ms >= self.next_sync_ms:
+            near = [m for m in self._near() if m.health == Health.ALIVE]
+            if near:
+                self._start_sync(self.random.choice(near).info.address, now_ms)
+        if self.sync_target and now_ms >= self.next_sync_ms:
+            self.sync_target = ""
+        if self.sync_target and self.sender.budget.left > 0:
+            self._ask_page()
+
+    def _start_sync(self, address: str, now_ms: int) -> None:
+        self.sync_target = address
+        self.sync_after = ""
+        jitter = self.random.uniform(0.8, 1.2)
+        self.next_sync_ms = now_ms + round(self.config.sync_interval_ms * jitter)
+
+    def _ask_page(self) -> None:
+        request = mpb.SyncRequest(
+            after_process=self.sync_after, digest=self.table.digest()
+        )
+        packet = mpb.Packet(sync_request=request)
+        self.sender.send(self.sync_target, packet, [])
+
+    def _on_sync_request(self, request: mpb.SyncRequest, address: str) -> None:
+        if request.digest == self.table.digest():
+            self.sender.send(address, mpb.Packet(sync_reply=mpb.SyncReply(last=True)))
+        elif self.sender.budget.left > 0:
+            self.sender.send_page(address, request.after_process)
--- /dev/null
+++ b/src/tanagerturn/coordination/settings_history.py
@@ -0,0 +1,326 @@
+"""The history of accepted settings: compare-and-set, idempotent, never rewritten.
+
+A change names the revision number that its author saw. It is accepted only
+while that revision is still the current one, so of two racing changes one wins
+and the other gets a conflict that carries the winner. Each change has an id; a
+change that is sent again gets its first answer, however late, because the id
+is kept in the store beside the revision that it became.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from expression import Error, Ok, Result
+
+from tanagerturn.coordination.dissemination.delta import make_delta
+from tanagerturn.coordination.errors import RefusedError, StepError
+from tanagerturn.schema import coordination_pb2 as pb
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping, Sequence
+
+    from tanagerturn.coordination.client import StateClient
+    from tanagerturn.coordination.ids import ChangeId, GroupId
+
+CURRENT_KEY: Final = "settings/current"
+HISTORY_PREFIX: Final = "settings/history/"
+CHANGE_PREFIX: Final = "settings/change/"
+DELTA_PREFIX: Final = "settings/delta/"
+FILES_LIMIT_BYTES: Final = 1024 * 1024
+"""Bytes of all files of one revision."""
+
+HISTORY_KEPT: Final = 200
+"""Revisions whose files are kept for rollback; older ones keep their record."""
+
+DELTAS_KEPT: Final = 50
+"""Deltas kept for watchers; one that is further behind reads the revision."""
+
+CHANGE_ID_LIMIT_BYTES: Final = 128
+CALL_TIMEOUT_S: Final = 5.0
+
+Status = pb.CommandResult.Status
+
+
+class SettingsConflict(RefusedError):
+    """Another change was accepted first; nothing was carried out.
+
+    Args:
+        expected_number: Revision number that the author expected.
+        current: The revision that is in force instead.
+    """
+
+    def __init__(self, expected_number: int, current: pb.SettingsRevision) -> None:
+        reason = (
+            f"expected revision {expected_number}, but {current.number} by "
+            f"{current.author or 'nobody'} is in force"
+        )
+        super().__init__("change settings", "", reason)
+        self.expected_number = expected_number
+        """Revision number that the author expected."""
+        self.current = current
+        """The revision that is in force instead."""
+
+
+class SettingsInvalid(RefusedError):
+    """The files were refused before acceptance; nothing was carried out.
+
+    Args:
+        faults: What is wrong, one entry a fault.
+    """
+
+    def __init__(self, faults: Sequence[str]) -> None:
+        super().__init__("validate settings", "", "; ".join(faults))
+        self.faults = tuple(faults)
+        """What is wrong, one entry a fault."""
+
+
+class SettingsHistory:
+    """Reads and changes the deployment's settings in one replication group.
+
+    Args:
+        client: Calls to the replicated store.
+        group: Replication group that holds the settings.
+        history_kept: Revisions whose files are kept for rollback.
+        timeout_s: Longest time of one call, in seconds.
+    """
+
+    def __init__(
+        self,
+        client: StateClient,
+        group: GroupId,
+        history_kept: int = HISTORY_KEPT,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> None:
+        self.client = client
+        """Calls to the replicated store."""
+        self.group = group
+        """Replication group that holds the settings."""
+        self.history_kept = history_kept
+        """Revisions whose files are kept for rollback."""
+        self.timeout_s = timeout_s
+        """Longest time of one call, in seconds."""
+
+    def current(self) -> Result[pb.SettingsRevision, StepError]:
+        """Read the revision in force; number 0 without files before the first."""
+        return self._revision_at(CURRENT_KEY).map(lambda r: r or pb.SettingsRevision())
+
+    def revision(self, number: int) -> Result[pb.SettingsRevision | None, StepError]:
+        """Read one revision with its files; None when it is no longer kept."""
+        return self._revision_at(history_key(number))
+
+    def history(self, limit: int = 20) -> Result[list[pb.SettingsRevision], StepError]:
+        """Read the last revisions, newest first."""
+        current = self.current()
+        if current.is_error():
+            return Error(current.error)
+        start = max(0, current.ok.number - limit)
+        page = self.client.scan(
+            self.group, HISTORY_PREFIX, self.timeout_s, history_key(start), limit
+        )
+        return page.map(lambda p: [_parse(e.value) for e in reversed(p.entries)])
+
+    def apply(
+        self,
+        files: Mapping[str, str],
+        expected_number: int,
+        change_id: ChangeId,
+        author: str,
+        note: str,
+        now_ms: int,
+        validate: Callable[[Mapping[str, str]], Sequence[object]],
+    ) -> Result[pb.SettingsRevision, StepError]:
+        """Make the files the next revision.
+
+        Args:
+            files: Content of each file by its name, "base" or "site/NAME".
+            expected_number: Number of the revision that the author saw.
+            change_id: Id of the change; one id is applied once.
+            author: Who makes the change.
+            note: Why the change is made.
+            now_ms: Present wall clock time in milliseconds, for the record.
+            validate: Returns the faults of the files; none accepts them.
+
+        Returns:
+            The accepted revision, the first one when the id was sent before;
+            or `SettingsConflict`, `SettingsInvalid`, or an `UnavailableError`
+            after which the same change is to be sent again.
+        """
+        earlier = self._earlier(change_id)
+        if earlier.is_error():
+            return Error(earlier.error)
+        if earlier.ok is not None:
+            return _same_change(earlier.ok, files)
+        faults = _faults(files, change_id) or [str(f) for f in validate(files)]
+        if faults:
+            return Error(SettingsInvalid(faults))
+        revision = pb.SettingsRevision(
+            number=expected_number + 1,
+            change_id=change_id,
+            author=author,
+            note=note,
+            files=[
+                pb.SettingsFile(name=name, content=files[name])
+                for name in sorted(files)
+            ],
+            accepted_at_ms=now_ms,
+        )
+        return self._commit(revision)
+
+    def rollback(
+        self,
+        to_number: int,
+        expected_number: int,
+        change_id: ChangeId,
+        author: str,
+        note: str,
+        now_ms: int,
+        validate: Callable[[Mapping[str, str]], Sequence[object]],
+    ) -> Result[pb.SettingsRevision, StepError]:
+        """Make the files of an earlier revision the next revision.
+
+        Args:
+            to_number: Number of the revision whose files are taken.
+            expected_number: Number of the revision that the author saw.
+            change_id: Id of the change; one id is applied once.
+            author: Who makes the change.
+            note: Why the change is made.
+            now_ms: Present wall clock time in milliseconds, for the record.
+            validate: Returns the faults of the files; none accepts them.
+
+        Returns:
+            As `apply`; a `RefusedError` when the revision is no longer kept.
+        """
+        earlier = self._earlier(change_id)
+        if earlier.is_error():
+            return Error(earlier.error)
+        if earlier.ok is not None:
+            return Ok(earlier.ok)
+        target = self.revision(to_number)
+        if target.is_error():
+            return Error(target.error)
+        if target.ok is None:
+            reason = f"revision {to_number} is not kept"
+            return Error(RefusedError("roll settings back", "", reason))
+        files = file_contents(target.ok)
+        return self.apply(
+            files, expected_number, change_id, author, note, now_ms, validate
+        )
+
+    def _commit(
+        self, revision: pb.SettingsRevision
+    ) -> Result[pb.SettingsRevision, StepError]:
+        read = self.client.read(self.group, CURRENT_KEY, self.timeout_s)
+        if read.is_error():
+            return Error(read.error)
+        entry = read.ok
+        current = _parse(entry.value) if entry else pb.SettingsRevision()
+        if current.number != revision.number - 1:
+            return self._lost_race(revision, current)
+        command = self._command(revision, current, entry.mod_revision if entry else 0)
+        proposed = self.client.propose(self.group, command, self.timeout_s)
+        if proposed.is_error():
+            return Error(proposed.error)
+        result = proposed.ok
+        if result.status == Status.APPLIED:
+            return self._first_answer(revision)
+        if result.status == Status.CONFLICT:
+            return self.current().bind(lambda c: self._lost_race(revision, c))
+        return Error(RefusedError("change settings", "", result.reason))
+
+    def _command(
+        self,
+        revision: pb.SettingsRevision,
+        current: pb.SettingsRevision,
+        expected: int,
+    ) -> pb.Command:
+        record = pb.SettingsRevision()
+        record.CopyFrom(revision)
+        del record.files[:]
+        change_key = CHANGE_PREFIX + revision.change_id
+        value = revision.SerializeToString()
+        delta = make_delta(current, revision).SerializeToString()
+        number = revision.number
+        transaction = pb.Transaction(
+            puts=[
+                pb.Put(key=CURRENT_KEY, value=value, expected_revision=expected),
+                pb.Put(key=history_key(number), value=value, expected_revision=0),
+                pb.Put(key=delta_key(number), value=delta, expected_revision=0),
+                pb.Put(
+                    key=change_key,
+                    value=record.SerializeToString(),
+                    expected_revision=0,
+                ),
+            ],
+        )
+        if number > self.history_kept:
+            transaction.deletes.add(key=history_key(number - self.history_kept))
+        if number > DELTAS_KEPT:
+            transaction.deletes.add(key=delta_key(number - DELTAS_KEPT))
+        return pb.Command(change_id=change_key, transaction=transaction)
+
+    def _lost_race(
+        self, revision: pb.SettingsRevision, current: pb.SettingsRevision
+    ) -> Result[pb.SettingsRevision, StepError]:
+        # The winner may be this very change, sent twice at once.
+        earlier = self._earlier(revision.change_id)
+        if earlier.is_error():
+            return Error(earlier.error)
+        if earlier.ok is not None:
+            return _same_change(earlier.ok, file_contents(revision))
+        return Error(SettingsConflict(revision.number - 1, current))
+
+    def _first_answer(
+        self, revision: pb.SettingsRevision
+    ) -> Result[pb.SettingsRevision, StepError]:
+        # The store may have answered for an earlier sending: read what it kept.
+        return self._earlier(revision.change_id).map(lambda r: r or revision)
+
+    def _earlier(self, change_id: str) -> Result[pb.SettingsRevision | None, StepError]:
+        record = self._revision_at(CHANGE_PREFIX + change_id)
+        if record.is_error() or record.ok is None:
+            return record
+        return self.revision(record.ok.number).map(lambda r: r or record.ok)
+
+    def _revision_at(self, key: str) -> Result[pb.SettingsRevision | None, StepError]:
+        read = self.client.read(self.group, key, self.timeout_s)
+        return read.map(lambda entry: _parse(entry.value) if entry else None)
+
+
+def history_key(number: int) -> str:
+    """Return the key of a revision."""
+    return f"{HISTORY_PREFIX}{number:010d}"
+
+
+def delta_key(number: int) -> str:
+    """Return the key of the delta that leads to a revision."""
+    return f"{DELTA_PREFIX}{number:010d}"
+
+
+def file_contents(revision: pb.SettingsRevision) -> dict[str, str]:
+    """Return the content of each file of a revision by its name."""
+    return {file.name: file.content for file in revision.files}
+
+
+def _parse(value: bytes) -> pb.SettingsRevision:
+    return pb.SettingsRevision.FromString(value)
+
+
+def _faults(files: Mapping[str, str], change_id: str) -> list[str]:
+    if not change_id or len(change_id.encode()) > CHANGE_ID_LIMIT_BYTES:
+        return [f"a change id must have 1 to {CHANGE_ID_LIMIT_BYTES} bytes"]
+    if not files:
+        return ["a revision needs at least one file"]
+    size = sum(len(n.encode()) + len(c.encode()) for n, c in files.items())
+    if size > FILES_LIMIT_BYTES:
+        return [f"the files have {size} bytes, more than {FILES_LIMIT_BYTES}"]
+    return []
+
+
+def _same_change(
+    earlier: pb.SettingsRevision, files: Mapping[str, str]
+) -> Result[pb.SettingsRevision, StepError]:
+    if earlier.files and file_contents(earlier) != dict(files):
+        fault = f"change {earlier.change_id} was accepted earlier with other files"
+        return Error(SettingsInvalid([fault]))
+    return Ok(earlier)
--- /dev/null
+++ b/tests/coordination/history/steps/history_steps.py
@@ -0,0 +1,237 @@
+"""Steps of history.feature."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+
+from behave import given, then, when
+from expression import Ok
+
+from support.environment import long_run
+from support.faulty_client import FaultyClient
+from tanagerturn.coordination.errors import RefusedError, UnavailableError
+from tanagerturn.coordination.local import LocalStateClient
+from tanagerturn.coordination.settings_history import (
+    SettingsConflict,
+    SettingsHistory,
+    SettingsInvalid,
+    file_contents,
+)
+
+GROUP = "control"
+HOUR_MS = 3_600_000
+
+
+def validate(files):
+    return [f"{name}: faulty" for name, text in files.items() if text == "faulty"]
+
+
+@given("an empty settings history")
+def empty_history(context):
+    context.history = SettingsHistory(LocalStateClient(), GROUP)
+    context.answers = {}
+
+
+@given("an empty settings history that keeps {kept:d} revisions")
+def short_history(context, kept):
+    context.history = SettingsHistory(LocalStateClient(), GROUP, history_kept=kept)
+
+
+@when('"{author}" applies change "{change}" with "{text}" expecting revision {n:d}')
+def apply_change(context, author, change, text, n):
+    context.answers[change] = context.history.apply(
+        {"base": text}, n, change, author, "", 0, validate
+    )
+
+
+@when('"{author}" rolls back to {to:d} as change "{change}" expecting revision {n:d}')
+def roll_back(context, author, to, change, n):
+    context.answers[change] = context.history.rollback(
+        to, n, change, author, "", 0, validate
+    )
+
+
+@when("{count:d} changes are applied")
+def apply_many(context, count):
+    for n in range(count):
+        files = {"base": f"x: {n}"}
+        assert context.history.apply(files, n, f"c{n}", "ana", "", 0, validate).is_ok()
+
+
+@then('change "{change}" is revision {number:d}')
+def is_revision(context, change, number):
+    assert context.answers[change].ok.number == number
+
+
+@then('change "{change}" conflicts with revision {number:d} by "{author}"')
+def conflicts(context, change, number, author):
+    error = context.answers[change].error
+    assert isinstance(error, SettingsConflict)
+    assert (error.current.number, error.current.author) == (number, author)
+
+
+@then('change "{change}" is refused for "{fault}"')
+def refused(context, change, fault):
+    error = context.answers[change].error
+    assert isinstance(error, SettingsInvalid)
+    assert error.faults == (fault,)
+
+
+@then("the current revision is {number:d}")
+def current_number(context, number):
+    assert context.history.current().ok.number == number
+
+
+@then('the current files are "{text}"')
+def current_files(context, text):
+    assert file_contents(context.history.current().ok) == {"base": text}
+
+
+@then('the history is "{changes}"')
+def history_is(context, changes):
+    found = [r.change_id for r in context.history.history().ok]
+    assert found == changes.split(), found
+
+
+@then("the first change sent again is still revision 1")
+def first_again(context):
+    again = context.history.apply({"base": "x: 0"}, 0, "c0", "ana", "", 0, validate)
+    assert again.ok.number == 1
+
+
+@then("rolling back to {gone:d} is refused and to {kept:d} is not")
+def roll_back_far(context, gone, kept):
+    refused = context.history.rollback(gone, 1000, "r1", "ana", "", 0, validate)
+    assert isinstance(refused.error, RefusedError)
+    assert context.history.rollback(kept, 1000, "r2", "ana", "", 0, validate).is_ok()
+
+
+@dataclass
+class Change:
+    """A change that an operator sends until it has an answer."""
+
+    change_id: str
+    author: str
+    expected: int
+    text: str
+
+
+class Race:
+    """Operators that race and resend, and a check of what they were told."""
+
+    def __init__(self, seed: int, kind: type[SettingsHistory]) -> None:
+        self.random = Random(seed)
+        store = LocalStateClient()
+        self.client = FaultyClient(store, self.random, loss=0.15)
+        self.history = kind(self.client, GROUP)
+        self.reader = SettingsHistory(store, GROUP)
+        self.open: dict[str, Change] = {}
+        self.accepted: dict[str, tuple[Change, int]] = {}
+        self.refused: set[str] = set()
+        self.faults: list[str] = []
+        self.depth = 0
+        self.client.between = self._interleave
+
+    def run(self) -> list[str]:
+        """Run the race and return the faults."""
+        for _ in range(30):
+            self.client.now_ms += self.random.choice((10, 1000, HOUR_MS))
+            self._act(self.random.choice(("ana", "ben", "eva")))
+        self.client.loss = 0
+        for change, number in list(self.accepted.values()):
+            again = self._send(change)
+            if again.is_error() or again.ok.number != number:
+                self.faults.append(f"{change.change_id} got another answer")
+        self._check_history()
+        return self.faults
+
+    def _interleave(self) -> None:
+        if self.depth < 2 and self.random.random() < 0.4:
+            self._act(self.random.choice(("ana", "ben", "eva")))
+
+    def _act(self, author: str) -> None:
+        self.depth += 1
+        change = self.open.get(author) or self._new_change(author)
+        self.open[author] = change
+        self._take(change, self._send(change))
+        self.depth -= 1
+
+    def _new_change(self, author: str) -> Change:
+        number = self.reader.current().ok.number
+        change_id = f"{author}{self.random.randrange(10**9)}"
+        return Change(change_id, author, number, change_id)
+
+    def _send(self, change: Change):
+        files = {"base": change.text}
+        return self.history.apply(
+            files, change.expected, change.change_id, change.author, "", 0, validate
+        )
+
+    def _take(self, change: Change, answer) -> None:
+        if answer.is_error() and isinstance(answer.error, UnavailableError):
+            return
+        self.open.pop(change.author, None)
+        if answer.is_ok():
+            self._take_acceptance(change, answer.ok)
+            return
+        self.refused.add(change.change_id)
+        if not isinstance(answer.error, SettingsConflict):
+            self.faults.append(f"unexpected {answer.error}")
+        elif answer.error.current.number <= change.expected:
+            self.faults.append("a conflict shows no later revision")
+        elif answer.error.current.change_id == change.change_id:
+            self.faults.append("a change conflicts with itself")
+
+    def _take_acceptance(self, change: Change, revision) -> None:
+        earlier = self.accepted.setdefault(change.change_id, (change, revision.number))
+        if earlier[1] != revision.number or revision.change_id != change.change_id:
+            self.faults.append(f"{change.change_id} was answered with another revision")
+
+    def _check_history(self) -> None:
+        revisions = self.reader.history(limit=1000).ok
+        ids = [r.change_id for r in revisions]
+        numbers = [r.number for r in reversed(revisions)]
+        if numbers != list(range(1, len(numbers) + 1)):
+            self.faults.append("numbers are not contiguous")
+        if len(set(ids)) != len(ids):
+            self.faults.append("a change was applied twice")
+        if not set(self.accepted) <= set(ids):
+            self.faults.append("an accepted change is lost")
+        if self.refused & set(ids):
+            self.faults.append("a refused change was applied")
+
+
+class ForgetfulHistory(SettingsHistory):
+    """Plants a fault: change ids are not looked up."""
+
+    def _earlier(self, change_id):
+        return Ok(None)
+
+
+class BlindHistory(SettingsHistory):
+    """Plants a fault: numbers and revisions are not compared."""
+
+    def _command(self, revision, current, expected):
+        revision.number = current.number + 1
+        command = super()._command(revision, current, expected)
+        for put in command.transaction.puts:
+            put.ClearField("expected_revision")
+        return command
+
+
+@then("{count:d} seeded races have no fault")
+def races(context, count):
+    for seed in range(count * 10 if long_run() else count):
+        faults = Race(seed, SettingsHistory).run()
+        assert not faults, (seed, faults)
+
+
+@then("seeded races find a history that forgets change ids")
+def finds_forgetful(context):
+    assert any(Race(seed, ForgetfulHistory).run() for seed in range(20))
+
+
+@then("seeded races find a history that does not compare numbers")
+def finds_blind(context):
+    assert any(Race(seed, BlindHistory).run() for seed in range(20))
