Test the membership core on a seeded network

Ten processes in four zones: deaths, leaving, one-way cuts, pauses, processes that can send or receive nothing, flapping links and restarts are each seen as such, and nobody else is declared dead.

Faults found by these tests and mended: a refutation that was lost while the link was down was never sent again; a process that had been isolated ended its suspicions as soon as one answer came; a process restarted in a region without reachable seeds learned of nobody although others reached it; a pause noticed after the waiting packets were read was not told to others.

56 processes in 7 zones stay within 2500 bytes a second over 10 s when a zone goes. Two regions cut for an hour of passed-in time declare nobody of the other dead and agree within 60 s after it.

--- a/src/tanagerturn/coordination/membership/_sender.py
+++ b/src/tanagerturn/coordination/membership/_sender.py
@@ -13,7 +13,7 @@
     ByteBudget,
     GossipQueue,
 )
-from tanagerturn.coordination.membership.table import Health, MemberTable
+from tanagerturn.coordination.membership.table import MemberTable
 from tanagerturn.schema import membership_pb2 as mpb
 
 if TYPE_CHECKING:
@@ -139,7 +139,7 @@
         if member is None:
             return None
         # A process that is gone is known by name where it matters.
-        with_info = member.health in (Health.ALIVE, Health.LEFT)
+        with_info = member.health in (mpb.ALIVE, mpb.LEFT)
         return member.update(with_info)
 
     def _put(self, address: str, packet: mpb.Packet) -> None:
--- a/src/tanagerturn/coordination/membership/_view.py
+++ b/src/tanagerturn/coordination/membership/_view.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from tanagerturn.coordination.membership.table import Health
+from tanagerturn.schema import membership_pb2 as mpb
 
 if TYPE_CHECKING:
     from tanagerturn.coordination.membership.table import Member, MemberTable
@@ -34,7 +34,7 @@
         "address": member.info.address,
         "region": member.info.region,
         "availability_zone": member.info.availability_zone,
-        "health": Health.Name(member.health).lower(),
+        "health": mpb.Health.Name(member.health).lower(),
         "for_ms": now_ms - member.since_ms,
         "incarnation": member.incarnation,
         "link": member.link.value,
--- a/src/tanagerturn/coordination/membership/core.py
+++ b/src/tanagerturn/coordination/membership/core.py
@@ -18,7 +18,7 @@
     RelayedProbes,
     choose_helpers,
 )
-from tanagerturn.coordination.membership.table import Health, LinkState, Member
+from tanagerturn.coordination.membership.table import LinkState, Member
 from tanagerturn.schema import membership_pb2 as mpb
 
 if TYPE_CHECKING:
@@ -33,7 +33,7 @@
     """The health of a process changed."""
 
     process: ProcessId
-    health: Health.ValueType
+    health: mpb.Health.ValueType
     info: mpb.ProcessInfo
 
 
@@ -68,7 +68,7 @@
         """What tunes failure detection."""
         self.random = random
         """Source of all random choices."""
-        self.me = Member(process, info, incarnation, Health.ALIVE, 0)
+        self.me = Member(process, info, incarnation, mpb.ALIVE, 0)
         """This process."""
         self.sender = Sender(self.me, config)
         """Fills and counts packets; it owns the table and the gossip."""
@@ -133,6 +133,8 @@
             self.duplicate = address if address != self.me.info.address else ""
             return []
         self.sender.budget.fill(now_ms)
+        if self.last_tick_ms is not None:
+            self._note_pause(now_ms)
         for update in packet.updates:
             self._take_update(update, now_ms)
         member = self.table.get(packet.sender)
@@ -141,14 +143,17 @@
             if packet.settings_number > self.sender.settings_number:
                 news = PeerSettings(member.process, packet.settings_number)
                 self.peer_settings.append(news)
+        elif not self.sync_target:
+            # Somebody knows us whom we do not know: learn what it knows.
+            self._start_sync(address, now_ms)
         self._handle(packet, address, now_ms)
         return self.sender.take()
 
     def leave(self) -> list[Datagram]:
         """Say that this process leaves; to be repeated a few times."""
         self.leaving = True
-        self.me.health = Health.LEFT
-        near = [m for m in self._near() if m.health == Health.ALIVE]
+        self.me.health = mpb.LEFT
+        near = [m for m in self._near() if m.health == mpb.ALIVE]
         for member in self.random.sample(near, min(len(near), 6)):
             ping = mpb.Ping(sequence=self._next_sequence(), target=member.process)
             self.sender.send(member.info.address, mpb.Packet(ping=ping), [self.me])
@@ -217,7 +222,7 @@
         sequence = self._next_sequence()
         ping = mpb.Ping(sequence=sequence, target=target.process)
         # A target that others hold suspect or dead has to hear it to refute.
-        first = [target] if target.health != Health.ALIVE else []
+        first = [target] if target.health != mpb.ALIVE else []
         packet = mpb.Packet(ping=ping)
         self.sender.send(target.info.address, packet, first, target.info.region)
         return Probe(target.process, sequence, now_ms)
@@ -237,7 +242,7 @@
         target = self.table.get(probe.target)
         if target is None:
             return
-        alive = [m for m in self._near() if m.health == Health.ALIVE]
+        alive = [m for m in self._near() if m.health == mpb.ALIVE]
         request = mpb.PingRequest(sequence=probe.sequence, target=probe.target)
         count = self.config.helpers
         for helper in choose_helpers(target, alive, count, self.random):
@@ -249,10 +254,10 @@
         if target is None:
             return
         target.link = LinkState.FAILED
-        if target.health != Health.ALIVE or self.isolated(now_ms):
+        if target.health != mpb.ALIVE or self.isolated(now_ms):
             return
         suspicion = target.update(with_info=False)
-        suspicion.health = Health.SUSPECT
+        suspicion.health = mpb.SUSPECT
         self._take_update(suspicion, now_ms)
 
     def _start_far_probe(self, now_ms: int) -> None:
@@ -303,7 +308,7 @@
         if sender is not None:
             region = sender.info.region
             self._note_one_way(sender, now_ms)
-            if sender.health != Health.ALIVE:
+            if sender.health != mpb.ALIVE:
                 first.append(sender)
         ack = mpb.Ack(sequence=packet.ping.sequence, process=self.me.process)
         self.sender.send(address, mpb.Packet(ack=ack), first, region)
@@ -376,15 +381,18 @@
         self.sender.gossip(member)
         self.events.append(MemberEvent(member.process, member.health, member.info))
         self.suspects.pop(member.process, None)
-        if member.health == Health.SUSPECT:
+        if member.health == mpb.SUSPECT:
             time_ms = self.config.suspicion_for(self.table.present_count)
             self.suspects[member.process] = now_ms + time_ms
 
     def _refute(self, update: mpb.Update) -> None:
-        if update.health == Health.ALIVE or self.leaving:
+        if update.health == mpb.ALIVE or self.leaving:
             return
         if update.incarnation >= self.me.incarnation:
             self._renew_self(update.incarnation + 1)
+            return
+        # An earlier refutation did not get through.
+        self.sender.gossip(self.me)
 
     def _renew_self(self, incarnation: int) -> None:
         self.me.incarnation = incarnation
@@ -393,6 +401,9 @@
 
     def _end_suspicions(self, now_ms: int) -> None:
         if self.isolated(now_ms):
+            # They get their whole time again once somebody answers.
+            time_ms = self.config.suspicion_for(self.table.present_count)
+            self.suspects = dict.fromkeys(self.suspects, now_ms + time_ms)
             return
         region = self.me.info.region
         for process, deadline_ms in list(self.suspects.items()):
@@ -402,7 +413,7 @@
                 del self.suspects[process]
             elif now_ms >= deadline_ms:
                 death = member.update(with_info=False)
-                death.health = Health.DEAD
+                death.health = mpb.DEAD
                 self._take_update(death, now_ms)
 
     def _note_pause(self, now_ms: int) -> None:
@@ -434,13 +445,13 @@
             ping = mpb.Ping(sequence=self._next_sequence())
             packet = mpb.Packet(ping=ping)
             self.sender.send(self.random.choice(seeds), packet, [self.me])
-        dead = [m for m in self.table.members.values() if m.health == Health.DEAD]
+        dead = [m for m in self.table.members.values() if m.health == mpb.DEAD]
         if dead:
             self._ping(self.random.choice(dead), now_ms)
 
     def _sync(self, now_ms: int) -> None:
         if not self.sync_target and now_ms >= self.next_sync_ms:
-            near = [m for m in self._near() if m.health == Health.ALIVE]
+            near = [m for m in self._near() if m.health == mpb.ALIVE]
             if near:
                 self._start_sync(self.random.choice(near).info.address, now_ms)
         if self.sync_target and now_ms >= self.next_sync_ms:
--- a/src/tanagerturn/coordination/membership/probes.py
+++ b/src/tanagerturn/coordination/membership/probes.py
@@ -87,7 +87,7 @@
     zone = target.info.availability_zone
     near = [m for m in others if m.info.availability_zone == zone]
     far = [m for m in others if m.info.availability_zone != zone]
-    chosen = random.sample(near, min(1, len(near)))
+    chosen = random.sample(near, min(1, len(near), count))
     chosen += random.sample(far, min(count - len(chosen), len(far)))
     rest = [m for m in near if m not in chosen]
     missing = min(count - len(chosen), len(rest))
--- a/src/tanagerturn/coordination/membership/table.py
+++ b/src/tanagerturn/coordination/membership/table.py
@@ -17,7 +17,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-Health = mpb.Health
+PRESENT: Final = frozenset((mpb.ALIVE, mpb.SUSPECT))
+"""Health of a process that takes part."""
 
 FLAP_WINDOW_MS: Final = 600_000
 FLAPS: Final = 3
@@ -41,7 +42,7 @@
     process: ProcessId
     info: mpb.ProcessInfo
     incarnation: int
-    health: Health.ValueType
+    health: mpb.Health.ValueType
     since_ms: int
     """When the health was learned."""
     link: LinkState = LinkState.UNKNOWN
@@ -60,7 +61,7 @@
     @property
     def present(self) -> bool:
         """Whether it takes part: alive, or suspect and able to refute."""
-        return self.health in (Health.ALIVE, Health.SUSPECT)
+        return self.health in PRESENT
 
     def update(self, with_info: bool) -> mpb.Update:
         """Return what to tell others."""
@@ -124,7 +125,7 @@
 
     def present(self) -> Iterator[Member]:
         """Yield the processes that take part."""
-        return (m for m in self.members.values() if m.present)
+        return (m for m in self.members.values() if m.health in PRESENT)
 
     def forget_old(self, now_ms: int) -> None:
         """Forget processes that have been gone for long."""
@@ -155,9 +156,9 @@
         return [
             ZoneSummary(
                 name,
-                count.get(Health.ALIVE, 0),
-                count.get(Health.SUSPECT, 0),
-                count.get(Health.DEAD, 0),
+                count.get(mpb.ALIVE, 0),
+                count.get(mpb.SUSPECT, 0),
+                count.get(mpb.DEAD, 0),
             )
             for name, count in sorted(counts.items())
         ]
@@ -173,9 +174,10 @@
         return True
 
     def _note_return(self, known: Member, update: mpb.Update, now_ms: int) -> None:
-        if update.health != Health.ALIVE or known.health == Health.ALIVE:
+        if update.health != mpb.ALIVE or known.health == mpb.LEFT:
             return
-        if known.health == Health.LEFT:
-            return
-        known.returns.append(now_ms)
-        known.paused = update.info.pauses > known.info.pauses
+        was_paused = update.info.pauses > known.info.pauses
+        if known.health != mpb.ALIVE:
+            known.returns.append(now_ms)
+            known.paused = was_paused
+        known.paused |= was_paused
--- /dev/null
+++ b/tests/coordination/membership/steps/membership_steps.py
@@ -0,0 +1,347 @@
+"""Steps of membership.feature."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+
+from behave import given, then, when
+from hypothesis import given as hypothesis_given
+from hypothesis import strategies as st
+
+from support.environment import long_run
+from support.membership_network import Network
+from tanagerturn.coordination.membership.codec import seal, unseal
+from tanagerturn.schema import membership_pb2 as mpb
+
+KEY = b"0123456789abcdef"
+
+
+@given("{count:d} processes in {zones:d} zones that know each other after {s:d} s")
+def processes(context, count, zones, s):
+    names = [f"zone-{n}" for n in range(zones)]
+    context.net = Network(1, {"main": names})
+    context.net.measure = True
+    context.net.start(count)
+    context.net.run(s * 1000)
+    assert not context.net.disagreements(), context.net.disagreements()[:3]
+
+
+@given("{count:d} processes in {zones:d} zones that know each other")
+def known_processes(context, count, zones):
+    known(context, count, {"main": [f"zone-{n}" for n in range(zones)]})
+
+
+@given("{count:d} processes in 2 regions that know each other")
+def known_regions(context, count):
+    regions = {"north": ["n-0", "n-1"], "south": ["s-0", "s-1"]}
+    known(context, count, regions, tick_ms=500)
+
+
+def known(context, count, zones, tick_ms=100):
+    context.net = Network(1, zones, tick_ms=tick_ms)
+    context.net.measure = True
+    context.net.start(count)
+    context.net.know_all()
+    context.net.run(20_000)
+    assert not context.net.disagreements(), context.net.disagreements()[:3]
+
+
+@given("the processes ask no helpers")
+def no_helpers(context):
+    for node in context.net.nodes.values():
+        node.core.config = replace(node.core.config, helpers=0)
+
+
+@when('"{name}" dies')
+def dies(context, name):
+    context.net.kill(name)
+
+
+@when('"{name}" leaves')
+def leaves(context, name):
+    context.net.leave(name)
+
+
+@when('"{name}" starts again')
+def starts_again(context, name):
+    context.net.start_one(name)
+
+
+@when("{s:d} s go by")
+def go_by(context, s):
+    context.net.run(s * 1000)
+
+
+@when('packets from "{a}" to "{b}" are lost')
+def one_way(context, a, b):
+    context.net.blocked = lambda source, target: (source, target) == (a, b)
+
+
+@when('"{name}" is paused for {s:d} s')
+def paused(context, name, s):
+    node = context.net.nodes[name]
+    node.paused = True
+    context.net.run(s * 1000)
+    node.paused = False
+
+
+@when('"{name}" cannot {direct} packets for {s:d} s')
+def cannot(context, name, direct, s):
+    side = 0 if direct == "send" else 1
+    context.net.blocked = lambda *ends: ends[side] == name
+    context.net.run(s * 1000)
+    context.isolated = context.net.nodes[name].core.isolated(context.net.now)
+    context.net.blocked = lambda *ends: False
+
+
+@when('"{name}" cannot send packets for {s:d} s, {times:d} times')
+def flaps(context, name, s, times):
+    for _ in range(times):
+        cannot(context, name, "send", s)
+        context.net.run(15_000)
+
+
+@when('the zone of "{name}" is lost')
+def zone_lost(context, name):
+    context.lost_zone = context.net.zone(name)
+    context.since = context.net.now // 1000
+    for other in context.net.nodes:
+        if context.net.zone(other) == context.lost_zone:
+            context.net.kill(other)
+
+
+@when("the regions are cut for {s:d} s while one process of each starts again and dies")
+def regions_cut(context, s):
+    net = context.net
+    net.blocked = lambda a, b: net.region(a) != net.region(b)
+    net.run(s * 500)
+    for name in ("entry-4", "entry-6"):
+        net.kill(name)
+        net.start_one(name)
+    for name in ("entry-5", "entry-7"):
+        net.kill(name)
+    net.run(s * 500)
+
+
+@when("the regions are joined")
+def regions_joined(context):
+    context.since = context.net.now // 1000
+    context.net.blocked = lambda *ends: False
+
+
+def within(context, s, check):
+    for _ in range(s * 2):
+        if check():
+            return
+        context.net.run(500)
+    raise AssertionError(context.net.disagreements()[:5])
+
+
+@then('within {s:d} s all see "{name}" as {health}')
+def all_see(context, s, name, health):
+    net = context.net
+
+    def check() -> bool:
+        viewers = [v for v in net.running() if v != name]
+        return all(net.seen(viewer, name) == health for viewer in viewers)
+
+    within(context, s, check)
+
+
+@then("within {s:d} s everybody is right about everybody")
+def all_right(context, s):
+    within(context, s, lambda: not context.net.disagreements())
+
+
+@then('within {s:d} s all see the zone of "{name}" as lost')
+def all_see_zone(context, s, name):
+    def check() -> bool:
+        return all(
+            zone.lost == (zone.availability_zone == context.lost_zone)
+            for viewer in context.net.running()
+            for zone in context.net.nodes[viewer].core.table.zones()
+        )
+
+    within(context, s, check)
+
+
+@then('only "{name}" was declared dead')
+def only_dead(context, name):
+    assert context.net.deaths() == {name}, context.net.deaths()
+
+
+@then("nobody was declared dead")
+def nobody_dead(context):
+    assert not context.net.deaths(), context.net.deaths()
+
+
+@then("somebody was declared dead")
+def somebody_dead(context):
+    assert context.net.deaths()
+
+
+@then('only processes of the zone of "{name}" were declared dead')
+def only_zone_dead(context, name):
+    zones = {context.net.zone(dead) for dead in context.net.deaths()}
+    assert zones == {context.lost_zone}, context.net.deaths()
+
+
+@then("nobody of a region was declared dead by the other region")
+def regions_keep(context):
+    net = context.net
+    for viewer in net.running():
+        for dead in net.nodes[viewer].deaths:
+            assert net.region(dead) == net.region(viewer), (viewer, dead)
+
+
+@then("the links of each region name the other as separated")
+def separated(context):
+    net = context.net
+    seen = set()
+    for name in net.running():
+        dump = net.nodes[name].core.dump(net.now)
+        if dump["link"]:
+            seen.add((net.region(name), *dump["separated_regions"]))
+    assert seen == {("north", "south"), ("south", "north")}, seen
+
+
+@then("joining took at most {limit:d} bytes a second of each process")
+def joining_bytes(context, limit):
+    seconds = context.net.now // 1000 - context.since + 1
+    for name in context.net.running():
+        sent = context.net.nodes[name].bytes_at
+        total = sum(sent.get(context.since + n, 0) for n in range(seconds))
+        assert total <= limit * (seconds + 2), (name, total, seconds)
+
+
+@then("nobody sent more than {most:d} bytes in a second or {mean:d} a second over 10 s")
+def bytes_bound(context, most, mean):
+    for name in context.net.running():
+        sent = context.net.nodes[name].bytes_at
+        rates = [sent.get(context.since + n, 0) for n in range(25)]
+        windows = [sum(rates[n : n + 10]) for n in range(15)]
+        assert max(rates) <= most, (name, max(rates))
+        assert max(windows) <= mean * 10, (name, max(windows))
+
+
+@then('"{a}" shows the link to "{b}" as "{state}"')
+def shows_link(context, a, b, state):
+    assert context.net.nodes[a].core.table.get(b).link.name == state
+
+
+@then('"{a}" does not show the link to "{b}" as "{state}"')
+def shows_not(context, a, b, state):
+    assert context.net.nodes[a].core.table.get(b).link.name != state
+
+
+@then('"{name}" declared nobody dead')
+def declared_nobody(context, name):
+    assert not context.net.nodes[name].deaths
+
+
+@then('"{name}" called itself isolated')
+def called_isolated(context, name):
+    assert context.isolated
+
+
+@then('all show that "{name}" {what}')
+def all_show(context, name, what):
+    for viewer in context.net.running():
+        if viewer == name:
+            continue
+        member = context.net.nodes[viewer].core.table.get(name)
+        if what == "flaps":
+            assert member.flapping(context.net.now), (viewer, member)
+        else:
+            assert member.paused, (viewer, member)
+
+
+@then("a packet is taken with the key and dropped when changed, short, long or foreign")
+def packets_checked(context):
+    packet = mpb.Packet(cluster="test", sender="a", ping=mpb.Ping(sequence=1))
+    datagram = seal(packet, KEY)
+    assert unseal(datagram, KEY, "test").ok == packet
+    assert unseal(datagram, b"another key 1234", "test").error == "code"
+    assert unseal(datagram, KEY, "other").error == "cluster"
+    assert unseal(datagram + bytes(1200), KEY, "test").error == "size"
+
+    @hypothesis_given(st.integers(0, len(datagram) - 1), st.integers(1, 255))
+    def changed(place, flip):
+        bad = bytearray(datagram)
+        bad[place] ^= flip
+        assert unseal(bytes(bad), KEY, "test").is_error()
+        assert unseal(datagram[:place], KEY, "test").is_error()
+
+    changed()
+
+
+@then("packets that were recorded before a death do not raise the dead")
+def replayed(context):
+    net = context.net
+    recorded = []
+    post = net.post
+
+    def record(source, target, packet):
+        recorded.append((source, target, packet))
+        post(source, target, packet)
+
+    net.post = record
+    net.run(10_000)
+    net.post = post
+    net.kill("entry-3")
+    net.run(15_000)
+    for source, target, packet in recorded:
+        net.deliver(target, source, packet)
+    net.run(5_000)
+    assert {net.seen(v, "entry-3") for v in net.running()} == {"DEAD"}
+    assert not net.disagreements()
+
+
+@then("{count:d} seeded schedules end with everybody right about everybody")
+def schedules(context, count):
+    for seed in range(count * 10 if long_run() else count):
+        schedule(seed)
+
+
+def schedule(seed):
+    random = Random(seed)
+    net = Network(seed, {"north": ["n-0", "n-1"], "south": ["s-0"]}, tick_ms=200)
+    net.start(9)
+    net.loss, net.duplicates = 0.1, 0.05
+    for _ in range(12):
+        disturb(net, random)
+        net.run(random.randrange(500, 8000))
+    net.loss = 0.0
+    net.blocked = lambda *ends: False
+    for node in net.nodes.values():
+        node.paused = False
+    net.run(90_000)
+    assert not net.disagreements(), (seed, net.disagreements()[:5])
+
+
+def disturb(net, random):
+    name = f"entry-{random.randrange(9)}"
+    node = net.nodes[name]
+    draw = random.randrange(5)
+    if draw == 0 and len(net.running()) > 4:
+        net.kill(name)
+    elif draw == 1 and not node.running:
+        net.start_one(name)
+    elif draw == 2:
+        node.paused = not node.paused
+    elif draw == 3:
+        net.blocked = lambda a, b: a == name
+    else:
+        net.blocked = lambda a, b: net.region(a) != net.region(b)
+
+
+def count_health(agent, health):
+    return sum(m.health == health for m in agent.members())
+
+
+@then("all agents see {count:d} alive")
+def agents_see(context, count):
+    context.wait_for(
+        lambda: all(count_health(a, mpb.ALIVE) == count for a in context.agents)
+    )
--- /dev/null
+++ b/tests/support/membership_network.py
@@ -0,0 +1,213 @@
+"""Membership cores on a seeded network in passed-in time."""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import replace
+from random import Random
+from typing import TYPE_CHECKING
+
+from tanagerturn.coordination.membership.codec import seal
+from tanagerturn.coordination.membership.config import MembershipConfig
+from tanagerturn.coordination.membership.core import MembershipCore
+from tanagerturn.schema import membership_pb2 as mpb
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+NEAR_DELAY_MS = (1, 5)
+FAR_DELAY_MS = (20, 40)
+
+
+def address_of(name: str) -> str:
+    """Return the fake address of a process."""
+    return f"ip:{name}"
+
+
+class Node:
+    """One process, with its clock's offset and what waits while it is paused."""
+
+    def __init__(self, core: MembershipCore) -> None:
+        self.core = core
+        self.running = True
+        self.paused = False
+        self.waiting: list[tuple[mpb.Packet, str]] = []
+        self.bytes_at: dict[int, int] = {}
+        self.deaths: list[str] = []
+
+
+class Network:
+    """Processes in zones and regions, with loss, delay, duplicates and cuts.
+
+    Args:
+        seed: Of all random choices.
+        zones: Zones of each region; processes are spread over them in turn.
+        config: What tunes the processes.
+        tick_ms: Time between ticks.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        zones: dict[str, list[str]],
+        config: MembershipConfig | None = None,
+        tick_ms: int = 100,
+    ) -> None:
+        self.random = Random(seed)
+        self.places = [(z, region) for region, names in zones.items() for z in names]
+        self.config = config or MembershipConfig("test")
+        self.tick_ms = tick_ms
+        self.now = 0
+        self.nodes: dict[str, Node] = {}
+        self.events: list[tuple[int, int, Callable[[], None]]] = []
+        self.counter = 0
+        self.loss = 0.0
+        self.duplicates = 0.0
+        self.blocked: Callable[[str, str], bool] = lambda a, b: False
+        self.starts = 0
+        self.packets = 0
+        self.measure = False
+
+    def start(self, count: int, seeds: int = 2) -> None:
+        """Start processes that join through the first ones."""
+        names = [f"entry-{n}" for n in range(count)]
+        addresses = tuple(address_of(name) for name in names[:seeds])
+        self.config = replace(self.config, seeds=addresses)
+        for name in names:
+            self.start_one(name)
+
+    def start_one(self, name: str) -> Node:
+        """Start a process, or start it again without what it knew."""
+        place = int(name.split("-")[1]) % len(self.places)
+        zone, region = self.places[place]
+        info = mpb.ProcessInfo(
+            address=address_of(name),
+            region=region,
+            availability_zone=zone,
+            program="entry",
+            relay_address="10.0.0.10:7400",
+        )
+        self.starts += 1
+        incarnation = 1_790_000_000_000 + self.now + self.starts
+        core = MembershipCore(
+            name, info, incarnation, self.config, Random(self.random.random())
+        )
+        node = Node(core)
+        self.nodes[name] = node
+        self.at(self.now + self.random.randrange(self.tick_ms), lambda: self.tick(node))
+        return node
+
+    def know_all(self) -> None:
+        """Let all processes know each other, as after a long time."""
+        for node in self.nodes.values():
+            for other in self.nodes.values():
+                node.core.table.apply(other.core.me.update(True), self.now)
+
+    def at(self, time_ms: int, act: Callable[[], None]) -> None:
+        """Plan an event."""
+        self.counter += 1
+        heapq.heappush(self.events, (time_ms, self.counter, act))
+
+    def run(self, length_ms: int) -> None:
+        """Let time go by."""
+        end = self.now + length_ms
+        while self.events and self.events[0][0] <= end:
+            self.now, _, act = heapq.heappop(self.events)
+            act()
+        self.now = end
+
+    def tick(self, node: Node) -> None:
+        """Let a process do what is due."""
+        if not node.running:
+            return
+        self.at(self.now + self.tick_ms, lambda: self.tick(node))
+        if node.paused:
+            return
+        while node.waiting:
+            packet, address = node.waiting.pop(0)
+            self.put(node, node.core.receive(packet, address, self.now))
+        self.put(node, node.core.tick(self.now))
+        for event in node.core.take_events():
+            if event.health == mpb.DEAD:
+                node.deaths.append(event.process)
+
+    def put(self, node: Node, datagrams: list) -> None:
+        """Send datagrams."""
+        source = node.core.me.process
+        for datagram in datagrams:
+            size = len(seal(datagram.packet, b"k" * 16)) if self.measure else 0
+            assert size <= 1200, size
+            second = self.now // 1000
+            node.bytes_at[second] = node.bytes_at.get(second, 0) + size + 28
+            self.packets += 1
+            target = datagram.address.removeprefix("ip:")
+            copies = 1 + (self.random.random() < self.duplicates)
+            for _ in range(copies):
+                self.post(source, target, datagram.packet)
+
+    def post(self, source: str, target: str, packet: mpb.Packet) -> None:
+        """Deliver a packet later, unless it is lost."""
+        if self.blocked(source, target) or self.random.random() < self.loss:
+            return
+        node = self.nodes.get(target)
+        if node is None:
+            return
+        far = self.region(source) != self.region(target)
+        delay = self.random.randint(*(FAR_DELAY_MS if far else NEAR_DELAY_MS))
+        if self.random.random() < self.loss:
+            delay += self.random.randrange(2000)
+        self.at(self.now + delay, lambda: self.deliver(target, source, packet))
+
+    def deliver(self, target: str, source: str, packet: mpb.Packet) -> None:
+        """Hand a packet over."""
+        node = self.nodes[target]
+        if not node.running:
+            return
+        if node.paused:
+            node.waiting.append((packet, address_of(source)))
+            return
+        datagrams = node.core.receive(packet, address_of(source), self.now)
+        self.put(node, datagrams)
+
+    def region(self, name: str) -> str:
+        """Return the region of a process."""
+        return self.nodes[name].core.me.info.region
+
+    def zone(self, name: str) -> str:
+        """Return the zone of a process."""
+        return self.nodes[name].core.me.info.availability_zone
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+        self.nodes[name].running = False
+
+    def leave(self, name: str) -> None:
+        """Let a process leave and end."""
+        node = self.nodes[name]
+        for _ in range(3):
+            self.put(node, node.core.leave())
+        node.running = False
+
+    def seen(self, viewer: str, name: str) -> str:
+        """Return the health that a process sees in another one."""
+        member = self.nodes[viewer].core.table.get(name)
+        return mpb.Health.Name(member.health) if member else "ABSENT"
+
+    def running(self) -> list[str]:
+        """Return the processes that run."""
+        return [name for name, node in self.nodes.items() if node.running]
+
+    def disagreements(self) -> list[tuple[str, str, str]]:
+        """Return who holds something wrong of whom."""
+        wrong = []
+        for viewer in self.running():
+            for name, node in self.nodes.items():
+                seen = self.seen(viewer, name)
+                right = ("ALIVE",) if node.running else ("DEAD", "LEFT", "ABSENT")
+                if seen not in right:
+                    wrong.append((viewer, name, seen))
+        return wrong
+
+    def deaths(self) -> set[str]:
+        """Return all processes that a running one ever declared dead."""
+        return {d for name in self.running() for d in self.nodes[name].deaths}
