Add the view of backend servers and the choice among them

Routing needs to know, at each entry host, which backend servers may get work. The view takes announcements (impossible values refused, older ones and ended starts ignored, silent ones aged out after three heartbeats) and learns leaving over two independent ways. A choice draws a few candidates, adds the holders of the prompt's prefix, and takes the lowest estimate; round robin and least load stay as baselines.

Weighing all engines on each choice was ruled out: its time grows with the number of engines, and all entry hosts would take the same one.

--- /dev/null
+++ b/src/tanagerturn/serving/backends/__init__.py
@@ -0,0 +1,1 @@
+"""What is known of backend servers: announcements, own requests, notices."""
--- /dev/null
+++ b/src/tanagerturn/serving/backends/_check.py
@@ -0,0 +1,119 @@
+"""Checks of announcements; a backend server's word is not trusted blindly."""
+
+from __future__ import annotations
+
+import ipaddress
+import math
+import re
+from typing import TYPE_CHECKING, Final
+
+from tanagerturn.schema import serving_pb2
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+ID_PATTERN: Final = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
+BLOCK_PATTERN: Final = re.compile(r"[0-9a-f]{16}")
+HEARTBEAT_MIN_MS: Final = 20
+HEARTBEAT_MAX_MS: Final = 60_000
+SLOTS_MAX: Final = 100_000
+REQUESTS_MAX: Final = 1_000_000
+KV_TOKENS_MAX: Final = 10**10
+PRICE_MAX_PER_HOUR: Final = 10_000.0
+TOKENS_MAX_PER_S: Final = 10_000_000.0
+LEAVING_MAX_MS: Final = 24 * 3_600_000
+EVENTS_MAX: Final = 5_000
+BLOCKS_MAX: Final = 100_000
+NAMES_MAX: Final = 256
+
+Network = ipaddress.IPv4Network | ipaddress.IPv6Network
+
+
+def fault_in(
+    announcement: serving_pb2.Announcement, networks: Sequence[Network]
+) -> str:
+    """Return what is wrong with an announcement, or an empty text.
+
+    Args:
+        announcement: The announcement as received.
+        networks: Networks that the address must be in; none means any.
+    """
+    return (
+        _fault_in_name(announcement)
+        or _fault_in_address(announcement.address, networks)
+        or _fault_in_size(announcement)
+        or _fault_in_load(announcement.load)
+        or _fault_in_events(announcement.cache_events)
+    )
+
+
+def _fault_in_name(announcement: serving_pb2.Announcement) -> str:
+    if not ID_PATTERN.fullmatch(announcement.id):
+        return "id is not a name"
+    if not announcement.incarnation or len(announcement.incarnation) > 128:
+        return "incarnation must have 1 to 128 characters"
+    if not announcement.availability_zone:
+        return "availability_zone is missing"
+    if not announcement.services and not announcement.models:
+        return "neither services nor models are named"
+    if len(announcement.services) > NAMES_MAX or len(announcement.models) > NAMES_MAX:
+        return f"more than {NAMES_MAX} services or models"
+    if any(not loaded.model for loaded in announcement.models):
+        return "a model has no name"
+    if announcement.role not in serving_pb2.BackendRole.values():
+        return "role is unknown"
+    return ""
+
+
+def _fault_in_address(address: str, networks: Sequence[Network]) -> str:
+    ip, _, port = address.rpartition(":")
+    try:
+        number = ipaddress.ip_address(ip.strip("[]"))
+    except ValueError:
+        return "address has no IP number"
+    if not port.isascii() or not port.isdigit() or not 0 < int(port) < 65_536:
+        return "address has no port"
+    if networks and not any(number in network for network in networks):
+        return "address is outside the allowed networks"
+    return ""
+
+
+def _fault_in_size(announcement: serving_pb2.Announcement) -> str:
+    if not HEARTBEAT_MIN_MS <= announcement.heartbeat_ms <= HEARTBEAT_MAX_MS:
+        return f"heartbeat_ms must be {HEARTBEAT_MIN_MS} to {HEARTBEAT_MAX_MS}"
+    if not 1 <= announcement.slots <= SLOTS_MAX:
+        return f"slots must be 1 to {SLOTS_MAX}"
+    if announcement.kv_tokens > KV_TOKENS_MAX:
+        return "kv_tokens is too large"
+    if not _within(announcement.price_per_hour, PRICE_MAX_PER_HOUR):
+        return "price_per_hour is not a price"
+    if announcement.leaving_in_ms > LEAVING_MAX_MS:
+        return "leaving_in_ms is more than a day"
+    return ""
+
+
+def _fault_in_load(load: serving_pb2.LoadReport) -> str:
+    if not _within(load.kv_used, 1.0):
+        return "load.kv_used must be 0 to 1"
+    if not _within(load.tokens_per_s, TOKENS_MAX_PER_S):
+        return "load.tokens_per_s is not a rate"
+    if load.running > REQUESTS_MAX or load.waiting > REQUESTS_MAX:
+        return "load.running or load.waiting is too large"
+    return ""
+
+
+def _fault_in_events(events: Sequence[serving_pb2.CacheEvent]) -> str:
+    if len(events) > EVENTS_MAX:
+        return f"more than {EVENTS_MAX} cache events"
+    if sum(len(event.blocks) for event in events) > BLOCKS_MAX:
+        return f"more than {BLOCKS_MAX} blocks in cache events"
+    for event in events:
+        if event.sequence == 0:
+            return "a cache event has no sequence"
+        if any(not BLOCK_PATTERN.fullmatch(block) for block in event.blocks):
+            return "a block hash must be 16 hexadecimal digits"
+    return ""
+
+
+def _within(value: float, limit: float) -> bool:
+    return math.isfinite(value) and 0 <= value <= limit
--- /dev/null
+++ b/src/tanagerturn/serving/backends/view.py
@@ -0,0 +1,292 @@
+"""What an entry process knows of all backend servers.
+
+The view is built from announcements, own requests, failures and reclaim
+notices. Leaving is learned over two ways that don't depend on each other: the
+announcement of the backend server itself, and a notice of the cloud API; from
+either on the backend server gets no new work.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+from expression import Error, Ok, Result
+
+from tanagerturn.serving.backends._check import fault_in
+from tanagerturn.serving.backends.backend import Backend
+from tanagerturn.serving.backends.messages import (
+    AnnouncementAccepted,
+    AnnouncementFault,
+    BackendId,
+)
+from tanagerturn.serving.cache.view import CacheView, make_cache_view
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from tanagerturn.schema import serving_pb2
+    from tanagerturn.serving.backends._check import Network
+    from tanagerturn.serving.backends.messages import (
+        AvailabilityZone,
+        Completion,
+        RequestId,
+    )
+
+RETIRED_INCARNATIONS: Final = 4
+"""Ended incarnations remembered for each backend server."""
+
+NOTICE_KEEP_MS: Final = 120_000
+"""A notice is forgotten this long after its time has come."""
+
+POOLS_MAX: Final = 1_000
+"""Remembered candidate lists; all are dropped when there are more."""
+
+
+class PoolKey(NamedTuple):
+    """What candidates must offer; empty texts match any."""
+
+    service: str
+    model: str
+    version: str
+    adapter: str
+
+
+class BackendView:
+    """Backend servers by id, with own requests, notices and cached prefixes.
+
+    Args:
+        networks: Networks that addresses must be in; none means any.
+    """
+
+    def __init__(self, networks: Sequence[Network] = ()) -> None:
+        self.networks = tuple(networks)
+        """Networks that addresses must be in; none means any."""
+        self.backends: dict[BackendId, Backend] = {}
+        """Backend servers heard of and not yet aged out."""
+        self.notices: dict[str, int] = {}
+        """Zone or backend server under notice to the time it is taken."""
+        self.cache: CacheView = make_cache_view()
+        """Which prefixes the engines hold."""
+        self._by_address: dict[str, BackendId] = {}
+        self._retired: dict[BackendId, list[str]] = {}
+        self._pools: dict[PoolKey, list[Backend]] = {}
+
+    def __repr__(self) -> str:
+        return f"BackendView(backends={len(self.backends)}, notices={self.notices})"
+
+    def on_announcement(
+        self, announcement: serving_pb2.Announcement, now_ms: int
+    ) -> Result[AnnouncementAccepted, AnnouncementFault]:
+        """Take an announcement.
+
+        Args:
+            announcement: The announcement as received.
+            now_ms: Present time.
+
+        Returns:
+            Whether it was applied, or the fault for which it was refused.
+        """
+        fault = fault_in(announcement, self.networks)
+        if fault:
+            return Error(AnnouncementFault(announcement.id, fault))
+        backend_id = BackendId(announcement.id)
+        if self._is_old(announcement):
+            sequence = self.cache.sequence(backend_id)
+            return Ok(AnnouncementAccepted(sequence, applied=False))
+        changed = self._apply(announcement, now_ms)
+        sequence = self.cache.on_events(backend_id, announcement.cache_events, now_ms)
+        return Ok(AnnouncementAccepted(sequence, eligibility_changed=changed))
+
+    def on_started(
+        self, backend_id: BackendId, request_id: RequestId, now_ms: int
+    ) -> None:
+        """Count a request that is being sent."""
+        backend = self.backends.get(backend_id)
+        if backend is not None:
+            backend.in_flight[request_id] = now_ms
+
+    def on_ended(
+        self,
+        backend_id: BackendId,
+        request_id: RequestId,
+        now_ms: int,
+        completion: Completion | None = None,
+    ) -> None:
+        """Take a request off; a completion also ends a run of failures."""
+        backend = self.backends.get(backend_id)
+        if backend is None:
+            return
+        backend.in_flight.pop(request_id, None)
+        if completion is not None:
+            backend.succeed()
+            backend.rates.observe(completion, now_ms)
+
+    def on_failure(
+        self, backend_id: BackendId, request_id: RequestId, now_ms: int
+    ) -> None:
+        """Take a request off that failed at the backend server."""
+        backend = self.backends.get(backend_id)
+        if backend is None:
+            return
+        backend.in_flight.pop(request_id, None)
+        backend.fail(now_ms)
+
+    def on_load_hint(
+        self, backend_id: BackendId, running: int, waiting: int, now_ms: int
+    ) -> None:
+        """Take the load that came with an answer."""
+        backend = self.backends.get(backend_id)
+        if backend is not None:
+            backend.report_load(running, waiting, now_ms)
+
+    def on_notice(self, target: AvailabilityZone | BackendId, at_ms: int) -> None:
+        """Take a reclaim notice for a zone or a backend server.
+
+        Args:
+            target: The zone or the backend server.
+            at_ms: When it is taken; an earlier time known before stays.
+        """
+        known = self.notices.get(target)
+        self.notices[target] = at_ms if known is None else min(known, at_ms)
+
+    def on_notice_ended(self, target: AvailabilityZone | BackendId) -> None:
+        """Forget a notice that was called off."""
+        self.notices.pop(target, None)
+
+    def expire(self, now_ms: int) -> list[BackendId]:
+        """Drop backend servers not heard of, and notices long past.
+
+        Returns:
+            Ids of the dropped backend servers.
+        """
+        gone = [b.id for b in self.backends.values() if not b.alive(now_ms)]
+        for backend_id in gone:
+            self._remove(backend_id)
+        for target, at_ms in list(self.notices.items()):
+            if at_ms + NOTICE_KEEP_MS <= now_ms:
+                del self.notices[target]
+        return gone
+
+    def is_leaving(self, backend: Backend) -> bool:
+        """Tell whether a backend server leaves, by either way of learning."""
+        if backend.leaving or backend.id in self.notices:
+            return True
+        at_ms = self.notices.get(backend.zone)
+        return at_ms is not None and backend.first_seen_ms <= at_ms
+
+    def takes_work(self, backend: Backend, now_ms: int) -> bool:
+        """Tell whether a backend server may get new work."""
+        if not now_ms < backend.expires_ms or backend.leaving:
+            return False
+        return not self.notices or not self.is_leaving(backend)
+
+    def pool(
+        self, service: str, model: str = "", version: str = "", adapter: str = ""
+    ) -> list[Backend]:
+        """Return all that offer a service and model, leaving ones included.
+
+        The list is shared and must not be changed.
+        """
+        key = PoolKey(service, model, version, adapter)
+        pool = self._pools.get(key)
+        if pool is None:
+            pool = [b for b in self.backends.values() if self.offers(b, key)]
+            if len(self._pools) >= POOLS_MAX:
+                self._pools.clear()
+            self._pools[key] = pool
+        return pool
+
+    def offers(self, backend: Backend, key: PoolKey) -> bool:
+        """Tell whether a backend server offers a service and model."""
+        if key.service and not backend.serves(key.service):
+            return False
+        return not key.model or backend.has_model(key.model, key.version, key.adapter)
+
+    def candidates(
+        self,
+        service: str,
+        model: str = "",
+        version: str = "",
+        adapter: str = "",
+        *,
+        now_ms: int,
+    ) -> list[Backend]:
+        """Return the backend servers that may get a request now.
+
+        Those with several failures in a row are left out while others remain.
+        """
+        able = [
+            backend
+            for backend in self.pool(service, model, version, adapter)
+            if self.takes_work(backend, now_ms)
+        ]
+        healthy = [b for b in able if b.ejected_until_ms <= now_ms]
+        return healthy or able
+
+    def _is_old(self, announcement: serving_pb2.Announcement) -> bool:
+        backend_id = BackendId(announcement.id)
+        if announcement.incarnation in self._retired.get(backend_id, ()):
+            return True
+        backend = self.backends.get(backend_id)
+        if backend is None or backend.incarnation != announcement.incarnation:
+            return False
+        return announcement.sequence <= backend.sequence
+
+    def _apply(self, announcement: serving_pb2.Announcement, now_ms: int) -> bool:
+        backend_id = BackendId(announcement.id)
+        known = self.backends.get(backend_id)
+        if known is not None and known.incarnation == announcement.incarnation:
+            changed = _differs(known.announcement, announcement)
+            self._move_address(backend_id, known.address, announcement.address)
+            known.update(announcement, now_ms)
+            if changed:
+                self._pools.clear()
+            return changed
+        if known is not None:
+            self._retire(known)
+            self._remove(backend_id)
+        self._move_address(backend_id, "", announcement.address)
+        self.backends[backend_id] = Backend(announcement, now_ms)
+        self._pools.clear()
+        return True
+
+    def _move_address(self, backend_id: BackendId, before: str, after: str) -> None:
+        """Give an address to a backend server; an earlier owner is gone."""
+        if before == after:
+            return
+        self._by_address.pop(before, None)
+        earlier = self._by_address.get(after)
+        if earlier is not None and earlier != backend_id:
+            self._remove(earlier)
+        self._by_address[after] = backend_id
+
+    def _retire(self, backend: Backend) -> None:
+        retired = self._retired.setdefault(backend.id, [])
+        retired.append(backend.incarnation)
+        del retired[:-RETIRED_INCARNATIONS]
+
+    def _remove(self, backend_id: BackendId) -> None:
+        backend = self.backends.pop(backend_id, None)
+        if backend is None:
+            return
+        if self._by_address.get(backend.address) == backend_id:
+            del self._by_address[backend.address]
+        self.cache.forget(backend_id)
+        self._pools.clear()
+
+
+def make_backend_view(networks: Sequence[Network] = ()) -> BackendView:
+    """Return an empty view.
+
+    Args:
+        networks: Networks that addresses must be in; none means any.
+    """
+    return BackendView(networks)
+
+
+def _differs(before: serving_pb2.Announcement, after: serving_pb2.Announcement) -> bool:
+    if before.leaving != after.leaving or before.role != after.role:
+        return True
+    if list(before.services) != list(after.services):
+        return True
+    return list(before.models) != list(after.models)
--- /dev/null
+++ b/src/tanagerturn/serving/cache/__init__.py
@@ -0,0 +1,1 @@
+"""What prefix caches of engines hold, from late events with gaps."""
--- /dev/null
+++ b/src/tanagerturn/serving/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Where a request runs."""
--- /dev/null
+++ b/tests/serving/backends/steps/view_steps.py
@@ -0,0 +1,220 @@
+"""Steps of view.feature."""
+
+from __future__ import annotations
+
+import ipaddress
+import math
+from random import Random
+
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from support.backends import announcement
+from tanagerturn.schema.serving_pb2 import CacheEvent, LoadReport
+from tanagerturn.serving.backends.messages import RequestId
+from tanagerturn.serving.backends.view import make_backend_view
+from tanagerturn.serving.routing.choose import choose
+from tanagerturn.serving.routing.messages import RouteRequest
+
+START_MS = 100_000
+IMPOSSIBLE = {
+    "id": {"id": "../a"},
+    "incarnation": {"incarnation": ""},
+    "availability_zone": {"availability_zone": ""},
+    "services": {"services": [], "models": []},
+    "role": {"role": 77},
+    "address": {"address": "engine.example:80"},
+    "port": {"address": "127.0.0.1:70000"},
+    "heartbeat_ms": {"heartbeat_ms": 0},
+    "slots": {"slots": 0},
+    "kv_tokens": {"kv_tokens": 10**15},
+    "price_per_hour": {"price_per_hour": math.nan},
+    "leaving_in_ms": {"leaving_in_ms": 2**31},
+    "kv_used": {"load": LoadReport(kv_used=1.5)},
+    "tokens_per_s": {"load": LoadReport(tokens_per_s=math.inf)},
+    "load.running": {"load": LoadReport(running=2**31)},
+    "sequence": {"cache_events": [CacheEvent(blocks=["0" * 16])]},
+    "block": {"cache_events": [CacheEvent(sequence=1, blocks=["xyz"])]},
+}
+
+
+def announce(context, name, now_ms=None, **fields):
+    now_ms = context.now_ms if now_ms is None else now_ms
+    return context.view.on_announcement(announcement(name, **fields), now_ms)
+
+
+def names(backends):
+    return ",".join(sorted(b.id for b in backends))
+
+
+@given('a view with engines "{engines}"')
+def a_view(context, engines):
+    context.view = make_backend_view()
+    context.now_ms = START_MS
+    for name in engines.split(","):
+        accepted = announce(context, name).ok
+        assert accepted.applied and accepted.eligibility_changed
+
+
+@then("each impossible announcement is refused with the name of its field")
+def refused(context):
+    before = context.view.backends["a-1"].announcement
+    for field, fields in IMPOSSIBLE.items():
+        result = announce(context, "a-1", **{"sequence": 5, **fields})
+        assert result.is_error(), field
+        assert field in result.error.reason, (field, result.error.reason)
+    assert context.view.backends["a-1"].announcement == before
+
+
+@then("announcements from outside the allowed networks are refused")
+def stranger(context):
+    view = make_backend_view([ipaddress.ip_network("10.0.0.0/8")])
+    assert view.on_announcement(announcement("a-1"), 0).is_error()
+    inside = announcement("a-1", address="10.1.2.3:80")
+    assert view.on_announcement(inside, 0).is_ok()
+
+
+@then('the engines are "{engines}"')
+def engines_are(context, engines):
+    assert names(context.view.backends.values()) == engines
+
+
+@then("an announcement with the same or an older sequence is not applied")
+def older(context):
+    assert announce(context, "a-1", sequence=7).ok.applied
+    for sequence in (7, 3):
+        late = announce(context, "a-1", sequence=sequence, leaving=True)
+        assert not late.ok.applied
+    assert not context.view.backends["a-1"].leaving
+
+
+@when('the engine "{name}" restarts')
+def restarts(context, name):
+    view = context.view
+    view.on_started(name, RequestId("r"), START_MS)
+    event = CacheEvent(sequence=1, action=CacheEvent.STORED, blocks=["0" * 16])
+    announce(context, name, sequence=8, cache_events=[event])
+    assert view.cache.matched(name, ["0" * 16], START_MS) == 1
+    assert announce(context, name, incarnation="second", sequence=1).ok.applied
+
+
+@then("an announcement of the ended start is not applied")
+def ended_start(context):
+    assert not announce(context, "a-1", sequence=99).ok.applied
+
+
+@then('own requests and cached blocks of "{name}" are forgotten')
+def forgotten(context, name):
+    assert not context.view.backends[name].in_flight
+    assert context.view.cache.matched(name, ["0" * 16], START_MS) == 0
+
+
+@when('engine "{name}" announces the address of "{other}"')
+def same_address(context, name, other):
+    announce(context, name, address=context.view.backends[other].address)
+
+
+@when('only "{name}" announces for {seconds:d} s')
+def only_one(context, name, seconds):
+    for second in range(1, seconds + 1):
+        context.now_ms = START_MS + second * 1000
+        announce(context, name, sequence=1 + second)
+
+
+@then('the candidates are "{engines}"')
+def candidates_are(context, engines):
+    found = context.view.candidates("draft", "m", now_ms=context.now_ms)
+    assert names(found) == engines, names(found)
+
+
+@then('expiring drops "{name}"')
+def expiring(context, name):
+    assert context.view.expire(context.now_ms) == [name]
+
+
+@when('engine "{name}" announces leaving')
+def leaving(context, name):
+    announce(context, name, sequence=2, leaving=True, leaving_in_ms=30_000)
+
+
+@when('a notice names "{target}"')
+def notice(context, target):
+    context.view.on_notice(target, context.now_ms + 5_000)
+
+
+@when('engine "{name}" is new {seconds:d} s later')
+def new_engine(context, name, seconds):
+    context.now_ms += seconds * 1000
+    for known in context.view.backends:
+        announce(context, known, sequence=50)
+    announce(context, name)
+
+
+@then("in {count:d} schedules no leaving, silent or noticed engine is chosen")
+def schedules(context, count):
+    engines = [f"{zone}-{i}" for zone in "abc" for i in range(4)]
+    event = st.tuples(
+        st.sampled_from(["announce", "leave", "notice", "zone", "wait", "choose"]),
+        st.sampled_from(engines),
+    )
+
+    @settings(max_examples=count)
+    @for_all(events=st.lists(event, max_size=40), seed=st.integers(0, 9))
+    def run(events, seed):
+        view, now_ms, random = make_backend_view(), 0, Random(seed)
+        heard, barred = {}, set()
+        for step, (action, name) in enumerate(events, 1):
+            if action in ("announce", "leave"):
+                leaves = action == "leave" or name in barred
+                fields = {"sequence": step, "leaving": leaves}
+                view.on_announcement(announcement(name, **fields), now_ms)
+                heard[name] = now_ms
+                barred |= {name} if leaves else set()
+            elif action == "notice":
+                view.on_notice(name, now_ms + 3_600_000)
+                barred.add(name)
+            elif action == "zone":
+                view.on_notice(name[0], now_ms + 3_600_000)
+                barred |= {n for n in engines if n[0] == name[0]}
+            elif action == "wait":
+                now_ms += 900
+            result = choose(view, RouteRequest("draft", "m"), now_ms, random)
+            able = {n for n, at in heard.items() if now_ms < at + 3_000} - barred
+            assert result.is_ok() == bool(able)
+            assert not able or result.ok.backend_id in able
+
+    run()
+
+
+@when('"{name}" fails {count:d} times')
+def fails(context, name, count):
+    for i in range(count):
+        context.view.on_failure(name, RequestId(str(i)), context.now_ms)
+
+
+@then("4 requests sent after a report of 3 make a load of 7")
+def load_of_seven(context):
+    backend = context.view.backends["a-1"]
+    backend.report_load(3, 0, context.now_ms)
+    for i in range(4):
+        context.view.on_started("a-1", RequestId(str(i)), context.now_ms)
+    assert backend.load(context.now_ms) == 7
+
+
+@then("a report of 8 that is 60 s old counts as half of the slots")
+def old_report(context):
+    backend = context.view.backends["a-1"]
+    backend.in_flight.clear()
+    backend.report_load(8, 0, context.now_ms)
+    assert 3.9 < backend.load(context.now_ms + 60_000) < 4.1
+
+
+@then("a request that a late report may not include is not lost from the load")
+def late_report(context):
+    backend = context.view.backends["a-1"]
+    backend.in_flight.clear()
+    context.view.on_started("a-1", RequestId("r"), context.now_ms)
+    backend.report_load(0, 0, context.now_ms + 100)
+    assert backend.load(context.now_ms + 100) >= 1
--- /dev/null
+++ b/tests/serving/routing/steps/choose_steps.py
@@ -0,0 +1,218 @@
+"""Steps of choose.feature."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+from behave import given, then, when
+
+from support.backends import announcement
+from tanagerturn.schema import serving_pb2 as pb
+from tanagerturn.schema import settings_pb2
+from tanagerturn.serving.backends.messages import Completion, RequestId
+from tanagerturn.serving.backends.view import make_backend_view
+from tanagerturn.serving.cache.blocks import BLOCK_TOKENS, cache_seed, text_blocks
+from tanagerturn.serving.routing.choose import choose
+from tanagerturn.serving.routing.messages import RouteRequest
+
+NOW_MS = 1_000_000
+PROMPT = "".join(f"Deposition {i}: the witness said so. " for i in range(250))
+BLOCKS = text_blocks(PROMPT, cache_seed("m", "1"))
+
+
+def make_view(names, now_ms=NOW_MS, **fields):
+    view = make_backend_view()
+    for name in names:
+        assert view.on_announcement(announcement(name, **fields), now_ms).is_ok()
+    return view
+
+
+def route(view, seed=0, policy=settings_pb2.PREFIX_AND_LOAD, now_ms=NOW_MS, **fields):
+    request = RouteRequest("draft", "m", **fields)
+    return choose(view, request, now_ms, Random(seed), policy)
+
+
+def count(view, times, **fields):
+    results = [route(view, seed, **fields).ok for seed in range(times)]
+    return Counter(decision.backend_id for decision in results)
+
+
+@given('12 idle engines of which "a-1" holds the prefix of 2000 tokens')
+def holder(context):
+    context.view = make_view([f"a-{i}" for i in range(12)])
+    assert len(BLOCKS) * BLOCK_TOKENS >= 2000
+    context.view.cache.on_used("a-1", BLOCKS, NOW_MS)
+
+
+@then('the prompt goes to "a-1" because its tokens are cached')
+def goes_to_holder(context):
+    context.request = {"prefix_blocks": BLOCKS, "prompt_tokens": 2300}
+    for seed in range(20):
+        decision = route(context.view, seed, **context.request).ok
+        assert decision.backend_id == "a-1"
+        assert "cached" in decision.reason
+
+
+@when('"a-1" is 40 requests over its slots')
+def overloaded(context):
+    for i in range(48):
+        context.view.on_started("a-1", RequestId(str(i)), NOW_MS)
+
+
+@then("the prompt goes elsewhere because the wait outweighs its tokens")
+def goes_elsewhere(context):
+    for seed in range(20):
+        decision = route(context.view, seed, **context.request).ok
+        assert decision.backend_id != "a-1"
+        assert "wait" in decision.reason
+
+
+@given('20 engines with equal load but "a-1" idle in a late report')
+def one_idle(context):
+    load = pb.LoadReport(running=6, read_at_ms=5)
+    names = [f"{zone}-{i}" for zone in "bcde" for i in range(5)][:19]
+    context.views = []
+    for _ in range(20):
+        view = make_view(names, load=load)
+        view.on_announcement(announcement("a-1"), NOW_MS)
+        context.views.append(view)
+
+
+@then('of 200 choices by 20 entry hosts at most 60 go to "a-1"')
+def no_rush(context):
+    chosen = Counter()
+    for i in range(200):
+        view = context.views[i % 20]
+        decision = route(view, i, output_tokens=50).ok
+        view.on_started(decision.backend_id, RequestId(str(i)), NOW_MS)
+        chosen[decision.backend_id] += 1
+    assert chosen["a-1"] <= 60, chosen
+
+
+@given("engines of several versions, adapters and roles")
+def mixed(context):
+    view = context.view = make_backend_view()
+    number = 0
+    for version in ("1", "2"):
+        for adapter in ("x", "y"):
+            for role in (pb.BOTH, pb.PREFILL, pb.DECODE):
+                number += 1
+                model = pb.LoadedModel(
+                    model="m", version=version, adapters=[adapter], ready=True
+                )
+                engine = announcement(f"a-{number}", models=[model], role=role)
+                view.on_announcement(engine, NOW_MS)
+    loading = pb.LoadedModel(model="m", version="1", adapters=["x"], ready=False)
+    view.on_announcement(announcement("a-99", models=[loading]), NOW_MS)
+    desk = announcement("d-1", services=["desk"], models=[])
+    view.on_announcement(desk, NOW_MS)
+
+
+@then("each request gets only engines that offer all it needs")
+def respected(context):
+    first = route(context.view, version="1", adapter="x").ok.backend_id
+    excluded = frozenset([first])
+    assert route(context.view, version="1", adapter="x", excluded=excluded).is_error()
+    for version in ("1", "2"):
+        for adapter in ("x", "y"):
+            for phase in (pb.BOTH, pb.PREFILL, pb.DECODE):
+                needs = {"version": version, "adapter": adapter, "phase": phase}
+                for name in count(context.view, 20, **needs):
+                    engine = context.view.backends[name].announcement
+                    assert engine.models[0].version == version
+                    assert list(engine.models[0].adapters) == [adapter]
+                    assert engine.models[0].ready
+                    assert engine.role in (pb.BOTH, phase)
+    desk = choose(context.view, RouteRequest("desk"), NOW_MS, Random(0))
+    assert desk.ok.backend_id == "d-1"
+
+
+@given('4 engines of which "a-1" answers in 3 s but reports no load')
+def stuck(context):
+    context.view = make_view(["a-1", "b-1", "c-1", "d-1"], heartbeat_ms=60_000)
+
+
+@then('of 300 requests at most 25 in 100 go to "a-1"')
+def stuck_loses(context):
+    view, chosen, running = context.view, Counter(), []
+    for i in range(300):
+        now_ms = NOW_MS + i * 100
+        for ended in [each for each in running if each[0] <= now_ms]:
+            running.remove(ended)
+            view.on_ended(ended[1], ended[2], ended[0], ended[3])
+        name = route(view, i, now_ms=now_ms, output_tokens=10).ok.backend_id
+        view.on_started(name, RequestId(str(i)), now_ms)
+        chosen[name] += 1
+        first_ms = 3_000 if name == "a-1" else 100
+        completion = Completion(first_ms + 200, first_ms, 100, 10)
+        running.append((now_ms + first_ms + 200, name, RequestId(str(i)), completion))
+    assert chosen["a-1"] <= 75, chosen
+
+
+@given("a cheap slow engine and a dear fast engine")
+def cheap_and_dear(context):
+    view = context.view = make_backend_view()
+    view.on_announcement(announcement("c-1", price_per_hour=0.5), NOW_MS)
+    view.on_announcement(announcement("d-1", price_per_hour=5.0), NOW_MS)
+    view.backends["c-1"].rates.token_ms = 60.0
+
+
+@then("low work goes to the cheap one and urgent work to the fast one")
+def by_priority(context):
+    draft = {"prompt_tokens": 1000, "output_tokens": 500}
+    assert set(count(context.view, 10, priority=pb.LOW, **draft)) == {"c-1"}
+    assert set(count(context.view, 10, priority=pb.URGENT, **draft)) == {"d-1"}
+
+
+@then("low work with a near deadline goes to the fast one")
+def near_deadline(context):
+    draft = {"prompt_tokens": 1000, "output_tokens": 500}
+    near = {"priority": pb.LOW, "deadline_ms": NOW_MS + 12_000, **draft}
+    assert set(count(context.view, 10, **near)) == {"d-1"}
+
+
+@given("a reclaimable engine and an on-demand engine of nearly the same price")
+def nearly_same_price(context):
+    view = context.view = make_backend_view()
+    view.on_announcement(announcement("r-1", price_per_hour=1.0), NOW_MS)
+    dear = announcement("o-1", price_per_hour=1.1, reclaimable=False)
+    view.on_announcement(dear, NOW_MS)
+
+
+@then("a long draft goes on demand and a short one to the reclaimable engine")
+def by_risk(context):
+    assert set(count(context.view, 10, priority=pb.LOW, output_tokens=40_000)) == {
+        "o-1"
+    }
+    assert set(count(context.view, 10, priority=pb.LOW, output_tokens=200)) == {"r-1"}
+
+
+@given("5 engines with rising load")
+def rising(context):
+    view = context.view = make_backend_view()
+    for i in range(5):
+        load = pb.LoadReport(running=i, read_at_ms=5)
+        view.on_announcement(announcement(f"a-{i}", load=load), NOW_MS)
+
+
+@then("round robin visits each equally often and least load takes the first")
+def baselines(context):
+    turns = count(context.view, 50, policy=settings_pb2.ROUND_ROBIN)
+    assert sorted(turns.values()) == [10] * 5
+    assert set(count(context.view, 20, policy=settings_pb2.LEAST_LOAD)) == {"a-0"}
+
+
+@given("3 engines of which one is leaving, one silent and one excluded")
+def none_able(context):
+    view = context.view = make_backend_view()
+    view.on_announcement(announcement("a-1", leaving=True), NOW_MS)
+    view.on_announcement(announcement("a-2"), NOW_MS - 60_000)
+    view.on_announcement(announcement("a-3"), NOW_MS)
+
+
+@then("choosing fails and names the counts")
+def names_counts(context):
+    error = route(context.view, excluded=frozenset(["a-3"])).error
+    assert (error.offering, error.leaving) == (3, 1)
+    assert "1 leaving, 1 silent, 1 excluded" in str(error)
