Order engines from desired state to announced state, one order at a time

Each engine has at most one open order: it is recorded under the engine's key with the control lease as fence before it is sent, sent only while the lease is valid, settled by asking after a lost answer, and closed on its outcome. A new holder writes the recorded orders again with its own number and asks first. Loads share one budget of the weight store, urgent services first, and a rolling version keeps the floor of ready engines.

--- /dev/null
+++ b/src/tanagerturn/serving/orders/_floor.py
@@ -0,0 +1,62 @@
+"""The floor of ready engines that a rolling version keeps."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from tanagerturn.schema import serving_pb2
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from tanagerturn.serving.backends.backend import Backend
+    from tanagerturn.serving.backends.messages import BackendId
+    from tanagerturn.serving.backends.view import BackendView
+    from tanagerturn.serving.orders.messages import DesiredEngine, OpenOrder
+
+
+def floor_reason(
+    order: serving_pb2.Order,
+    engine: DesiredEngine,
+    view: BackendView,
+    desired: Mapping[BackendId, DesiredEngine],
+    open_orders: Mapping[BackendId, OpenOrder],
+    now_ms: int,
+) -> str:
+    """Return why a load has to wait for other engines, or an empty text.
+
+    A load takes its engine out of service while it lasts. An engine that
+    serves nothing of the model yet loses nothing by it.
+    """
+    if order.action != serving_pb2.LOAD_MODEL:
+        return ""
+    backend = view.backends[engine.backend_id]
+    if not backend.has_model(order.model, "", ""):
+        return ""
+    for model in engine.models:
+        if model.model != order.model:
+            continue
+        ready = _ready_without(
+            backend, model.service, model.model, view, desired, open_orders, now_ms
+        )
+        if ready < model.ready_floor:
+            return f"{ready} other engines of {model.service} are ready, too few"
+    return ""
+
+
+def _ready_without(
+    backend: Backend,
+    service: str,
+    model: str,
+    view: BackendView,
+    desired: Mapping[BackendId, DesiredEngine],
+    open_orders: Mapping[BackendId, OpenOrder],
+    now_ms: int,
+) -> int:
+    count = 0
+    for other in view.pool(service, model):
+        if other is backend or other.id in open_orders or other.id not in desired:
+            continue
+        if view.takes_work(other, now_ms):
+            count += 1
+    return count
--- /dev/null
+++ b/tests/serving/orders/steps/orders_steps.py
@@ -0,0 +1,173 @@
+"""Steps of orders.feature."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+from random import Random
+
+from behave import given, then, when
+
+from support.backends import announcement
+from support.order_schedule import World
+from tanagerturn.schema import serving_pb2 as pb
+from tanagerturn.schema import settings_pb2
+from tanagerturn.serving.backends.view import make_backend_view
+from tanagerturn.serving.orders.book import make_order_book
+from tanagerturn.serving.orders.desired import desired_engines, next_order
+from tanagerturn.serving.orders.messages import (
+    ControlTerm,
+    DesiredEngine,
+    DesiredModel,
+)
+from tanagerturn.serving.orders.weights import (
+    SAME_WEIGHTS_SPACING_MS,
+    WeightBudget,
+    WeightsName,
+)
+
+TERM = ControlTerm(1, 10**9)
+
+
+def run_worlds(context, count, **kind):
+    context.worlds = [World(seed, **kind) for seed in range(count)]
+    for world in context.worlds:
+        world.run(240)
+
+
+@given("two control holders that lose the lease, die and are cut off silently")
+def holders(context):
+    context.worlds = []
+
+
+@when("{count:d} seeded schedules run against engines that {kind} fencing numbers")
+def run_schedules(context, count, kind):
+    run_worlds(context, count, checks=kind == "check")
+
+
+@when("the schedules run with holders that ignore the end of their lease")
+def run_faulty(context):
+    run_worlds(context, 12, checks=False, ignore_lease=True)
+
+
+@then("no engine carries out an order that isn't the one open order recorded")
+def no_violation(context):
+    assert not [w.violations for w in context.worlds if w.violations]
+    done = sum(len(e.effective) for w in context.worlds for e in w.engines.values())
+    assert done > 100, done
+
+
+@then("some engine carries out an order that isn't the one open order recorded")
+def some_violation(context):
+    assert any(world.violations for world in context.worlds)
+
+
+@then("the lowest number of ready engines never falls below the floor")
+def floor(context):
+    lowest = [world.lowest_ready for world in context.worlds]
+    assert min(lowest) >= 1, lowest
+
+
+@then("engines reach the desired version once the disturbances end")
+def converge(context):
+    for world in context.worlds[:10]:
+        world.disturb = lambda: None
+        for holder in world.holders:
+            holder.cut_off = False
+        world.run(300)
+        for engine in world.engines.values():
+            assert engine.models["m"] == (world.version, True)
+
+
+@given("6 empty engines, half of them of an urgent service")
+def empty_engines(context):
+    context.view = make_backend_view()
+    context.desired = {}
+    for i in range(6):
+        name = f"a-{i}"
+        state = announcement(name, models=[], heartbeat_ms=60_000)
+        context.view.on_announcement(state, 0)
+        model = DesiredModel("m", "1", priority=pb.URGENT if i >= 3 else pb.LOW)
+        context.desired[name] = DesiredEngine(name, (model,))
+
+
+@then("urgent engines load first and at most 2 load at a time")
+def urgent_first(context):
+    context.starts, book = [], make_order_book()
+    for now_ms in range(0, 160_000, 500):
+        for step in book.plan(context.desired, context.view, TERM, now_ms).steps:
+            context.starts.append((now_ms, step.order.backend_server))
+            context.desired.pop(step.order.backend_server)
+            book.open[step.order.backend_server].since_ms = 10**9
+        assert len(book.open) <= 2
+        for entry in list(book.open.values()):
+            if now_ms >= entry.order.recorded_at_ms + 12_000:
+                del book.open[entry.order.backend_server]
+    order = [name for _, name in context.starts]
+    assert len(order) == 6 and set(order[:3]) == {"a-3", "a-4", "a-5"}, order
+
+
+@then("loads of the same weights start at least 5 s apart")
+def apart(context):
+    times = [at for at, _ in context.starts]
+    gaps = [after - at for at, after in pairwise(times)]
+    assert min(gaps) >= SAME_WEIGHTS_SPACING_MS
+
+
+@then("one load at a time is kept for urgent services")
+def reserve(context):
+    budget, weights = WeightBudget(2), WeightsName("m", "1")
+    assert budget.why_not(weights, 1, urgent=False, now_ms=0)
+    assert not budget.why_not(weights, 1, urgent=True, now_ms=0)
+    assert budget.why_not(weights, 2, urgent=True, now_ms=0)
+
+
+@then("refused weights wait 2 s, 4 s, 8 s, and up to 2 min, within a quarter")
+def backoff(context):
+    budget, weights, random = WeightBudget(), WeightsName("m", "1"), Random(1)
+    for wanted in [2_000, 4_000, 8_000, *[0] * 10, 120_000]:
+        budget.on_ended(weights, False, 0, random)
+        pause_ms = budget.paused_until_ms[weights]
+        assert wanted == 0 or 0.75 * wanted <= pause_ms <= 1.25 * wanted
+    assert budget.why_not(weights, 0, urgent=True, now_ms=1)
+    assert not budget.why_not(WeightsName("n", "1"), 0, urgent=True, now_ms=1)
+
+
+@then("an engine gets its role, model, adapter and then loses the old version")
+def one_by_one(context):
+    view = make_backend_view()
+    model = DesiredModel("m", "2", frozenset(["y"]))
+    desired = DesiredEngine("a-1", (model,), role=pb.PREFILL)
+    old = pb.LoadedModel(model="m", version="1", ready=True)
+    new = pb.LoadedModel(model="m", version="2", ready=True)
+    full = pb.LoadedModel(model="m", version="2", adapters=["y"], ready=True)
+    states = [
+        ({"models": [old]}, pb.SET_ROLE),
+        ({"models": [old], "role": pb.PREFILL}, pb.LOAD_MODEL),
+        ({"models": [old, new], "role": pb.PREFILL}, pb.LOAD_ADAPTER),
+        ({"models": [old, full], "role": pb.PREFILL}, pb.UNLOAD_MODEL),
+        ({"models": [full], "role": pb.PREFILL}, None),
+    ]
+    for sequence, (fields, action) in enumerate(states, 1):
+        view.on_announcement(announcement("a-1", sequence=sequence, **fields), 0)
+        order = next_order(view.backends["a-1"], desired)
+        assert (order.action if order else None) == action
+
+
+@then("settings with model services give the desired state of their engines")
+def from_settings(context):
+    view = make_backend_view()
+    view.on_announcement(announcement("a-1"), 0)
+    view.on_announcement(announcement("a-2", leaving=True), 0)
+    view.on_announcement(announcement("d-1", services=["desk"]), 0)
+    service = settings_pb2.Service(
+        name="draft",
+        type=settings_pb2.MODEL,
+        models=[settings_pb2.ModelVersion(model="m", version="2", adapters=["x"])],
+        priority=pb.LOW,
+        capacity=settings_pb2.CapacityBounds(ready_floor=2),
+    )
+    desk = settings_pb2.Service(name="desk", type=settings_pb2.PLAIN)
+    settings = settings_pb2.DeploymentSettings(services=[service, desk])
+    desired = desired_engines(settings, view.backends.values())
+    model = DesiredModel("m", "2", frozenset(["x"]), "draft", pb.LOW, 2)
+    assert desired == {"a-1": DesiredEngine("a-1", (model,))}
