--- /dev/null
+++ b/src/tanagerturn/standins/service/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of a plain service with lookups, purchases and filings."""
--- /dev/null
+++ b/src/tanagerturn/standins/tokens.py
@@ -0,0 +1,113 @@
+"""The text that stand-in engines generate, and the blocks of their prefix cache.
+
+Token number i of an answer depends on the prompt and on i only. A stream that is
+resumed on another engine goes on with the same text, and a whole answer can be
+compared with `expected_text`.
+"""
+
+from __future__ import annotations
+
+from functools import lru_cache
+from typing import TYPE_CHECKING, Any, Final
+
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+TOKEN_CHARACTERS: Final = 8
+"""Characters of each generated token."""
+PROMPT_CHARACTERS_PER_TOKEN: Final = 4
+"""Characters of prompt text that count as one token."""
+BLOCK_TOKENS: Final = 64
+"""Prompt tokens of one prefix block."""
+BLOCK_CHARACTERS: Final = BLOCK_TOKENS * PROMPT_CHARACTERS_PER_TOKEN
+"""Prompt characters of one prefix block."""
+
+
+def prompt_text(body: Mapping[str, Any]) -> str:
+    """Return the text that a completions or chat body asks to continue.
+
+    Args:
+        body: Parsed JSON body of the caller.
+
+    Returns:
+        The prompt, or each message as a line `ROLE: CONTENT`.
+
+    Raises:
+        ValueError: The body has neither a text prompt nor messages.
+    """
+    prompt = body.get("prompt")
+    if isinstance(prompt, str):
+        return prompt
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise ValueError("body needs a prompt or messages")
+    return "".join(_message_line(message) for message in messages)
+
+
+def _message_line(message: object) -> str:
+    if not isinstance(message, dict):
+        raise ValueError("each message must be an object")
+    return f"{message.get('role', '')}: {message.get('content', '')}\n"
+
+
+def count_prompt_tokens(text: str) -> int:
+    """Count the tokens of a prompt, at least one."""
+    return max(1, -(-len(text) // PROMPT_CHARACTERS_PER_TOKEN))
+
+
+def prompt_digest(text: str) -> str:
+    """Return the hash of a whole prompt, 16 hexadecimal digits."""
+    return xxhash.xxh64_hexdigest(text.encode())
+
+
+def token_text(digest: str, index: int) -> str:
+    """Return one token of the answer to the prompt with this digest."""
+    hashed = xxhash.xxh64_hexdigest(f"{digest}:{index}".encode())
+    return hashed[: TOKEN_CHARACTERS - 1] + " "
+
+
+def tokens_text(digest: str, offset: int, count: int) -> str:
+    """Return `count` tokens of an answer from `offset` on."""
+    return "".join(token_text(digest, i) for i in range(offset, offset + count))
+
+
+def expected_text(prompt: str, count: int) -> str:
+    """Return the whole answer of `count` tokens to a prompt."""
+    return tokens_text(prompt_digest(prompt), 0, count)
+
+
+@lru_cache(maxsize=4096)
+def prefix_blocks(text: str) -> tuple[str, ...]:
+    """Return the hashes of the full prefix blocks of a prompt.
+
+    The hash of a block covers the hash of the block before it, so equal hashes
+    mean equal prefixes.
+    """
+    hashes: list[str] = []
+    previous = ""
+    for start in range(0, len(text) - BLOCK_CHARACTERS + 1, BLOCK_CHARACTERS):
+        block = text[start : start + BLOCK_CHARACTERS]
+        previous = xxhash.xxh64_hexdigest((previous + block).encode())
+        hashes.append(previous)
+    return tuple(hashes)
+
+
+def prompt_of_blocks(blocks: Iterable[str], characters: int, tail: str) -> str:
+    """Build a prompt text from names of blocks that prompts may share.
+
+    Args:
+        blocks: Name of each block; equal names give equal text.
+        characters: Length of the whole text.
+        tail: Text that follows the blocks, repeated up to the length.
+
+    Returns:
+        A text of exactly `characters` characters.
+    """
+    parts = [(f"{name} " * BLOCK_CHARACTERS)[:BLOCK_CHARACTERS] for name in blocks]
+    text = "".join(parts)
+    missing = characters - len(text)
+    if missing > 0:
+        text += (f"{tail} " * (missing // (len(tail) + 1) + 1))[:missing]
+    return text[:characters]
