--- /dev/null
+++ b/src/tanagerturn/settings/deployment.py
@@ -0,0 +1,175 @@
+"""Loads a deployment's settings: one base file and an overlay for each site."""
+
+from __future__ import annotations
+
+import ipaddress
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING, Final
+
+from tanagerturn.schema import settings_pb2 as pb
+from tanagerturn.schema.serving_pb2 import CallKind
+from tanagerturn.settings._fill import Filler, Origins
+from tanagerturn.settings._merge import Merger
+from tanagerturn.settings._nodes import Node, parse_document
+from tanagerturn.settings.faults import Fault, Place, SettingsError
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+BASE_FILE: Final = "base"
+SITE_PREFIX: Final = "site/"
+
+
+@dataclass(frozen=True)
+class SiteSettings:
+    """Merged settings of one site."""
+
+    site: str
+    """Name of the site."""
+    settings: pb.DeploymentSettings
+    """The settings, defaults filled in."""
+    origins: Origins
+    """Where each value was written."""
+
+    def __repr__(self) -> str:
+        services = [service.name for service in self.settings.services]
+        return f"SiteSettings({self.site!r}, services={services})"
+
+
+def read_folder(folder: str | Path) -> dict[str, str]:
+    """Read `base.yaml` and `sites/NAME.yaml` below a folder.
+
+    Args:
+        folder: Folder of the deployment.
+
+    Returns:
+        File name ("base" or "site/NAME") to its text.
+
+    Raises:
+        SettingsError: A file can't be read, or there is no base file.
+    """
+    folder = Path(folder)
+    paths = {BASE_FILE: folder / "base.yaml"}
+    for path in sorted((folder / "sites").glob("*.yaml")):
+        paths[SITE_PREFIX + path.stem] = path
+    files = {}
+    for name, path in paths.items():
+        try:
+            files[name] = path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            fault = Fault(Place(str(path), 1), "", str(error), "a UTF-8 file")
+            raise SettingsError([fault]) from error
+    return files
+
+
+def merge_sites(files: Mapping[str, str]) -> dict[str, SiteSettings]:
+    """Check and merge the files of a deployment for every site.
+
+    Args:
+        files: File name ("base" or "site/NAME") to its text.
+
+    Returns:
+        Site name to its merged settings.
+
+    Raises:
+        SettingsError: Something in some site's merged result is not allowed;
+            all faults of all files are given, each once.
+    """
+    faults: dict[str, Fault] = {}
+    nodes = _parse_files(files, faults)
+    sites: dict[str, SiteSettings] = {}
+    names = [name for name in nodes if name.startswith(SITE_PREFIX)]
+    if BASE_FILE in nodes:
+        for name in names:
+            site = name[len(SITE_PREFIX) :]
+            sites[site] = _merge_site(site, nodes[BASE_FILE], nodes[name], faults)
+    if not names and not faults:
+        place = Place(BASE_FILE, 1)
+        faults[""] = Fault(place, "", "no site", "an overlay for at least one site")
+    if faults:
+        raise SettingsError(list(faults.values()))
+    return sites
+
+
+def _parse_files(files: Mapping[str, str], faults: dict[str, Fault]) -> dict[str, Node]:
+    nodes = {}
+    if BASE_FILE not in files:
+        fault = Fault(Place(BASE_FILE, 1), "", "no base file", "a base file")
+        faults[str(fault)] = fault
+    for name, text in files.items():
+        try:
+            nodes[name] = parse_document(text, name)
+        except SettingsError as error:
+            faults.update({str(fault): fault for fault in error.faults})
+    return nodes
+
+
+def _merge_site(
+    site: str, base: Node, overlay: Node, faults: dict[str, Fault]
+) -> SiteSettings:
+    merger = Merger()
+    merged = merger.merge(pb.DeploymentSettings.DESCRIPTOR, base, overlay)
+    settings = pb.DeploymentSettings()
+    filler = Filler()
+    filler.fill(settings, merged)
+    found = merger.faults + filler.faults
+    found = found or _cross_check(settings, filler.origins, merged.place)
+    faults.update({str(fault): fault for fault in found})
+    return SiteSettings(site, settings, filler.origins)
+
+
+def _cross_check(
+    settings: pb.DeploymentSettings, origins: Origins, top: Place
+) -> list[Fault]:
+    faults = []
+
+    def add(path: str, found: str, allowed: str) -> None:
+        faults.append(Fault(origins.get(path, top), path, found, allowed))
+
+    services = {service.name for service in settings.services}
+    for service in settings.services:
+        path = f"services[{service.name}]"
+        _check_service(service, path, add)
+    for account in settings.client_accounts:
+        path = f"client_accounts[{account.name}].services"
+        for index, name in enumerate(account.services):
+            if name not in services:
+                allowed = f"one of {', '.join(sorted(services)) or 'no service'}"
+                add(f"{path}[{index}]", repr(name), allowed)
+    for index, network in enumerate(settings.backend_access.networks):
+        try:
+            ipaddress.ip_network(network)
+        except ValueError:
+            add(
+                f"backend_access.networks[{index}]",
+                repr(network),
+                "a network as IP/BITS",
+            )
+    return faults
+
+
+def _check_service(service: pb.Service, path: str, add: _AddFault) -> None:
+    if service.type == pb.MODEL and service.calls:
+        add(f"{path}.type", "model with calls", "calls only on plain services")
+    if service.type == pb.MODEL and not service.models:
+        add(f"{path}.type", "model without models", "at least one entry in models")
+    if service.type == pb.PLAIN and not service.calls:
+        add(f"{path}.type", "plain without calls", "at least one entry in calls")
+    for call in service.calls:
+        unsafe = call.method not in ("GET", "HEAD")
+        if unsafe or call.kind == CallKind.IDEMPOTENT:
+            continue
+        found = f"{call.method} as {CallKind.Name(call.kind).lower()}"
+        add(f"{path}.calls[{call.name}].kind", found, "idempotent for GET and HEAD")
+    bounds = service.capacity
+    if bounds.min_hosts > bounds.max_hosts:
+        found = f"{bounds.min_hosts} above max_hosts {bounds.max_hosts}"
+        add(f"{path}.capacity.min_hosts", found, "at most max_hosts")
+
+
+if TYPE_CHECKING:
+    from typing import Protocol
+
+    class _AddFault(Protocol):
+        def __call__(self, path: str, found: str, allowed: str) -> None: ...
