--- a/src/tanagerturn/standins/engine/_batch.py
+++ b/src/tanagerturn/standins/engine/_batch.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.schema.serving_pb2 import Priority
-from tanagerturn.standins.tokens import BLOCK_TOKENS
+from tanagerturn.serving.cache.blocks import BLOCK_TOKENS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/tanagerturn/standins/engine/_handler.py
+++ b/src/tanagerturn/standins/engine/_handler.py
@@ -102,6 +102,9 @@
                 self.headers.get("X-Priority", "normal").lower(), Priority.NORMAL
             ),
             resume_from=int(self.headers.get("X-Resume-From") or 0),
+            cache_seed=self.engine.model.orders.cache_seed(
+                str(body.get("model") or "")
+            ),
             kv_handle=self.headers.get("X-Kv-Handle", ""),
             deadline_at_ms=deadline_at_ms,
         )
--- a/src/tanagerturn/standins/engine/_orders.py
+++ b/src/tanagerturn/standins/engine/_orders.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.schema.serving_pb2 import LoadedModel, Order, OrderAction, OrderOutcome
+from tanagerturn.serving.cache.blocks import cache_seed
 
 if TYPE_CHECKING:
     from tanagerturn.standins.engine.config import EngineConfig
@@ -84,6 +85,13 @@
             return any(loaded.ready for loaded in self.models.values())
         return model in self.models and self.models[model].ready
 
+    def cache_seed(self, model: str) -> str:
+        """Return what keeps the caches of a loaded model apart from others."""
+        loaded = self.models.get(model) or next(iter(self.models.values()), None)
+        if loaded is None:
+            return ""
+        return cache_seed(loaded.model, loaded.version)
+
     def _carry_out(self, order: Order, now_ms: float) -> None:
         if order.action == OrderAction.SET_ROLE:
             self.role = order.role
--- a/src/tanagerturn/standins/engine/_sequence.py
+++ b/src/tanagerturn/standins/engine/_sequence.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+from tanagerturn.serving.cache.blocks import text_blocks
 from tanagerturn.standins.engine.messages import Usage
 from tanagerturn.standins.tokens import (
     count_prompt_tokens,
-    prefix_blocks,
     prompt_digest,
 )
 
@@ -30,7 +30,7 @@
         """Number by which earlier requests come first."""
         self.digest = prompt_digest(generation.prompt)
         """Hash of the prompt."""
-        self.blocks = prefix_blocks(generation.prompt)
+        self.blocks = text_blocks(generation.prompt, generation.cache_seed)
         """Prefix blocks of the prompt."""
         self.prompt_tokens = count_prompt_tokens(generation.prompt)
         """Tokens of the prompt."""
--- a/src/tanagerturn/standins/engine/messages.py
+++ b/src/tanagerturn/standins/engine/messages.py
@@ -35,6 +35,8 @@
     """Order among waiting requests."""
     resume_from: int = 0
     """Tokens that the caller already has."""
+    cache_seed: str = ""
+    """Model, version and adapter, whose caches are kept apart."""
     kv_handle: str = ""
     """Imported KV cache to use."""
     deadline_at_ms: float = float("inf")
--- a/src/tanagerturn/standins/engine/model.py
+++ b/src/tanagerturn/standins/engine/model.py
@@ -5,12 +5,12 @@
 from typing import TYPE_CHECKING
 
 from tanagerturn.schema.serving_pb2 import Announcement, LoadReport
+from tanagerturn.serving.cache.blocks import BLOCK_TOKENS
 from tanagerturn.standins.engine._batch import MS_PER_S, Batch
 from tanagerturn.standins.engine._orders import OrderBook
 from tanagerturn.standins.engine._sequence import Sequence
 from tanagerturn.standins.engine.cache import PrefixCache
 from tanagerturn.standins.engine.messages import Chunk, FinishReason, KvCache
-from tanagerturn.standins.tokens import BLOCK_TOKENS
 
 if TYPE_CHECKING:
     from tanagerturn.standins.engine.config import EngineConfig
--- a/src/tanagerturn/standins/tokens.py
+++ b/src/tanagerturn/standins/tokens.py
@@ -1,4 +1,4 @@
-"""The text that stand-in engines generate, and the blocks of their prefix cache.
+"""The text that stand-in engines generate.
 
 Token number i of an answer depends on the prompt and on i only. A stream that is
 resumed on another engine goes on with the same text, and a whole answer can be
@@ -7,22 +7,17 @@
 
 from __future__ import annotations
 
-from functools import lru_cache
 from typing import TYPE_CHECKING, Any, Final
 
 import xxhash
 
+from tanagerturn.serving.cache.blocks import BLOCK_CHARACTERS, CHARACTERS_PER_TOKEN
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
 TOKEN_CHARACTERS: Final = 8
 """Characters of each generated token."""
-PROMPT_CHARACTERS_PER_TOKEN: Final = 4
-"""Characters of prompt text that count as one token."""
-BLOCK_TOKENS: Final = 64
-"""Prompt tokens of one prefix block."""
-BLOCK_CHARACTERS: Final = BLOCK_TOKENS * PROMPT_CHARACTERS_PER_TOKEN
-"""Prompt characters of one prefix block."""
 
 
 def prompt_text(body: Mapping[str, Any]) -> str:
@@ -54,7 +49,7 @@
 
 def count_prompt_tokens(text: str) -> int:
     """Count the tokens of a prompt, at least one."""
-    return max(1, -(-len(text) // PROMPT_CHARACTERS_PER_TOKEN))
+    return max(1, -(-len(text) // CHARACTERS_PER_TOKEN))
 
 
 def prompt_digest(text: str) -> str:
@@ -78,22 +73,6 @@
     return tokens_text(prompt_digest(prompt), 0, count)
 
 
-@lru_cache(maxsize=4096)
-def prefix_blocks(text: str) -> tuple[str, ...]:
-    """Return the hashes of the full prefix blocks of a prompt.
-
-    The hash of a block covers the hash of the block before it, so equal hashes
-    mean equal prefixes.
-    """
-    hashes: list[str] = []
-    previous = ""
-    for start in range(0, len(text) - BLOCK_CHARACTERS + 1, BLOCK_CHARACTERS):
-        block = text[start : start + BLOCK_CHARACTERS]
-        previous = xxhash.xxh64_hexdigest((previous + block).encode())
-        hashes.append(previous)
-    return tuple(hashes)
-
-
 def prompt_of_blocks(blocks: Iterable[str], characters: int, tail: str) -> str:
     """Build a prompt text from names of blocks that prompts may share.
 
--- a/tests/standins/engine/steps/engine_steps.py
+++ b/tests/standins/engine/steps/engine_steps.py
@@ -10,12 +10,13 @@
 
 from support.standins import Listener, read_stream
 from tanagerturn.schema.serving_pb2 import Order, OrderAction, Priority
+from tanagerturn.serving.cache.blocks import BLOCK_TOKENS
 from tanagerturn.standins.engine.config import EngineConfig
 from tanagerturn.standins.engine.messages import FinishReason, Generation
 from tanagerturn.standins.engine.model import EngineModel
 from tanagerturn.standins.engine.server import start_engine
 from tanagerturn.standins.faults import Fault, FaultPlan
-from tanagerturn.standins.tokens import BLOCK_TOKENS, expected_text
+from tanagerturn.standins.tokens import expected_text
 
 PROMPT = "psalm " * 266 + "amen"
 
