Add the life of a request, its durable records, takeover and their search

Cause: a purchase must run at most once and be answered truthfully although hosts, commits and connections fail. Each move of a record is a pure function; the ledger commits moves by compare-and-set and reads back what a lost answer meant; a dead owner's records are settled after its permission has ended.

--- /dev/null
+++ b/src/tanagerturn/serving/requests/layout.py
@@ -0,0 +1,115 @@
+"""Keys under which records and their indexes are stored.
+
+- `request/ACCOUNT/KEY`: the record.
+- `open/OWNER/ACCOUNT/KEY`: the owner still has to act.
+- `unknown/ACCOUNT/KEY`: the outcome is unknown.
+- `expire/MILLISECONDS/ACCOUNT/KEY`: the record may be removed from then on.
+
+The indexes are written in the transaction that writes the record.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+from urllib.parse import quote, unquote
+
+from tanagerturn.schema import coordination_pb2, serving_pb2
+from tanagerturn.serving.requests.ids import ClientAccountId, IdempotencyKey
+from tanagerturn.serving.requests.life import ENDED, is_open
+
+if TYPE_CHECKING:
+    from tanagerturn.coordination.ids import ProcessId, Revision
+
+REQUEST_PREFIX: Final = "request/"
+OPEN_PREFIX: Final = "open/"
+UNKNOWN_PREFIX: Final = "unknown/"
+EXPIRE_PREFIX: Final = "expire/"
+EXPIRE_DIGITS: Final = 14
+INDEX_VALUE: Final = b"1"
+
+
+def _name(account: str, key: str) -> str:
+    return f"{quote(account, safe='')}/{quote(key, safe='')}"
+
+
+def request_key(account: ClientAccountId, key: IdempotencyKey) -> str:
+    """Return the store key of a record."""
+    return REQUEST_PREFIX + _name(account, key)
+
+
+def record_key(record: serving_pb2.RequestRecord) -> str:
+    """Return the store key of a record that is at hand."""
+    return REQUEST_PREFIX + _name(record.client_account, record.idempotency_key)
+
+
+def open_prefix(owner: ProcessId) -> str:
+    """Return the prefix of the index of an owner's open records."""
+    return f"{OPEN_PREFIX}{quote(owner, safe='')}/"
+
+
+def named_by(index_key: str) -> tuple[ClientAccountId, IdempotencyKey]:
+    """Return the client account and idempotency key that an index key names."""
+    account, key = index_key.split("/")[-2:]
+    return ClientAccountId(unquote(account)), IdempotencyKey(unquote(key))
+
+
+def owner_of(index_key: str) -> str:
+    """Return the owner that a key of the open index names."""
+    return unquote(index_key.split("/")[1])
+
+
+def expiry_of(index_key: str) -> int:
+    """Return the time in milliseconds that a key of the expiry index names."""
+    return int(index_key.split("/")[1])
+
+
+def index_keys(record: serving_pb2.RequestRecord | None) -> set[str]:
+    """Return the index keys that a record has to have."""
+    if record is None:
+        return set()
+    name = _name(record.client_account, record.idempotency_key)
+    if is_open(record):
+        return {f"{OPEN_PREFIX}{quote(record.owner, safe='')}/{name}"}
+    if record.state == serving_pb2.OUTCOME_UNKNOWN:
+        return {UNKNOWN_PREFIX + name}
+    if record.state in ENDED:
+        expires_at_ms = record.ended_at_ms + record.keep_ms
+        return {f"{EXPIRE_PREFIX}{expires_at_ms:0{EXPIRE_DIGITS}d}/{name}"}
+    return set()
+
+
+def write_record(
+    before: serving_pb2.RequestRecord | None,
+    after: serving_pb2.RequestRecord,
+    revision: Revision,
+) -> coordination_pb2.Transaction:
+    """Return the transaction that replaces a record and its indexes.
+
+    Args:
+        before: The record as stored; None when it is absent.
+        after: The record to store.
+        revision: Revision of the stored record, 0 when it is absent.
+    """
+    transaction = coordination_pb2.Transaction()
+    transaction.puts.add(
+        key=record_key(after),
+        value=after.SerializeToString(deterministic=True),
+        expected_revision=revision,
+    )
+    old, new = index_keys(before), index_keys(after)
+    for key in sorted(new - old):
+        transaction.puts.add(key=key, value=INDEX_VALUE)
+    for key in sorted(old - new):
+        transaction.deletes.add(key=key)
+    return transaction
+
+
+def remove_record(
+    record: serving_pb2.RequestRecord, revision: Revision
+) -> coordination_pb2.Transaction:
+    """Return the transaction that removes a record and its indexes."""
+    transaction = coordination_pb2.Transaction()
+    transaction.deletes.add(key=record_key(record), expected_revision=revision)
+    for key in sorted(index_keys(record)):
+        transaction.deletes.add(key=key)
+    return transaction
--- /dev/null
+++ b/tests/serving/requests/steps/records_steps.py
@@ -0,0 +1,269 @@
+"""Steps of records.feature."""
+
+from __future__ import annotations
+
+from itertools import product
+
+from behave import given, then, when
+
+from support.request_world import GROUP, EntryHost, RequestWorld, new_request
+from tanagerturn.coordination.ids import ProcessId
+from tanagerturn.schema import serving_pb2 as pb
+from tanagerturn.serving.requests import life, operations
+from tanagerturn.serving.requests.conduct import ReplyKind
+
+TRIES = 3
+ACCOUNT = "inyenyeri"
+
+
+@given("a service {query} an outcome query")
+def service(context, query):
+    context.has_query = query == "with"
+    context.world = RequestWorld(context.has_query)
+    context.hosts = {}
+    context.replies = {}
+
+
+@given('the entry hosts "{one}" and "{other}"')
+def two_hosts(context, one, other):
+    context.hosts = {name: EntryHost(context.world, name) for name in (one, other)}
+
+
+@given('the entry host "{name}" whose sends are "{sends}"')
+def host_with_sends(context, name, sends):
+    host = EntryHost(context.world, name, behaviours=sends.split())
+    context.hosts[name] = host
+
+
+@given('the entry host "{name}" whose sends are ""')
+def host_without_faults(context, name):
+    context.hosts[name] = EntryHost(context.world, name)
+
+
+@when('"{name}" runs "{key}"')
+def run(context, name, key):
+    context.replies[name] = context.hosts[name].run(key)
+
+
+@when('"{name}" runs "{key}" with another body')
+def run_other_body(context, name, key):
+    context.replies[name] = context.hosts[name].run(key, b"other")
+
+
+@then('the reply of "{name}" is {kind:w}')
+def reply_is(context, name, kind):
+    assert context.replies[name].kind is ReplyKind[kind], context.replies[name]
+
+
+@then('the reply of "{name}" is {kind:w} with the same answer')
+def same_answer(context, name, kind):
+    reply_is(context, name, kind)
+    bodies = {reply.answer.body for reply in context.replies.values()}
+    assert bodies == {b"seat for k1"}, bodies
+
+
+@then('"{key}" was executed {times:d} time')
+@then('"{key}" was executed {times:d} times')
+def executed(context, key, times):
+    for host in context.hosts.values():
+        for late in host.wire.late:
+            context.world.service.execute(late)
+    assert context.world.service.executions[key] == times
+
+
+def end_of(world: RequestWorld, replies, hosts) -> None:
+    """Let a last host take over, deliver what is late, and ask by the key."""
+    for host in hosts:
+        host.lose_lease()
+        host.client.deliver_late()
+    last = EntryHost(world, "last")
+    assert last.sweep()
+    replies.append(last.run("k1"))
+    for host in hosts:
+        host.client.deliver_late()
+        for key in host.wire.late:
+            world.service.execute(key)
+    replies.append(last.run("k1"))
+    assert replies[-1].kind is not ReplyKind.RUNNING, "lost"
+    assert replies[-1].kind is not ReplyKind.NOT_ACCEPTED, "lost"
+    world.check("k1", replies)
+
+
+def points_of(world: RequestWorld, sends) -> int:
+    host = EntryHost(world, "a", behaviours=sends)
+    host.run("k1")
+    return host.points.count
+
+
+@then(
+    "no death of a host at any step, alone or with its successor's, "
+    "doubles, loses or belies a request"
+)
+def deaths(context):
+    runs = 0
+    for sends in ([], ["refused"], ["cut"], ["dropped"], ["late"]):
+        steps = points_of(RequestWorld(context.has_query), sends)
+        for first, second in product(range(1, steps + 1), range(20)):
+            world = RequestWorld(context.has_query)
+            dying = EntryHost(world, "a", kill_at=first, behaviours=sends)
+            replies = [dying.run("k1")]
+            assert replies == [None]
+            dying.lose_lease()
+            heir = EntryHost(world, "b", kill_at=second)
+            if heir.sweep():
+                replies.append(heir.run("k1"))
+            end_of(world, replies, [dying, heir])
+            runs += 1
+    print(f"\n{runs} orders of deaths run")
+
+
+@then("no lost commit, applied, late or dropped, doubles, loses or belies a request")
+def lost_commits(context):
+    runs = 0
+    modes = ("", "applied", "late", "lost")
+    plans = [[*first, *second] for first in all_of(modes) for second in all_of(modes)]
+    for sends, plan in product(([], ["refused"], ["cut"], ["late"]), plans):
+        world = RequestWorld(context.has_query)
+        host = EntryHost(world, "a", plan=plan, behaviours=sends)
+        replies = [host.run("k1")]
+        other = EntryHost(world, "b")
+        replies.append(other.run("k1"))
+        end_of(world, replies, [host, other])
+        runs += 1
+    print(f"\n{runs} plans of lost commits run")
+
+
+def all_of(modes):
+    """Yield the faults of one commit: none, one, or as many as it has tries."""
+    yield [""]
+    for mode in modes[1:]:
+        yield [mode, ""]
+        yield [mode] * TRIES
+
+
+@when('"{paused}" is paused before it sends "{key}" and "{other}" takes over')
+def paused_owner(context, paused, key, other):
+    host = context.hosts[paused]
+    send = host.wire.send
+
+    def wake_late(record, permission):
+        host.lose_lease()
+        assert context.hosts[other].sweep()
+        return send(record, permission)
+
+    host.wire.send = wake_late
+    run(context, paused, key)
+
+
+def unknown_keys(context):
+    ledger = context.hosts["a"].ledger
+    page = operations.list_requests(ledger, pb.OUTCOME_UNKNOWN).ok
+    return [line.idempotency_key for line in page.requests]
+
+
+@then('the list of unknown outcomes names "{key}"')
+def lists_unknown(context, key):
+    assert unknown_keys(context) == [key]
+
+
+@then("the list of unknown outcomes is empty")
+def lists_nothing(context):
+    assert unknown_keys(context) == []
+
+
+def resolve(context, key, answer):
+    ledger = context.hosts["a"].ledger
+    kept = pb.Answer(status=200, body=answer.encode())
+    return operations.resolve_request(ledger, ACCOUNT, key, "ops", kept, 1)
+
+
+@when('an operator resolves "{key}" with the answer "{answer}"')
+def resolve_known(context, key, answer):
+    assert resolve(context, key, answer).is_ok()
+
+
+@then('a second resolution of "{key}" is refused')
+def resolve_twice(context, key):
+    assert resolve(context, key, "other").is_error()
+
+
+def expire_after(context, seconds):
+    clock = context.world.clock
+    now_ms = clock.wall_ms() + seconds * 1000
+    return operations.remove_expired(context.hosts["a"].ledger, now_ms).ok
+
+
+@then("nothing expires after {seconds:d} seconds")
+def not_expired(context, seconds):
+    assert expire_after(context, seconds) == 0
+
+
+@then("the store is empty after {seconds:d} seconds")
+def all_expired(context, seconds):
+    assert expire_after(context, seconds) == 1
+    assert not context.world.local.store(GROUP).entries
+
+
+@when('"{name}" accepts the patient request "{key}" and dies')
+def patient_dies(context, name, key):
+    host = context.hosts[name]
+    new = new_request(key, kind=pb.PATIENT)
+    held = host.ledger.accept(new, 1).ok
+    assert host.ledger.permit(held, "engine-1", 1, 1.0).is_ok()
+    host.lose_lease()
+
+
+@then('"{name}" is given "{key}" to run within one sweep, as its owner')
+def given_to_run(context, name, key):
+    host = context.hosts[name]
+    (held,) = host.settler.sweep().ok
+    record = held.record
+    assert record.idempotency_key == key
+    assert (record.state, record.owner) == (pb.ACCEPTED, host.owner)
+    assert record.request.body == b"body"
+    assert host.ledger.permit(held, "engine-2", 1, 1.0).is_ok()
+
+
+@when('the store loses all answers to "{name}" after the permission for "{key}"')
+def lose_after_permission(context, name, key):
+    host = context.hosts[name]
+    host.client.plan = ["", *["lost"] * TRIES]
+    run(context, name, key)
+
+
+@then('after a sweep of "{name}" the reply of "{other}" to "{key}" is ANSWERED')
+def kept_later(context, name, other, key):
+    assert context.hosts[name].sweep()
+    assert context.hosts[other].run(key).kind is ReplyKind.ANSWERED
+    assert context.world.service.executions[key] == 1
+
+
+def forbidden_moves():
+    mine = life.Actor(ProcessId("a"), 2)
+    stale = life.Actor(ProcessId("a"), 1)
+    proof = life.Proof
+    return {
+        "permit": (life.Permit(mine), 2),
+        "again after bytes": (life.PermitAgain(mine, no_byte_left=False), 2),
+        "again by another": (life.PermitAgain(mine, no_byte_left=True), 1),
+        "finish": (life.Finish(mine, pb.Answer()), 2),
+        "give up never sent": (life.GiveUp(mine, proof.NEVER_PERMITTED, "", ""), 2),
+        "give up by another": (life.GiveUp(mine, proof.NO_BYTE_LEFT, "", ""), 1),
+        "cancel": (life.Cancel(mine), 2),
+        "finish by stale owner": (life.Finish(stale, pb.Answer()), 2),
+        "take over": (life.TakeOver(ProcessId("a"), ProcessId("b")), 2),
+        "resolve": (life.Resolve("ops", None), 2),
+    }
+
+
+@then("the move {move} from {state:w} is refused for a call that may not be repeated")
+def move_refused(context, move, state):
+    forbidden, permitted_number = forbidden_moves()[move]
+    record = pb.RequestRecord(
+        kind=pb.NOT_REPEATABLE,
+        state=pb.RequestState.Value(state.upper()),
+        owner="a",
+        fencing_number=2,
+        permitted_number=permitted_number,
+    )
+    assert life.apply(forbidden, record, 1).is_error()
--- /dev/null
+++ b/tests/support/request_world.py
@@ -0,0 +1,196 @@
+"""Entry hosts that carry out calls on one service, without network or threads."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from support.flaky_state import FlakyStateClient, HostDied, Points
+from tanagerturn.coordination.ids import GroupId, ProcessId
+from tanagerturn.coordination.local import LocalStateClient
+from tanagerturn.schema import coordination_pb2
+from tanagerturn.schema import serving_pb2 as pb
+from tanagerturn.serving.requests import call as calls
+from tanagerturn.serving.requests.conduct import CallPolicy, Conductor, ReplyKind
+from tanagerturn.serving.requests.held import NewRequest
+from tanagerturn.serving.requests.ids import (
+    ClientAccountId,
+    IdempotencyKey,
+    RequestId,
+)
+from tanagerturn.serving.requests.ledger import RequestLedger
+from tanagerturn.serving.requests.settle import Settler
+from tanagerturn.serving.requests.takeover import make_owner, owner_lease
+
+GROUP = GroupId("requests")
+PERMISSION_OVER_S = 3.0
+
+
+class FakeClock:
+    """Time that passes only when told."""
+
+    def __init__(self) -> None:
+        self.now_s = 1000.0
+
+    def wall_ms(self) -> int:
+        """Return the wall clock."""
+        return int(self.now_s * 1000)
+
+    def monotonic_s(self) -> float:
+        """Return the monotonic clock."""
+        return self.now_s
+
+    def pause(self, seconds: float) -> None:
+        """Let time pass."""
+        self.now_s += seconds
+
+
+class FakeService:
+    """Executes what it gets, without looking at keys, and counts."""
+
+    def __init__(self) -> None:
+        self.executions: Counter[str] = Counter()
+        self.refused: set[str] = set()
+
+    def execute(self, key: str) -> pb.Answer | None:
+        """Execute a call; None when it was promised not to."""
+        if key in self.refused:
+            return None
+        self.executions[key] += 1
+        return pb.Answer(status=200, body=f"seat for {key}".encode())
+
+    def outcome(self, key: str) -> calls.QueryRan | calls.QueryDidNotRun:
+        """Answer an outcome query."""
+        if self.executions[key]:
+            body = f"seat for {key}".encode()
+            return calls.QueryRan(pb.Answer(status=200, body=body))
+        self.refused.add(key)
+        return calls.QueryDidNotRun()
+
+
+class FakeWire:
+    """Sends as its behaviours say: one a send, "" when they run out.
+
+    "refused" before the first byte, "dropped" after it and before execution,
+    "cut" after execution and before the answer, "late" executed later.
+    """
+
+    def __init__(self, service, clock, points, behaviours) -> None:
+        self.service = service
+        self.clock = clock
+        self.points = points
+        self.behaviours = list(behaviours)
+        self.late: list[str] = []
+
+    def choose(self, record) -> str:
+        """Return the one backend server."""
+        return "desk-1"
+
+    def send(self, record, permission):
+        """Send one attempt."""
+        self.points.reach()
+        behaviour = self.behaviours.pop(0) if self.behaviours else ""
+        if behaviour == "refused" or not permission.allows(self.clock.monotonic_s()):
+            return calls.NoByteLeft()
+        if behaviour == "late":
+            self.late.append(record.idempotency_key)
+        if behaviour in ("late", "dropped"):
+            return calls.AnswerLost()
+        answer = self.service.execute(record.idempotency_key)
+        self.points.reach()
+        if behaviour == "cut" or answer is None:
+            return calls.AnswerLost()
+        return calls.Answered(answer)
+
+    def ask(self, record):
+        """Ask for the outcome."""
+        self.points.reach()
+        outcome = self.service.outcome(record.idempotency_key)
+        self.points.reach()
+        return outcome
+
+
+class EntryHost:
+    """One entry host with its lease, conductor and settler."""
+
+    def __init__(self, world, name: str, plan=(), kill_at: int = 0, behaviours=()):
+        self.world = world
+        self.owner = make_owner(ProcessId(name), "1")
+        self.points = Points(kill_at)
+        self.client = FlakyStateClient(world.local, list(plan), self.points)
+        self.wire = FakeWire(world.service, world.clock, self.points, behaviours)
+        self.ledger = RequestLedger(self.client, GROUP, self.owner)
+        acquire = coordination_pb2.LeaseAcquire(
+            name=owner_lease(self.owner), holder=self.owner, duration_ms=3000
+        )
+        command = coordination_pb2.Command(lease_acquire=acquire)
+        lease = world.local.propose(GROUP, command, 1.0).ok.lease
+        self.ledger.fence = coordination_pb2.Fence(
+            lease=lease.name, fencing_number=lease.fencing_number
+        )
+        self.conductor = Conductor(self.ledger, self.wire, world.clock)
+        self.settler = Settler(self.conductor, lambda key: False)
+
+    def run(self, key: str, body: bytes = b"body", kind=pb.NOT_REPEATABLE):
+        """Carry a call out; None when the host died in it."""
+        try:
+            return self.conductor.run(new_request(key, body, kind), self.world.policy)
+        except HostDied:
+            return None
+
+    def lose_lease(self) -> None:
+        """End the lease, as the leader of the group does."""
+        lease = self.world.local.lease(GROUP, owner_lease(self.owner), 1.0).ok
+        lapse = coordination_pb2.LeaseLapse(
+            name=lease.name,
+            fencing_number=lease.fencing_number,
+            renewals=lease.renewals,
+        )
+        command = coordination_pb2.Command(lease_lapse=lapse)
+        self.world.local.propose(GROUP, command, 1.0)
+
+    def sweep(self) -> bool:
+        """Take over and settle twice, with time between; False when it died."""
+        try:
+            for _ in range(3):
+                for held in self.settler.sweep().ok:
+                    self.conductor.settle(held, self.world.policy)
+                self.world.clock.pause(PERMISSION_OVER_S)
+        except HostDied:
+            return False
+        return True
+
+
+class RequestWorld:
+    """The store, the service and the clock that the hosts share."""
+
+    def __init__(self, has_query: bool, tries: int = 2) -> None:
+        self.local = LocalStateClient()
+        self.service = FakeService()
+        self.clock = FakeClock()
+        self.policy = CallPolicy(tries, has_query, answer_limit_bytes=1000)
+
+    def check(self, key: str, replies) -> None:
+        """Check that no reply about a key is false."""
+        ran = self.service.executions[key]
+        kinds = {reply.kind for reply in replies if reply is not None}
+        assert ran <= 1, f"{key} executed {ran} times"
+        if kinds & {ReplyKind.NOT_RUN, ReplyKind.NOT_ACCEPTED}:
+            assert ran == 0, f"{key} ran although: {kinds}"
+        if ReplyKind.ANSWERED in kinds:
+            assert ran == 1, f"{key} did not run although: {kinds}"
+
+
+def new_request(key: str, body: bytes = b"body", kind=pb.NOT_REPEATABLE) -> NewRequest:
+    """Make a request of the client account inyenyeri."""
+    return NewRequest(
+        client_account=ClientAccountId("inyenyeri"),
+        idempotency_key=IdempotencyKey(key),
+        request_id=RequestId(f"r-{key}"),
+        service="seats",
+        kind=kind,
+        priority=pb.URGENT,
+        fingerprint=body,
+        request=pb.CallerRequest(method="POST", path="/purchases", body=body),
+        deadline_at_ms=2_000_000,
+        keep_ms=60_000,
+    )
