--- a/src/tanagerturn/replay/__init__.py
+++ b/src/tanagerturn/replay/__init__.py
@@ -1,1 +1,1 @@
-"""The program tanager-replay."""
+"""Recorded traces, their replay, checks of outcomes and reports."""
