--- /dev/null
+++ b/src/tanagerturn/standins/cloud/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of a cloud API: offers, starts that may be refused, notices."""
--- a/src/tanagerturn/standins/main.py
+++ b/src/tanagerturn/standins/main.py
@@ -4,19 +4,26 @@
 
 import signal
 import threading
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any, Final, Protocol
 
 import click
 
+from tanagerturn.standins.cloud.messages import Offer
+from tanagerturn.standins.cloud.model import CloudConfig
+from tanagerturn.standins.cloud.server import start_cloud
 from tanagerturn.standins.engine.config import EngineConfig
 from tanagerturn.standins.engine.server import start_engine
 from tanagerturn.standins.faults import Fault, FaultPlan
 from tanagerturn.standins.service.config import ServiceConfig
 from tanagerturn.standins.service.server import start_service
+from tanagerturn.standins.weights.server import WeightStoreConfig, start_weight_store
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+ON_DEMAND_FACTOR: Final = 3.0
+"""Price of an on-demand host against a reclaimable one."""
+
 
 class RunningStandin(Protocol):
     """What all running stand-ins have."""
@@ -47,6 +54,26 @@
     return fault, rate
 
 
+def parse_offer(text: str) -> tuple[Offer, Offer]:
+    """Read `ZONE,CLASS,PRICE` as a reclaimable and an on-demand offer.
+
+    Raises:
+        click.BadParameter: The text has another form.
+    """
+    parts = text.split(",")
+    if len(parts) != 3:
+        raise click.BadParameter("want ZONE,CLASS,PRICE")
+    zone, host_class, price_text = parts
+    try:
+        price = float(price_text)
+    except ValueError as error:
+        raise click.BadParameter(f"price {price_text!r} is no number") from error
+    return (
+        Offer(zone, host_class, True, price),
+        Offer(zone, host_class, False, price * ON_DEMAND_FACTOR),
+    )
+
+
 def run_until_signal(standin: RunningStandin) -> None:
     """Print the address, wait for SIGTERM or SIGINT, and stop."""
     ended = threading.Event()
@@ -163,5 +190,43 @@
     run_until_signal(start_service(config))
 
 
+@main.command()
+@common_options
+@click.option("--loads-per-s", default=1.0, help="Loads allowed in the long run.")
+@click.option("--burst", default=2, help="Loads allowed at once.")
+def weights(**values: Any) -> None:
+    """Serve a weight store with a rate limit."""
+    config = WeightStoreConfig(
+        ip=values["ip"],
+        port=values["port"],
+        loads_per_s=values["loads_per_s"],
+        burst=values["burst"],
+    )
+    run_until_signal(start_weight_store(config))
+
+
+@main.command()
+@common_options
+@click.option(
+    "--offer",
+    "offers",
+    multiple=True,
+    help="ZONE,CLASS,PRICE of reclaimable hosts; on-demand ones cost three times.",
+)
+@click.option("--start-ms", default=1000.0, help="Time to start a host.")
+@click.option("--refuse-rate", default=0.0, help="Share of starts refused.")
+def cloud(**values: Any) -> None:
+    """Serve a cloud API whose hosts stay empty."""
+    config = CloudConfig(
+        ip=values["ip"],
+        port=values["port"],
+        offers=tuple(o for text in values["offers"] for o in parse_offer(text)),
+        start_ms=values["start_ms"],
+        refuse_rate=values["refuse_rate"],
+        seed=values["seed"],
+    )
+    run_until_signal(start_cloud(config))
+
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/src/tanagerturn/standins/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of a weight store with a rate limit."""
--- /dev/null
+++ b/tests/standins/platform/steps/platform_steps.py
@@ -0,0 +1,196 @@
+"""Steps of platform.feature."""
+
+from __future__ import annotations
+
+import time
+
+import urllib3
+from behave import given, then, when
+
+from tanagerturn.standins.cloud.messages import (
+    Host,
+    HostState,
+    Offer,
+    Refusal,
+    Shortage,
+    StartRequest,
+)
+from tanagerturn.standins.cloud.model import CloudConfig, CloudModel
+from tanagerturn.standins.cloud.server import start_cloud
+from tanagerturn.standins.engine.config import EngineConfig
+from tanagerturn.standins.engine.server import start_engine
+from tanagerturn.standins.weights.server import (
+    LoadLimit,
+    WeightStoreConfig,
+    start_weight_store,
+)
+
+HALF_HOUR_MS = 1_800_000
+OFFERS = (Offer("a", "small", True, 1.0), Offer("b", "small", True, 2.0))
+
+
+def wait_for(condition, seconds: float = 10.0) -> None:
+    """Wait until a condition holds."""
+    end = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < end, "did not happen"
+        time.sleep(0.02)
+
+
+def request(zone: str, request_id: str = "r") -> StartRequest:
+    return StartRequest(request_id, zone, "small", True, "drafting")
+
+
+@given("a cloud model with two zones")
+def cloud_model(context):
+    offers = tuple(Offer(**vars(offer)) for offer in OFFERS)
+    context.cloud = CloudModel(CloudConfig(offers=offers, start_ms=0))
+
+
+@when('starts in zone "{zone}" are refused from 0 to {until:d} ms')
+def refuse_zone(context, zone, until):
+    context.cloud.refuse_starts(Shortage(zone, "", False, until))
+
+
+@then('a start in "{zone}" at {now:d} ms is refused')
+def start_refused(context, zone, now):
+    assert isinstance(context.cloud.start(request(zone, f"{zone}{now}"), now), Refusal)
+
+
+@then('a start in "{zone}" at {now:d} ms gives one host, also when asked twice')
+def start_given(context, zone, now):
+    hosts = [context.cloud.start(request(zone, f"{zone}{now}"), now) for _ in range(2)]
+    assert isinstance(hosts[0], Host)
+    assert hosts[0] is hosts[1]
+
+
+@when('a host runs in "a" for an hour, and its price doubles after half of it')
+def runs_an_hour(context):
+    context.host = context.cloud.start(request("a"), 0)
+    assert context.cloud.advance(0) == [context.host]
+    context.cloud.set_price("a", "small", 2.0, HALF_HOUR_MS)
+    context.cloud.advance(2 * HALF_HOUR_MS)
+
+
+@when("it is taken back with a notice of 30 minutes")
+def taken_back(context):
+    noticed = context.cloud.notice([context.host.id], HALF_HOUR_MS, 2 * HALF_HOUR_MS)
+    assert noticed == [context.host]
+    assert context.cloud.advance(3 * HALF_HOUR_MS) == [context.host]
+    assert context.host.state == HostState.GONE
+
+
+@then("the cost is {cost:f}")
+def cost_is(context, cost):
+    assert abs(context.cloud.cost - cost) < 1e-9, context.cloud.cost
+
+
+@then("no cost comes after its end")
+def no_more_cost(context):
+    before = context.cloud.cost
+    context.cloud.advance(9 * HALF_HOUR_MS)
+    assert context.cloud.cost == before
+
+
+@then("100 loads at 20 a second against 2 a second are let through as allowed")
+def loads_let_through(context):
+    limit = LoadLimit(WeightStoreConfig(loads_per_s=2, burst=3), 0.0)
+    waits = [limit.take(number * 50.0) for number in range(100)]
+    assert waits.count(0.0) == 3 + int(99 * 0.05 * 2)
+    assert all(wait <= 500 for wait in waits)
+
+
+@given("a cloud over HTTP that starts engines")
+def cloud_server(context):
+    def start_backend(host: Host):
+        engine = start_engine(EngineConfig(id=host.id))
+        context.closers.append(engine.kill)
+        return engine
+
+    config = CloudConfig(offers=OFFERS, start_ms=50)
+    context.cloud = start_cloud(config, start_backend)
+    context.closers.append(context.cloud.stop)
+    context.url = f"http://{context.cloud.address}"
+
+
+@when("a host is asked for over HTTP")
+def ask_host(context):
+    offers = urllib3.request("GET", f"{context.url}/offers").json()["offers"]
+    offer = {k: v for k, v in offers[0].items() if k != "price_per_hour"}
+    body = {**offer, "request_id": "r1", "service": "drafting"}
+    hosts = [
+        urllib3.request("POST", f"{context.url}/hosts", json=body).json()["id"]
+        for _ in range(2)
+    ]
+    assert hosts[0] == hosts[1]
+    context.host_id = hosts[0]
+
+
+def shown_host(context) -> dict:
+    hosts = urllib3.request("GET", f"{context.url}/hosts").json()["hosts"]
+    return next(host for host in hosts if host["id"] == context.host_id)
+
+
+@then("the host's engine answers")
+def engine_answers(context):
+    wait_for(lambda: shown_host(context)["address"])
+    context.engine_url = f"http://{shown_host(context)['address']}/engine/state"
+    assert urllib3.request("GET", context.engine_url).json()["id"] == context.host_id
+
+
+@when("the cloud notices all its hosts")
+def notice_all(context):
+    context.cloud.notice([context.host_id], 100)
+
+
+@then("the notice is told and the engine dies")
+def told_and_dies(context):
+    notices = urllib3.request("GET", f"{context.url}/notices?after=0").json()
+    assert [notice["host_id"] for notice in notices["notices"]] == [context.host_id]
+    after = notices["sequence"]
+    later = urllib3.request("GET", f"{context.url}/notices?after={after}").json()
+    assert later["notices"] == []
+    wait_for(lambda: shown_host(context)["state"] == "gone")
+    wait_for(lambda: not engine_there(context))
+
+
+def engine_there(context) -> bool:
+    try:
+        urllib3.request("GET", context.engine_url, retries=False)
+    except urllib3.exceptions.HTTPError:
+        return False
+    return True
+
+
+@given("an engine over HTTP with a weight store of 1 load in 200 ms")
+def engine_with_store(context):
+    store = WeightStoreConfig(loads_per_s=5, burst=1)
+    context.store = start_weight_store(store)
+    context.closers.append(context.store.stop)
+    url = f"http://{context.store.address}"
+    config = EngineConfig(weight_store_url=url, load_model_ms=10)
+    context.engine = start_engine(config)
+    context.closers.append(context.engine.kill)
+
+
+@when("it is ordered to load 2 versions in turn")
+def order_two(context):
+    for number in (1, 2):
+        order = {
+            "order_id": f"o{number}",
+            "fencing_number": str(number),
+            "action": "LOAD_MODEL",
+            "model": "new",
+            "version": str(number),
+        }
+        url = f"http://{context.engine.address}/engine/orders"
+        assert urllib3.request("POST", url, json=order).status == 200
+
+
+@then("both weights are fetched and the second version is ready")
+def both_fetched(context):
+    orders = context.engine.model.orders
+    wait_for(lambda: len(orders.outcomes) == 2)
+    assert context.store.loads == {"new/1": 1, "new/2": 1}
+    assert orders.models["new"].ready
+    assert orders.models["new"].version == "2"
