Carry membership over UDP with one actor

An agent reads datagrams, ticks ten times a probe interval and answers for members, dumps and leaving. Four agents on loopback meet, tell a process that left from one that died, and drop packets under another key.

--- /dev/null
+++ b/src/tanagerturn/coordination/membership/agent.py
@@ -0,0 +1,346 @@
+"""Carries failure detection out: a UDP socket, a clock and one actor."""
+
+from __future__ import annotations
+
+import secrets
+import socket
+import threading
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+from typing import TYPE_CHECKING, Any, Final
+
+import pykka
+from loguru import logger
+
+from tanagerturn.coordination.errors import RefusedError, StepError
+from tanagerturn.coordination.ids import ProcessId
+from tanagerturn.coordination.membership.codec import KEY_MIN_BYTES, seal, unseal
+from tanagerturn.coordination.membership.config import (
+    PACKET_LIMIT_BYTES,
+    MembershipConfig,
+)
+from tanagerturn.coordination.membership.core import MembershipCore
+from tanagerturn.schema import membership_pb2 as mpb
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from tanagerturn.coordination.membership._sender import Datagram
+    from tanagerturn.coordination.membership.core import MemberEvent, PeerSettings
+    from tanagerturn.schema import settings_pb2
+
+ASK_TIMEOUT_S: Final = 2.0
+TICKS_PER_PROBE: Final = 10
+LEAVE_REPEATS: Final = 3
+LEAVE_PAUSE_S: Final = 0.05
+
+
+@dataclass(frozen=True)
+class MemberView:
+    """One process as the owner of an agent sees it."""
+
+    process: ProcessId
+    info: mpb.ProcessInfo
+    health: mpb.Health.ValueType
+
+
+@dataclass(frozen=True)
+class Tick:
+    """Time has passed."""
+
+
+@dataclass(frozen=True)
+class Receive:
+    """A datagram came in."""
+
+    datagram: bytes
+    address: str
+
+
+@dataclass(frozen=True)
+class AskMembers:
+    """Asks for all processes that are remembered, this one included."""
+
+
+@dataclass(frozen=True)
+class AskDump:
+    """Asks for the state for a dump."""
+
+
+@dataclass(frozen=True)
+class SetSettingsNumber:
+    """This process has a newer settings revision."""
+
+    number: int
+
+
+@dataclass(frozen=True)
+class Leave:
+    """Tells others that this process leaves."""
+
+
+class MembershipActor(pykka.ThreadingActor):
+    """Owns the core; the only one that sends on the socket.
+
+    Args:
+        core: The decisions.
+        key: Key of the cluster.
+        sock: The bound UDP socket.
+        on_event: Called with each change of a process's health.
+        on_peer_settings: Called with newer settings that a process has.
+        clock: Returns the monotonic time in milliseconds.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(
+        self,
+        core: MembershipCore,
+        key: bytes,
+        sock: socket.socket,
+        on_event: Callable[[MemberEvent], None],
+        on_peer_settings: Callable[[PeerSettings], None],
+        clock: Callable[[], int],
+    ) -> None:
+        super().__init__()
+        self.core = core
+        """The decisions."""
+        self.key = key
+        """Key of the cluster."""
+        self.sock = sock
+        """The bound UDP socket."""
+        self.on_event = on_event
+        """Called with each change of a process's health."""
+        self.on_peer_settings = on_peer_settings
+        """Called with newer settings that a process has."""
+        self.clock = clock
+        """Returns the monotonic time in milliseconds."""
+        self.dropped: dict[str, int] = {}
+        """Datagrams dropped, by reason."""
+        self.send_failures = 0
+        """Datagrams that the socket refused."""
+
+    def on_receive(self, message: object) -> object:
+        """Dispatch a message; questions are answered."""
+        match message:
+            case AskMembers():
+                return self.on_ask_members()
+            case AskDump():
+                return self.on_ask_dump()
+            case Tick():
+                self.on_tick()
+            case Receive():
+                self.on_datagram(message)
+            case SetSettingsNumber():
+                self.core.sender.settings_number = message.number
+            case Leave():
+                self.send(self.core.leave())
+        return None
+
+    def on_tick(self) -> None:
+        """Do what is due."""
+        self.send(self.core.tick(self.clock()))
+        self.tell_owner()
+
+    def on_datagram(self, message: Receive) -> None:
+        """Check a datagram and hand it to the core."""
+        packet = unseal(message.datagram, self.key, self.core.config.cluster)
+        if packet.is_error():
+            self.dropped[packet.error] = self.dropped.get(packet.error, 0) + 1
+            return
+        self.send(self.core.receive(packet.ok, message.address, self.clock()))
+        self.tell_owner()
+
+    def on_ask_members(self) -> list[MemberView]:
+        """Return all processes that are remembered."""
+        members = self.core.table.members.values()
+        return [MemberView(m.process, m.info, m.health) for m in members]
+
+    def on_ask_dump(self) -> dict[str, object]:
+        """Return the state for a dump."""
+        dump = self.core.dump(self.clock())
+        return {**dump, "dropped": self.dropped, "send_failures": self.send_failures}
+
+    def tell_owner(self) -> None:
+        """Hand changes on."""
+        for event in self.core.take_events():
+            health = mpb.Health.Name(event.health).lower()
+            logger.info("membership: {} is {}", event.process, health)
+            self.on_event(event)
+        for news in self.core.take_peer_settings():
+            self.on_peer_settings(news)
+
+    def send(self, datagrams: Iterable[Datagram]) -> None:
+        """Send packets; one that can't be sent is as good as lost."""
+        for datagram in datagrams:
+            ip, _, port = datagram.address.rpartition(":")
+            data = seal(datagram.packet, self.key)
+            try:
+                self.sock.sendto(data, (ip.strip("[]"), int(port)))
+            except (OSError, ValueError):
+                self.send_failures += 1
+
+
+class MembershipAgent:
+    """Failure detection of one running process.
+
+    Args:
+        ref: The actor.
+        sock: Its socket.
+        probe_interval_ms: Time from one probe to the next.
+    """
+
+    def __init__(
+        self, ref: pykka.ActorRef[Any], sock: socket.socket, probe_interval_ms: int
+    ) -> None:
+        self.ref = ref
+        """The actor."""
+        self.sock = sock
+        """Its socket."""
+        self.tick_s = probe_interval_ms / TICKS_PER_PROBE / 1000
+        """Time between ticks."""
+        self.stopping = threading.Event()
+        """Set when the threads have to end."""
+        self.threads = [
+            threading.Thread(target=self._read, name="membership-read", daemon=True),
+            threading.Thread(target=self._tick, name="membership-tick", daemon=True),
+        ]
+        """Readers of the socket and of the clock."""
+
+    @property
+    def address(self) -> str:
+        """IP number and port of the socket."""
+        return _join(self.sock.getsockname())
+
+    def members(self) -> list[MemberView]:
+        """Return all processes that are remembered, this one included."""
+        members: list[MemberView] = self._ask(AskMembers())
+        return members
+
+    def alive(self) -> list[MemberView]:
+        """Return the processes that take part, suspects included."""
+        present = (mpb.ALIVE, mpb.SUSPECT)
+        return [member for member in self.members() if member.health in present]
+
+    def set_settings_number(self, number: int) -> None:
+        """Tell others which settings revision this process has."""
+        self.ref.tell(SetSettingsNumber(number))
+
+    def dump(self) -> dict[str, object]:
+        """Return the state for a dump."""
+        dump: dict[str, object] = self._ask(AskDump())
+        return dump
+
+    def leave(self) -> None:
+        """Tell others that this process leaves, a few times over."""
+        for _ in range(LEAVE_REPEATS):
+            self._ask(Leave())
+            time.sleep(LEAVE_PAUSE_S)
+
+    def start(self) -> None:
+        """Start to read and to tick."""
+        for thread in self.threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """End without a word to others."""
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join()
+        self.ref.stop()
+        self.sock.close()
+
+    def _ask(self, message: object) -> Any:
+        return self.ref.ask(message, block=True, timeout=ASK_TIMEOUT_S)
+
+    def _tick(self) -> None:
+        while not self.stopping.wait(self.tick_s):
+            self.ref.tell(Tick())
+
+    def _read(self) -> None:
+        while not self.stopping.is_set():
+            try:
+                datagram, source = self.sock.recvfrom(PACKET_LIMIT_BYTES + 1)
+            except TimeoutError:
+                continue
+            except OSError:
+                # An earlier datagram came back as refused by its host.
+                continue
+            self.ref.tell(Receive(datagram, _join(source)))
+
+
+def start_agent(
+    settings: settings_pb2.ProcessSettings,
+    program: str,
+    relay_address: str = "",
+    on_event: Callable[[MemberEvent], None] = lambda event: None,
+    on_peer_settings: Callable[[PeerSettings], None] = lambda news: None,
+    clock: Callable[[], int] = lambda: time.monotonic_ns() // 1_000_000,
+) -> MembershipAgent:
+    """Start failure detection as a process's settings say.
+
+    Args:
+        settings: Settings with the part `membership`.
+        program: Name of the program, for example "entry".
+        relay_address: IP number and port of the process's settings relay.
+        on_event: Called, by the actor, with each change of a process's health.
+        on_peer_settings: Called, by the actor, with newer settings of others.
+        clock: Returns the monotonic time in milliseconds.
+
+    Raises:
+        StepError: The key or the socket can't be used.
+    """
+    key = _read_key(settings.membership.key_file)
+    sock = _bind(settings.membership.listener)
+    info = mpb.ProcessInfo(
+        address=_join(sock.getsockname()),
+        region=settings.region,
+        availability_zone=settings.availability_zone,
+        program=program,
+        relay_address=relay_address,
+    )
+    config = MembershipConfig(
+        cluster=settings.cluster,
+        seeds=tuple(s for s in settings.membership.seeds if s != info.address),
+        probe_interval_ms=settings.membership.probe_interval_ms,
+        suspicion_ms=settings.membership.suspicion_ms,
+    )
+    incarnation = time.time_ns() // 1_000_000
+    random = Random(secrets.randbits(64))
+    core = MembershipCore(ProcessId(settings.id), info, incarnation, config, random)
+    ref = MembershipActor.start(core, key, sock, on_event, on_peer_settings, clock)
+    agent = MembershipAgent(ref, sock, config.probe_interval_ms)
+    agent.start()
+    logger.info("membership: listens on {}", agent.address)
+    return agent
+
+
+def _read_key(path: str) -> bytes:
+    try:
+        key = Path(path).read_bytes().strip()
+    except OSError as error:
+        raise StepError("read the cluster's key", path, str(error)) from error
+    if len(key) < KEY_MIN_BYTES:
+        reason = f"needs {KEY_MIN_BYTES} bytes at least"
+        raise RefusedError("read the cluster's key", path, reason)
+    return key
+
+
+def _bind(listener: settings_pb2.Listener) -> socket.socket:
+    family = socket.AF_INET6 if ":" in listener.ip else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_DGRAM)
+    try:
+        sock.bind((listener.ip, listener.port))
+    except OSError as error:
+        sock.close()
+        address = _join((listener.ip, listener.port))
+        raise StepError("listen for membership", address, str(error)) from error
+    sock.settimeout(0.2)
+    return sock
+
+
+def _join(address: tuple[Any, ...]) -> str:
+    ip, port = address[0], address[1]
+    return f"[{ip}]:{port}" if ":" in ip else f"{ip}:{port}"
--- a/tests/coordination/membership/membership.feature
+++ b/tests/coordination/membership/membership.feature
@@ -81,3 +81,10 @@
   Scenario: Loss, duplicates, pauses, deaths and restarts end in agreement
     Then 25 seeded schedules end with everybody right about everybody
 
+  Scenario: Processes meet over UDP
+    Given 4 agents on loopback with fast settings
+    Then all agents see 4 as ALIVE
+    When one agent leaves and another stops silently
+    Then all agents see 1 as LEFT
+    And all agents see 1 as DEAD
+    And an agent with another key is dropped for its code
--- a/tests/coordination/membership/steps/membership_steps.py
+++ b/tests/coordination/membership/steps/membership_steps.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import tempfile
+import time
 from dataclasses import replace
+from pathlib import Path
 from random import Random
 
 from behave import given, then, when
@@ -11,8 +14,10 @@
 
 from support.environment import long_run
 from support.membership_network import Network
+from tanagerturn.coordination.membership.agent import start_agent
 from tanagerturn.coordination.membership.codec import seal, unseal
 from tanagerturn.schema import membership_pb2 as mpb
+from tanagerturn.schema import settings_pb2
 
 KEY = b"0123456789abcdef"
 
@@ -336,12 +341,65 @@
         net.blocked = lambda a, b: net.region(a) != net.region(b)
 
 
-def count_health(agent, health):
-    return sum(m.health == health for m in agent.members())
+WAIT_LIMIT_S = 20
 
 
-@then("all agents see {count:d} alive")
-def agents_see(context, count):
-    context.wait_for(
-        lambda: all(count_health(a, mpb.ALIVE) == count for a in context.agents)
+def start(context, name, key, seeds):
+    path = Path(context.folder) / f"key-{len(context.agents)}"
+    path.write_bytes(key)
+    settings = settings_pb2.ProcessSettings(
+        id=name, cluster="test", region="main", availability_zone="zone-0"
     )
+    settings.membership.listener.ip = "127.0.0.1"
+    settings.membership.probe_interval_ms = 100
+    settings.membership.suspicion_ms = 400
+    settings.membership.key_file = str(path)
+    settings.membership.seeds.extend(seeds)
+    agent = start_agent(settings, "entry")
+    context.closers.append(agent.stop)
+    return agent
+
+
+def wait_for(check):
+    end = time.monotonic() + WAIT_LIMIT_S
+    while not check():
+        assert time.monotonic() < end, "waited too long"
+        time.sleep(0.05)
+
+
+@given("{count:d} agents on loopback with fast settings")
+def agents(context, count):
+    folder = tempfile.TemporaryDirectory()
+    context.closers.append(folder.cleanup)
+    context.folder = folder.name
+    context.agents = []
+    for n in range(count):
+        seeds = [agent.address for agent in context.agents[:1]]
+        context.agents.append(start(context, f"entry-{n}", KEY, seeds))
+
+
+@then("all agents see {count:d} as {health}")
+def agents_see(context, count, health):
+    value = mpb.Health.Value(health)
+
+    def check() -> bool:
+        views = [agent.members() for agent in context.agents]
+        return all(sum(m.health == value for m in v) == count for v in views)
+
+    wait_for(check)
+
+
+@when("one agent leaves and another stops silently")
+def leave_and_stop(context):
+    context.agents.pop().leave()
+    silent = context.agents.pop()
+    silent.stop()
+    context.closers.remove(silent.stop)
+
+
+@then("an agent with another key is dropped for its code")
+def other_key(context):
+    seed = context.agents[0]
+    start(context, "entry-9", b"another key 1234", [seed.address])
+    wait_for(lambda: seed.dump()["dropped"].get("code", 0) > 0)
+    assert "entry-9" not in {m.process for m in seed.members()}
