--- /dev/null
+++ b/src/tanagerturn/entry/app.py
@@ -0,0 +1,130 @@
+"""WSGI application for callers."""
+
+from __future__ import annotations
+
+import http
+import threading
+from typing import TYPE_CHECKING, Any, Final
+
+from tanagerturn.entry.callers import CallerCall, new_request_id, read_call
+from tanagerturn.entry.drafts import run_draft
+from tanagerturn.entry.lookups import run_lookup
+from tanagerturn.entry.parts import CallerResponse, Parts
+from tanagerturn.entry.problems import ProblemError, make_problem
+from tanagerturn.entry.purchases import run_once
+from tanagerturn.observe.logs import part_logger
+from tanagerturn.schema.serving_pb2 import NOT_REPEATABLE
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Iterator
+
+    from tanagerturn.entry.metrics import EntryMetrics
+    from tanagerturn.entry.site import Site
+
+log = part_logger("callers")
+
+DRAIN_RETRY_S: Final = 1.0
+
+
+class CallerApp:
+    """Answers callers' requests, one thread of the server each.
+
+    Args:
+        parts: Parts of the entry process.
+        site: Returns the settings in force.
+        metrics: Counters of the process.
+    """
+
+    def __init__(
+        self, parts: Parts, site: Callable[[], Site], metrics: EntryMetrics
+    ) -> None:
+        self.parts = parts
+        """Parts of the entry process."""
+        self.site = site
+        """Returns the settings in force."""
+        self.metrics = metrics
+        """Counters of the process."""
+        self.draining = False
+        """New requests are refused."""
+        self.running = 0
+        """Requests that are being answered."""
+        self.idle = threading.Condition()
+        """Guards `running`; notified when it falls to 0."""
+
+    def __call__(self, environ: Any, start_response: Any) -> Iterable[bytes]:
+        """Answer one request, by WSGI."""
+        request_id = new_request_id()
+        with self.idle:
+            self.running += 1
+        response = self._respond(environ, request_id)
+        self.metrics.responses.labels(status=str(response.status)).inc()
+        start_response(_status_line(response.status), response.headers)
+        return _Body(response.body, self._leave)
+
+    def wait_idle(self, timeout_s: float) -> int:
+        """Wait until no request runs; return how many still do at the end."""
+        with self.idle:
+            self.idle.wait_for(lambda: self.running == 0, timeout_s)
+            return self.running
+
+    def _leave(self) -> None:
+        with self.idle:
+            self.running -= 1
+            if self.running == 0:
+                self.idle.notify_all()
+
+    def _respond(self, environ: Any, request_id: str) -> CallerResponse:
+        try:
+            if self.draining:
+                raise ProblemError(
+                    503, "Stopping", "This process is stopping.", step="receive",
+                    retry_after_s=DRAIN_RETRY_S,
+                )  # fmt: skip
+            call = read_call(environ, self.site())
+            return self._run(call)
+        except ProblemError as error:
+            return self._refuse(error, request_id)
+        except Exception:
+            log.bind(request_id=request_id).exception("Request failed.")
+            detail = "The request failed inside this process."
+            return self._refuse(
+                ProblemError(500, "Internal error", detail, "outcome_unknown", "run"),
+                request_id,
+            )
+
+    def _run(self, call: CallerCall) -> CallerResponse:
+        if call.is_model:
+            return run_draft(self.parts, call)
+        if call.kind == NOT_REPEATABLE:
+            return run_once(self.parts, call)
+        return run_lookup(self.parts, call)
+
+    def _refuse(self, error: ProblemError, request_id: str) -> CallerResponse:
+        problem = make_problem(error, request_id)
+        return CallerResponse(problem.status, problem.headers, [problem.body])
+
+
+class _Body:
+    """Body of a response that tells when the server is done with it."""
+
+    def __init__(self, chunks: Iterable[bytes], on_close: Callable[[], None]) -> None:
+        self.chunks = chunks
+        self.on_close = on_close
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self.chunks)
+
+    def close(self) -> None:
+        close = getattr(self.chunks, "close", None)
+        try:
+            if close is not None:
+                close()
+        finally:
+            self.on_close()
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f"{status} {http.HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unknown"
--- /dev/null
+++ b/src/tanagerturn/entry/callers.py
@@ -0,0 +1,256 @@
+"""Reads callers' requests: what is asked, by which client account, of what kind."""
+
+from __future__ import annotations
+
+import hashlib
+import uuid
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Final
+
+import orjson
+
+from tanagerturn.entry.problems import ProblemError
+from tanagerturn.entry.site import Site, find_call
+from tanagerturn.schema import settings_pb2 as pb
+from tanagerturn.schema.serving_pb2 import (
+    IDEMPOTENT,
+    NOT_REPEATABLE,
+    PATIENT,
+    CallKind,
+    Priority,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+KEY_LIMIT: Final = 200
+SERVICES_PATH: Final = "/services/"
+MODEL_PATHS: Final = ("/v1/completions", "/v1/chat/completions")
+HOP_BY_HOP: Final = frozenset(
+    {
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+PRIVATE_HEADERS: Final = frozenset({"authorization", "cookie"})
+
+
+@dataclass(frozen=True)
+class CallerCall:
+    """One request of a caller, read and checked."""
+
+    request_id: str
+    """Id given by this entry host."""
+    account: pb.ClientAccount
+    """Client account of the caller."""
+    service: pb.Service
+    """Service that is asked."""
+    kind: CallKind.ValueType
+    """What the call allows after a failure."""
+    priority: Priority.ValueType
+    """Priority of the call."""
+    deadline_ms: int
+    """Time from arrival until the answer must be there, in milliseconds."""
+    idempotency_key: str
+    """Key of the caller, or empty."""
+    method: str
+    """HTTP method."""
+    path: str
+    """Path and query at the backend server."""
+    headers: list[tuple[str, str]]
+    """End-to-end headers to pass on."""
+    body: bytes
+    """Body as sent."""
+    fingerprint: bytes
+    """Hash of method, path and body."""
+    is_model: bool = False
+    """Asks a model engine."""
+    stream: bool = False
+    """The caller wants server-sent events."""
+    respond_async: bool = False
+    """The caller wants to collect the answer later."""
+    payload: Mapping[str, Any] = field(default_factory=dict)
+    """Parsed body of a request to a model engine."""
+
+
+def read_call(environ: Mapping[str, Any], site: Site) -> CallerCall:
+    """Read one request.
+
+    Args:
+        environ: WSGI environment.
+        site: Settings in force.
+
+    Returns:
+        The request.
+
+    Raises:
+        ProblemError: The request can't be served as it is.
+    """
+    account = authenticate(environ, site)
+    path = environ["PATH_INFO"]
+    if path in MODEL_PATHS:
+        call = _read_model_call(environ, site, account)
+    elif path.startswith(SERVICES_PATH):
+        call = _read_service_call(environ, site, account)
+    else:
+        raise ProblemError(404, "Not found", f"No resource at {path}.")
+    if account.services and call.service.name not in account.services:
+        detail = f"{account.name} may not call {call.service.name}."
+        raise ProblemError(403, "Service not allowed", detail, step="authorize")
+    return call
+
+
+def authenticate(environ: Mapping[str, Any], site: Site) -> pb.ClientAccount:
+    """Return the client account of a request.
+
+    Raises:
+        ProblemError: The bearer key is missing or not known.
+    """
+    scheme, _, key = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
+    if scheme.lower() != "bearer" or not key:
+        detail = "Send your key as Authorization: Bearer KEY."
+        raise ProblemError(401, "No key", detail, step="authenticate")
+    name = site.account_keys.owner_of(key.strip())
+    if not name:
+        raise ProblemError(401, "Unknown key", "No client account has this key.",
+                           step="authenticate")  # fmt: skip
+    return site.accounts[name]
+
+
+def _read_service_call(
+    environ: Mapping[str, Any], site: Site, account: pb.ClientAccount
+) -> CallerCall:
+    name, _, rest = environ["PATH_INFO"][len(SERVICES_PATH) :].partition("/")
+    service = site.services.get(name)
+    if service is None or service.type != pb.PLAIN:
+        raise ProblemError(404, "Unknown service", f"No service {name!r}.")
+    method = environ["REQUEST_METHOD"]
+    path = f"/{rest}"
+    call = find_call(service, method, path)
+    if call is None:
+        detail = f"Service {name} has no call {method} {path}."
+        raise ProblemError(404, "Unknown call", detail)
+    body = _read_body(environ)
+    query = environ.get("QUERY_STRING", "")
+    full_path = f"{path}?{query}" if query else path
+    return CallerCall(
+        request_id=new_request_id(),
+        account=account,
+        service=service,
+        kind=call.kind,
+        priority=call.priority,
+        deadline_ms=call.deadline_ms,
+        idempotency_key=_read_key(environ, call.kind) or _own_key(call.kind),
+        method=method,
+        path=full_path,
+        headers=_passed_headers(environ),
+        body=body,
+        fingerprint=_fingerprint(method, full_path, body),
+        respond_async=_wants_async(environ) and call.kind == PATIENT,
+    )
+
+
+def _read_model_call(
+    environ: Mapping[str, Any], site: Site, account: pb.ClientAccount
+) -> CallerCall:
+    if environ["REQUEST_METHOD"] != "POST":
+        raise ProblemError(405, "Method not allowed", "Use POST.")
+    body = _read_body(environ)
+    payload = _read_payload(body)
+    model = payload.get("model")
+    service = site.model_service(model) if isinstance(model, str) else None
+    if service is None:
+        raise ProblemError(404, "Unknown model", f"No service runs {model!r}.")
+    respond_async = _wants_async(environ)
+    key = _read_key(environ, IDEMPOTENT)
+    path = environ["PATH_INFO"]
+    return CallerCall(
+        request_id=new_request_id(),
+        account=account,
+        service=service,
+        kind=PATIENT if respond_async or key else IDEMPOTENT,
+        priority=service.priority,
+        deadline_ms=service.deadline_ms,
+        idempotency_key=key or (uuid.uuid4().hex if respond_async else ""),
+        method="POST",
+        path=path,
+        headers=_passed_headers(environ),
+        body=body,
+        fingerprint=_fingerprint("POST", path, body),
+        is_model=True,
+        stream=payload.get("stream") is True and not respond_async,
+        respond_async=respond_async,
+        payload=payload,
+    )
+
+
+def new_request_id() -> str:
+    """Return a new request id."""
+    return uuid.uuid4().hex
+
+
+def _read_payload(body: bytes) -> dict[str, Any]:
+    try:
+        payload = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise ProblemError(400, "Malformed body", f"Not JSON: {error}.") from error
+    if not isinstance(payload, dict):
+        raise ProblemError(400, "Malformed body", "The body must be a JSON object.")
+    has_prompt = isinstance(payload.get("prompt"), str)
+    if not has_prompt and not isinstance(payload.get("messages"), list):
+        detail = "The body needs prompt (text) or messages (list)."
+        raise ProblemError(400, "Malformed body", detail)
+    return payload
+
+
+def _read_body(environ: Mapping[str, Any]) -> bytes:
+    body: bytes = environ["wsgi.input"].read()
+    return body
+
+
+def _read_key(environ: Mapping[str, Any], kind: CallKind.ValueType) -> str:
+    key: str = environ.get("HTTP_IDEMPOTENCY_KEY", "").strip().strip('"')
+    if kind == NOT_REPEATABLE and not key:
+        detail = "This call may not be repeated: send an Idempotency-Key."
+        raise ProblemError(400, "Idempotency-Key missing", detail)
+    if len(key) > KEY_LIMIT or not key.isprintable():
+        detail = f"Use at most {KEY_LIMIT} printable characters."
+        raise ProblemError(400, "Idempotency-Key not usable", detail)
+    return key
+
+
+def _own_key(kind: CallKind.ValueType) -> str:
+    return uuid.uuid4().hex if kind == PATIENT else ""
+
+
+def _wants_async(environ: Mapping[str, Any]) -> bool:
+    preferences = environ.get("HTTP_PREFER", "").lower().split(",")
+    return "respond-async" in {p.strip() for p in preferences}
+
+
+def _passed_headers(environ: Mapping[str, Any]) -> list[tuple[str, str]]:
+    headers = []
+    for name, value in environ.items():
+        if name == "CONTENT_TYPE" and value:
+            headers.append(("content-type", value))
+        if not name.startswith("HTTP_"):
+            continue
+        header = name[len("HTTP_") :].replace("_", "-").lower()
+        if header not in HOP_BY_HOP and header not in PRIVATE_HEADERS:
+            headers.append((header, value))
+    return headers
+
+
+def _fingerprint(method: str, path: str, body: bytes) -> bytes:
+    digest = hashlib.blake2b(digest_size=16)
+    digest.update(f"{method} {path}\n".encode("utf-8", "surrogateescape"))
+    digest.update(body)
+    return digest.digest()
--- /dev/null
+++ b/src/tanagerturn/entry/directory.py
@@ -0,0 +1,169 @@
+"""Actor that knows the backend servers and chooses one for each attempt."""
+
+from __future__ import annotations
+
+import random
+import time
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, Any
+
+import pykka
+
+from tanagerturn.observe.logs import part_logger
+from tanagerturn.serving.backends.view import make_backend_view
+from tanagerturn.serving.routing.choose import choose
+
+if TYPE_CHECKING:
+    from expression import Result
+
+    from tanagerturn.schema.serving_pb2 import Announcement
+    from tanagerturn.serving.backends.messages import (
+        AnnouncementAccepted,
+        AnnouncementFault,
+        BackendId,
+        Completion,
+        RequestId,
+    )
+    from tanagerturn.serving.routing.messages import (
+        NoBackend,
+        RouteDecision,
+        RouteRequest,
+    )
+
+log = part_logger("directory")
+
+
+@dataclass(frozen=True)
+class Announce:
+    """A backend server announced itself."""
+
+    announcement: Announcement
+    """The announcement."""
+
+
+@dataclass(frozen=True)
+class Choose:
+    """An attempt needs a backend server; it counts as started from now on."""
+
+    request_id: RequestId
+    """Request of the attempt."""
+    route: RouteRequest
+    """What the backend server must offer."""
+
+
+@dataclass(frozen=True)
+class Ended:
+    """An attempt ended."""
+
+    backend_id: BackendId
+    """Backend server of the attempt."""
+    request_id: RequestId
+    """Request of the attempt."""
+    failed: bool = False
+    """The backend server failed the attempt."""
+    completion: Completion | None = None
+    """What was measured on the attempt."""
+
+
+@dataclass(frozen=True)
+class Notice:
+    """A zone or a backend server is to be reclaimed."""
+
+    target: str
+    """Availability zone or backend server."""
+    at_ms: int
+    """Wall clock time in milliseconds at which it is taken."""
+
+
+@dataclass(frozen=True)
+class Dump:
+    """Asks for the actor's state."""
+
+
+class DirectoryActor(pykka.ThreadingActor):
+    """Owns the view of the backend servers.
+
+    Args:
+        seed: Seed of the random choice among candidates.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, seed: int) -> None:
+        super().__init__()
+        self.view = make_backend_view()
+        """What is known of the backend servers."""
+        self.random = random.Random(seed)
+        """Random choice among candidates."""
+        self.last_decisions: list[str] = []
+        """Reasons of the last few choices, for the dump."""
+
+    def on_receive(self, message: Any) -> Any:
+        """Handle a message."""
+        return self.handle(message)
+
+    @singledispatchmethod
+    def handle(self, message: object) -> Any:
+        """Handle one kind of message."""
+        raise TypeError(f"unknown message {message!r}")
+
+    @handle.register(Announce)
+    def on_announce(
+        self, message: Announce
+    ) -> Result[AnnouncementAccepted, AnnouncementFault]:
+        """Take an announcement."""
+        now_ms = wall_ms()
+        self.view.expire(now_ms)
+        return self.view.on_announcement(message.announcement, now_ms)
+
+    @handle.register(Choose)
+    def on_choose(self, message: Choose) -> Result[RouteDecision, NoBackend]:
+        """Choose a backend server and count the attempt there."""
+        now_ms = wall_ms()
+        decision = choose(self.view, message.route, now_ms, self.random)
+        if decision.is_ok():
+            chosen = decision.ok
+            self.view.on_started(chosen.backend_id, message.request_id, now_ms)
+            self.last_decisions.append(f"{message.request_id}: {chosen.reason}")
+            del self.last_decisions[:-20]
+        return decision
+
+    @handle.register(Ended)
+    def on_ended(self, message: Ended) -> None:
+        """Take an attempt off."""
+        now_ms = wall_ms()
+        if message.failed:
+            self.view.on_failure(message.backend_id, message.request_id, now_ms)
+            return
+        self.view.on_ended(
+            message.backend_id, message.request_id, now_ms, message.completion
+        )
+
+    @handle.register(Notice)
+    def on_notice(self, message: Notice) -> None:
+        """Stop new work for what is to be reclaimed."""
+        self.view.on_notice(message.target, message.at_ms)  # type: ignore[arg-type]
+
+    @handle.register(Dump)
+    def on_dump(self, message: Dump) -> dict[str, Any]:
+        """Return the state."""
+        backends = self.view.backends.values()
+        return {
+            "backend_servers": {
+                backend.id: {
+                    "announcement": backend.announcement,
+                    "in_flight": sorted(backend.in_flight),
+                    "expires_ms": backend.expires_ms,
+                    "leaving": self.view.is_leaving(backend),
+                }
+                for backend in backends
+            },
+            "notices": dict(self.view.notices),
+            "last_decisions": list(self.last_decisions),
+        }
+
+
+def wall_ms() -> int:
+    """Return the wall clock in milliseconds."""
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/src/tanagerturn/entry/main.py
@@ -0,0 +1,42 @@
+"""Command line of tanager-entry."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import click
+
+from tanagerturn.program import VERSION, read_settings, run_program
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tanagerturn.schema.settings_pb2 import ProcessSettings
+
+
+@click.command()
+@click.option("--settings", "path", required=True, help="Settings file of the process.")
+@click.option("--check", is_flag=True, help="Check the settings and exit.")
+@click.version_option(VERSION)
+def main(path: str, check: bool) -> None:
+    """Take callers' requests and route them to backend servers."""
+    settings = read_settings(path, "entry")
+    if check:
+        click.echo(f"{path}: good")
+        return
+    run_program(settings, _start)
+
+
+def _start(settings: ProcessSettings) -> Callable[[], int]:
+    from tanagerturn.coordination.remote import connect
+    from tanagerturn.entry.server import start_entry
+
+    client = connect([member.address for member in settings.state_members])
+    server = start_entry(settings, client)
+
+    def stop() -> int:
+        left = server.stop()
+        client.close()
+        return left
+
+    return stop
--- /dev/null
+++ b/src/tanagerturn/entry/settings_actor.py
@@ -0,0 +1,71 @@
+"""Actor that keeps the settings in force at this process."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import pykka
+
+from tanagerturn.entry.site import Site, make_site
+from tanagerturn.observe.logs import part_logger
+from tanagerturn.schema import settings_pb2
+from tanagerturn.settings import SettingsError, merge_sites
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tanagerturn.schema.coordination_pb2 import SettingsRevision
+
+log = part_logger("settings")
+
+
+@dataclass(frozen=True)
+class NewRevision:
+    """A revision of the settings was accepted."""
+
+    revision: SettingsRevision
+    """The revision with its files."""
+
+
+class SettingsActor(pykka.ThreadingActor):
+    """Merges accepted revisions for this site; what it applies only grows.
+
+    Args:
+        site: Name of this site.
+        on_site: Called with each new value, from the actor's thread.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, site: str, on_site: Callable[[Site], None]) -> None:
+        super().__init__()
+        self.site = site
+        """Name of this site."""
+        self.on_site = on_site
+        """Called with each new value."""
+        self.current = make_site(0, settings_pb2.DeploymentSettings())
+        """The settings in force."""
+
+    def on_receive(self, message: Any) -> Any:
+        """Handle a message."""
+        if isinstance(message, NewRevision):
+            self.on_new_revision(message)
+
+    def on_new_revision(self, message: NewRevision) -> None:
+        """Apply a revision unless it is not newer than the one in force."""
+        revision = message.revision
+        if revision.number <= self.current.number:
+            return
+        files = {file.name: file.content for file in revision.files}
+        try:
+            merged = merge_sites(files)
+        except SettingsError as error:
+            log.error("Revision {} can't be read: {}", revision.number, error)
+            return
+        if self.site not in merged:
+            log.warning("Revision {} has no site {}.", revision.number, self.site)
+            return
+        self.current = make_site(revision.number, merged[self.site].settings)
+        self.on_site(self.current)
+        log.info("Revision {} is in force.", revision.number)
--- /dev/null
+++ b/src/tanagerturn/entry/sse.py
@@ -0,0 +1,94 @@
+"""Reads server-sent events of engines from arriving chunks."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, Final
+
+import orjson
+
+EVENT_LIMIT_BYTES: Final = 1024 * 1024
+DONE: Final = b"[DONE]"
+
+
+class MalformedEventError(ValueError):
+    """An event is larger than allowed or is not JSON."""
+
+
+@dataclass(frozen=True)
+class EngineEvent:
+    """One event of an engine's stream."""
+
+    raw: bytes
+    """The event as it arrived, with its blank line."""
+    done: bool
+    """This is the closing `[DONE]`."""
+    payload: dict[str, Any]
+    """Parsed data; empty for the closing event."""
+
+    @property
+    def offset(self) -> int | None:
+        """Return the index of the event's first token, or None without tokens."""
+        tokens = self.payload.get("tanager")
+        return tokens.get("offset") if isinstance(tokens, dict) else None
+
+    @property
+    def tokens(self) -> int:
+        """Return the number of tokens that the event brings."""
+        tokens = self.payload.get("tanager")
+        return tokens.get("tokens", 0) if isinstance(tokens, dict) else 0
+
+    @property
+    def attempt(self) -> int | None:
+        """Return the attempt that the event belongs to, if it says so."""
+        tokens = self.payload.get("tanager")
+        return tokens.get("attempt") if isinstance(tokens, dict) else None
+
+    @property
+    def text(self) -> str:
+        """Return the text that the event brings."""
+        parts = []
+        for choice in self.payload.get("choices", ()):
+            delta = choice.get("delta") or {}
+            parts.append(choice.get("text") or delta.get("content") or "")
+        return "".join(parts)
+
+    @property
+    def usage(self) -> dict[str, int] | None:
+        """Return the usage of the request, on the last event with data."""
+        return self.payload.get("usage")
+
+
+class EventReader:
+    """Cuts arriving bytes into events."""
+
+    def __init__(self) -> None:
+        self.rest = b""
+        """Bytes of an event that is not whole yet."""
+
+    def feed(self, chunk: bytes) -> list[EngineEvent]:
+        """Return the events that a chunk completes.
+
+        Raises:
+            MalformedEventError: An event can't be read.
+        """
+        data = self.rest + chunk if self.rest else chunk
+        *blocks, self.rest = data.split(b"\n\n")
+        if len(self.rest) > EVENT_LIMIT_BYTES:
+            raise MalformedEventError("event is too large")
+        return [_read_event(block) for block in blocks if block.strip()]
+
+
+def _read_event(block: bytes) -> EngineEvent:
+    lines = [line for line in block.split(b"\n") if line.startswith(b"data:")]
+    data = b"\n".join(line[len(b"data:") :].lstrip() for line in lines)
+    raw = block + b"\n\n"
+    if data == DONE:
+        return EngineEvent(raw, True, {})
+    try:
+        payload = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        raise MalformedEventError(str(error)) from error
+    if not isinstance(payload, dict):
+        raise MalformedEventError("event is not a JSON object")
+    return EngineEvent(raw, False, payload)
