Put membership and settings of a process together

A node follows the relay that the tree of present members names, tells others its revision and reads by itself when behind.

--- a/src/tanagerturn/coordination/membership/agent.py
+++ b/src/tanagerturn/coordination/membership/agent.py
@@ -44,6 +44,8 @@
     process: ProcessId
     info: mpb.ProcessInfo
     health: mpb.Health.ValueType
+    settings_number: int
+    """Number of the settings revision that it told last."""
 
 
 @dataclass(frozen=True)
@@ -156,7 +158,9 @@
     def on_ask_members(self) -> list[MemberView]:
         """Return all processes that are remembered."""
         members = self.core.table.members.values()
-        return [MemberView(m.process, m.info, m.health) for m in members]
+        return [
+            MemberView(m.process, m.info, m.health, m.settings_number) for m in members
+        ]
 
     def on_ask_dump(self) -> dict[str, object]:
         """Return the state for a dump."""
--- a/src/tanagerturn/coordination/membership/core.py
+++ b/src/tanagerturn/coordination/membership/core.py
@@ -140,6 +140,7 @@
         member = self.table.get(packet.sender)
         if member is not None:
             member.heard_at_ms = now_ms
+            member.settings_number = packet.settings_number
             if packet.settings_number > self.sender.settings_number:
                 news = PeerSettings(member.process, packet.settings_number)
                 self.peer_settings.append(news)
--- a/src/tanagerturn/coordination/membership/table.py
+++ b/src/tanagerturn/coordination/membership/table.py
@@ -48,6 +48,8 @@
     link: LinkState = LinkState.UNKNOWN
     heard_at_ms: int = -1
     """When a packet last came from it directly."""
+    settings_number: int = 0
+    """Number of the settings revision that it told last."""
     returns: deque[int] = field(default_factory=lambda: deque(maxlen=8))
     """When it came back from suspicion or death."""
     paused: bool = False
--- /dev/null
+++ b/src/tanagerturn/coordination/node.py
@@ -0,0 +1,249 @@
+"""Membership and settings of one process, put together.
+
+The process follows the relay that the tree of the present members gives it,
+tells others its settings revision, and reads by itself when it is behind.
+"""
+
+from __future__ import annotations
+
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Final
+
+import grpc
+import pykka
+from loguru import logger
+
+from tanagerturn.coordination.channels import TlsFiles, listen, open_channel
+from tanagerturn.coordination.dissemination.relay_service import (
+    GrpcRelays,
+    RelayServicer,
+)
+from tanagerturn.coordination.dissemination.tree import Peer, parent_of
+from tanagerturn.coordination.dissemination.watcher import SettingsWatcher
+from tanagerturn.coordination.groups import CONTROL_GROUP
+from tanagerturn.coordination.ids import ClusterId, ProcessId
+from tanagerturn.coordination.membership.agent import MembershipAgent, start_agent
+from tanagerturn.schema import dissemination_pb2_grpc as dpb_grpc
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tanagerturn.coordination.client import StateClient
+    from tanagerturn.coordination.membership.agent import MemberView
+    from tanagerturn.coordination.membership.core import PeerSettings
+    from tanagerturn.schema import settings_pb2
+    from tanagerturn.schema.coordination_pb2 import SettingsRevision
+
+TICK_S: Final = 0.5
+RELAY_THREADS: Final = 32
+"""Followers that a relay serves at once; the tree gives it fewer."""
+
+
+@dataclass(frozen=True)
+class Tick:
+    """Time has passed."""
+
+
+@dataclass(frozen=True)
+class PeerAhead:
+    """Another process has newer settings."""
+
+    news: PeerSettings
+
+
+class NodeActor(pykka.ThreadingActor):
+    """Follows the right relay and catches up when the process is behind.
+
+    Args:
+        node: The node that it belongs to.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, node: CoordinationNode) -> None:
+        super().__init__()
+        self.node = node
+        """The node that it belongs to."""
+        self.started = False
+        """The settings were read once."""
+
+    def on_receive(self, message: object) -> None:
+        """Dispatch a message."""
+        match message:
+            case Tick():
+                self.on_tick()
+            case PeerAhead():
+                self.on_peer_ahead(message)
+
+    def on_tick(self) -> None:
+        """Start, follow, and catch up."""
+        node = self.node
+        node.watcher.follow(node.parent_address())
+        if not self.started:
+            read = node.watcher.start()
+            self.started = read.is_ok()
+            if read.is_error():
+                logger.warning("settings: not read yet: {}", read.error)
+        node.watcher.tick()
+
+    def on_peer_ahead(self, message: PeerAhead) -> None:
+        """Note that a process is ahead."""
+        news = message.news
+        self.node.watcher.note_peer(news.number, news.process)
+
+
+class CoordinationNode:
+    """Membership and settings of one process.
+
+    Args:
+        settings: Settings of the process.
+        client: Calls to the replicated store.
+        program: Name of the program, for example "entry".
+        on_revision: Called with each newer settings revision, in order; it
+            must not call the client or the node.
+    """
+
+    def __init__(
+        self,
+        settings: settings_pb2.ProcessSettings,
+        client: StateClient,
+        program: str,
+        on_revision: Callable[[SettingsRevision], None],
+    ) -> None:
+        self.settings = settings
+        """Settings of the process."""
+        self.on_revision = on_revision
+        """Called with each newer settings revision."""
+        self.tls = _tls_files(settings)
+        """Certificates; None for plain TCP."""
+        cluster = ClusterId(settings.cluster)
+        relays = GrpcRelays(cluster, ProcessId(settings.id), self._open)
+        self.watcher = SettingsWatcher(
+            client, CONTROL_GROUP, self._apply, relays, self.peer_addresses
+        )
+        """The process's settings."""
+        self.actor = NodeActor.start(self)
+        """Follows relays and catches up."""
+        self.server: grpc.Server | None = None
+        """Relay for other processes; None when the settings name none."""
+        self.agent: MembershipAgent | None = None
+        """Failure detection; None when the settings name none."""
+        relay_address = self._start_relay() if settings.HasField("relay") else ""
+        if settings.HasField("membership"):
+            self.agent = start_agent(
+                settings, program, relay_address, on_peer_settings=self._on_peer
+            )
+        self.stopping = threading.Event()
+        """Set when the clock's thread has to end."""
+        self.thread = threading.Thread(target=self._tick, name="node", daemon=True)
+        """Tells the actor the time."""
+        self.thread.start()
+
+    def members(self) -> list[MemberView]:
+        """Return all processes that are remembered; empty without membership."""
+        return self.agent.members() if self.agent is not None else []
+
+    def alive(self) -> list[MemberView]:
+        """Return the processes that take part, suspects included."""
+        return self.agent.alive() if self.agent is not None else []
+
+    def parent_address(self) -> str:
+        """Return the relay to follow; empty for the state group."""
+        peers = [
+            Peer(
+                member.process,
+                member.info.region,
+                member.info.availability_zone,
+                member.info.relay_address,
+            )
+            for member in self.alive()
+        ]
+        # The processes of a state member's zone tell its region.
+        zones = {m.availability_zone for m in self.settings.state_members}
+        regions = {p.region for p in peers if p.availability_zone in zones}
+        me = ProcessId(self.settings.id)
+        parent = parent_of(me, peers, frozenset(regions))
+        return parent.relay_address if parent is not None else ""
+
+    def peer_addresses(self) -> list[str]:
+        """Return relays to ask, those with the highest settings revision first."""
+        able = [
+            member
+            for member in self.alive()
+            if member.info.relay_address and member.process != self.settings.id
+        ]
+        able.sort(key=lambda member: -member.settings_number)
+        return [member.info.relay_address for member in able]
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state for a dump."""
+        membership = self.agent.dump() if self.agent is not None else {}
+        return {"settings": self.watcher.dump(), "membership": membership}
+
+    def leave(self) -> None:
+        """Tell other processes that this one leaves."""
+        if self.agent is not None:
+            self.agent.leave()
+
+    def stop(self) -> None:
+        """End all parts."""
+        self.stopping.set()
+        self.thread.join()
+        self.actor.stop()
+        self.watcher.stop()
+        if self.server is not None:
+            self.server.stop(grace=None).wait()
+        if self.agent is not None:
+            self.agent.stop()
+
+    def _apply(self, revision: SettingsRevision) -> None:
+        if self.agent is not None:
+            self.agent.set_settings_number(revision.number)
+        self.on_revision(revision)
+
+    def _on_peer(self, news: PeerSettings) -> None:
+        self.actor.tell(PeerAhead(news))
+
+    def _open(self, address: str) -> grpc.Channel:
+        return open_channel(address, self.tls)
+
+    def _start_relay(self) -> str:
+        listener = self.settings.relay
+        self.server = grpc.server(ThreadPoolExecutor(RELAY_THREADS))
+        servicer = RelayServicer(ClusterId(self.settings.cluster), self.watcher)
+        dpb_grpc.add_RelayServiceServicer_to_server(servicer, self.server)
+        ip = f"[{listener.ip}]" if ":" in listener.ip else listener.ip
+        port = listen(self.server, f"{ip}:{listener.port}", self.tls)
+        self.server.start()
+        return f"{ip}:{port}"
+
+    def _tick(self) -> None:
+        while True:
+            self.actor.tell(Tick())
+            if self.stopping.wait(TICK_S):
+                return
+
+
+def start_node(
+    settings: settings_pb2.ProcessSettings,
+    client: StateClient,
+    program: str,
+    on_revision: Callable[[SettingsRevision], None],
+) -> CoordinationNode:
+    """Start membership and settings of a process.
+
+    The settings are read in the background; see `CoordinationNode`.
+
+    Raises:
+        StepError: The key or a listener can't be used.
+    """
+    return CoordinationNode(settings, client, program, on_revision)
+
+
+def _tls_files(settings: settings_pb2.ProcessSettings) -> TlsFiles | None:
+    if not settings.HasField("tls"):
+        return None
+    tls = settings.tls
+    return TlsFiles(tls.certificate, tls.private_key, tls.authority)
