Add admission, limits of client accounts, retries and streams

Cause: overload must not reach purchases, one account must not crowd out the others, retries must not add load, and streams must survive lost engines.

--- /dev/null
+++ b/src/tanagerturn/serving/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission: what starts, what waits and what is refused early."""
--- /dev/null
+++ b/src/tanagerturn/serving/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of client accounts on one entry host."""
--- /dev/null
+++ b/src/tanagerturn/serving/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retries: budget, backoff, hedging and ejection of failing backend servers."""
--- /dev/null
+++ b/tests/serving/admission/admission.feature
@@ -0,0 +1,57 @@
+@requests
+Feature: Admission
+
+  Scenario: Purchases are taken while drafting comes at three times capacity
+    Given an entry host for 64 requests with 20 slots, 20% for urgent requests
+    And the loads
+      | name      | account | priority | per_s | hold_s | deadline_s |
+      | drafts    | choir   | low      | 30    | 2.0    | 60         |
+      | purchases | family  | urgent   | 8     | 0.2    | 5          |
+    When they run for 300 seconds
+    Then 0 "purchases" were refused or overdue
+    And 99 in 100 "purchases" waited at most 0.5 seconds
+    And some "drafts" were refused
+    And 0 "drafts" were overdue
+
+  Scenario: Without the reserved room the same load hurts purchases
+    Given an entry host for 64 requests with 20 slots, 0% for urgent requests
+    And the loads
+      | name      | account | priority | per_s | hold_s | deadline_s |
+      | drafts    | choir   | low      | 30    | 2.0    | 60         |
+      | purchases | family  | urgent   | 8     | 0.2    | 5          |
+    When they run for 300 seconds
+    Then 1 in 100 "purchases" waited over 0.5 seconds
+
+  Scenario: One client account at twenty times its share leaves the others theirs
+    Given an entry host for 400 requests with 20 slots, 0% for urgent requests
+    And the loads
+      | name  | account | priority | per_s | hold_s | deadline_s |
+      | greedy| big     | normal   | 200   | 1.0    | 10         |
+      | small | parish  | normal   | 9     | 1.0    | 10         |
+    When they run for 200 seconds
+    Then 0 "small" were refused or overdue
+    And 95 in 100 "small" waited at most 3 seconds
+
+  Scenario: Patient work ends while normal work comes at twice capacity
+    Given an entry host for 400 requests with 20 slots, 0% for urgent requests
+    And the loads
+      | name   | account | priority | per_s | hold_s | deadline_s |
+      | normal | court   | normal   | 40    | 1.0    | 20         |
+      | drafts | law     | low      | 0.5   | 1.0    | 600        |
+    When they run for 300 seconds
+    Then 0 "drafts" were refused or overdue
+    And 95 in 100 "drafts" waited at most 60 seconds
+
+  Scenario: A refused request is taken after the time that it was told
+    Given an entry host for 400 requests with 10 slots, 0% for urgent requests
+    And the loads
+      | name   | account | priority | per_s | hold_s | deadline_s |
+      | normal | court   | normal   | 40    | 1.0    | 4          |
+    When they run for 60 seconds and then no others come
+    Then the last "normal" refused is taken when it comes again after its time
+
+  Scenario: A host that drains or has no backend server refuses at once
+    Given an entry host for 64 requests with 0 slots, 20% for urgent requests
+    Then a request is refused with NO_BACKEND
+    When the host drains
+    Then a request is refused with DRAINING
--- /dev/null
+++ b/tests/serving/limits/steps/limits_steps.py
@@ -0,0 +1,126 @@
+"""Steps of limits.feature."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+
+from tanagerturn.serving.limits.limiter import (
+    AccountLimiter,
+    Allowance,
+    Limit,
+    Over,
+    Within,
+    share_of,
+)
+
+ACCOUNT = "big"
+MUCH = Allowance(1e6, 10**6, 1e6)
+
+
+def make_hosts(count: int, allowance: Allowance) -> list[AccountLimiter]:
+    hosts = [AccountLimiter() for _ in range(count)]
+    for host in hosts:
+        host.set_allowance(ACCOUNT, share_of(allowance, 1 / count), 0.0)
+    return hosts
+
+
+@given("{count:d} entry hosts with equal shares of {rate:d} requests per second")
+def hosts_with_rate(context, count, rate):
+    context.hosts = make_hosts(count, Allowance(rate, 10**6, 1e6))
+
+
+@given("{count:d} entry hosts with equal shares of {limit:d} concurrent requests")
+def hosts_with_concurrency(context, count, limit):
+    context.hosts = make_hosts(count, Allowance(1e6, limit, 1e6))
+
+
+@given("1 entry host with an allowance of {tokens:d} tokens per second")
+def host_with_tokens(context, tokens):
+    context.hosts = make_hosts(1, Allowance(100, 10**6, tokens))
+
+
+@when("{rate:d} requests per second come to all hosts for {seconds:d} seconds")
+def requests_come(context, rate, seconds):
+    context.passed, context.told = 0, []
+    for number in range(rate * seconds):
+        now_s = number / rate
+        host = context.hosts[number % len(context.hosts)]
+        outcome = host.start(ACCOUNT, now_s)
+        if isinstance(outcome, Within):
+            context.passed += 1
+            host.finish(ACCOUNT, 0, now_s)
+        else:
+            context.told.append((host, now_s + outcome.retry_after_s))
+
+
+@then("between {least:d} and {most:d} requests were let through")
+def let_through(context, least, most):
+    print(f"\n{context.passed} let through")
+    assert least <= context.passed <= most, context.passed
+
+
+@then("each refusal's time was enough")
+def told_enough(context):
+    host, at_s = context.told[-1]
+    assert isinstance(host.start(ACCOUNT, at_s + 1e-6), Within)
+
+
+@when("{count:d} requests start and none ends")
+def start_many(context, count):
+    hosts = context.hosts
+    outcomes = [hosts[n % len(hosts)].start(ACCOUNT, 0.0) for n in range(count)]
+    context.passed = sum(isinstance(outcome, Within) for outcome in outcomes)
+
+
+@then("{count:d} requests were let through")
+def exactly_through(context, count):
+    assert context.passed == count
+
+
+@when("{count:d} of them end on one host")
+def some_end(context, count):
+    for _ in range(count):
+        context.hosts[0].finish(ACCOUNT, 0, 1.0)
+
+
+@then("that host lets {count:d} more through")
+def more_through(context, count):
+    outcomes = [context.hosts[0].start(ACCOUNT, 1.0) for _ in range(count + 3)]
+    assert sum(isinstance(outcome, Within) for outcome in outcomes) == count
+
+
+@when("a request ends with {tokens:d} tokens")
+def ends_with_tokens(context, tokens):
+    (host,) = context.hosts
+    assert isinstance(host.start(ACCOUNT, 0.0), Within)
+    host.finish(ACCOUNT, tokens, 0.0)
+
+
+@then("the next request is refused for {limit:w} for {least:d} to {most:d} seconds")
+def refused_for(context, limit, least, most):
+    outcome = context.hosts[0].start(ACCOUNT, 0.0)
+    assert isinstance(outcome, Over)
+    assert outcome.limit is Limit[limit]
+    assert least <= outcome.retry_after_s <= most, outcome
+    context.at_s = outcome.retry_after_s
+
+
+@then("it is let through after that time")
+def let_through_then(context):
+    assert isinstance(context.hosts[0].start(ACCOUNT, context.at_s + 1e-6), Within)
+
+
+@when("its share falls to a tenth")
+def share_falls(context):
+    allowance = share_of(Allowance(100, 10**6, 1e6), 0.1)
+    context.hosts[0].set_allowance(ACCOUNT, allowance, 1.0)
+
+
+@then("at most {count:d} requests pass in the next second")
+def pass_in_second(context, count):
+    (host,) = context.hosts
+    times = [1.0 + n / 1000 for n in range(1000)]
+    outcomes = [host.start(ACCOUNT, now_s) for now_s in times]
+    assert sum(isinstance(outcome, Within) for outcome in outcomes) <= 2 * count
+    later = [host.start(ACCOUNT, now_s + 1) for now_s in times]
+    assert sum(isinstance(outcome, Within) for outcome in later) <= count
--- /dev/null
+++ b/tests/serving/retries/retries.feature
@@ -0,0 +1,51 @@
+@requests
+Feature: Retries, hedging and ejection
+
+  Scenario: Retries stay a share of first tries when everything fails
+    Given a retry budget of 0.1
+    When 10000 first tries fail and ask for a retry each
+    Then at most 1010 retries are granted
+
+  Scenario: A budget is kept by service and client account
+    Given a retry budget of 0.1
+    When the client account "a" spends its budget
+    Then the client account "b" is granted a retry
+
+  Scenario Outline: What can't succeed, or may have run, is not retried
+    Then a <kind> call that failed <phase> with <status> is retried: <retried>
+
+    Examples:
+      | kind           | phase    | status | retried |
+      | IDEMPOTENT     | NOT_SENT | 0      | yes     |
+      | IDEMPOTENT     | SENT     | 0      | yes     |
+      | IDEMPOTENT     | ANSWERED | 503    | yes     |
+      | IDEMPOTENT     | ANSWERED | 400    | no      |
+      | IDEMPOTENT     | ANSWERED | 500    | no      |
+      | NOT_REPEATABLE | NOT_SENT | 0      | yes     |
+      | NOT_REPEATABLE | SENT     | 0      | no      |
+      | NOT_REPEATABLE | ANSWERED | 503    | no      |
+      | PATIENT        | SENT     | 0      | yes     |
+
+  Scenario: No retry on top of another layer's
+    Then a call that its caller retries is retried only when no byte left
+
+  Scenario: Backoff has full jitter, doubles to a cap and keeps the deadline
+    Then 1000 backoffs of attempt 3 spread between 0 and 0.2 seconds
+    And no backoff is over 2 seconds
+    And no retry is waited for past the deadline
+
+  Scenario: Lookups are hedged at the measured percentile
+    Given latencies of 1 to 200 ms
+    Then percentile 95 hedges after 188 to 194 ms
+    And percentile 0 never hedges
+    And no hedge comes before 100 latencies were measured
+
+  Scenario: A failing backend server is ejected, within the floor, and returns slowly
+    Given 4 backend servers
+    When "s1" fails 5 times in a row
+    Then "s1" is ejected
+    When "s2" fails 20 times in a row
+    Then "s2" is not ejected
+    And "s1" returns after 10 seconds with a weight of 0.1
+    And "s1" has a weight of 1 after 30 seconds
+    And a single backend server is never ejected
--- /dev/null
+++ b/tests/serving/retries/steps/retries_steps.py
@@ -0,0 +1,146 @@
+"""Steps of retries.feature."""
+
+from __future__ import annotations
+
+from random import Random
+
+from behave import given, then, when
+
+from tanagerturn.schema import serving_pb2 as pb
+from tanagerturn.serving.retries.backoff import CAP_S, backoff_s, wait_before_retry
+from tanagerturn.serving.retries.budget import BudgetKey, RetryBudget
+from tanagerturn.serving.retries.failures import Failure, Phase, may_retry
+from tanagerturn.serving.retries.hedging import LatencyWindow, hedge_after_s
+from tanagerturn.serving.retries.outliers import OutlierEjector
+
+SEED = 7
+
+
+@given("a retry budget of {share:g}")
+def retry_budget(context, share):
+    context.budget, context.share = RetryBudget(), share
+
+
+@when("{count:d} first tries fail and ask for a retry each")
+def all_fail(context, count):
+    key = BudgetKey("seats", "a")
+    context.granted = 0
+    for _ in range(count):
+        context.budget.first_try(key, context.share)
+        context.granted += context.budget.take(key)
+
+
+@then("at most {count:d} retries are granted")
+def granted(context, count):
+    assert 0 < context.granted <= count, context.granted
+
+
+@when('the client account "{account}" spends its budget')
+def spends(context, account):
+    while context.budget.take(BudgetKey("seats", account)):
+        pass
+
+
+@then('the client account "{account}" is granted a retry')
+def is_granted(context, account):
+    assert context.budget.take(BudgetKey("seats", account))
+
+
+@then("a {kind:w} call that failed {phase:w} with {status:d} is retried: {retried:w}")
+def is_retried(context, kind, phase, status, retried):
+    failure = Failure(Phase[phase], status)
+    found = may_retry(failure, pb.CallKind.Value(kind), retried_by_caller=False)
+    assert found == (retried == "yes")
+
+
+@then("a call that its caller retries is retried only when no byte left")
+def not_on_top(context):
+    assert may_retry(Failure(Phase.NOT_SENT), pb.IDEMPOTENT, retried_by_caller=True)
+    assert not may_retry(Failure(Phase.SENT), pb.IDEMPOTENT, retried_by_caller=True)
+
+
+@then("{count:d} backoffs of attempt {attempt:d} spread between 0 and {most:g} seconds")
+def spread(context, count, attempt, most):
+    random = Random(SEED)
+    waits = sorted(backoff_s(attempt, random) for _ in range(count))
+    assert waits[0] >= 0.0
+    assert waits[-1] <= most
+    assert waits[count // 10] < 0.15 * most
+    assert waits[count * 9 // 10] > 0.85 * most
+
+
+@then("no backoff is over {most:g} seconds")
+def capped(context, most):
+    assert most == CAP_S
+    assert max(backoff_s(attempt, Random(attempt)) for attempt in range(1, 60)) <= most
+
+
+@then("no retry is waited for past the deadline")
+def within_deadline(context):
+    assert wait_before_retry(1, 3.0, 2.0, Random(SEED)) is None
+    assert wait_before_retry(1, 1.0, 2.0, Random(SEED)) < 2.0
+
+
+@given("latencies of {least:d} to {most:d} ms")
+def latencies(context, least, most):
+    context.window = LatencyWindow()
+    for latency_ms in range(least, most + 1):
+        context.window.record(latency_ms / 1000)
+
+
+@then("percentile {percentile:g} hedges after {least:d} to {most:d} ms")
+def hedges(context, percentile, least, most):
+    found = hedge_after_s(context.window, percentile)
+    assert least <= found * 1000 <= most, found
+
+
+@then("percentile 0 never hedges")
+def never_hedges(context):
+    assert hedge_after_s(context.window, 0) is None
+
+
+@then("no hedge comes before {count:d} latencies were measured")
+def too_few(context, count):
+    window = LatencyWindow()
+    for _ in range(count - 1):
+        window.record(0.1)
+    assert hedge_after_s(window, 95) is None
+
+
+@given("{count:d} backend servers")
+def backend_servers(context, count):
+    context.servers = [f"s{number}" for number in range(1, count + 1)]
+    context.ejector = OutlierEjector()
+
+
+@when('"{server}" fails {count:d} times in a row')
+def fails(context, server, count):
+    for _ in range(count):
+        context.ejector.failed(server, context.servers, 0.0)
+
+
+@then('"{server}" is ejected')
+def ejected(context, server):
+    assert context.ejector.is_ejected(server, 0.0)
+
+
+@then('"{server}" is not ejected')
+def not_ejected(context, server):
+    assert not context.ejector.is_ejected(server, 0.0)
+
+
+@then('"{server}" returns after {seconds:g} seconds with a weight of {weight:g}')
+def returns(context, server, seconds, weight):
+    assert context.ejector.weight(server, seconds - 0.001) == 0.0
+    assert context.ejector.weight(server, seconds + 0.001) == weight
+
+
+@then('"{server}" has a weight of 1 after {seconds:g} seconds')
+def full_weight(context, server, seconds):
+    assert context.ejector.weight(server, seconds + 0.001) == 1.0
+
+
+@then("a single backend server is never ejected")
+def single(context):
+    ejector = OutlierEjector()
+    assert not any(ejector.failed("s1", ["s1"], 0.0) for _ in range(50))
--- /dev/null
+++ b/tests/serving/streams/steps/streams_steps.py
@@ -0,0 +1,155 @@
+"""Steps of streams.feature."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from behave import given, then, when
+from hypothesis import Phase, settings
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+
+from tanagerturn.serving.streams.assembler import OutOfOrderError, StreamAssembler
+from tanagerturn.serving.streams.chunks import Chunk, LossCause
+from tanagerturn.serving.streams.stalls import make_stall_limits, silence_limit_s
+
+REQUEST = "r1"
+LENGTH = 40
+PHASES = (Phase.explicit, Phase.generate)
+
+
+class AnyAttemptAssembler(StreamAssembler):
+    """Takes chunks of any attempt: a planted fault."""
+
+    def accept(self, chunk: Chunk) -> list[Chunk]:
+        """Take a chunk as one of the present attempt."""
+        return super().accept(replace(chunk, attempt=self.attempt))
+
+
+def words(attempt: int) -> list[str]:
+    """Return the tokens that an attempt makes: another answer each time."""
+    return [f"{attempt}:{n} " for n in range(LENGTH)]
+
+
+def chunks_of(attempt: int, start: int, sizes: list[int]) -> list[Chunk]:
+    chunks = []
+    offset = start
+    for size in [*sizes, LENGTH]:
+        size = min(size, LENGTH - offset)
+        if size == 0:
+            break
+        text = "".join(words(attempt)[offset : offset + size])
+        chunks.append(Chunk(REQUEST, attempt, offset, size, text))
+        offset += size
+    return chunks
+
+
+def run_stream(make, draw) -> None:
+    """Run one stream to its end and check what the caller got."""
+    stream = make(REQUEST)
+    got: list[Chunk] = []
+    old: list[Chunk] = []
+    expected = ""
+    sizes = st.lists(st.integers(1, 5), max_size=12)
+    for last in (False, False, True):
+        start = stream.delivered
+        chunks = chunks_of(stream.attempt, start, draw(sizes))
+        own = chunks if last else chunks[: draw(st.integers(0, len(chunks)))]
+        noise = [*old, *(replace(c, request_id="r2") for c in chunks[:2]), *own[:2]]
+        mixed = draw(st.permutations([*own, *noise]))
+        for chunk in mixed:
+            got.extend(stream.accept(chunk))
+        expected += "".join(words(stream.attempt)[start : stream.delivered])
+        old.extend(chunks)
+        if not last:
+            stream.resume(LossCause.ENGINE_LOST)
+    assert stream.delivered == LENGTH
+    assert sum(chunk.tokens for chunk in got) == LENGTH
+    assert "".join(chunk.text for chunk in got) == expected
+
+
+def all_whole(make) -> None:
+    @settings(max_examples=150, phases=PHASES, report_multiple_bugs=False)
+    @for_all(st.data())
+    def check(data):
+        run_stream(make, data.draw)
+
+    check()
+
+
+@then("streams over lost engines with late, repeated and foreign chunks are whole")
+def whole(context):
+    all_whole(StreamAssembler)
+
+
+@given("an assembler that takes chunks of any attempt")
+def planted(context):
+    context.make = AnyAttemptAssembler
+
+
+@then("streams over lost engines with late, repeated and foreign chunks are not whole")
+def not_whole(context):
+    try:
+        all_whole(context.make)
+    except (AssertionError, OutOfOrderError):
+        return
+    raise AssertionError("the planted fault was not found")
+
+
+@given('a stream that delivered "{text}" as {tokens:d} tokens')
+def delivered(context, text, tokens):
+    context.stream = StreamAssembler(REQUEST)
+    context.stream.accept(Chunk(REQUEST, 1, 0, tokens, text))
+
+
+@when("its engine is lost by {cause:w}")
+def lost(context, cause):
+    context.resume = context.stream.resume(LossCause[cause])
+
+
+@then('attempt {attempt:d} resumes from {tokens:d} with "{text}"')
+def resumes(context, attempt, tokens, text):
+    found = context.resume
+    assert (found.attempt, found.resume_from) == (attempt, tokens)
+    assert found.continuation == text
+
+
+@then("a chunk of attempt {attempt:d} is dropped as late")
+def dropped_late(context, attempt):
+    stream = context.stream
+    assert stream.accept(Chunk(REQUEST, attempt, stream.delivered, 1, "x")) == []
+    assert stream.dropped.late == 1
+
+
+@then("{tokens:d} recomputed tokens are counted for {cause:w}")
+def recomputed(context, tokens, cause):
+    context.stream.count_recomputed(tokens)
+    assert context.stream.recomputed == {LossCause[cause]: tokens}
+
+
+@then("{count:d} chunks after a gap end the attempt")
+def gap(context, count):
+    stream = context.stream
+    for number in range(count - 1):
+        stream.accept(Chunk(REQUEST, 1, 10 + number, 1, "x"))
+    try:
+        stream.accept(Chunk(REQUEST, 1, 10 + count, 1, "x"))
+    except OutOfOrderError:
+        return
+    raise AssertionError("the attempt went on")
+
+
+@then(
+    "with targets of {first:d} ms and {token:d} ms the limits are "
+    "{first_s:g} and {token_s:g} seconds"
+)
+def stall_limits(context, first, token, first_s, token_s):
+    context.limits = make_stall_limits(first, token)
+    found = [silence_limit_s(context.limits, has, 1e9) for has in (False, True)]
+    assert [round(s, 6) for s in found] == [first_s, token_s], found
+
+
+@then("no limit goes past the deadline")
+def within_deadline(context):
+    assert silence_limit_s(context.limits, False, 1.5) == 1.5
+    assert silence_limit_s(context.limits, True, -1.0) == 0.0
