Let operators drain processes, list and resolve requests, and use certificates

Cause: a drain needed a signal on the host, requests with an unknown outcome had no command, and programs did not pass their certificates on. Result: the separate-process test drains an entry process by command (exit code 0) and lists services, accounts, requests, history and members.

--- a/src/tanagerturn/control/main.py
+++ b/src/tanagerturn/control/main.py
@@ -6,7 +6,7 @@
 
 import click
 
-from tanagerturn.program import VERSION, read_settings, run_program
+from tanagerturn.program import VERSION, read_settings, run_program, tls_files
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,12 +27,15 @@
     run_program(settings, _start)
 
 
-def _start(settings: ProcessSettings) -> Callable[[], int]:
+def _start(settings: ProcessSettings, drain: Callable[[], None]) -> Callable[[], int]:
     from tanagerturn.control.server import start_control
     from tanagerturn.coordination.remote import connect
 
-    client = connect([member.address for member in settings.state_members])
+    client = connect(
+        [member.address for member in settings.state_members], tls_files(settings)
+    )
     server = start_control(settings, client)
+    server.operations.commands["/drain"] = drain
 
     def stop() -> int:
         server.stop()
--- a/src/tanagerturn/observe/operations.py
+++ b/src/tanagerturn/observe/operations.py
@@ -94,7 +94,7 @@
         registry: CollectorRegistry,
         ready: Callable[[], bool],
         dump: Callable[[], Any],
-        commands: dict[str, Callable[[], Any]] | None = None,
+        commands: dict[str, Callable[[], object]] | None = None,
     ) -> None:
         self.registry = registry
         """Metrics of the process."""
--- a/src/tanagerturn/operator/main.py
+++ b/src/tanagerturn/operator/main.py
@@ -8,10 +8,12 @@
 
 import click
 
+from tanagerturn.coordination.channels import TlsFiles
 from tanagerturn.operator.config import config
 from tanagerturn.operator.deployment import account, service
 from tanagerturn.operator.output import Output
 from tanagerturn.operator.processes import drain, dump, member, status
+from tanagerturn.operator.requests import request
 from tanagerturn.operator.session import Session
 from tanagerturn.program import VERSION
 
@@ -19,6 +21,9 @@
 @click.group(epilog=(__doc__ or "").partition("\n\n")[2])
 @click.option("--member", "members", multiple=True, help="State member IP:PORT.")
 @click.option("--settings", "settings_file", default="", help="A process's settings.")
+@click.option("--certificate", default="", help="PEM file, with mutual TLS.")
+@click.option("--private-key", default="", help="PEM file of its key.")
+@click.option("--authority", default="", help="PEM file of the authority.")
 @click.option("--timeout", default=5.0, help="Longest time of one call, in seconds.")
 @click.option(
     "--output", type=click.Choice(["table", "json"]), default="table", show_default=True
@@ -29,12 +34,18 @@
     context: click.Context,
     members: tuple[str, ...],
     settings_file: str,
+    certificate: str,
+    private_key: str,
+    authority: str,
     timeout: float,
     output: str,
 ) -> None:
     """Operate a tanagerturn deployment."""
-    context.obj = Session(Output(output), members, settings_file, timeout)
+    tls = None
+    if certificate or private_key or authority:
+        tls = TlsFiles(certificate, private_key, authority)
+    context.obj = Session(Output(output), members, settings_file, tls, timeout)
 
 
-for command in (config, service, account, member, status, drain, dump):
+for command in (config, service, account, request, member, status, drain, dump):
     main.add_command(command)
--- a/src/tanagerturn/operator/session.py
+++ b/src/tanagerturn/operator/session.py
@@ -19,13 +19,16 @@
     SettingsHistory,
     SettingsInvalid,
 )
+from tanagerturn.program import tls_files
 from tanagerturn.settings import SettingsError, load_process
 
 if TYPE_CHECKING:
     from expression import Result
 
+    from tanagerturn.coordination.channels import TlsFiles
     from tanagerturn.coordination.remote import RemoteStateClient
     from tanagerturn.operator.output import Output
+    from tanagerturn.schema.settings_pb2 import ProcessSettings
 
 HTTP_TIMEOUT_S: Final = 5.0
 
@@ -50,6 +53,8 @@
     """Addresses of state members given on the command line."""
     settings_file: str = ""
     """Process settings that name the state members."""
+    tls: TlsFiles | None = None
+    """Certificates; those of the settings file when left out."""
     timeout_s: float = 5.0
     """Longest time of one call, in seconds."""
     http: urllib3.PoolManager = field(
@@ -62,24 +67,34 @@
         """Return the connection to the state members."""
         from tanagerturn.coordination.remote import connect
 
-        return connect(self.addresses())
+        return connect(self.addresses(), self.certificates())
 
     @cached_property
     def history(self) -> SettingsHistory:
         """Return the history of the deployment's settings."""
         return SettingsHistory(self.client, CONTROL_GROUP, timeout_s=self.timeout_s)
 
-    def addresses(self) -> list[str]:
-        """Return the addresses of the state members."""
-        if self.members:
-            return list(self.members)
+    @cached_property
+    def process(self) -> ProcessSettings:
+        """Return the settings of the process that names the state members."""
         if not self.settings_file:
             fail(ExitCode.INVALID, "Name state members by --member or --settings.")
         try:
-            settings = load_process(self.settings_file)
+            return load_process(self.settings_file)
         except SettingsError as error:
-            fail(ExitCode.INVALID, str(error))
-        return [member.address for member in settings.state_members]
+            return fail(ExitCode.INVALID, str(error))
+
+    def addresses(self) -> list[str]:
+        """Return the addresses of the state members."""
+        if self.members:
+            return list(self.members)
+        return [member.address for member in self.process.state_members]
+
+    def certificates(self) -> TlsFiles | None:
+        """Return the certificates to connect with; None for plain TCP."""
+        if self.tls is not None or not self.settings_file:
+            return self.tls
+        return tls_files(self.process)
 
     def expect(self, result: Result[Any, StepError]) -> Any:
         """Return the value of a result, or end with its error."""
--- a/src/tanagerturn/program.py
+++ b/src/tanagerturn/program.py
@@ -5,22 +5,25 @@
 import signal
 import sys
 import threading
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
 import click
 
+from tanagerturn.coordination.channels import TlsFiles
 from tanagerturn.observe.logs import part_logger, set_up_logs
 from tanagerturn.settings import SettingsError, load_process
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from tanagerturn.schema.settings_pb2 import ProcessSettings
 
 VERSION: Final = "0.1.0"
 EXIT_SETTINGS: Final = 2
 EXIT_UNFINISHED: Final = 3
 
+Start = Callable[["ProcessSettings", Callable[[], None]], Callable[[], int]]
+"""Starts a program's parts; see `run_program`."""
+
 log = part_logger("process")
 
 
@@ -43,17 +46,24 @@
     return settings
 
 
-def run_program(
-    settings: ProcessSettings, start: Callable[[ProcessSettings], Callable[[], int]]
-) -> None:
-    """Run until SIGTERM or SIGINT, then stop gracefully.
+def tls_files(settings: ProcessSettings) -> TlsFiles | None:
+    """Return the certificates that a process's settings name, or None."""
+    if not settings.HasField("tls"):
+        return None
+    tls = settings.tls
+    return TlsFiles(tls.certificate, tls.private_key, tls.authority)
+
+
+def run_program(settings: ProcessSettings, start: Start) -> None:
+    """Run until SIGTERM, SIGINT or a drain command, then stop gracefully.
 
     A second signal ends the process at once.
 
     Args:
         settings: Settings of the process.
-        start: Starts the parts; returns what stops them and counts what was
-            left unfinished.
+        start: Starts the parts. It gets the settings and a function that makes
+            the program stop; it returns what stops the parts and counts what
+            was left unfinished.
     """
     set_up_logs(settings.logging, settings.id)
     stopping = threading.Event()
@@ -66,7 +76,7 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, on_signal)
-    stop = start(settings)
+    stop = start(settings, stopping.set)
     while not stopping.wait(timeout=0.5):
         pass
     sys.exit(EXIT_UNFINISHED if stop() else 0)
--- a/src/tanagerturn/state/main.py
+++ b/src/tanagerturn/state/main.py
@@ -30,7 +30,7 @@
     run_program(settings, _start)
 
 
-def _start(settings: ProcessSettings) -> Callable[[], int]:
+def _start(settings: ProcessSettings, drain: Callable[[], None]) -> Callable[[], int]:
     from prometheus_client import REGISTRY
 
     from tanagerturn.observe.operations import OperationsServer
@@ -38,7 +38,7 @@
 
     server = start_state(settings)
     operations = OperationsServer(
-        settings.operations, REGISTRY, server.ready, server.dump
+        settings.operations, REGISTRY, server.ready, server.dump, {"/drain": drain}
     )
 
     def stop() -> int:
--- a/tests/programs/programs.feature
+++ b/tests/programs/programs.feature
@@ -14,6 +14,8 @@
     When the operator applies a settings change twice with one change id
     Then revision 2 is in force on every entry process
     And a change that expects revision 1 gets exit code 3
+    And the operator's lists show the services, accounts and answered requests
+    And the operator drains the second entry, which ends with code 0
     And all remaining processes stop gracefully
 
   Scenario: Programs check their settings and explain faults
--- a/tests/programs/steps/programs_steps.py
+++ b/tests/programs/steps/programs_steps.py
@@ -206,6 +206,33 @@
     assert "revision 2" in done.stderr.lower(), done.stderr
 
 
+@then("the operator's lists show the services, accounts and answered requests")
+def operator_lists(context):
+    def names(column: str, *arguments: str) -> set[str]:
+        done = tanager(context, *arguments)
+        assert done.returncode == 0, done.stderr
+        return {row[column] for row in orjson.loads(done.stdout)}
+
+    assert names("service", "service", "list", "--site", "kigali") == {
+        "drafts",
+        "seats",
+    }
+    assert len(names("account", "account", "list", "--site", "kigali")) == 5
+    keys = names("idempotency_key", "request", "list", "--state", "answered")
+    assert keys >= set(context.purchases), keys
+    assert not names("idempotency_key", "request", "list", "--state", "outcome_unknown")
+    assert names("number", "config", "history") == {1, 2}
+    assert names("leader", "member", "list") == {"", "yes"}
+
+
+@then("the operator drains the second entry, which ends with code {code:d}")
+def drain_entry(context, code):
+    entry = context.cluster.entries[1]
+    done = tanager(context, "drain", entry.operations)
+    assert done.returncode == 0, done.stderr
+    assert entry.popen.wait(30) == code
+
+
 @then("all remaining processes stop gracefully")
 def stop_all(context):
     cluster = context.cluster
