Measure the slopes of the capacity page; merge settings and hold memory leaner

Cause: merging a deployment parsed every default of the schema as YAML again and used the slow parser; and each thread of an entry process kept a heap of its own.

--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,298 @@
+"""Measures the slopes that docs/CAPACITY.md is worked out from.
+
+Run: PYTHONPATH=src:tests python bench/capacity.py [--out FILE] [PART ...]
+Parts: announcements, view, routing, membership, settings, store. Each is
+measured at several sizes in this process; the result file keeps all points.
+"""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import random
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import numpy as np
+import orjson
+import psutil
+from google.protobuf import json_format
+
+from support.membership_network import Network
+from tanagerturn.coordination.membership.codec import seal, unseal
+from tanagerturn.coordination.membership.config import MembershipConfig
+from tanagerturn.coordination.store import Store
+from tanagerturn.entry.announcements import parse_announcement
+from tanagerturn.schema import coordination_pb2, serving_pb2
+from tanagerturn.serving.backends.view import make_backend_view
+from tanagerturn.serving.routing.choose import choose
+from tanagerturn.serving.routing.messages import RouteRequest
+from tanagerturn.settings import merge_sites
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+OUT = Path(__file__).parents[1] / "docs" / "measurements" / "data" / "capacity.json"
+NOW_MS = 1_790_000_000_000
+ZONES = {"west": ["a", "b", "c", "d"], "east": ["e", "f", "g"]}
+CACHE_BLOCKS = 64
+
+
+def make_announcement(number: int, sequence: int) -> serving_pb2.Announcement:
+    """Return an announcement of an ordinary engine under load."""
+    blocks = [
+        f"{random.Random(number * 1000 + i).getrandbits(64):016x}" for i in range(4)
+    ]
+    return serving_pb2.Announcement(
+        id=f"engine-{number}",
+        address=f"127.0.{number // 250}.{number % 250 + 1}:8000",
+        incarnation="i1",
+        sequence=sequence,
+        services=["drafts"],
+        models=[
+            serving_pb2.LoadedModel(model="writer", version="1", ready=True),
+        ],
+        role=serving_pb2.BOTH,
+        availability_zone="abcdefg"[number % 7],
+        host_class="standard",
+        reclaimable=number % 100 < 61,
+        price_per_hour=1.2,
+        checks_fencing=True,
+        load=serving_pb2.LoadReport(
+            running=8 + number % 5, kv_used=0.4, tokens_per_s=1276, read_at_ms=NOW_MS
+        ),
+        cache_events=[
+            serving_pb2.CacheEvent(
+                sequence=sequence, action=serving_pb2.CacheEvent.STORED, blocks=blocks
+            )
+        ],
+        slots=32,
+        kv_tokens=65536,
+        heartbeat_ms=1000,
+    )
+
+
+def cpu_us(run: Callable[[], object], times: int) -> float:
+    """Return the processor time of one run in microseconds."""
+    run()
+    started = time.process_time()
+    for _ in range(times):
+        run()
+    return (time.process_time() - started) / times * 1e6
+
+
+def rss_mb() -> float:
+    """Return the resident memory of this process in megabytes."""
+    gc.collect()
+    return psutil.Process().memory_info().rss / 2**20
+
+
+def fill_view(engines: int):
+    """Return a view of several engines."""
+    view = make_backend_view()
+    for number in range(engines):
+        accepted = view.on_announcement(make_announcement(number, 1), NOW_MS)
+        assert accepted.is_ok(), accepted
+    return view
+
+
+def measure_announcements() -> dict[str, Any]:
+    """Processor time and bytes of one announcement at an entry process."""
+    points = []
+    for engines in (10, 50, 200, 760):
+        view = fill_view(engines)
+        bodies = [
+            json_format.MessageToJson(make_announcement(n, 2), indent=None).encode()
+            for n in range(engines)
+        ]
+        started = time.process_time()
+        for body in bodies:
+            view.on_announcement(parse_announcement(body), NOW_MS + 1)
+        us = (time.process_time() - started) / engines * 1e6
+        size = float(np.mean([len(body) for body in bodies]))
+        points.append({"engines": engines, "cpu_us": us, "bytes": size})
+    return {"points": points}
+
+
+def measure_view() -> dict[str, Any]:
+    """Memory of the view of engines, by engines."""
+    points = []
+    for engines in (100, 400, 1600):
+        before = rss_mb()
+        view = fill_view(engines)
+        points.append({"engines": engines, "mb": rss_mb() - before})
+        del view
+    return {"points": points}
+
+
+def measure_routing() -> dict[str, Any]:
+    """Processor time of one routing decision, by engines."""
+    points = []
+    for engines in (10, 50, 200, 760):
+        view = fill_view(engines)
+        chooser = random.Random(1)
+        request = RouteRequest(
+            service="drafts",
+            model="writer",
+            deadline_ms=NOW_MS + 60_000,
+            prompt_tokens=2000,
+            output_tokens=300,
+        )
+
+        def decide() -> None:
+            decision = choose(view, request, NOW_MS + 1, chooser)  # noqa: B023
+            assert decision.is_ok()
+
+        points.append({"engines": engines, "cpu_us": cpu_us(decide, 300)})
+    return {"points": points}
+
+
+def measure_membership() -> dict[str, Any]:
+    """Bytes, processor time and memory of membership, by processes."""
+    points = []
+    for processes in (10, 50, 100, 200):
+        before = rss_mb()
+        network = Network(3, ZONES, MembershipConfig("capacity"))
+        network.start(processes)
+        network.know_all()
+        network.run(20_000)
+        memory = (rss_mb() - before) / processes
+        network.measure = True
+        packets, second = network.packets, network.now // 1000
+        started = time.process_time()
+        network.run(60_000)
+        spent = time.process_time() - started
+        sent = network.packets - packets
+        by_node = [
+            sum(n for at, n in node.bytes_at.items() if at >= second) / 60
+            for node in network.nodes.values()
+        ]
+        points.append(
+            {
+                "processes": processes,
+                "bytes_per_s_mean": float(np.mean(by_node)),
+                "bytes_per_s_max": float(np.max(by_node)),
+                "packets_per_s": sent / 60 / processes,
+                "cpu_us_per_s": spent / 60 / processes * 1e6,
+                "mb": memory,
+            }
+        )
+    network.measure = True
+    return {"points": points, "seal_us": measure_sealing()}
+
+
+def measure_sealing() -> float:
+    """Processor time of authenticating a packet at both ends."""
+    network = Network(3, ZONES, MembershipConfig("capacity"))
+    network.start(20)
+    network.run(3000)
+    core = next(iter(network.nodes.values())).core
+    packets = [d.packet for at in range(20) for d in core.tick(4000 + at * 500)]
+    packet = max(packets, key=lambda p: p.ByteSize())
+
+    def both_ends() -> None:
+        unseal(seal(packet, b"k" * 16), b"k" * 16, "capacity")
+
+    return cpu_us(both_ends, 2000)
+
+
+def measure_settings() -> dict[str, Any]:
+    """Processor time to merge and check a deployment, by services."""
+    points = []
+    for services in (2, 8, 32, 128):
+        entries = "".join(
+            f"- name: s{n}\n  type: model\n  models:\n  - model: m{n}\n"
+            f'    version: "1"\n'
+            for n in range(services)
+        )
+        files = {
+            "base": "services:\n" + entries,
+            "site/x": "services:\n- name: s0\n  deadline_ms: 1000\n",
+        }
+        size = sum(len(text) for text in files.values())
+        points.append(
+            {
+                "services": services,
+                "bytes": size,
+                "cpu_us": cpu_us(lambda: merge_sites(files), 5),  # noqa: B023
+            }
+        )
+    return {"points": points}
+
+
+def measure_store() -> dict[str, Any]:
+    """Processor time and memory of request records in the store."""
+    points = []
+    for records in (1000, 5000, 20000):
+        before = rss_mb()
+        store = Store()
+        started = time.process_time()
+        for number in range(records):
+            put_record(store, number)
+        us = (time.process_time() - started) / records * 1e6
+        points.append({"records": records, "cpu_us": us, "mb": rss_mb() - before})
+        del store
+    return {"points": points}
+
+
+def put_record(store: Store, number: int) -> None:
+    """Write a request record of ordinary size as the entry processes do."""
+    record = serving_pb2.RequestRecord(
+        client_account="families-app",
+        idempotency_key=f"order-{number}",
+        request_id=f"{number:032x}",
+        state=serving_pb2.ANSWERED,
+        answer=serving_pb2.Answer(status=200, body=b"x" * 200),
+    )
+    put = coordination_pb2.Put(
+        key=f"request/families-app/order-{number}", value=record.SerializeToString()
+    )
+    transaction = coordination_pb2.Transaction(puts=[put])
+    store.apply(coordination_pb2.Command(transaction=transaction))
+
+
+PARTS = {
+    "announcements": measure_announcements,
+    "view": measure_view,
+    "routing": measure_routing,
+    "membership": measure_membership,
+    "settings": measure_settings,
+    "store": measure_store,
+}
+
+
+def fit_line(xs: list[float], ys: list[float]) -> dict[str, float]:
+    """Return the least-squares line through points and its relative error."""
+    slope, base = np.polyfit(xs, ys, 1)
+    fitted = np.array(xs) * slope + base
+    scale = max(abs(float(np.mean(ys))), 1e-9)
+    error = float(np.sqrt(np.mean((fitted - np.array(ys)) ** 2))) / scale
+    return {"slope": float(slope), "base": float(base), "relative_error": error}
+
+
+def main() -> None:
+    """Measure the parts that are named, all by default."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("parts", nargs="*", default=list(PARTS))
+    parser.add_argument("--out", type=Path, default=OUT)
+    options = parser.parse_args()
+    results = orjson.loads(options.out.read_bytes()) if options.out.exists() else {}
+    for name in options.parts:
+        result = PARTS[name]()
+        points = result["points"]
+        size = next(iter(points[0]))
+        result["fits"] = {
+            key: fit_line([p[size] for p in points], [p[key] for p in points])
+            for key in points[0]
+            if key != size
+        }
+        results[name] = result
+        print(name, orjson.dumps(result["fits"]).decode())
+    results["date"] = time.strftime("%Y-%m-%d", time.gmtime())
+    text = orjson.dumps(results, option=orjson.OPT_INDENT_2 | orjson.OPT_SORT_KEYS)
+    options.out.write_bytes(text + b"\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/tanagerturn/program.py
+++ b/src/tanagerturn/program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ctypes
 import signal
 import sys
 import threading
@@ -20,6 +21,11 @@
 VERSION: Final = "0.1.0"
 EXIT_SETTINGS: Final = 2
 EXIT_UNFINISHED: Final = 3
+ARENA_OPTION: Final = -8
+"""M_ARENA_MAX of the C library's mallopt."""
+
+ARENA_LIMIT: Final = 2
+"""Heaps of the C library; one for each thread would keep freed memory apart."""
 
 Start = Callable[["ProcessSettings", Callable[[], None]], Callable[[], int]]
 """Starts a program's parts; see `run_program`."""
@@ -54,6 +60,13 @@
     return TlsFiles(tls.certificate, tls.private_key, tls.authority)
 
 
+def limit_arenas() -> None:
+    """Bound the number of the C library's heaps, where it has such a setting."""
+    mallopt = getattr(ctypes.CDLL(None), "mallopt", None)
+    if mallopt is not None:
+        mallopt(ARENA_OPTION, ARENA_LIMIT)
+
+
 def run_program(settings: ProcessSettings, start: Start) -> None:
     """Run until SIGTERM, SIGINT or a drain command, then stop gracefully.
 
@@ -65,6 +78,7 @@
             the program stop; it returns what stops the parts and counts what
             was left unfinished.
     """
+    limit_arenas()
     set_up_logs(settings.logging, settings.id)
     stopping = threading.Event()
 
--- a/src/tanagerturn/settings/_fill.py
+++ b/src/tanagerturn/settings/_fill.py
@@ -89,8 +89,7 @@
             self._fault_text(place, path, "nothing", ["a value; it is required"])
             return
         if allowed.default:
-            default = Node(yaml.safe_load(allowed.default), Place("default", 0))
-            self._fill_field(message, field, default, path)
+            self._fill_field(message, field, _default_of(field), path)
             return
         if allowed.optional_part:
             return
@@ -172,6 +171,11 @@
     return str(node.value[key.name].value)
 
 
+@cache
+def _default_of(field: Field) -> Node:
+    return Node(yaml.safe_load(allowed_of(field).default), Place("default", 0))
+
+
 @cache
 def _fully_defaulted(field: Field) -> bool:
     return not any(allowed_of(f).required for f in field.message_type.fields)
--- a/src/tanagerturn/settings/_nodes.py
+++ b/src/tanagerturn/settings/_nodes.py
@@ -9,6 +9,9 @@
 
 from tanagerturn.settings.faults import Fault, Place, SettingsError
 
+LOADER: Final = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+"""The C parser where PyYAML has it: changes are merged at every process."""
+
 DOCUMENT_LIMIT_BYTES: Final = 4 * 1024 * 1024
 DEPTH_LIMIT: Final = 32
 
@@ -53,7 +56,7 @@
         _refuse(Place(file, 1), "a larger document", f"{DOCUMENT_LIMIT_BYTES} bytes")
     try:
         _check_events(text, file)
-        top = yaml.compose(text, Loader=yaml.SafeLoader)
+        top = yaml.compose(text, Loader=LOADER)
     except yaml.YAMLError as error:
         mark = getattr(error, "problem_mark", None)
         line = mark.line + 1 if mark else 1
@@ -69,7 +72,7 @@
 def _check_events(text: str, file: str) -> None:
     # Aliases can blow a small text up, and deep nesting exhausts the stack.
     depth = 0
-    for event in yaml.parse(text, Loader=yaml.SafeLoader):
+    for event in yaml.parse(text, Loader=LOADER):
         place = Place(file, event.start_mark.line + 1 if event.start_mark else 1)
         if isinstance(event, yaml.AliasEvent):
             _refuse(place, "an alias", "values written out")
