--- a/src/tanagerturn/coordination/dissemination/delta.py
+++ b/src/tanagerturn/coordination/dissemination/delta.py
@@ -1,4 +1,4 @@
-"""Deltas between settings revisions, file by file."""
+"""Deltas between settings revisions: the changed stretch of each file."""
 
 from __future__ import annotations
 
@@ -38,8 +38,13 @@
     known = {file.name: file.content for file in before.files}
     kept = {file.name for file in after.files}
     delta.from_number = before.number
-    delta.changed.extend(f for f in after.files if known.get(f.name) != f.content)
     delta.removed.extend(name for name in known if name not in kept)
+    for file in after.files:
+        earlier = known.get(file.name)
+        if earlier is None:
+            delta.changed.append(file)
+        elif earlier != file.content:
+            delta.edits.append(_edit(file.name, earlier, file.content))
     return delta
 
 
@@ -54,6 +59,10 @@
         files.pop(name, None)
     for file in delta.changed:
         files[file.name] = file
+    for edit in delta.edits:
+        if edit.name not in files:
+            return Error(f"there is no file {edit.name} to edit")
+        files[edit.name] = _edited(files[edit.name], edit)
     after = _without_files(delta.revision)
     after.files.extend(files[name] for name in sorted(files))
     if digest_files(after.files) != delta.digest:
@@ -66,3 +75,28 @@
     header.CopyFrom(revision)
     del header.files[:]
     return header
+
+
+def _edit(name: str, before: str, after: str) -> dpb.FileEdit:
+    start = _common_length(before, after)
+    end = _common_length(before[start:][::-1], after[start:][::-1])
+    middle = after[start : len(after) - end]
+    return dpb.FileEdit(name=name, keep_start=start, keep_end=end, middle=middle)
+
+
+def _common_length(one: str, other: str) -> int:
+    low, high = 0, min(len(one), len(other))
+    while low < high:
+        middle = (low + high + 1) // 2
+        if one[:middle] == other[:middle]:
+            low = middle
+        else:
+            high = middle - 1
+    return low
+
+
+def _edited(file: pb.SettingsFile, edit: dpb.FileEdit) -> pb.SettingsFile:
+    # A wrong edit gives a wrong digest.
+    start = file.content[: edit.keep_start]
+    end = file.content[max(0, len(file.content) - edit.keep_end) :]
+    return pb.SettingsFile(name=file.name, content=start + edit.middle + end)
--- a/src/tanagerturn/coordination/membership/gossip.py
+++ b/src/tanagerturn/coordination/membership/gossip.py
@@ -84,13 +84,13 @@
     """A token bucket over sent bytes.
 
     Args:
-        bytes_per_s: Rate at which the bucket fills; it holds two seconds' worth.
+        bytes_per_s: Rate at which the bucket fills; it holds what a second gives.
     """
 
     def __init__(self, bytes_per_s: int) -> None:
         self.bytes_per_s = bytes_per_s
         """Rate at which the bucket fills."""
-        self.left = float(2 * bytes_per_s)
+        self.left = float(bytes_per_s)
         """Bytes that may be sent now; negative after packets that can't wait."""
         self.filled_at_ms: int | None = None
         """When it was last filled."""
@@ -99,9 +99,9 @@
         """Add what the time since the last fill gives."""
         if self.filled_at_ms is not None:
             gained = (now_ms - self.filled_at_ms) * self.bytes_per_s / 1000
-            self.left = min(2.0 * self.bytes_per_s, self.left + gained)
+            self.left = min(float(self.bytes_per_s), self.left + gained)
         self.filled_at_ms = now_ms
 
     def spend(self, size: int) -> None:
         """Note sent bytes."""
-        self.left = max(-2.0 * self.bytes_per_s, self.left - size)
+        self.left = max(-float(self.bytes_per_s), self.left - size)
--- a/tests/coordination/dissemination/dissemination.feature
+++ b/tests/coordination/dissemination/dissemination.feature
@@ -1,13 +1,16 @@
 @state
 Feature: Settings reach every process and only ever grow in revision
 
-  Scenario: A delta carries only the files that changed
-    Given revision 1 with files "base=a site/x=b site/y=c"
-    And revision 2 with files "base=a site/x=d site/z=e"
-    Then the delta from 1 to 2 changes "site/x site/z" and removes "site/y"
+  Scenario: A delta carries only what changed
+    Given revision 1 with files "base=a site/x=one-2-three site/y=c"
+    And revision 2 with files "base=a site/x=one-5-three site/z=e"
+    Then the delta from 1 to 2 edits "site/x" with "5", adds "site/z" and removes "site/y"
     And the delta applied to revision 1 gives revision 2
     And the delta applied to another revision 1 is refused
 
+  Scenario: A delta leads from any files to any others
+    Then deltas between random files give the later files
+
   Scenario: A watcher follows the state group through changes
     Given a settings group with 3 changes
     When a watcher starts
--- a/tests/coordination/dissemination/steps/dissemination_steps.py
+++ b/tests/coordination/dissemination/steps/dissemination_steps.py
@@ -8,6 +8,8 @@
 
 import grpc
 from behave import given, then, when
+from hypothesis import given as hypothesis_given
+from hypothesis import strategies as st
 
 from support.faulty_client import FaultyClient
 from tanagerturn.coordination.dissemination.delta import apply_delta, make_delta
@@ -64,13 +66,37 @@
     context.revisions = {**getattr(context, "revisions", {}), number: revision}
 
 
-@then('the delta from 1 to 2 changes "{changed}" and removes "{removed}"')
-def delta_has(context, changed, removed):
+@then(
+    'the delta from 1 to 2 edits "{edited}" with "{text}", adds "{added}" and '
+    'removes "{removed}"'
+)
+def delta_has(context, edited, text, added, removed):
     context.delta = make_delta(context.revisions[1], context.revisions[2])
-    assert [f.name for f in context.delta.changed] == changed.split()
+    assert [(e.name, e.middle) for e in context.delta.edits] == [(edited, text)]
+    assert [f.name for f in context.delta.changed] == added.split()
     assert list(context.delta.removed) == removed.split()
 
 
+@then("deltas between random files give the later files")
+def random_deltas(context):
+    content = st.text(st.sampled_from("ab\u00e9\n"), max_size=8)
+    files = st.dictionaries(st.sampled_from(["base", "site/x", "site/y"]), content)
+
+    def revision(number, contents):
+        listed = [pb.SettingsFile(name=n, content=c) for n, c in contents.items()]
+        listed.sort(key=lambda file: file.name)
+        return pb.SettingsRevision(number=number, files=listed)
+
+    @hypothesis_given(files, files)
+    def check(before, after):
+        first, second = revision(1, before), revision(2, after)
+        assert apply_delta(first, make_delta(first, second)).ok == second
+        empty = pb.SettingsRevision()
+        assert apply_delta(empty, make_delta(None, second)).ok == second
+
+    check()
+
+
 @then("the delta applied to revision 1 gives revision 2")
 def delta_applies(context):
     assert apply_delta(context.revisions[1], context.delta).ok == context.revisions[2]
--- /dev/null
+++ b/tests/support/share_schedule.py
@@ -0,0 +1,167 @@
+"""Hosts with drifting clocks that share a client account's limits."""
+
+from __future__ import annotations
+
+import heapq
+from random import Random
+from typing import TYPE_CHECKING
+
+from support.lease_schedule import Clock
+from tanagerturn.coordination.shares.allocator import ShareAllocator
+from tanagerturn.coordination.shares.amounts import split_limits
+from tanagerturn.coordination.shares.limiter import AccountLimiter, HostLimiter
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tanagerturn.schema.settings_pb2 import AccountLimits
+
+ACCOUNT = "choir"
+REPORT_MS = 1000
+ROUNDING = 1e-6
+
+
+class Host:
+    """One entry host, its clock and its running requests."""
+
+    def __init__(self, name: str, random: Random, make_limiter: type) -> None:
+        self.name = name
+        self.clock = Clock(random)
+        self.limiter: HostLimiter = make_limiter(name, "test")
+        self.rate = 0.0
+        self.cut_until = 0.0
+        self.cut_running = 0
+
+    @property
+    def account(self) -> AccountLimiter:
+        """The client account at this host."""
+        return self.limiter.accounts[ACCOUNT]
+
+
+class ShareSchedule:
+    """Runs hosts and an allocator in true time, and checks sums all along."""
+
+    def __init__(
+        self,
+        seed: int,
+        limits: AccountLimits,
+        hosts: int,
+        make_allocator: Callable[[int], ShareAllocator] = ShareAllocator,
+        make_limiter: type = HostLimiter,
+        disturbed: bool = True,
+    ) -> None:
+        self.random = Random(seed)
+        self.limits = limits
+        self.split = split_limits(limits, hosts)
+        self.make_allocator = make_allocator
+        self.disturbed = disturbed
+        self.now = 0.0
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.counter = 0
+        self.faults: list[str] = []
+        self.admitted: list[tuple[float, str]] = []
+        self.hosts = [Host(f"h{n}", self.random, make_limiter) for n in range(hosts)]
+        for host in self.hosts:
+            host.limiter.set_safe_shares({ACCOUNT: self.split.safe})
+            self.at(self.random.uniform(0, REPORT_MS), lambda h=host: self.tick(h))
+            self.at(self.random.uniform(0, 50), lambda h=host: self.call(h))
+        self.change_allocator()
+
+    def change_allocator(self) -> None:
+        """Start a new allocator, after the old one's end."""
+        self.allocator_clock = Clock(self.random)
+        now_ms = self.allocator_clock.read(self.now)
+        self.allocator = self.make_allocator(now_ms)
+        self.allocator.set_pools({ACCOUNT: self.split.pool})
+
+    def at(self, delay_ms: float, act: Callable[[], None]) -> None:
+        """Plan an event."""
+        self.counter += 1
+        heapq.heappush(self.events, (self.now + delay_ms, self.counter, act))
+
+    def run(self, length_ms: float) -> list[str]:
+        """Let time go by and return the faults."""
+        end = self.now + length_ms
+        while self.events and self.events[0][0] <= end:
+            self.now, _, act = heapq.heappop(self.events)
+            act()
+        self.now = end
+        return self.faults
+
+    def call(self, host: Host) -> None:
+        """Let a caller come to a host."""
+        self.at(self.random.uniform(2, 20), lambda: self.call(host))
+        if self.random.random() > host.rate:
+            return
+        refusal = host.account.admit(100, host.clock.read(self.now))
+        if refusal is None:
+            self.admitted.append((self.now, host.name))
+            self.at(self.random.uniform(10, 1500), host.account.ended)
+
+    def tick(self, host: Host) -> None:
+        """Let a host report."""
+        self.at(REPORT_MS, lambda: self.tick(host))
+        if self.disturbed:
+            self.disturb(host)
+        now_ms = host.clock.read(self.now)
+        report = host.limiter.make_report(now_ms)
+        if self.now < host.cut_until or self.lost():
+            return
+        allocator = self.allocator
+        for _ in range(1 + (self.disturbed and self.random.random() < 0.1)):
+            self.at(self.delay(), lambda: self.arrive(host, allocator, report))
+
+    def arrive(self, host: Host, allocator: ShareAllocator, report) -> None:
+        """Let the allocator take a report."""
+        if allocator is not self.allocator or self.now < host.cut_until:
+            return
+        grant = allocator.report(report, self.allocator_clock.read(self.now))
+        if not self.lost():
+            self.at(self.delay(), lambda: self.answer(host, grant))
+
+    def answer(self, host: Host, grant) -> None:
+        """Hand a grant to its host."""
+        if self.now >= host.cut_until:
+            host.limiter.take_grant(grant)
+            # Only a grant can raise what hosts may use.
+            self.check()
+
+    def disturb(self, host: Host) -> None:
+        """Move demand, cut a host off, or change the allocator."""
+        if self.random.random() < 0.2:
+            host.rate = self.random.choice((0.0, 0.1, 1.0))
+        if self.random.random() < 0.03:
+            host.cut_until = self.now + self.random.uniform(500, 20_000)
+        if self.random.random() < 0.01:
+            self.change_allocator()
+
+    def lost(self) -> bool:
+        """Tell whether a message is lost."""
+        return self.disturbed and self.random.random() < 0.1
+
+    def delay(self) -> float:
+        """Return the time that a message takes."""
+        slow = self.disturbed and self.random.random() < 0.1
+        return self.random.uniform(0, 8000) if slow else 2.0
+
+    def check(self) -> None:
+        """Note sums of what hosts may use above the limit."""
+        shares = [h.account.share(h.clock.read(self.now)) for h in self.hosts]
+        for kind in ("requests_per_s", "concurrent_requests", "tokens_per_s"):
+            total = sum(getattr(share, kind) for share in shares)
+            if total > getattr(self.limits, kind) * (1 + ROUNDING):
+                self.faults.append(f"{kind} {total} at {self.now:.0f}")
+
+    def running(self) -> int:
+        """Return the requests that run on all hosts."""
+        return sum(host.account.running for host in self.hosts)
+
+    def most_in(self, window_ms: float) -> int:
+        """Return the most requests admitted in any window."""
+        times = [at for at, _ in self.admitted]
+        start, most = 0, 0
+        for end, at in enumerate(times):
+            while times[start] < at - window_ms:
+                start += 1
+            most = max(most, end - start + 1)
+        return most
