--- a/src/tanagerturn/coordination/membership/core.py
+++ b/src/tanagerturn/coordination/membership/core.py
@@ -435,11 +435,10 @@
     def _contact_missing(self, now_ms: int) -> None:
         if now_ms < self.next_seed_ms:
             return
-        alone = self.table.present_count < 2
-        wait_ms = self.config.seed_interval_ms
-        self.next_seed_ms = now_ms + (
-            self.config.probe_interval_ms if alone else wait_ms
-        )
+        wait_ms = float(self.config.probe_interval_ms)
+        if self.table.present_count > 1:
+            wait_ms = self.config.seed_interval_ms * self.random.uniform(0.5, 1.5)
+        self.next_seed_ms = now_ms + round(wait_ms)
         present = {m.info.address for m in self.table.present()}
         seeds = [s for s in self.config.seeds if s not in present]
         if seeds:
@@ -447,7 +446,8 @@
             packet = mpb.Packet(ping=ping)
             self.sender.send(self.random.choice(seeds), packet, [self.me])
         dead = [m for m in self.table.members.values() if m.health == mpb.DEAD]
-        if dead:
+        # All processes together try each dead one a few times an interval.
+        if self.random.random() * self.table.present_count < 3 * len(dead):
             self._ping(self.random.choice(dead), now_ms)
 
     def _sync(self, now_ms: int) -> None:
--- a/tests/coordination/membership/steps/membership_steps.py
+++ b/tests/coordination/membership/steps/membership_steps.py
@@ -164,6 +164,7 @@
     def check() -> bool:
         return all(
             zone.lost == (zone.availability_zone == context.lost_zone)
+            and not zone.suspect
             for viewer in context.net.running()
             for zone in context.net.nodes[viewer].core.table.zones()
         )
