--- a/src/tanagerturn/serving/requests/conduct.py
+++ b/src/tanagerturn/serving/requests/conduct.py
@@ -8,10 +8,10 @@
 
 import threading
 from dataclasses import dataclass
-from enum import Enum, auto
 from functools import singledispatchmethod
-from typing import TYPE_CHECKING, Final, Protocol
+from typing import TYPE_CHECKING, Final
 
+from tanagerturn.coordination.errors import StepError
 from tanagerturn.schema import serving_pb2 as pb
 from tanagerturn.serving.requests import call as calls
 from tanagerturn.serving.requests.errors import (
@@ -22,109 +22,28 @@
 )
 from tanagerturn.serving.requests.held import Existing, Permitted
 from tanagerturn.serving.requests.layout import record_key
+from tanagerturn.serving.requests.replies import Reply, ReplyKind, reply_to
 
 if TYPE_CHECKING:
     from expression import Result
 
-    from tanagerturn.coordination.errors import StepError
     from tanagerturn.serving.requests.held import Held, NewRequest
     from tanagerturn.serving.requests.ledger import RequestLedger
     from tanagerturn.serving.requests.permission import Permission
+    from tanagerturn.serving.requests.ports import CallPolicy, Clock, Wire
 
 QUERY_PAUSE_S: Final = 0.2
 """Wait between outcome queries, in seconds; doubled each time."""
 
 
-class ReplyKind(Enum):
-    """What the caller is told."""
-
-    ANSWERED = auto()
-    """The request ran; here is its answer."""
-    NOT_RUN = auto()
-    """The request did not run and never will."""
-    OUTCOME_UNKNOWN = auto()
-    """It is not known whether the request ran; the same key tells later."""
-    RUNNING = auto()
-    """The request runs now, here or on another entry host."""
-    CANCELLED = auto()
-    """The caller gave the request up."""
-    KEY_REUSED = auto()
-    """The idempotency key names another request."""
-    NOT_ACCEPTED = auto()
-    """There is no record and there will be none; the key is free."""
-
-
-@dataclass(frozen=True)
-class Reply:
-    """What to tell the caller."""
-
-    kind: ReplyKind
-    """Kind of the reply."""
-    answer: pb.Answer | None = None
-    """Answer of the backend server, when it ran."""
-    step: str = ""
-    """Step at which it went wrong."""
-    reason: str = ""
-    """What went wrong."""
-
-
-@dataclass(frozen=True)
-class CallPolicy:
-    """What the service's settings say about a call."""
-
-    tries: int
-    """Attempts that may be permitted in all."""
-    has_query: bool
-    """The service has an outcome query."""
-    answer_limit_bytes: int
-    """Bytes of an answer that are kept."""
-
-
-class Clock(Protocol):
-    """The present time."""
-
-    def wall_ms(self) -> int:
-        """Return the wall clock in milliseconds."""
-        ...
-
-    def monotonic_s(self) -> float:
-        """Return the monotonic clock in seconds."""
-        ...
-
-    def pause(self, seconds: float) -> None:
-        """Wait."""
-        ...
-
-
-SendEvent = calls.NoByteLeft | calls.Answered | calls.AnswerLost
-QueryEvent = calls.QueryRan | calls.QueryDidNotRun | calls.QueryFailed
-
-
-class Wire(Protocol):
-    """Calls to the backend servers."""
-
-    def choose(self, record: pb.RequestRecord) -> str:
-        """Return the backend server for the next attempt; empty when none is up."""
-        ...
-
-    def send(self, record: pb.RequestRecord, permission: Permission) -> SendEvent:
-        """Send the attempt on a fresh connection.
-
-        The permission is checked after connecting, before the first byte.
-        """
-        ...
-
-    def ask(self, record: pb.RequestRecord) -> QueryEvent:
-        """Ask the service what became of the call."""
-        ...
-
-
 @dataclass
 class Work:
     """One call while it is carried out."""
 
     policy: CallPolicy
     """What the settings say."""
+    wire: Wire
+    """Calls to the backend servers."""
     new: NewRequest | None = None
     """The request, when this process accepted it."""
     record: pb.RequestRecord | None = None
@@ -144,15 +63,12 @@
 
     Args:
         ledger: Ledger of this process.
-        wire: Calls to the backend servers.
         clock: The present time.
     """
 
-    def __init__(self, ledger: RequestLedger, wire: Wire, clock: Clock) -> None:
+    def __init__(self, ledger: RequestLedger, clock: Clock) -> None:
         self.ledger = ledger
         """Ledger of this process."""
-        self.wire = wire
-        """Calls to the backend servers."""
         self.clock = clock
         """The present time."""
         self.active: set[str] = set()
@@ -162,24 +78,25 @@
         self.lock = threading.Lock()
         """Guards `active` and `unfinished`."""
 
-    def run(self, new: NewRequest, policy: CallPolicy) -> Reply:
+    def run(self, new: NewRequest, policy: CallPolicy, wire: Wire) -> Reply:
         """Accept a request and carry it out.
 
         Args:
             new: The request, of a kind that may not be repeated.
             policy: What the settings say about it.
+            wire: Its calls to the backend servers.
         """
-        work = Work(policy, new=new)
+        work = Work(policy, wire, new=new)
         work.record = self.ledger.make_record(new, self.clock.wall_ms())
         first = calls.open_call(policy.tries, policy.has_query)
         return self._conduct(record_key(work.record), work, first)
 
-    def settle(self, held: Held, policy: CallPolicy) -> Reply:
+    def settle(self, held: Held, policy: CallPolicy, wire: Wire) -> Reply:
         """Settle a request that a dead process may have sent.
 
         The caller waits until the permission of the dead process has ended.
         """
-        work = Work(policy, record=held.record, held=held)
+        work = Work(policy, wire, record=held.record, held=held)
         first = calls.settle_call(policy.has_query)
         return self._conduct(record_key(held.record), work, first)
 
@@ -224,10 +141,10 @@
     @_carry_out.register
     def _(self, action: calls.CommitAttempt, work: Work) -> calls.Event | Reply:
         assert work.record is not None
-        server = self.wire.choose(work.held.record if work.held else work.record)
+        server = work.wire.choose(work.held.record if work.held else work.record)
         if not server and work.held is None:
             reason = "no backend server is up"
-            return Reply(ReplyKind.NOT_ACCEPTED, step="choose", reason=reason)
+            return self._not_accepted(work, StepError("choose", "", reason))
         if not server:
             return calls.NoServer()
         asked_at_s = self.clock.monotonic_s()
@@ -240,13 +157,23 @@
         assert work.new is not None
         accepted = self.ledger.accept_and_permit(work.new, server, now_ms, asked_at_s)
         if accepted.is_error() and not isinstance(accepted.error, CommitUnknownError):
-            return _refused(accepted.error)
+            return self._not_accepted(work, accepted.error)
         if accepted.is_error():
             return calls.CommitLost()
         if isinstance(accepted.ok, Existing):
-            return reply_of(accepted.ok.held.record)
+            return reply_to(work.new, accepted.ok.held.record)
         return self._permitted(work, accepted.ok)
 
+    def _not_accepted(self, work: Work, error: StepError) -> Reply:
+        """Refuse a request, unless its key was accepted at another time."""
+        if isinstance(error, KeyReusedError):
+            return Reply(ReplyKind.KEY_REUSED, step=error.step, reason=error.reason)
+        self._read_again(work, error)
+        if work.refusal is not None:
+            return work.refusal
+        assert work.held is not None
+        return reply_to(work.new, work.held.record)
+
     def _attempt_committed(
         self, work: Work, committed: Result[Permitted, StepError]
     ) -> calls.Event:
@@ -266,7 +193,7 @@
     def _(self, action: calls.Send, work: Work) -> calls.Event:
         assert work.held is not None
         assert work.permission is not None
-        event = self.wire.send(work.held.record, work.permission)
+        event = work.wire.send(work.held.record, work.permission)
         if isinstance(event, calls.Answered):
             work.answer = event.answer
         return event
@@ -274,7 +201,7 @@
     @_carry_out.register
     def _(self, action: calls.AskOutcome, work: Work) -> calls.Event:
         assert work.held is not None
-        event = self.wire.ask(work.held.record)
+        event = work.wire.ask(work.held.record)
         if isinstance(event, calls.QueryRan):
             work.answer = event.answer
         if isinstance(event, calls.QueryFailed):
@@ -348,7 +275,7 @@
             return work.refusal
         if work.held is None:
             return Reply(ReplyKind.OUTCOME_UNKNOWN, step="accept")
-        reply = reply_of(work.held.record)
+        reply = reply_to(work.new, work.held.record)
         if reply.kind is ReplyKind.ANSWERED and work.answer is not None:
             return Reply(ReplyKind.ANSWERED, answer=work.answer)
         return reply
@@ -361,22 +288,3 @@
     def _(self, action: calls.ReplyUnknown, work: Work) -> Reply:
         reason = "the outcome could not be committed"
         return Reply(ReplyKind.OUTCOME_UNKNOWN, step="commit", reason=reason)
-
-
-def reply_of(record: pb.RequestRecord) -> Reply:
-    """Return what a record says to a caller who sends its key again."""
-    kind = {
-        pb.ANSWERED: ReplyKind.ANSWERED,
-        pb.NOT_RUN: ReplyKind.NOT_RUN,
-        pb.OUTCOME_UNKNOWN: ReplyKind.OUTCOME_UNKNOWN,
-        pb.CANCELLED: ReplyKind.CANCELLED,
-    }.get(record.state, ReplyKind.RUNNING)
-    answer = record.answer if kind is ReplyKind.ANSWERED else None
-    return Reply(kind, answer, record.step, record.reason)
-
-
-def _refused(error: StepError) -> Reply:
-    kind = ReplyKind.NOT_ACCEPTED
-    if isinstance(error, KeyReusedError):
-        kind = ReplyKind.KEY_REUSED
-    return Reply(kind, step=error.step, reason=error.reason)
--- a/tests/serving/requests/records.feature
+++ b/tests/serving/requests/records.feature
@@ -105,3 +105,20 @@
       | finish by stale owner | dispatching |
       | take over             | answered    |
       | resolve               | answered    |
+
+  Scenario: A purchase of a dead host is settled only after its permission has ended
+    Given a service with an outcome query
+    And the entry hosts "a" and "b"
+    When "a" dies before it sends "k1"
+    Then "b" is given nothing to settle for 2 seconds, and then "k1"
+
+  Scenario: A refusal does not deny what an earlier sending of the key did
+    Given a service with an outcome query
+    And the entry hosts "a" and "b"
+    When "a" runs "k1"
+    And "b" has lost its lease and runs "k1"
+    Then the reply of "b" is ANSWERED with the same answer
+    When "b" has no backend server and runs "k1"
+    Then the reply of "b" is ANSWERED with the same answer
+    When "b" has no backend server and runs "k2"
+    Then the reply of "b" is NOT_ACCEPTED
--- a/tests/serving/requests/steps/records_steps.py
+++ b/tests/serving/requests/steps/records_steps.py
@@ -10,7 +10,7 @@
 from tanagerturn.coordination.ids import ProcessId
 from tanagerturn.schema import serving_pb2 as pb
 from tanagerturn.serving.requests import life, operations
-from tanagerturn.serving.requests.conduct import ReplyKind
+from tanagerturn.serving.requests.replies import ReplyKind
 
 TRIES = 3
 ACCOUNT = "inyenyeri"
@@ -267,3 +267,34 @@
         permitted_number=permitted_number,
     )
     assert life.apply(forbidden, record, 1).is_error()
+
+
+@when('"{name}" dies before it sends "{key}"')
+def dies_before_send(context, name, key):
+    host = context.hosts[name]
+    new = new_request(key)
+    assert host.ledger.accept_and_permit(new, "desk-1", 1, 1.0).is_ok()
+    host.lose_lease()
+
+
+@then('"{name}" is given nothing to settle for {seconds:d} seconds, and then "{key}"')
+def settle_later(context, name, seconds, key):
+    settler, clock = context.hosts[name].settler, context.world.clock
+    for _ in range(seconds * 10):
+        assert settler.sweep().ok == []
+        clock.pause(0.1)
+    clock.pause(1.0)
+    (held,) = settler.sweep().ok
+    assert held.record.idempotency_key == key
+
+
+@when('"{name}" has lost its lease and runs "{key}"')
+def run_without_lease(context, name, key):
+    context.hosts[name].lose_lease()
+    run(context, name, key)
+
+
+@when('"{name}" has no backend server and runs "{key}"')
+def run_without_server(context, name, key):
+    context.hosts[name].wire.choose = lambda record: ""
+    run(context, name, key)
--- a/tests/support/request_world.py
+++ b/tests/support/request_world.py
@@ -10,7 +10,7 @@
 from tanagerturn.schema import coordination_pb2
 from tanagerturn.schema import serving_pb2 as pb
 from tanagerturn.serving.requests import call as calls
-from tanagerturn.serving.requests.conduct import CallPolicy, Conductor, ReplyKind
+from tanagerturn.serving.requests.conduct import Conductor
 from tanagerturn.serving.requests.held import NewRequest
 from tanagerturn.serving.requests.ids import (
     ClientAccountId,
@@ -18,6 +18,8 @@
     RequestId,
 )
 from tanagerturn.serving.requests.ledger import RequestLedger
+from tanagerturn.serving.requests.ports import CallPolicy
+from tanagerturn.serving.requests.replies import ReplyKind
 from tanagerturn.serving.requests.settle import Settler
 from tanagerturn.serving.requests.takeover import make_owner, owner_lease
 
@@ -127,13 +129,14 @@
         self.ledger.fence = coordination_pb2.Fence(
             lease=lease.name, fencing_number=lease.fencing_number
         )
-        self.conductor = Conductor(self.ledger, self.wire, world.clock)
+        self.conductor = Conductor(self.ledger, world.clock)
         self.settler = Settler(self.conductor, lambda key: False)
 
     def run(self, key: str, body: bytes = b"body", kind=pb.NOT_REPEATABLE):
         """Carry a call out; None when the host died in it."""
         try:
-            return self.conductor.run(new_request(key, body, kind), self.world.policy)
+            new = new_request(key, body, kind)
+            return self.conductor.run(new, self.world.policy, self.wire)
         except HostDied:
             return None
 
@@ -153,7 +156,7 @@
         try:
             for _ in range(3):
                 for held in self.settler.sweep().ok:
-                    self.conductor.settle(held, self.world.policy)
+                    self.conductor.settle(held, self.world.policy, self.wire)
                 self.world.clock.pause(PERMISSION_OVER_S)
         except HostDied:
             return False
