--- a/src/tanagerturn/serving/requests/conduct.py
+++ b/src/tanagerturn/serving/requests/conduct.py
@@ -12,7 +12,6 @@
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.coordination.errors import StepError
-from tanagerturn.schema import serving_pb2 as pb
 from tanagerturn.serving.requests import call as calls
 from tanagerturn.serving.requests.errors import (
     CommitUnknownError,
@@ -27,6 +26,7 @@
 if TYPE_CHECKING:
     from expression import Result
 
+    from tanagerturn.schema import serving_pb2 as pb
     from tanagerturn.serving.requests.held import Held, NewRequest
     from tanagerturn.serving.requests.ledger import RequestLedger
     from tanagerturn.serving.requests.permission import Permission
