Run requests through limits, admission, records, takeover and retries

Cause: the entry program accepted everything, settled a broken call by hand and left the records of a dead host alone. Each entry process now holds a lease in the requests group and fences its writes with it; records of a host without its lease are taken over, settled after its permission has ended, or run again. Patient requests are kept and can be collected from any entry host; streams go through the assembler; lookups retry within a budget and may be hedged.

--- /dev/null
+++ b/src/tanagerturn/entry/_execution.py
@@ -0,0 +1,105 @@
+"""Runs one patient request to its end and keeps the answer."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import orjson
+
+from tanagerturn.entry.directory import wall_ms
+from tanagerturn.entry.drafts import DraftRun, RejectedByEngineError, whole_answer
+from tanagerturn.entry.lookups import LookupRun
+from tanagerturn.entry.problems import OUTCOME_UNKNOWN, PROBLEM_TYPE, ProblemError
+from tanagerturn.entry.recorded import kept_answer
+from tanagerturn.entry.transport import BackendAnswer
+from tanagerturn.observe.logs import part_logger
+from tanagerturn.schema import serving_pb2
+from tanagerturn.serving.requests.errors import CommitUnknownError
+from tanagerturn.serving.requests.life import Proof
+
+if TYPE_CHECKING:
+    import threading
+
+    from tanagerturn.entry.callers import CallerCall
+    from tanagerturn.entry.parts import Parts
+    from tanagerturn.serving.requests.held import Held
+
+log = part_logger("patient")
+
+
+class StoppingError(Exception):
+    """The process stops; another entry host goes on with the request."""
+
+
+def execute(
+    parts: Parts, call: CallerCall, held: Held, stopping: threading.Event
+) -> int:
+    """Run a patient request to its end and keep the answer.
+
+    Returns:
+        The tokens that were made.
+
+    Raises:
+        StoppingError: The process stops first.
+    """
+    current = permit(parts, held)
+    if current is None:
+        return 0
+    if not call.is_model:
+        try:
+            finish(parts, call, current, LookupRun(parts, call).run())
+        except ProblemError as error:
+            give_up(parts, call, current, error)
+        return 0
+    run = DraftRun(parts, call)
+    events = run.events()
+    try:
+        for _ in events:
+            if stopping.is_set():
+                raise StoppingError
+    except RejectedByEngineError as error:
+        finish(parts, call, current, error.answer)
+    except ProblemError as error:
+        give_up(parts, call, current, error)
+    else:
+        finish(parts, call, current, whole_answer(run))
+    finally:
+        events.close()  # type: ignore[attr-defined]
+    return run.tokens
+
+
+def permit(parts: Parts, held: Held) -> Held | None:
+    """Commit that the request is being run; None when it is another's now."""
+    if held.record.state != serving_pb2.ACCEPTED:
+        return held
+    permitted = parts.ledger.permit(held, "", wall_ms(), time.monotonic())
+    return permitted.ok.held if permitted.is_ok() else None
+
+
+def finish(parts: Parts, call: CallerCall, held: Held, answer: BackendAnswer) -> None:
+    """Keep the answer; when the store does not confirm, it is tried again."""
+    kept = kept_answer(answer)
+    limit_bytes = call.service.answer_limit_bytes
+    done = parts.ledger.finish(held, kept, wall_ms(), limit_bytes)
+    if done.is_error() and isinstance(done.error, CommitUnknownError):
+        parts.conductor.keep_unfinished(held, kept, limit_bytes)
+    elif done.is_error():
+        log.warning("{} was not kept: {}", call.request_id, done.error)
+
+
+def give_up(parts: Parts, call: CallerCall, held: Held, error: ProblemError) -> None:
+    """End a patient request that has no time left."""
+    if error.outcome == OUTCOME_UNKNOWN:
+        body = orjson.dumps(
+            {"title": error.title, "status": 504, "detail": error.detail,
+             "outcome": error.outcome, "step": error.step}
+        )  # fmt: skip
+        headers = [("Content-Type", PROBLEM_TYPE)]
+        finish(parts, call, held, BackendAnswer(504, headers, body))
+        return
+    sending = held.record.state != serving_pb2.ACCEPTED
+    proof = Proof.NO_BYTE_LEFT if sending else Proof.NEVER_PERMITTED
+    ended = parts.ledger.not_run(held, proof, error.detail, error.step, wall_ms())
+    if ended.is_error():
+        log.warning("{} was not ended: {}", call.request_id, ended.error)
--- a/src/tanagerturn/entry/app.py
+++ b/src/tanagerturn/entry/app.py
@@ -4,16 +4,20 @@
 
 import http
 import threading
-from typing import TYPE_CHECKING, Any, Final
+import time
+from typing import TYPE_CHECKING, Any
 
 from tanagerturn.entry.callers import CallerCall, new_request_id, read_call
+from tanagerturn.entry.collect import REQUESTS_PATH, answer_collect
 from tanagerturn.entry.drafts import run_draft
 from tanagerturn.entry.lookups import run_lookup
 from tanagerturn.entry.parts import CallerResponse, Parts
-from tanagerturn.entry.problems import ProblemError, make_problem
+from tanagerturn.entry.patient import existing_response, run_patient
+from tanagerturn.entry.problems import OUTCOME_UNKNOWN, ProblemError, make_problem
 from tanagerturn.entry.purchases import run_once
 from tanagerturn.observe.logs import part_logger
-from tanagerturn.schema.serving_pb2 import NOT_REPEATABLE
+from tanagerturn.schema.serving_pb2 import IDEMPOTENT, NOT_REPEATABLE, PATIENT
+from tanagerturn.serving.requests.ids import ClientAccountId, IdempotencyKey
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -23,8 +27,6 @@
 
 log = part_logger("callers")
 
-DRAIN_RETRY_S: Final = 1.0
-
 
 class CallerApp:
     """Answers callers' requests, one thread of the server each.
@@ -44,8 +46,6 @@
         """Returns the settings in force."""
         self.metrics = metrics
         """Counters of the process."""
-        self.draining = False
-        """New requests are refused."""
         self.running = 0
         """Requests that are being answered."""
         self.idle = threading.Condition()
@@ -75,13 +75,10 @@
 
     def _respond(self, environ: Any, request_id: str) -> CallerResponse:
         try:
-            if self.draining:
-                raise ProblemError(
-                    503, "Stopping", "This process is stopping.", step="receive",
-                    retry_after_s=DRAIN_RETRY_S,
-                )  # fmt: skip
-            call = read_call(environ, self.site())
-            return self._run(call)
+            site = self.site()
+            if environ["PATH_INFO"].startswith(REQUESTS_PATH):
+                return answer_collect(self.parts, environ, site)
+            return self._run(read_call(environ, site))
         except ProblemError as error:
             return self._refuse(error, request_id)
         except Exception:
@@ -93,12 +90,46 @@
             )
 
     def _run(self, call: CallerCall) -> CallerResponse:
+        try:
+            passed = self.parts.gate.enter(call, time.monotonic())
+        except ProblemError as error:
+            self.metrics.refusals.labels(step=error.step).inc()
+            return self._refused(call, error)
+        try:
+            response = self._answer(call)
+        except BaseException:
+            passed.leave()
+            raise
+
+        def leave() -> None:
+            passed.tokens = response.made.tokens
+            passed.leave()
+
+        body = _Body(response.body, leave)
+        return CallerResponse(response.status, response.headers, body, response.made)
+
+    def _answer(self, call: CallerCall) -> CallerResponse:
+        if call.kind == PATIENT:
+            return run_patient(self.parts, call)
         if call.is_model:
             return run_draft(self.parts, call)
         if call.kind == NOT_REPEATABLE:
             return run_once(self.parts, call)
         return run_lookup(self.parts, call)
 
+    def _refused(self, call: CallerCall, error: ProblemError) -> CallerResponse:
+        """Refuse a request, unless its key was accepted at another time."""
+        if call.kind == IDEMPOTENT or not call.idempotency_key:
+            raise error
+        account = ClientAccountId(call.account.name)
+        found = self.parts.ledger.read(account, IdempotencyKey(call.idempotency_key))
+        if found.is_error():
+            error.outcome = OUTCOME_UNKNOWN
+            raise error
+        if found.ok is None:
+            raise error
+        return existing_response(call, found.ok.record)
+
     def _refuse(self, error: ProblemError, request_id: str) -> CallerResponse:
         problem = make_problem(error, request_id)
         return CallerResponse(problem.status, problem.headers, [problem.body])
--- /dev/null
+++ b/src/tanagerturn/entry/collect.py
@@ -0,0 +1,80 @@
+"""`/requests/KEY`: what became of a request, its answer, and its cancelling."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+from urllib.parse import unquote
+
+import orjson
+
+from tanagerturn.entry.callers import authenticate
+from tanagerturn.entry.directory import wall_ms
+from tanagerturn.entry.parts import CallerResponse
+from tanagerturn.entry.problems import OUTCOME_UNKNOWN, ProblemError
+from tanagerturn.entry.recorded import RETRY_SOON_S, stored_response
+from tanagerturn.schema import serving_pb2
+from tanagerturn.serving.requests.ids import ClientAccountId, IdempotencyKey
+from tanagerturn.serving.requests.life import OPEN
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from tanagerturn.entry.parts import Parts
+    from tanagerturn.entry.site import Site
+    from tanagerturn.serving.requests.held import Held
+
+REQUESTS_PATH = "/requests/"
+
+
+def answer_collect(
+    parts: Parts, environ: Mapping[str, Any], site: Site
+) -> CallerResponse:
+    """Answer a request about a request.
+
+    Raises:
+        ProblemError: There is no answer to give.
+    """
+    account = authenticate(environ, site)
+    key = IdempotencyKey(unquote(environ["PATH_INFO"][len(REQUESTS_PATH) :]))
+    found = parts.ledger.read(ClientAccountId(account.name), key)
+    if found.is_error():
+        raise ProblemError(
+            503, "State not available", str(found.error), OUTCOME_UNKNOWN, "collect",
+            RETRY_SOON_S,
+        )  # fmt: skip
+    if found.ok is None:
+        detail = "No request with this key is kept."
+        raise ProblemError(404, "No such request", detail, "none", "collect")
+    if environ["REQUEST_METHOD"] == "DELETE":
+        return _cancel(parts, found.ok)
+    if environ["REQUEST_METHOD"] != "GET":
+        raise ProblemError(405, "Method not allowed", "Use GET or DELETE.")
+    record = found.ok.record
+    if record.state in OPEN:
+        return _running(record)
+    return stored_response(record)
+
+
+def _running(record: serving_pb2.RequestRecord) -> CallerResponse:
+    body = orjson.dumps(
+        {
+            "state": serving_pb2.RequestState.Name(record.state).lower(),
+            "request_id": record.request_id,
+            "attempt": record.attempt,
+        }
+    )
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+        ("Retry-After", str(round(RETRY_SOON_S))),
+        ("X-Request-Id", record.request_id),
+    ]
+    return CallerResponse(202, headers, [body])
+
+
+def _cancel(parts: Parts, held: Held) -> CallerResponse:
+    ended = parts.ledger.cancel(held, wall_ms())
+    if ended.is_error():
+        detail = f"It can't be cancelled: {ended.error.reason}."
+        raise ProblemError(409, "Not cancelled", detail, OUTCOME_UNKNOWN, "cancel")
+    return CallerResponse(204, [("X-Request-Id", held.record.request_id)], [])
--- a/src/tanagerturn/entry/directory.py
+++ b/src/tanagerturn/entry/directory.py
@@ -4,9 +4,10 @@
 
 import random
 import time
+from collections import Counter
 from dataclasses import dataclass
 from functools import singledispatchmethod
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Final
 
 import pykka
 
@@ -33,6 +34,9 @@
 
 log = part_logger("directory")
 
+DEFAULT_SLOTS: Final = 32
+"""Slots of a backend server that announces none."""
+
 
 @dataclass(frozen=True)
 class Announce:
@@ -76,6 +80,19 @@
     """Wall clock time in milliseconds at which it is taken."""
 
 
+@dataclass(frozen=True)
+class Slots:
+    """Asks for the slots of each service at the backend servers that stay."""
+
+
+@dataclass(frozen=True)
+class IsLeaving:
+    """Asks whether a backend server leaves or is to be reclaimed."""
+
+    backend_id: BackendId
+    """The backend server."""
+
+
 @dataclass(frozen=True)
 class Dump:
     """Asks for the actor's state."""
@@ -145,6 +162,25 @@
         """Stop new work for what is to be reclaimed."""
         self.view.on_notice(message.target, message.at_ms)  # type: ignore[arg-type]
 
+    @handle.register(Slots)
+    def on_slots(self, message: Slots) -> dict[str, int]:
+        """Return the slots of each service."""
+        now_ms = wall_ms()
+        self.view.expire(now_ms)
+        slots: Counter[str] = Counter()
+        for backend in self.view.backends.values():
+            if self.view.is_leaving(backend):
+                continue
+            for service in backend.announcement.services:
+                slots[service] += backend.slots or DEFAULT_SLOTS
+        return dict(slots)
+
+    @handle.register(IsLeaving)
+    def on_is_leaving(self, message: IsLeaving) -> bool:
+        """Tell whether a backend server leaves or is gone."""
+        backend = self.view.backends.get(message.backend_id)
+        return backend is not None and self.view.is_leaving(backend)
+
     @handle.register(Dump)
     def on_dump(self, message: Dump) -> dict[str, Any]:
         """Return the state."""
--- a/src/tanagerturn/entry/drafts.py
+++ b/src/tanagerturn/entry/drafts.py
@@ -12,26 +12,55 @@
     CallerResponse,
     Deadline,
     Parts,
+    TokenCount,
     backend_headers,
 )
-from tanagerturn.entry.problems import ProblemError
+from tanagerturn.entry.problems import NOT_RUN, OUTCOME_UNKNOWN, ProblemError
 from tanagerturn.entry.sse import EngineEvent, EventReader, MalformedEventError
 from tanagerturn.entry.transport import (
+    BackendAnswer,
     BackendStream,
     BrokenCallError,
     NothingSentError,
 )
+from tanagerturn.schema.serving_pb2 import PATIENT
 from tanagerturn.serving.backends.messages import BackendId, Completion
+from tanagerturn.serving.retries.backoff import backoff_s
+from tanagerturn.serving.streams.assembler import OutOfOrderError, StreamAssembler
+from tanagerturn.serving.streams.chunks import Chunk, LossCause
+from tanagerturn.serving.streams.stalls import make_stall_limits, silence_limit_s
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
     from tanagerturn.entry.callers import CallerCall
     from tanagerturn.serving.routing.messages import RouteDecision
 
 ATTEMPT_LIMIT: Final = 5
+PATIENT_ATTEMPT_LIMIT: Final = 1000
 NO_BACKEND_WAIT_S: Final = 0.25
 EVENT_STREAM: Final = "text/event-stream"
+JSON_TYPE: Final = "application/json"
+
+AttemptError = (
+    NothingSentError,
+    BrokenCallError,
+    MalformedEventError,
+    OutOfOrderError,
+)
+
+
+class RejectedByEngineError(Exception):
+    """The engine refuses the request itself; no other engine would take it.
+
+    Args:
+        answer: The engine's answer.
+    """
+
+    def __init__(self, answer: BackendAnswer) -> None:
+        super().__init__(f"status {answer.status}")
+        self.answer = answer
+        """The engine's answer."""
 
 
 class DraftRun:
@@ -49,49 +78,72 @@
         """The caller's request."""
         self.deadline = Deadline(time.monotonic() + call.deadline_ms / 1000)
         """End of the request's time."""
+        self.stream = StreamAssembler(call.request_id)
+        """Tokens so far."""
         self.attempts = Attempts()
         """Attempts so far."""
-        self.tokens = 0
-        """Tokens delivered."""
-        self.text: list[str] = []
-        """Their text."""
+        self.sent = False
+        """Bytes of some attempt left."""
         self.usage: dict[str, int] = {}
         """Usage as the last engine told."""
         self.finished = False
         """The whole answer was read."""
         self.first_token_s = 0.0
         """Monotonic time of the first token, in seconds."""
+        self.made = TokenCount()
+        """Tokens delivered, for the account's limit."""
+        service = call.service
+        self.stalls = make_stall_limits(
+            service.first_token_target_ms, service.token_target_ms
+        )
+        """How long an engine may be silent."""
 
-    def events(self) -> Iterator[EngineEvent]:
+    @property
+    def tokens(self) -> int:
+        """Return the tokens delivered."""
+        return self.stream.delivered
+
+    def events(self) -> Iterator[bytes]:
         """Yield the events of the answer, each token once and in order.
 
         Raises:
             ProblemError: No engine could finish it.
+            RejectedByEngineError: The engine refuses the request itself.
         """
         last = "no attempt"
-        while self.attempts.count < ATTEMPT_LIMIT and self.deadline.left_s() > 0:
+        patient = self.call.kind == PATIENT
+        limit = PATIENT_ATTEMPT_LIMIT if patient else ATTEMPT_LIMIT
+        while self.attempts.count < limit and self.deadline.left_s() > 0:
             decision = self._choose()
             self.attempts.count += 1
             started_s = time.monotonic()
             try:
                 yield from self._attempt(decision)
-            except (NothingSentError, BrokenCallError, MalformedEventError) as error:
-                self.parts.ended(self.call, decision.backend_id, failed=True)
-                self.attempts.excluded.add(decision.backend_id)
+            except AttemptError as error:
                 last = str(error)
+                self._lost(decision, error)
                 continue
             except GeneratorExit:
                 self.parts.ended(self.call, decision.backend_id)
                 self.cancel(decision)
                 raise
+            except RejectedByEngineError:
+                self.parts.ended(self.call, decision.backend_id)
+                raise
             self._report(decision.backend_id, started_s)
             return
-        raise ProblemError(502, "Engines failed", last, step="stream", retry_after_s=1)
+        raise ProblemError(
+            502, "Engines failed", last, self.outcome(), "stream", retry_after_s=1
+        )
+
+    def outcome(self) -> str:
+        """Return what is known of the request when it ends without an answer."""
+        return OUTCOME_UNKNOWN if self.sent else NOT_RUN
 
     def cancel(self, decision: RouteDecision) -> None:
         """Tell an engine that the caller has gone."""
         body = orjson.dumps({"request_id": self.call.request_id})
-        headers = {"Content-Type": "application/json"}
+        headers = {"Content-Type": JSON_TYPE}
         try:
             self.parts.transport.call(
                 decision.address, "POST", "/engine/cancel", headers, body, 1.0
@@ -107,21 +159,54 @@
                     frozenset(self.attempts.excluded),
                     model=str(self.call.payload["model"]),
                 )
-            except ProblemError:
-                # A stream that has begun waits for an engine within its deadline.
-                if not self.tokens or self.deadline.left_s() < NO_BACKEND_WAIT_S:
+            except ProblemError as error:
+                # What was accepted or has begun waits for an engine.
+                waits = self.tokens or self.call.kind == PATIENT
+                if self.attempts.excluded:
+                    self.attempts.excluded.clear()
+                elif not waits or self.deadline.left_s() < NO_BACKEND_WAIT_S:
+                    error.outcome = self.outcome()
                     raise
-                self.attempts.excluded.clear()
-                time.sleep(NO_BACKEND_WAIT_S)
+                else:
+                    time.sleep(NO_BACKEND_WAIT_S)
 
-    def _attempt(self, decision: RouteDecision) -> Iterator[EngineEvent]:
+    def _lost(self, decision: RouteDecision, error: Exception) -> None:
+        cause = self._cause(decision, error)
+        failed = cause is not LossCause.RECLAIM
+        self.parts.ended(self.call, decision.backend_id, failed=failed)
+        self.attempts.excluded.add(decision.backend_id)
+        if not isinstance(error, NothingSentError):
+            self.sent = True
+        if not isinstance(error, NothingSentError | BrokenCallError):
+            self.cancel(decision)
+        self.stream.resume(cause)
+        self.parts.metrics.resumed.labels(cause=cause.value).inc()
+        if not self.tokens:
+            wait_s = backoff_s(self.attempts.count, self.parts.random)
+            time.sleep(min(wait_s, self.deadline.left_s()))
+
+    def _cause(self, decision: RouteDecision, error: Exception) -> LossCause:
+        if self.parts.is_leaving(decision.backend_id):
+            return LossCause.RECLAIM
+        if isinstance(error, OutOfOrderError | MalformedEventError):
+            return LossCause.OUT_OF_ORDER
+        if "timed out" in str(error):
+            return LossCause.STALL
+        return LossCause.ENGINE_LOST
+
+    def _attempt(self, decision: RouteDecision) -> Iterator[bytes]:
         stream = self._open(decision)
+        self.sent = True
         reader = EventReader()
+        before = self.tokens
         try:
             for chunk in stream.chunks():
                 for event in reader.feed(chunk):
-                    if self._take(event):
-                        yield event
+                    yield from self._take(event)
+                if before == 0 and self.tokens:
+                    left_s = self.deadline.left_s()
+                    stream.set_silence_limit(silence_limit_s(self.stalls, True, left_s))
+                    before = -1
             if not self.finished:
                 raise BrokenCallError("read stream", decision.address, "ended early")
         finally:
@@ -129,47 +214,77 @@
 
     def _open(self, decision: RouteDecision) -> BackendStream:
         left_s = self.deadline.left_s()
-        headers = backend_headers(self.call, self.attempts.count, left_s)
+        headers = backend_headers(self.call, self.stream.attempt, left_s)
         payload: dict[str, Any] = {**self.call.payload, "stream": True}
         if self.tokens:
             headers["X-Resume-From"] = str(self.tokens)
-            payload["continuation"] = "".join(self.text)
-        headers["content-type"] = "application/json"
+            payload["continuation"] = self.stream.text
+        headers["content-type"] = JSON_TYPE
         stream = self.parts.transport.open_stream(
             decision.address,
             "POST",
             self.call.path,
             headers,
             orjson.dumps(payload),
-            left_s,
+            silence_limit_s(self.stalls, False, left_s),
         )
         if stream.status != 200:
-            detail = stream.response.read(4096).decode("utf-8", "replace")
-            stream.close()
-            reason = f"status {stream.status}: {detail}"
-            raise BrokenCallError("open stream", decision.address, reason)
+            self._refused(stream, decision)
         return stream
 
-    def _take(self, event: EngineEvent) -> bool:
-        """Count an event; False for one that the caller must not get."""
+    def _refused(self, stream: BackendStream, decision: RouteDecision) -> None:
+        body = stream.response.read(4096)
+        stream.close()
+        if 400 <= stream.status < 500 and stream.status not in (404, 408, 409, 429):
+            headers = [("Content-Type", JSON_TYPE)]
+            raise RejectedByEngineError(BackendAnswer(stream.status, headers, body))
+        detail = body.decode("utf-8", "replace")
+        reason = f"status {stream.status}: {detail}"
+        raise BrokenCallError("open stream", decision.address, reason)
+
+    def _take(self, event: EngineEvent) -> Iterator[bytes]:
+        """Yield what an event lets the caller have now."""
         if event.done:
+            if self.stream.ahead:
+                raise OutOfOrderError("the stream ended with tokens missing")
             self.finished = True
-            return True
-        if event.attempt is not None and event.attempt != self.attempts.count:
-            return False
-        if event.usage:
+            yield event.raw
+            return
+        chunk = self._chunk(event)
+        own = chunk.request_id == self.call.request_id
+        if own and chunk.attempt == self.stream.attempt and event.usage:
             self.usage = event.usage
-        if event.offset is None or not event.tokens:
-            return True
-        if event.offset != self.tokens:
-            raise MalformedEventError(
-                f"token {event.offset} where {self.tokens} was due"
-            )
-        if not self.tokens:
-            self.first_token_s = time.monotonic()
-        self.tokens += event.tokens
-        self.text.append(event.text)
-        return True
+            self._count_recomputed(event.usage)
+        if not event.tokens and own:
+            yield event.raw
+            return
+        ready = self.stream.accept(chunk)
+        if not ready:
+            self.parts.metrics.dropped_chunks.labels(reason="not_due").inc()
+        for each in ready:
+            if not self.first_token_s:
+                self.first_token_s = time.monotonic()
+            self.made.tokens += each.tokens
+            yield each.raw
+
+    def _chunk(self, event: EngineEvent) -> Chunk:
+        attempt, offset = event.attempt, event.offset
+        return Chunk(
+            request_id=event.request_id or self.call.request_id,
+            attempt=self.stream.attempt if attempt is None else attempt,
+            offset=self.tokens if offset is None else offset,
+            tokens=event.tokens,
+            text=event.text,
+            raw=event.raw,
+        )
+
+    def _count_recomputed(self, usage: dict[str, int]) -> None:
+        cause = self.stream.cause
+        tokens = usage.get("recomputed_tokens", 0)
+        if cause is None or not tokens:
+            return
+        self.stream.count_recomputed(tokens)
+        self.parts.metrics.recomputed_tokens.labels(cause=cause.value).inc(tokens)
 
     def _report(self, backend_id: BackendId, started_s: float) -> None:
         now_s = time.monotonic()
@@ -186,7 +301,7 @@
 
 
 def run_draft(parts: Parts, call: CallerCall) -> CallerResponse:
-    """Run a request to a model engine.
+    """Run a request to a model engine that has no record.
 
     Returns:
         A stream of events, or the whole answer.
@@ -195,36 +310,46 @@
         ProblemError: No engine could begin, or finish an answer not streamed.
     """
     run = DraftRun(parts, call)
-    events = run.events()
-    if call.stream:
-        first = next(events)
-        headers = [
-            ("Content-Type", EVENT_STREAM),
-            ("Cache-Control", "no-store"),
-            ("X-Request-Id", call.request_id),
-        ]
-        return CallerResponse(200, headers, _relay(first, events))
-    for _ in events:
-        pass
-    body = whole_answer(run)
+    try:
+        if call.stream:
+            events = run.events()
+            return stream_response(run, relay(next(events), events))
+        for _ in run.events():
+            pass
+    except RejectedByEngineError as error:
+        return whole_response(run, error.answer)
+    return whole_response(run, whole_answer(run))
+
+
+def stream_response(run: DraftRun, body: Iterable[bytes]) -> CallerResponse:
+    """Return the response that streams a run's events."""
+    headers = [
+        ("Content-Type", EVENT_STREAM),
+        ("Cache-Control", "no-store"),
+        ("X-Request-Id", run.call.request_id),
+    ]
+    return CallerResponse(200, headers, body, run.made)
+
+
+def whole_response(run: DraftRun, answer: BackendAnswer) -> CallerResponse:
+    """Return an answer that is not streamed."""
     headers = [
-        ("Content-Type", "application/json"),
-        ("Content-Length", str(len(body))),
-        ("X-Request-Id", call.request_id),
+        *answer.headers,
+        ("Content-Length", str(len(answer.body))),
+        ("X-Request-Id", run.call.request_id),
     ]
-    return CallerResponse(200, headers, [body])
+    return CallerResponse(answer.status, headers, [answer.body], run.made)
 
 
-def whole_answer(run: DraftRun) -> bytes:
+def whole_answer(run: DraftRun) -> BackendAnswer:
     """Return the answer of a finished run as one completion."""
-    text = "".join(run.text)
     is_chat = run.call.path.endswith("/chat/completions")
     content: dict[str, Any] = {"index": 0, "finish_reason": "stop"}
     if is_chat:
-        content["message"] = {"role": "assistant", "content": text}
+        content["message"] = {"role": "assistant", "content": run.stream.text}
     else:
-        content["text"] = text
-    return orjson.dumps(
+        content["text"] = run.stream.text
+    body = orjson.dumps(
         {
             "id": run.call.request_id,
             "object": "chat.completion" if is_chat else "text_completion",
@@ -233,16 +358,27 @@
             "usage": run.usage,
         }
     )
+    return BackendAnswer(200, [("Content-Type", JSON_TYPE)], body)
 
 
-def _relay(first: EngineEvent, events: Iterator[EngineEvent]) -> Iterator[bytes]:
+def relay(first: bytes, events: Iterator[bytes]) -> Iterator[bytes]:
+    """Yield a run's events; a failure in the middle is an error event."""
     try:
-        yield first.raw
-        for event in events:
-            yield event.raw
+        yield first
+        yield from events
     except ProblemError as error:
-        # The head is sent: a caller learns of the end by an error event.
-        problem = {"error": {"message": error.detail, "step": error.step}}
-        yield b"event: error\ndata: " + orjson.dumps(problem) + b"\n\n"
+        yield error_event(error)
     finally:
         events.close()  # type: ignore[attr-defined]
+
+
+def error_event(error: ProblemError) -> bytes:
+    """Return the event by which a caller learns of the end: the head is sent."""
+    problem = {
+        "error": {
+            "message": error.detail,
+            "step": error.step,
+            "outcome": error.outcome,
+        }
+    }
+    return b"event: error\ndata: " + orjson.dumps(problem) + b"\n\n"
--- a/src/tanagerturn/entry/parts.py
+++ b/src/tanagerturn/entry/parts.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import random
 import time
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Final
 
 from tanagerturn.actors import ask
-from tanagerturn.entry.directory import Choose, Ended, wall_ms
+from tanagerturn.entry.directory import Choose, Ended, IsLeaving, wall_ms
 from tanagerturn.entry.problems import ProblemError
 from tanagerturn.serving.backends.messages import BackendId, RequestId
+from tanagerturn.serving.retries.budget import RetryBudget
+from tanagerturn.serving.retries.hedging import LatencyWindow, hedge_after_s
 from tanagerturn.serving.routing.messages import RouteRequest
 
 if TYPE_CHECKING:
@@ -18,12 +22,25 @@
     import pykka
 
     from tanagerturn.entry.callers import CallerCall
+    from tanagerturn.entry.gate import Gate
+    from tanagerturn.entry.jobs import PatientJobs
+    from tanagerturn.entry.metrics import EntryMetrics
     from tanagerturn.entry.transport import BackendAnswer, BackendTransport
     from tanagerturn.serving.backends.messages import AvailabilityZone, Completion
+    from tanagerturn.serving.requests.conduct import Conductor
     from tanagerturn.serving.requests.ledger import RequestLedger
     from tanagerturn.serving.routing.messages import RouteDecision
 
 NO_BACKEND_RETRY_S: Final = 2.0
+HEDGE_THREADS: Final = 16
+
+
+@dataclass
+class TokenCount:
+    """Tokens made for a request, counted while its body is read."""
+
+    tokens: int = 0
+    """Tokens so far."""
 
 
 @dataclass(frozen=True)
@@ -36,6 +53,8 @@
     """Response headers."""
     body: Iterable[bytes]
     """Body, or its parts as they come."""
+    made: TokenCount = field(default_factory=TokenCount)
+    """Tokens made for it, final once the body was read."""
 
 
 @dataclass
@@ -60,8 +79,36 @@
     """Sends requests to them."""
     ledger: RequestLedger
     """Commits request records."""
+    conductor: Conductor
+    """Carries out calls that may not be repeated."""
+    jobs: PatientJobs
+    """Runs patient requests that no caller waits for."""
+    gate: Gate
+    """Lets requests in."""
+    metrics: EntryMetrics
+    """Counters of the process."""
     zone: AvailabilityZone
     """Availability zone of this process."""
+    budget: RetryBudget = field(default_factory=RetryBudget)
+    """Retries by service and client account."""
+    random: random.Random = field(default_factory=random.Random)
+    """Jitter of retries."""
+    latencies: dict[tuple[str, str], LatencyWindow] = field(default_factory=dict)
+    """Latencies of lookups, by service and path prefix."""
+    hedges: ThreadPoolExecutor = field(
+        default_factory=lambda: ThreadPoolExecutor(HEDGE_THREADS, "hedge")
+    )
+    """Threads of hedged lookups."""
+
+    def latency_of(self, call: CallerCall) -> LatencyWindow:
+        """Return the latencies of a call's kind."""
+        key = (call.service.name, call.method + call.path.split("/", 2)[1])
+        return self.latencies.setdefault(key, LatencyWindow())
+
+    def hedge_after_s(self, call: CallerCall) -> float | None:
+        """Return when to send a lookup a second time; None for never."""
+        percentile = call.service.hedge_percentile
+        return hedge_after_s(self.latency_of(call), percentile) if percentile else None
 
     def choose(
         self,
@@ -94,6 +141,10 @@
         decision: RouteDecision = chosen.ok
         return decision
 
+    def is_leaving(self, backend_id: BackendId) -> bool:
+        """Tell whether a backend server leaves or is to be reclaimed."""
+        return bool(ask(self.directory, IsLeaving(backend_id)))
+
     def ended(
         self,
         call: CallerCall,
--- a/src/tanagerturn/entry/server.py
+++ b/src/tanagerturn/entry/server.py
@@ -12,9 +12,14 @@
 from tanagerturn.coordination.ids import ProcessId, Revision
 from tanagerturn.entry.announcements import AnnouncementServer
 from tanagerturn.entry.app import CallerApp
-from tanagerturn.entry.directory import DirectoryActor, Dump
+from tanagerturn.entry.clock import SystemClock
+from tanagerturn.entry.directory import DirectoryActor, Dump, Slots
+from tanagerturn.entry.gate import Gate
+from tanagerturn.entry.hosts import EntryHosts
+from tanagerturn.entry.jobs import PatientJobs
 from tanagerturn.entry.metrics import make_entry_metrics
 from tanagerturn.entry.parts import Parts
+from tanagerturn.entry.records_actor import OwnerLease, RecordsActor, SweepTicker
 from tanagerturn.entry.settings_actor import NewRevision, SettingsActor
 from tanagerturn.entry.site import Site, make_site
 from tanagerturn.entry.transport import BackendTransport
@@ -23,6 +28,7 @@
 from tanagerturn.schema import settings_pb2
 from tanagerturn.schema.coordination_pb2 import SettingsRevision, WatchBatch
 from tanagerturn.serving.backends.messages import AvailabilityZone
+from tanagerturn.serving.requests.conduct import Conductor
 from tanagerturn.serving.requests.ledger import RequestLedger
 
 if TYPE_CHECKING:
@@ -34,6 +40,11 @@
 CONNECTION_LIMIT: Final = 2000
 HEADER_LIMIT_BYTES: Final = 64 * 1024
 READ_TIMEOUT_S: Final = 30
+OUTPUT_LIMIT_BYTES: Final = 256 * 1024
+"""Bytes that wait for a slow reader before its thread waits too."""
+
+JOB_THREADS_PART: Final = 4
+"""One thread for patient requests to so many for callers."""
 
 
 class EntryServer:
@@ -64,12 +75,16 @@
         """Actor that knows the backend servers."""
         self.settings_actor = SettingsActor.start(settings.site, self._on_site)
         """Actor that keeps the settings in force."""
-        self.watch = client.watch(
-            CONTROL_GROUP, SETTINGS_KEY, Revision(0), self._on_batch
-        )
-        """Watch of the settings."""
-        self.app = self._make_app()
+        self.parts = self._make_parts()
+        """What the request handlers share."""
+        self.app = CallerApp(self.parts, lambda: self.site, self.metrics)
         """Application for callers."""
+        self.hosts = EntryHosts(client, self.owner, self.parts.gate.set_hosts)
+        """Keys of the live entry hosts."""
+        self.lease = OwnerLease(self.parts, self.hosts)
+        """Lease of this process."""
+        self.records = RecordsActor.start(self.parts, self.hosts, lambda: self.site)
+        """Actor that takes over what dead entry hosts left."""
         self.announcements = AnnouncementServer(
             settings.entry.announcements, self.directory, lambda: self.site
         )
@@ -80,12 +95,19 @@
             settings.operations, self.metrics.registry, self.ready, self.dump
         )
         """Listener for operators."""
+        self.watch = client.watch(
+            CONTROL_GROUP, SETTINGS_KEY, Revision(0), self._on_batch
+        )
+        """Watch of the settings."""
+        self.lease.start()
+        self.ticker = SweepTicker(self.records)
+        """Tells the records actor to sweep."""
         self.callers.start()
         log.info("Entry process {} is up at {}.", settings.id, self.callers.address)
 
     def ready(self) -> bool:
         """Tell whether the balancer may send requests here."""
-        return not self.stopped and self.site.number > 0
+        return not self.stopped and self.site.number > 0 and self.lease.held()
 
     def known_backend_servers(self) -> int:
         """Return the number of backend servers that have announced themselves."""
@@ -99,7 +121,11 @@
             "settings_revision": self.site.number,
             "settings": self.site.settings,
             "running": self.app.running,
-            "draining": self.app.draining,
+            "draining": self.stopped,
+            "gate": self.parts.gate.dump(),
+            "jobs": self.parts.jobs.jobs,
+            "entry_hosts": dict(self.hosts.owners),
+            "lease": self.lease.keeper.dump(self.lease.keeper.clock()),
             "directory": ask(self.directory, Dump()),
         }
 
@@ -109,24 +135,56 @@
         self.stopped = True
         log.info("Readiness fails for {} ms.", entry.balancer_grace_ms)
         time.sleep(entry.balancer_grace_ms / 1000)
-        self.app.draining = True
-        left = self.app.wait_idle(entry.drain_ms / 1000)
+        self.parts.gate.drain()
+        left = self._drain(time.monotonic() + entry.drain_ms / 1000)
+        self._close(release=True)
+        log.info("Entry process {} has stopped.", self.settings.id)
+        return left
+
+    def abort(self) -> None:
+        """End without grace, as a crash would: nothing is finished or released."""
+        self.stopped = True
+        self.parts.jobs.stopping.set()
+        self._close(release=False)
+
+    def _drain(self, until_s: float) -> int:
+        """Wait for running requests; patient ones that are left go to others."""
+        left = self.app.running
+        while left and time.monotonic() < until_s:
+            log.info("{} requests and {} jobs run.", left, self.parts.jobs.jobs)
+            left = self.app.wait_idle(min(1.0, max(0.0, until_s - time.monotonic())))
+        handed_over = self.parts.jobs.stop(max(0.0, until_s - time.monotonic()))
+        if handed_over:
+            log.info("{} patient requests are left to other hosts.", handed_over)
         if left:
             log.error("{} requests were still running.", left)
+        return left
+
+    def _close(self, release: bool) -> None:
+        self.ticker.stop()
+        self.records.stop()
+        self.lease.stop(release)
         self.callers.stop()
         self.announcements.stop()
         self.watch.stop()
+        self.hosts.stop()
         self.settings_actor.stop()
         self.directory.stop()
         self.operations.stop()
-        log.info("Entry process {} has stopped.", self.settings.id)
-        return left
 
-    def _make_app(self) -> CallerApp:
+    def _make_parts(self) -> Parts:
+        entry = self.settings.entry
         ledger = RequestLedger(self.client, REQUESTS_GROUP, self.owner)
-        zone = AvailabilityZone(self.settings.availability_zone)
-        parts = Parts(self.directory, BackendTransport(), ledger, zone)
-        return CallerApp(parts, lambda: self.site, self.metrics)
+        return Parts(
+            directory=self.directory,
+            transport=BackendTransport(),
+            ledger=ledger,
+            conductor=Conductor(ledger, SystemClock()),
+            jobs=PatientJobs(max(2, entry.threads // JOB_THREADS_PART)),
+            gate=Gate(entry.threads, lambda: ask(self.directory, Slots())),
+            metrics=self.metrics,
+            zone=AvailabilityZone(self.settings.availability_zone),
+        )
 
     def _make_callers(self) -> WsgiServer:
         entry = self.settings.entry
@@ -142,10 +200,12 @@
             max_request_header_size=HEADER_LIMIT_BYTES,
             # Each event of a stream is to leave at once.
             send_bytes=1,
+            outbuf_high_watermark=OUTPUT_LIMIT_BYTES,
         )
 
     def _on_site(self, site: Site) -> None:
         self.site = site
+        self.parts.gate.set_site(site)
         self.metrics.settings_revision.set(site.number)
 
     def _on_batch(self, batch: WatchBatch) -> None:
--- a/src/tanagerturn/entry/sse.py
+++ b/src/tanagerturn/entry/sse.py
@@ -44,6 +44,12 @@
         tokens = self.payload.get("tanager")
         return tokens.get("attempt") if isinstance(tokens, dict) else None
 
+    @property
+    def request_id(self) -> str | None:
+        """Return the request that the event belongs to, if it says so."""
+        tokens = self.payload.get("tanager")
+        return tokens.get("request_id") if isinstance(tokens, dict) else None
+
     @property
     def text(self) -> str:
         """Return the text that the event brings."""
--- a/src/tanagerturn/entry/transport.py
+++ b/src/tanagerturn/entry/transport.py
@@ -81,6 +81,13 @@
         except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
             raise BrokenCallError("read stream", self.address, str(error)) from error
 
+    def set_silence_limit(self, limit_s: float) -> None:
+        """Bound the wait for the next bytes, where the connection is at hand."""
+        connection = getattr(self.response, "connection", None)
+        sock = getattr(connection, "sock", None)
+        if sock is not None:
+            sock.settimeout(limit_s)
+
     def close(self) -> None:
         """Close the connection; the backend server sees the caller as gone."""
         self.response.close()
--- a/src/tanagerturn/serving/requests/conduct.py
+++ b/src/tanagerturn/serving/requests/conduct.py
@@ -100,6 +100,11 @@
         first = calls.settle_call(policy.has_query)
         return self._conduct(record_key(held.record), work, first)
 
+    def keep_unfinished(self, held: Held, answer: pb.Answer, limit_bytes: int) -> None:
+        """Remember an answer whose commit is not confirmed."""
+        with self.lock:
+            self.unfinished[record_key(held.record)] = (held, answer, limit_bytes)
+
     def finish_unfinished(self) -> int:
         """Try again to commit answers; return how many are left."""
         with self.lock:
@@ -217,9 +222,7 @@
             work, self.ledger.finish(work.held, action.answer, now_ms, limit)
         )
         if isinstance(event, calls.CommitLost):
-            with self.lock:
-                key = record_key(work.held.record)
-                self.unfinished[key] = (work.held, action.answer, limit)
+            self.keep_unfinished(work.held, action.answer, limit)
         return event
 
     @_carry_out.register
--- a/src/tanagerturn/serving/streams/chunks.py
+++ b/src/tanagerturn/serving/streams/chunks.py
@@ -31,6 +31,8 @@
     """How many tokens it brings."""
     text: str
     """Their text."""
+    raw: bytes = b""
+    """The event that brought them, as it is passed on."""
 
 
 @dataclass(frozen=True)
