Decide which hosts to hold

Refused starts are remembered by zone, class and market; on-demand hosts bridge them within a bound; hosts are drained after a steady time and stopped when empty; a price spike moves nothing until it lasts.

--- /dev/null
+++ b/src/tanagerturn/serving/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Which hosts to hold: classes, zones, reclaimable or on demand."""
--- /dev/null
+++ b/src/tanagerturn/serving/capacity/plan.py
@@ -0,0 +1,236 @@
+"""Plans of the hosts to hold: starts, drains and stops of each service.
+
+Hosts are started at once when slots are missing. They are drained only after
+they were unwanted for a steady time and while the ready hosts that stay meet
+the need without them, and stopped only when they are empty.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from typing import TYPE_CHECKING, Final
+
+from tanagerturn.schema import settings_pb2
+from tanagerturn.serving.capacity._allocate import (
+    Allocation,
+    Unit,
+    allocate,
+    short_slots,
+    units_of,
+)
+from tanagerturn.serving.capacity.messages import (
+    CapacityPlan,
+    CapacityStep,
+    DrainHost,
+    HeldHost,
+    HostState,
+    Market,
+    Offer,
+    ServiceNeed,
+    StartHost,
+    StopHost,
+)
+from tanagerturn.serving.capacity.refusals import Refusals
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from tanagerturn.serving.backends.messages import AvailabilityZone
+    from tanagerturn.serving.capacity.messages import HostId
+
+PRICE_STEADY_MS: Final = 120_000
+"""Cheaper hosts must stay cheaper this long before they replace others."""
+
+START_TIMEOUT_MS: Final = 300_000
+"""A started host that isn't ready after this time is given back."""
+
+RISK_WINDOW_MS: Final = 6 * 3_600_000
+"""Reclaims of a zone count for this long."""
+
+RECLAIM_COST_H: Final = 0.25
+"""Hours of a host's price that one reclaim of it costs."""
+
+MS_PER_H: Final = 3_600_000.0
+
+
+class Capacity:
+    """What planning remembers of one service between plans."""
+
+    def __init__(self) -> None:
+        self.refusals = Refusals()
+        """Refused starts."""
+        self.unwanted_since_ms: dict[HostId, int] = {}
+        """Ready hosts that aren't wanted, since when."""
+        self.swap_since_ms: int | None = None
+        """Since when cheaper hosts than the held ones are on offer."""
+        self.reclaims: dict[AvailabilityZone, deque[int]] = {}
+        """Times of the reclaims of each zone."""
+
+    def on_reclaim(self, zone: AvailabilityZone, now_ms: int) -> None:
+        """Remember that hosts of a zone were reclaimed."""
+        self.reclaims.setdefault(zone, deque(maxlen=100)).append(now_ms)
+
+    def risk(self, now_ms: int) -> dict[str, float]:
+        """Return the expected cost of reclaims by zone, as a share of the price."""
+        since_ms = now_ms - RISK_WINDOW_MS
+        return {
+            zone: sum(1 for at_ms in times if at_ms > since_ms)
+            / (RISK_WINDOW_MS / MS_PER_H)
+            * RECLAIM_COST_H
+            for zone, times in self.reclaims.items()
+        }
+
+    def plan(
+        self,
+        need: ServiceNeed,
+        held: Sequence[HeldHost],
+        offers: Iterable[Offer],
+        now_ms: int,
+        policy: settings_pb2.CapacityPolicy.ValueType = settings_pb2.LOWEST_COST,
+    ) -> CapacityPlan:
+        """Return what to do for the service now.
+
+        The caller counts a start as a held host at once, and reports a refused
+        one to `refusals`.
+
+        Args:
+            need: What the service needs.
+            held: Hosts of the service that are paid for.
+            offers: Hosts that can be asked for, with present prices.
+            now_ms: Present time.
+            policy: Capacity policy of the deployment.
+        """
+        steps: list[CapacityStep] = [*_stops(held, now_ms)]
+        live = [host for host in held if _is_live(host, now_ms)]
+        wanted = self._allocate(need, live, offers, now_ms, policy)
+        bound = _on_demand_bound(need, policy)
+        steps += _within_bounds(
+            self._starts(need, live, wanted, now_ms), live, need, bound
+        )
+        steps += self._drains(need, live, wanted, now_ms, policy)
+        return CapacityPlan(
+            service=need.service,
+            steps=tuple(steps),
+            wanted=dict(Counter(unit.key for unit in wanted.units)),
+            short_slots=wanted.short_slots,
+            cost_per_hour=sum(unit.price for unit in wanted.units),
+        )
+
+    def _allocate(
+        self,
+        need: ServiceNeed,
+        live: Sequence[HeldHost],
+        offers: Iterable[Offer],
+        now_ms: int,
+        policy: settings_pb2.CapacityPolicy.ValueType,
+    ) -> Allocation:
+        only_on_demand = policy == settings_pb2.ON_DEMAND_ONLY
+        open_offers = [
+            offer
+            for offer in offers
+            if not self.refusals.blocked(offer.key, now_ms)
+            and not (only_on_demand and offer.key.market is Market.RECLAIMABLE)
+        ]
+        units = units_of(live, open_offers, self.risk(now_ms), need.max_hosts)
+        return allocate(need, units, _on_demand_bound(need, policy))
+
+    def _starts(
+        self,
+        need: ServiceNeed,
+        live: Sequence[HeldHost],
+        wanted: Allocation,
+        now_ms: int,
+    ) -> list[StartHost]:
+        new = [unit for unit in wanted.units if unit.held is None]
+        short = short_slots(need, [_as_unit(host) for host in live])
+        if short:
+            self.swap_since_ms = None
+            reason = f"{short:.1f} slots are missing, or would be without one zone"
+            return [StartHost(need.service, unit.key, reason) for unit in new]
+        if not new:
+            self.swap_since_ms = None
+            return []
+        if self.swap_since_ms is None:
+            self.swap_since_ms = now_ms
+        if now_ms - self.swap_since_ms < PRICE_STEADY_MS:
+            return []
+        if any(host.state is HostState.STARTING for host in live):
+            return []
+        return [StartHost(need.service, new[0].key, "cheaper than a held host")]
+
+    def _drains(
+        self,
+        need: ServiceNeed,
+        live: Sequence[HeldHost],
+        wanted: Allocation,
+        now_ms: int,
+        policy: settings_pb2.CapacityPolicy.ValueType,
+    ) -> list[DrainHost]:
+        kept = {unit.held for unit in wanted.units}
+        unwanted = [host for host in live if host.id not in kept]
+        self.unwanted_since_ms = {
+            host.id: self.unwanted_since_ms.get(host.id, now_ms) for host in unwanted
+        }
+        at_once = policy == settings_pb2.SCALE_IN_AT_ONCE
+        steady_ms = 0 if at_once else need.scale_in_after_ms
+        ready = [host for host in live if host.state is HostState.READY]
+        steps = []
+        for host in sorted(unwanted, key=lambda each: -each.price_per_hour):
+            if now_ms - self.unwanted_since_ms[host.id] < steady_ms:
+                continue
+            rest = [each for each in ready if each.id != host.id]
+            if short_slots(need, [_as_unit(each) for each in rest]):
+                continue
+            ready = rest
+            steps.append(DrainHost(host.id, "not wanted for the steady time"))
+        return steps
+
+
+def _on_demand_bound(
+    need: ServiceNeed, policy: settings_pb2.CapacityPolicy.ValueType
+) -> int:
+    if policy == settings_pb2.ON_DEMAND_ONLY:
+        return need.max_hosts
+    return need.max_on_demand
+
+
+def _within_bounds(
+    starts: Iterable[StartHost],
+    live: Sequence[HeldHost],
+    need: ServiceNeed,
+    max_on_demand: int,
+) -> list[StartHost]:
+    """Leave out starts beyond the bounds; held hosts not wanted count too."""
+    count = len(live)
+    on_demand = sum(1 for host in live if host.key.market is Market.ON_DEMAND)
+    allowed = []
+    for start in starts:
+        demanded = start.key.market is Market.ON_DEMAND
+        if count >= need.max_hosts or (demanded and on_demand >= max_on_demand):
+            continue
+        count += 1
+        on_demand += demanded
+        allowed.append(start)
+    return allowed
+
+
+def _stops(held: Iterable[HeldHost], now_ms: int) -> list[StopHost]:
+    steps = []
+    for host in held:
+        if host.state is HostState.DRAINING and not host.running:
+            steps.append(StopHost(host.id, "drained"))
+        elif host.state is HostState.STARTING and not _is_live(host, now_ms):
+            steps.append(StopHost(host.id, "did not become ready"))
+    return steps
+
+
+def _is_live(host: HeldHost, now_ms: int) -> bool:
+    if host.state is HostState.DRAINING or host.under_notice:
+        return False
+    late = now_ms - host.since_ms >= START_TIMEOUT_MS
+    return host.state is HostState.READY or not late
+
+
+def _as_unit(host: HeldHost) -> Unit:
+    price = host.price_per_hour
+    return Unit(host.key, host.slots, price, price, host.id)
