--- a/src/tanagerturn/serving/backends/view.py
+++ b/src/tanagerturn/serving/backends/view.py
@@ -19,6 +19,7 @@
     AnnouncementFault,
     BackendId,
 )
+from tanagerturn.serving.cache.blocks import BLOCK_TOKENS
 from tanagerturn.serving.cache.view import CacheView, make_cache_view
 
 if TYPE_CHECKING:
@@ -94,7 +95,10 @@
             sequence = self.cache.sequence(backend_id)
             return Ok(AnnouncementAccepted(sequence, applied=False))
         changed = self._apply(announcement, now_ms)
-        sequence = self.cache.on_events(backend_id, announcement.cache_events, now_ms)
+        room_blocks = announcement.kv_tokens // BLOCK_TOKENS
+        sequence = self.cache.on_events(
+            backend_id, announcement.cache_events, now_ms, room_blocks
+        )
         return Ok(AnnouncementAccepted(sequence, eligibility_changed=changed))
 
     def on_started(
--- a/src/tanagerturn/serving/cache/view.py
+++ b/src/tanagerturn/serving/cache/view.py
@@ -40,9 +40,15 @@
 
 
 class EngineCache:
-    """Blocks of one engine and the state of its events."""
+    """Blocks of one engine and the state of its events.
 
-    def __init__(self) -> None:
+    Args:
+        room_blocks: Blocks remembered at most.
+    """
+
+    def __init__(self, room_blocks: int) -> None:
+        self.room_blocks = room_blocks
+        """Blocks remembered at most; the engine holds no more."""
         self.blocks: OrderedDict[BlockHash, int] = OrderedDict()
         """Held blocks to when they were last known to be held."""
         self.sequence = 0
@@ -51,6 +57,8 @@
         """Applied events after a gap."""
         self.touched: dict[BlockHash, int] = {}
         """Last event about a block, of the events after a gap."""
+        self.cleared = 0
+        """Last clearing of the cache, of the events after a gap."""
         self.gap_since_ms: int | None = None
         """When the open gap was found."""
         self.distrust_before_ms = -1
@@ -81,16 +89,28 @@
         return cache.sequence if cache else 0
 
     def on_events(
-        self, engine: BackendId, events: Sequence[CacheEvent], now_ms: int
+        self,
+        engine: BackendId,
+        events: Sequence[CacheEvent],
+        now_ms: int,
+        room_blocks: int | None = None,
     ) -> int:
         """Take events of an engine, in any order.
 
+        Args:
+            engine: The engine.
+            events: New events, or some that are already known.
+            now_ms: Present time.
+            room_blocks: Blocks that fit into the engine's memory.
+
         Returns:
             The last event known without a gap.
         """
         if not events and engine not in self.engines:
             return 0
-        cache = self.engines.setdefault(engine, EngineCache())
+        cache = self._cache(engine)
+        if room_blocks is not None:
+            cache.room_blocks = min(self.blocks_per_engine, room_blocks)
         for event in sorted(events, key=lambda event: event.sequence):
             self._take(engine, cache, event, now_ms)
         self._close_gap(cache, now_ms)
@@ -100,7 +120,7 @@
         self, engine: BackendId, blocks: Sequence[BlockHash], now_ms: int
     ) -> None:
         """Expect blocks at an engine to which a request with them was sent."""
-        cache = self.engines.setdefault(engine, EngineCache())
+        cache = self._cache(engine)
         self._store(engine, cache, blocks, now_ms)
 
     def on_missed(self, engine: BackendId, blocks: Sequence[BlockHash]) -> None:
@@ -158,6 +178,12 @@
                 high = middle - 1
         return low
 
+    def _cache(self, engine: BackendId) -> EngineCache:
+        cache = self.engines.get(engine)
+        if cache is None:
+            cache = self.engines[engine] = EngineCache(self.blocks_per_engine)
+        return cache
+
     def _take(
         self, engine: BackendId, cache: EngineCache, event: CacheEvent, now_ms: int
     ) -> None:
@@ -170,6 +196,8 @@
             return
         cache.ahead.add(number)
         self._apply(engine, cache, event, now_ms)
+        if event.action == CacheEvent.CLEARED:
+            cache.cleared = max(number, cache.cleared)
         for block in event.blocks:
             hashed = BlockHash(block)
             cache.touched[hashed] = max(number, cache.touched.get(hashed, 0))
@@ -180,8 +208,10 @@
         named: list[BlockHash] = [BlockHash(block) for block in event.blocks]
         if event.action == CacheEvent.CLEARED:
             named = list(cache.blocks)
+        number = event.sequence
+        if number < cache.cleared:
+            return
         if cache.touched:
-            number = event.sequence
             named = [b for b in named if cache.touched.get(b, 0) < number]
         if event.action == CacheEvent.STORED:
             self._store(engine, cache, named, now_ms)
@@ -193,6 +223,7 @@
         if not cache.ahead:
             cache.gap_since_ms = None
             cache.touched.clear()
+            cache.cleared = 0
             return
         if cache.gap_since_ms is None:
             cache.gap_since_ms = now_ms
@@ -215,7 +246,7 @@
             cache.blocks[block] = now_ms
             cache.blocks.move_to_end(block)
             self.holders.setdefault(block, set()).add(engine)
-        while len(cache.blocks) > self.blocks_per_engine:
+        while len(cache.blocks) > cache.room_blocks:
             oldest = next(iter(cache.blocks))
             self._evict(engine, cache, [oldest])
 
--- /dev/null
+++ b/tests/serving/backends/steps/subset_steps.py
@@ -0,0 +1,98 @@
+"""Steps of subset.feature."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from behave import given, then
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+
+from tanagerturn.serving.backends.subset import (
+    Digest,
+    pack_digests,
+    subset_of,
+    unpack_digests,
+)
+
+
+@given(
+    "{engines:d} engines in {zones:d} zones and {entries:d} entry hosts "
+    "that follow {size:d} each"
+)
+def deployment(context, engines, zones, entries, size):
+    context.engines = {f"engine-{i}": f"z{i % zones}" for i in range(engines)}
+    context.entries = {f"entry-{i}": f"z{i % zones}" for i in range(entries)}
+    context.size = size
+    context.subsets = subsets(context, context.engines)
+
+
+def subsets(context, engines):
+    return {
+        entry: subset_of(entry, zone, engines, context.size)
+        for entry, zone in context.entries.items()
+    }
+
+
+@then("each follows 12 of its own zone and engines of every other zone")
+def zone_aware(context):
+    for entry, chosen in context.subsets.items():
+        zones = Counter(context.engines[engine] for engine in chosen)
+        assert len(chosen) == 24 and len(zones) == 7
+        assert zones[context.entries[entry]] == 12
+
+
+@then("every engine is followed, none by more than 3 times the mean")
+def balanced(context):
+    followers = Counter(e for chosen in context.subsets.values() for e in chosen)
+    mean = 24 * 380 / 760
+    assert len(followers) == 760
+    assert max(followers.values()) <= 3 * mean, max(followers.values())
+
+
+@then("when 1 engine goes each entry host changes at most 1 of its engines")
+def steady(context):
+    engines = {k: z for k, z in context.engines.items() if k != "engine-5"}
+    for entry, chosen in subsets(context, engines).items():
+        assert len(context.subsets[entry] - chosen) <= 1
+
+
+@then("when a zone goes no entry host keeps fewer than 24")
+def zone_lost(context):
+    engines = {k: z for k, z in context.engines.items() if z != "z3"}
+    for entry, chosen in subsets(context, engines).items():
+        assert len(chosen) == 24
+        kept = context.subsets[entry] & set(engines)
+        if context.entries[entry] != "z3":
+            assert kept <= chosen
+
+
+@then("each follows all engines")
+def whole(context):
+    assert all(chosen == set(context.engines) for chosen in context.subsets.values())
+
+
+@then("generated digests come out as they went in, but for rounding")
+def round_trip(context):
+    digest = st.builds(
+        Digest, st.integers(0, 2**64 - 1), st.floats(0, 1), st.booleans()
+    )
+
+    @for_all(digests=st.lists(digest, max_size=50))
+    def run(digests):
+        found = unpack_digests(pack_digests(digests))
+        assert len(found) == len(digests)
+        for before, after in zip(digests, found, strict=True):
+            assert (before.id_hash, before.leaving) == (after.id_hash, after.leaving)
+            assert abs(before.fill - after.fill) <= 1 / 255
+
+    run()
+
+
+@then("bytes of another length are refused")
+def refused_bytes(context):
+    try:
+        unpack_digests(b"x" * 11)
+    except ValueError:
+        return
+    raise AssertionError("bytes of a wrong length were read")
--- /dev/null
+++ b/tests/serving/cache/steps/cache_steps.py
@@ -0,0 +1,184 @@
+"""Steps of cache.feature."""
+
+from __future__ import annotations
+
+from random import Random
+
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from tanagerturn.schema.serving_pb2 import CacheEvent
+from tanagerturn.serving.cache.blocks import (
+    BLOCK_CHARACTERS,
+    cache_seed,
+    text_blocks,
+)
+from tanagerturn.serving.cache.view import DOUBT_MS, make_cache_view
+from tanagerturn.standins.engine.cache import PrefixCache
+from tanagerturn.standins.engine.config import EngineConfig
+
+OLD, NEW = "0" * 15 + "1", "0" * 15 + "2"
+
+
+def event(sequence, action, *blocks):
+    return CacheEvent(sequence=sequence, action=action, blocks=blocks)
+
+
+@then("in {count:d} generated runs late, doubled and repeated events give its blocks")
+def any_order(context, count):
+    change = st.tuples(
+        st.sampled_from([CacheEvent.STORED, CacheEvent.EVICTED, CacheEvent.CLEARED]),
+        st.lists(st.integers(0, 5), min_size=1, max_size=3),
+    )
+
+    @settings(max_examples=count)
+    @for_all(changes=st.lists(change, max_size=25), data=st.data())
+    def run(changes, data):
+        view, held, events = make_cache_view(), set(), []
+        for sequence, (action, numbers) in enumerate(changes, 1):
+            blocks = [f"{number:016x}" for number in numbers]
+            if action == CacheEvent.CLEARED:
+                held, blocks = set(), []
+            elif action == CacheEvent.STORED:
+                held |= set(blocks)
+            else:
+                held -= set(blocks)
+            events.append(event(sequence, action, *blocks))
+        for each in data.draw(st.permutations(events)):
+            if not data.draw(st.booleans()):
+                view.on_events("a-1", [each], 0)
+        known = view.sequence("a-1")
+        view.on_events("a-1", events[known:], 0)
+        assert view.sequence("a-1") == len(events)
+        cache = view.engines.get("a-1")
+        assert set(cache.blocks if cache else ()) == held
+
+    run()
+
+
+@given("an engine whose cache events come 30 s late and one in ten never")
+def lossy_engine(context):
+    config = EngineConfig(
+        id="a-1", cache_event_delay_ms=30_000, cache_event_loss=0.1, seed=4
+    )
+    context.cache, context.view = PrefixCache(config), make_cache_view()
+
+
+@when("it runs for 10 min under memory pressure")
+def runs(context):
+    random, view = Random(4), context.view
+    context.good = context.expected = 0
+    for second in range(600):
+        now_ms = second * 1_000
+        work = random.randrange(20)
+        prompt = f"work {work} " * 200
+        blocks = text_blocks(prompt, "m")
+        context.cache.store(blocks, 100, now_ms)
+        events = context.cache.events_after(view.sequence("a-1"), now_ms)
+        view.on_events("a-1", events, now_ms, 100)
+        wanted = text_blocks(f"work {random.randrange(20)} " * 200, "m")
+        context.expected += view.matched("a-1", wanted, now_ms)
+        matched = view.matched("a-1", wanted, now_ms)
+        context.good += sum(block in context.cache.blocks for block in wanted[:matched])
+    context.now_ms = now_ms
+
+
+@then("at least 80 in 100 blocks that the view expects are there")
+def mostly_there(context):
+    assert context.expected > 300, context.expected
+    share = context.good / context.expected
+    assert share >= 0.8, share
+
+
+@then("the last event known without a gap is at most 60 s behind")
+def keeps_up(context):
+    visible = context.cache.events_after(0, context.now_ms - 30_000)
+    assert context.view.sequence("a-1") >= visible[-1].sequence
+
+
+@given("a block stored long ago and one stored now")
+def two_blocks(context):
+    context.view = make_cache_view()
+    context.view.on_events("a-1", [event(1, CacheEvent.STORED, OLD)], 0)
+    context.now_ms = 2 * DOUBT_MS
+    context.view.on_events("a-1", [event(2, CacheEvent.STORED, NEW)], context.now_ms)
+    assert held(context) == [OLD, NEW]
+
+
+def held(context, now_ms=None):
+    now_ms = now_ms or context.now_ms
+    return [b for b in (OLD, NEW) if context.view.matched("a-1", [b], now_ms)]
+
+
+@when("an event is lost and not repeated for 4 s")
+def lost(context):
+    later = event(4, CacheEvent.STORED, "0" * 15 + "3")
+    for second in range(5):
+        now_ms = context.now_ms + second * 1_000
+        assert context.view.on_events("a-1", [later], now_ms) in (2, 4)
+
+
+@then("only the block stored now is still expected")
+def only_new(context):
+    assert held(context) == [NEW]
+
+
+@then("later events are taken without a gap")
+def taken(context):
+    assert context.view.sequence("a-1") == 4
+    evicted = event(5, CacheEvent.EVICTED, NEW)
+    assert context.view.on_events("a-1", [evicted], context.now_ms) == 5
+    assert held(context) == []
+
+
+@then("evicting one, clearing all and forgetting the engine drop them")
+def dropped(context):
+    view, now_ms = context.view, context.now_ms
+    view.on_events("a-1", [event(3, CacheEvent.EVICTED, OLD)], now_ms)
+    assert held(context) == [NEW]
+    view.on_events("a-1", [event(4, CacheEvent.CLEARED)], now_ms)
+    assert held(context) == [] and not view.holders
+    view.on_used("a-1", [OLD, NEW], now_ms)
+    assert held(context) == [OLD, NEW]
+    view.forget("a-1")
+    assert held(context) == [] and not view.holders and not view.engines
+
+
+@then("5 engines with 50000 blocks each leave 1000 blocks for each engine")
+def bounded(context):
+    view = make_cache_view(blocks_per_engine=1_000)
+    for engine in range(5):
+        for start in range(0, 50_000, 1_000):
+            blocks = [f"{engine * 10**6 + start + i:016x}" for i in range(1_000)]
+            view.on_used(f"a-{engine}", blocks, 0)
+    assert [len(cache.blocks) for cache in view.engines.values()] == [1_000] * 5
+    assert len(view.holders) == 5_000
+
+
+@then("equal prefixes share their leading blocks and nothing after a difference")
+def chained(context):
+    @for_all(shared=st.integers(0, 6), tail=st.text(max_size=600))
+    def run(shared, tail):
+        common = "x" * (shared * BLOCK_CHARACTERS)
+        first = text_blocks(common + "a" + tail, "s")
+        second = text_blocks(common + "b" + tail, "s")
+        assert first[:shared] == second[:shared]
+        assert not set(first[shared:]) & set(second[shared:])
+
+    run()
+
+
+@then("another version or adapter shares no block")
+def apart(context):
+    text = "x" * 10 * BLOCK_CHARACTERS
+    seeds = [cache_seed("m", "1"), cache_seed("m", "2"), cache_seed("m", "1", "a")]
+    blocks = [block for seed in seeds for block in text_blocks(text, seed)]
+    assert len(set(blocks)) == 30
+
+
+@then("an answer that shows them missing drops them")
+def missed(context):
+    context.view.on_missed("a-1", [OLD, NEW])
+    assert held(context) == []
