--- a/src/tanagerturn/replay/_answers.py
+++ b/src/tanagerturn/replay/_answers.py
@@ -103,6 +103,7 @@
     expected = prepared.expected_text()
     if text == expected:
         received.outcome = CallerOutcome.ANSWERED
+        received.detail = ""
         return
     received.outcome = CallerOutcome.NO_ANSWER
     if expected.startswith(text):
--- a/src/tanagerturn/replay/run.py
+++ b/src/tanagerturn/replay/run.py
@@ -30,7 +30,7 @@
     from tanagerturn.replay.trace import Trace
 
 MS_PER_S: Final = 1000.0
-SETTLE_S: Final = 0.5
+SETTLE_S: Final = 0.2
 """Time after the last answer in which stand-ins finish."""
 
 
