Play traces against a deployment in this process

tanager-replay run starts the example deployment of the trace's firm, names the stand-in cloud to control, applies the trace's events and notes leases and settings revisions. Traces name the model that drafts ask for.

--- a/src/tanagerturn/replay/_bodies.py
+++ b/src/tanagerturn/replay/_bodies.py
@@ -17,6 +17,8 @@
 CHARACTERS_PER_TOKEN: Final = 4
 KEY_SUFFIX: Final = "-example-key"
 """Bearer keys of the example deployments: the account's name and this."""
+REPLAY_ID: Final = "X-Replay-Id"
+"""Header with the request's id in the trace, for reading logs."""
 COMPLETIONS: Final = "/v1/completions"
 
 
@@ -60,7 +62,7 @@
     """
     headers = {
         "Authorization": f"Bearer {request.client_account}{KEY_SUFFIX}",
-        "X-Request-Id": request.id,
+        REPLAY_ID: request.id,
     }
     if request.max_tokens:
         return _prepare_model(request, headers)
@@ -83,13 +85,12 @@
     characters = request.prompt_tokens * CHARACTERS_PER_TOKEN
     prompt = prompt_of_blocks(names, characters, request.id)
     body: dict[str, Any] = {
-        "service": request.service,
+        "model": request.model,
         "prompt": prompt,
         "max_tokens": request.max_tokens,
         "stream": request.answer == AnswerMode.STREAM,
     }
     headers["Content-Type"] = "application/json"
-    headers["X-Tanager-Service"] = request.service
     if request.answer == AnswerMode.ASYNC:
         headers["Prefer"] = "respond-async"
     data = orjson.dumps(body)
--- a/src/tanagerturn/replay/main.py
+++ b/src/tanagerturn/replay/main.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import sys
+from dataclasses import replace
 from pathlib import Path
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import click
 
+from tanagerturn.observe.logs import set_up_logs
 from tanagerturn.replay.check import judge_all, summarize
 from tanagerturn.replay.codec import TraceError, read_trace, write_trace
 from tanagerturn.replay.figures import compare_runs, figures_of
@@ -24,9 +26,12 @@
     format_table,
     spread_rows,
 )
+from tanagerturn.schema.settings_pb2 import Logging
+from tanagerturn.settings import SettingsError
 
 if TYPE_CHECKING:
     from tanagerturn.replay.results import RunResults
+    from tanagerturn.replay.stage import Stage
     from tanagerturn.replay.trace import Trace
 
 DEFAULT_SEED: Final = 2026
@@ -73,6 +78,11 @@
 @click.option(
     "--announce-to", multiple=True, help="IP:PORT that stand-ins announce to."
 )
+@click.option(
+    "--settings", default="", help="Folder of a deployment to run in this process."
+)
+@click.option("--policy", "policies", multiple=True, help="NAME=VALUE to set in it.")
+@click.option("--entries", default=0, help="Entry hosts; 0 for the trace's number.")
 @click.option("--out", default="replay.jsonl", help="Result file to write.")
 @click.option("--speed", default=1.0, help="How much faster than recorded.")
 @click.option("--from-s", default=0.0, help="Start of the window of the trace.")
@@ -82,47 +92,75 @@
 @click.option("--threads", default=32, help="Plain calls open at once.")
 @click.option("--draft-threads", default=128, help="Model requests open at once.")
 @click.option("--progress/--no-progress", default=True, help="Show a progress bar.")
-def run(
-    trace_file: str,
-    addresses: tuple[str, ...],
-    announce_to: tuple[str, ...],
-    out: str,
-    speed: float,
-    from_s: float,
-    to_s: float,
-    seed: int,
-    label: str,
-    threads: int,
-    draft_threads: int,
-    progress: bool,
-) -> None:
-    """Play TRACE_FILE against entry hosts and write what both ends saw.
+def run(trace_file: str, **values: Any) -> None:
+    """Play TRACE_FILE and write what both ends saw.
 
-    Backend servers and cloud are stand-ins, started here, which announce
-    themselves to the addresses of --announce-to.
+    Without --address, the deployment of --settings (by default examples/FIRM)
+    runs in this process. With --address, entry hosts that run already are
+    called, and the stand-ins announce themselves to --announce-to.
     """
-    if not addresses:
-        raise click.UsageError("name at least one --address")
     trace = load_trace(trace_file)
     pace = Pace(
-        speed=speed,
-        from_ms=int(from_s * MS_PER_S),
-        to_ms=int(to_s * MS_PER_S),
-        threads=threads,
-        draft_threads=draft_threads,
-        progress=progress,
+        speed=values["speed"],
+        from_ms=int(values["from_s"] * MS_PER_S),
+        to_ms=int(values["to_s"] * MS_PER_S),
+        threads=values["threads"],
+        draft_threads=values["draft_threads"],
+        progress=values["progress"],
     )
-    plan = RunPlan(trace, addresses, pace, seed, label)
-    stage = start_stage(trace.header, seed, speed)
+    plan = RunPlan(trace, values["addresses"], pace, values["seed"], values["label"])
+    stage = start_stage(trace.header, plan.seed, pace.speed)
     try:
-        stage.start_backends(announce_to)
-        results = run_trace(plan, stage)
+        if plan.addresses:
+            stage.start_backends(values["announce_to"])
+            results = run_trace(plan, stage)
+        else:
+            results = run_in_process(plan, stage, values)
     finally:
         stage.stop()
-    write_results(results, out)
+    write_results(results, values["out"])
     show_summary(results)
 
 
+def run_in_process(plan: RunPlan, stage: Stage, values: dict[str, Any]) -> RunResults:
+    """Play a trace against a deployment in this process."""
+    from tanagerturn.replay.target import describe_files, read_files, start_target
+
+    set_up_logs(Logging(level="ERROR"), "replay")
+    folder = values["settings"] or f"examples/{plan.trace.header.firm}"
+    policies = dict(parse_policy(text) for text in values["policies"])
+    try:
+        files = read_files(folder, policies)
+    except SettingsError as error:
+        raise click.ClickException(str(error)) from error
+    target = start_target(plan.trace.header, files, stage, values["entries"])
+    try:
+        target.start_backends()
+        words = ",".join(f"{name}={value}" for name, value in policies.items())
+        plan = replace(
+            plan,
+            addresses=target.caller_addresses,
+            label=plan.label or words or "default",
+            target=f"in process, {len(target.caller_addresses)} entry hosts",
+            settings=describe_files(files),
+        )
+        return run_trace(plan, stage)
+    finally:
+        target.stop()
+
+
+def parse_policy(text: str) -> tuple[str, str]:
+    """Read `NAME=VALUE`.
+
+    Raises:
+        click.BadParameter: The text has another form.
+    """
+    name, separator, value = text.partition("=")
+    if not separator or not name or not value:
+        raise click.BadParameter(f"want NAME=VALUE, not {text!r}")
+    return name, value
+
+
 @main.command()
 @click.argument("trace_file")
 @click.argument("result_file")
--- a/src/tanagerturn/replay/record.py
+++ b/src/tanagerturn/replay/record.py
@@ -53,6 +53,8 @@
     """Path below the service."""
     body_bytes: int = 0
     """Length of the body."""
+    model: str = ""
+    """Model that was asked."""
     blocks: tuple[str, ...] = ()
     """Hashes of the prompt's prefix blocks."""
     prompt_tokens: int = 0
@@ -149,6 +151,7 @@
         method=line.method,
         path=line.path,
         body_bytes=line.body_bytes,
+        model=line.model,
         prefix=prefix,
         prompt_tokens=max(line.prompt_tokens, least_tokens) if line.max_tokens else 0,
         max_tokens=line.max_tokens,
--- a/src/tanagerturn/replay/recorder.py
+++ b/src/tanagerturn/replay/recorder.py
@@ -231,6 +231,7 @@
             kind=CallKind.PATIENT,
             priority=PRIORITY_OF_DRAFTS,
             deadline_ms=self._draft_deadline(at_ms, habit),
+            model=self.firm.model,
             prefix=(
                 PrefixRun(f"{self.firm.name}-{habit.name}", TEMPLATE_BLOCKS),
                 PrefixRun(work, blocks),
--- a/src/tanagerturn/replay/trace.py
+++ b/src/tanagerturn/replay/trace.py
@@ -188,6 +188,8 @@
     """Path below the service, for plain services."""
     body_bytes: int = 0
     """Length of the body, for plain services."""
+    model: str = ""
+    """Model that is asked; empty for plain services."""
     prefix: tuple[PrefixRun, ...] = ()
     """Leading blocks of the prompt."""
     prompt_tokens: int = 0
--- a/tests/replay/outcomes/outcomes.feature
+++ b/tests/replay/outcomes/outcomes.feature
@@ -37,3 +37,6 @@
   Scenario: The command line plays, checks, compares and reports
     Given a short trace of both kinds of work
     Then run, check, compare, show and report end well on an orderly relay
+
+  Scenario: The command line plays a window against a deployment in this process
+    Then run and check end well on 4 s of the shipped night with an entry host dying
--- a/tests/replay/outcomes/steps/outcome_steps.py
+++ b/tests/replay/outcomes/steps/outcome_steps.py
@@ -50,6 +50,7 @@
     )
 ]
 RUN_MS = 600
+TRACES = Path(__file__).parents[4] / "traces"
 ONLY_WHEN_TOLD = (tr.OutcomeKind.NOT_RUN_IS_TRUE,)
 
 
@@ -268,3 +269,27 @@
         done = CliRunner().invoke(main, ["check", trace_file, result_file])
         assert done.exit_code == 1, done.output
         assert "FAIL executed_once" in done.output
+
+
+@then("run and check end well on 4 s of the shipped night with an entry host dying")
+def in_process(context):
+    full = make_trace(FIRMS["fascicoli"], Scenario.NIGHT_BEFORE_FILING, 5)
+    start_ms = 110 * 60_000
+    events = (
+        tr.ReclaimNotice(start_ms + 1000, ("engine-1", "filing-1"), 1000),
+        tr.EntryDeath(start_ms + 2000, 1),
+    )
+    header = replace(full.header, outcomes=tuple(STATED))
+    with TemporaryDirectory() as folder:
+        trace_file, result_file = f"{folder}/t.jsonl", f"{folder}/r.jsonl"
+        write_trace(replace(full, header=header, events=events), trace_file)
+        window = ["--from-s", "6600", "--to-s", "6604", "--entries", "3"]
+        options = [*window, "--out", result_file, "--no-progress"]
+        options += ["--settings", str(TRACES.parent / "examples" / "fascicoli")]
+        done = CliRunner().invoke(main, ["run", trace_file, *options])
+        assert done.exit_code == 0, (done.output, done.exception)
+        done = CliRunner().invoke(main, ["check", trace_file, result_file])
+        assert done.exit_code == 0, done.output
+        timeline = read_results(result_file).timeline
+    happened = {happening.what for happening in timeline}
+    assert {"reclaim", "entry", "lease", "settings"} <= happened, timeline
--- a/tests/support/relay.py
+++ b/tests/support/relay.py
@@ -76,7 +76,7 @@
         model = self.path.startswith("/v1/")
         deposit = self.command == "POST" and not model
         relay = self.relay
-        name = self.headers["X-Request-Id"]
+        name = self.headers["X-Replay-Id"]
         if relay.planted("lost", name):
             self.die()
         service = "" if model else self.path.split("/")[2]
@@ -101,7 +101,7 @@
         self.answer(answer.status, data, answer.headers["Content-Type"])
 
     def forward(self, address: str, path: str, body: bytes):
-        names = ("Idempotency-Key", "X-Request-Id", "Content-Type")
+        names = ("Idempotency-Key", "Content-Type")
         headers = {name: self.headers[name] for name in names if name in self.headers}
         url = f"http://{address}{path}"
         return self.relay.pool.request(self.command, url, body=body, headers=headers)
