--- /dev/null
+++ b/src/tanagerturn/entry/sse.py
@@ -0,0 +1,108 @@
+"""Reads server-sent events of engines from arriving chunks."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, Final
+
+import orjson
+
+EVENT_LIMIT_BYTES: Final = 1024 * 1024
+DONE: Final = b"[DONE]"
+FIELD: Final = b"data:"
+
+
+class MalformedEventError(ValueError):
+    """An event is larger than allowed or is not JSON."""
+
+
+@dataclass(slots=True)
+class EngineEvent:
+    """One event of an engine's stream."""
+
+    raw: bytes
+    """The event as it arrived, with its blank line."""
+    done: bool
+    """This is the closing `[DONE]`."""
+    payload: dict[str, Any]
+    """Parsed data; empty for the closing event."""
+    offset: int | None = None
+    """Index of the event's first token, or None without tokens."""
+    tokens: int = 0
+    """Number of tokens that the event brings."""
+    attempt: int | None = None
+    """Attempt that the event belongs to, if it says so."""
+    request_id: str = ""
+    """Request that the event belongs to, if it says so."""
+
+    @property
+    def request_id(self) -> str | None:
+        """Return the request that the event belongs to, if it says so."""
+        tokens = self.payload.get("tanager")
+        return tokens.get("request_id") if isinstance(tokens, dict) else None
+
+    @property
+    def text(self) -> str:
+        """Return the text that the event brings."""
+        parts = []
+        for choice in self.payload.get("choices", ()):
+            text = choice.get("text")
+            if text is None:
+                text = (choice.get("delta") or {}).get("content")
+            if text:
+                parts.append(text)
+        return "".join(parts)
+
+    @property
+    def usage(self) -> dict[str, int] | None:
+        """Return the usage of the request, on the last event with data."""
+        return self.payload.get("usage")
+
+
+class EventReader:
+    """Cuts arriving bytes into events."""
+
+    def __init__(self) -> None:
+        self.rest = b""
+        """Bytes of an event that is not whole yet."""
+
+    def feed(self, chunk: bytes) -> list[EngineEvent]:
+        """Return the events that a chunk completes.
+
+        Raises:
+            MalformedEventError: An event can't be read.
+        """
+        data = self.rest + chunk if self.rest else chunk
+        *blocks, self.rest = data.split(b"\n\n")
+        if len(self.rest) > EVENT_LIMIT_BYTES:
+            raise MalformedEventError("event is too large")
+        return [_read_event(block) for block in blocks if block.strip()]
+
+
+def _read_event(block: bytes) -> EngineEvent:
+    raw = block + b"\n\n"
+    data = _data_of(block)
+    if data == DONE:
+        return EngineEvent(raw, True, {})
+    try:
+        payload = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        raise MalformedEventError(str(error)) from error
+    if not isinstance(payload, dict):
+        raise MalformedEventError("event is not a JSON object")
+    event = EngineEvent(raw, False, payload)
+    about = payload.get("tanager")
+    if isinstance(about, dict):
+        event.offset = about.get("offset")
+        event.tokens = about.get("tokens", 0)
+        event.attempt = about.get("attempt")
+        event.request_id = about.get("request_id", "")
+    return event
+
+
+def _data_of(block: bytes) -> bytes:
+    # Engines send one line of data an event; the general form is rare.
+    if block.startswith(FIELD) and b"\n" not in block:
+        return block[len(FIELD) :].strip()
+    lines = [line for line in block.split(b"\n") if line.startswith(FIELD)]
+    return b"\n".join(line[len(FIELD) :].lstrip() for line in lines)
