--- a/bench/state.py
+++ b/bench/state.py
@@ -1,6 +1,6 @@
 """Measures a state group of three members with real files.
 
-usage: PYTHONPATH=src python bench/state.py [commits|latency|loss|catchup|memory ...]
+usage: PYTHONPATH=src python bench/state.py [MEASURE ...]
 """
 
 from __future__ import annotations
@@ -20,13 +20,14 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-RUNS: Final = 1
+RUNS: Final = 3
 CALLERS: Final = 16
 COMMITS_S: Final = 10.0
 VALUE_BYTES: Final = 512
 PACED_PER_S: Final = 50
 PACED_S: Final = 10.0
 CATCH_UP_CHANGES: Final = 5000
+SLOPE_COMMITS: Final = 4000
 SIZE_KEYS: Final = 20_000
 TIMEOUT_S: Final = 10.0
 
@@ -104,14 +105,12 @@
 
 
 def catchup(cluster: Cluster) -> float:
-    """Return seconds in which a restarted member applies 5,000 changes."""
+    """Return seconds from a member's start until it has 5,000 missed changes."""
     follower = (cluster.leader() + 1) % len(cluster.ports)
     cluster.kill(follower)
     put_many(cluster, CATCH_UP_CHANGES)
-    cluster.start(follower)
-    while cluster.status(follower) is None:
-        time.sleep(0.005)
     start_s = time.monotonic()
+    cluster.start(follower)
     catch_up_of(cluster, follower)
     return time.monotonic() - start_s
 
@@ -127,6 +126,24 @@
         time.sleep(0.005)
 
 
+def slopes(cluster: Cluster) -> float:
+    """Return the leader's processor time in ms a commit; print the others."""
+    leader = cluster.leader()
+    others = [n for n in cluster.processes if n != leader]
+    cpu_s = {n: cluster.cpu_s(n) for n in cluster.processes}
+    sent = {n: cluster.sent_bytes(n) for n in cluster.processes}
+    put_many(cluster, SLOPE_COMMITS)
+    spent_ms = {n: (cluster.cpu_s(n) - cpu_s[n]) * 1000 for n in cpu_s}
+    bytes_each = {n: (cluster.sent_bytes(n) - sent[n]) / SLOPE_COMMITS for n in cpu_s}
+    follower_ms = statistics.mean(spent_ms[n] for n in others) / SLOPE_COMMITS
+    follower_bytes = statistics.mean(bytes_each[n] for n in others)
+    print(
+        f"  a commit of {VALUE_BYTES} bytes: leader sends {bytes_each[leader]:.0f} "
+        f"bytes, a follower {follower_bytes:.0f} bytes in {follower_ms:.2f} ms"
+    )
+    return spent_ms[leader] / SLOPE_COMMITS
+
+
 def memory(cluster: Cluster) -> float:
     """Return the largest member's resident memory in MiB with 20,000 keys."""
     idle = max(cluster.rss_mib(n) for n in cluster.processes)
@@ -143,6 +160,7 @@
     "latency": (latency, "ms at the 95th percentile at 50/s (target 10)"),
     "loss": (loss, "s from leader loss to next commit (target 2)"),
     "catchup": (catchup, "s to catch up over 5,000 changes (target 3)"),
+    "slopes": (slopes, "ms of the leader's processor a commit"),
     "memory": (memory, "MiB of a voter with 20,000 keys of 512 bytes"),
 }
 
--- a/bench/state_cluster.py
+++ b/bench/state_cluster.py
@@ -9,8 +9,9 @@
 import tempfile
 import time
 from pathlib import Path
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
+import orjson
 import psutil
 
 from tanagerturn.coordination.groups import CONTROL_GROUP
@@ -95,6 +96,23 @@
             time.sleep(0.02)
         raise TimeoutError("no leader")
 
+    def dump(self, number: int) -> dict[str, Any]:
+        """Return the dump of one member."""
+        process = self.processes[number]
+        assert process.stdin is not None
+        assert process.stdout is not None
+        process.stdin.write("\n")
+        process.stdin.flush()
+        line = process.stdout.readline()
+        while not line.startswith("{"):
+            line = process.stdout.readline()
+        return dict(orjson.loads(line))
+
+    def sent_bytes(self, number: int) -> int:
+        """Return the bytes that one member has sent to the others."""
+        streams = self.dump(number)["streams"].values()
+        return sum(int(one["sent_bytes"]) for one in streams)
+
     def rss_mib(self, number: int) -> float:
         """Return the resident memory of one member in MiB."""
         process = psutil.Process(self.processes[number].pid)
--- a/bench/state_member.py
+++ b/bench/state_member.py
@@ -1,5 +1,7 @@
 """Runs one state member for the benchmarks, until its input is closed.
 
+Each line of input is answered by a line with the member's dump.
+
 usage: python bench/state_member.py SETTINGS_FILE (a serialized ProcessSettings)
 """
 
@@ -8,6 +10,7 @@
 import sys
 from pathlib import Path
 
+import orjson
 from loguru import logger
 
 from tanagerturn.schema import settings_pb2
@@ -21,7 +24,8 @@
     data = Path(sys.argv[1]).read_bytes()
     server = start_state(settings_pb2.ProcessSettings.FromString(data))
     print(server.address, flush=True)
-    sys.stdin.read()
+    for _ in sys.stdin:
+        print(orjson.dumps(server.dump()).decode(), flush=True)
     server.stop(grace_s=1.0)
 
 
--- a/src/tanagerturn/coordination/host.py
+++ b/src/tanagerturn/coordination/host.py
@@ -123,6 +123,7 @@
         """Synced batches."""
         self.applied_entries = 0
         """Entries applied since the start."""
+        self._is_stall_logged = False
         self._applied_bytes = 0
         self._next_ticket = 1
         self._led_term = 0
@@ -220,7 +221,7 @@
             while self._carry_out_once(at):
                 pass
         except DiskFullError as error:
-            log.debug("Disk is full, member stalls: {}.", error)
+            self._log_stall(error)
         self._snapshot_if_due()
 
     def is_isolated(self, at: Moment) -> bool:
@@ -255,6 +256,7 @@
             self.stalled = ready
             self.storage.write(ready.hard_state, ready.entries)
             self.stalled = None
+            self._is_stall_logged = False
             self.syncs += 1
             self.core.synced()
         self.send(ready.after_sync)
@@ -270,6 +272,11 @@
             ready.must_sync or ready.committed or ready.chunks or ready.lost_reads
         )
 
+    def _log_stall(self, error: DiskFullError) -> None:
+        if not self._is_stall_logged:
+            log.warning("Disk is full, member stalls: {}.", error)
+        self._is_stall_logged = True
+
     def _apply_and_answer(self, entry: pb.Entry) -> None:
         result = self.apply(entry)
         pending = self.pending.pop(entry.index, None)
--- a/src/tanagerturn/state/group.py
+++ b/src/tanagerturn/state/group.py
@@ -32,7 +32,7 @@
     from tanagerturn.state.clocks import Clocks
     from tanagerturn.state.metrics import GroupMetrics
 
-BATCH_LIMIT: Final = 512
+BATCH_LIMIT: Final = 128
 """Messages taken in before the host carries out."""
 
 
--- a/src/tanagerturn/state/server.py
+++ b/src/tanagerturn/state/server.py
@@ -52,6 +52,7 @@
 FOUNDING_S: Final = 0.1
 """Time between questions to other members while the member starts."""
 
+TICKS_PER_HEARTBEAT: Final = 2
 STATUS_TIMEOUT_S: Final = 1.0
 DUMP_TIMEOUT_S: Final = 2.0
 
@@ -125,10 +126,13 @@
     def dump(self) -> dict[str, Any]:
         """Return the state of the member for operators."""
         groups: dict[str, Any] = {}
-        for name, group in self.groups.items():
+        for name in self.groups:
             answer: Future[dict[str, Any]] = Future()
-            group.tell(m.AskDump(answer))
-            groups[name] = answer.result(timeout=DUMP_TIMEOUT_S)
+            self.tell(name, m.AskDump(answer))
+            try:
+                groups[name] = answer.result(timeout=DUMP_TIMEOUT_S)
+            except TimeoutError:
+                groups[name] = {"error": f"no answer within {DUMP_TIMEOUT_S} s"}
         return {
             "member": self.settings.id,
             "cluster": self.settings.cluster,
@@ -187,7 +191,7 @@
             self.on_fatal(error)
             return
         self.maintenance.start()
-        tick_s = self._options(GROUPS[0]).heartbeat_s / 4
+        tick_s = self._options(GROUPS[0]).heartbeat_s / TICKS_PER_HEARTBEAT
         while not self._stopped.wait(tick_s):
             for group in self.groups.values():
                 if group.is_alive():
