Search 600 lease schedules for the holder that takes nothing off

The bound of the check is wider, the check the same. The true holder passes all. Also: one definition of an event's request id after a merge.

--- a/src/tanagerturn/entry/sse.py
+++ b/src/tanagerturn/entry/sse.py
@@ -35,12 +35,6 @@
     request_id: str = ""
     """Request that the event belongs to, if it says so."""
 
-    @property
-    def request_id(self) -> str | None:
-        """Return the request that the event belongs to, if it says so."""
-        tokens = self.payload.get("tanager")
-        return tokens.get("request_id") if isinstance(tokens, dict) else None
-
     @property
     def text(self) -> str:
         """Return the text that the event brings."""
--- a/tests/coordination/leases/steps/leases_steps.py
+++ b/tests/coordination/leases/steps/leases_steps.py
@@ -115,4 +115,4 @@
 
 @then("seeded lease schedules find a holder that {fault}")
 def finds(context, fault):
-    assert any(LeaseSchedule(seed, PLANTED[fault]).run() for seed in range(200))
+    assert any(LeaseSchedule(seed, PLANTED[fault]).run() for seed in range(600))
