Give orders to engines from the active control process

The control process takes announcements, follows the settings, and carries out what the order book decides: a fenced record, then the send while the lease is surely valid, then settling by asking. A write whose answer was lost is found again by its conflict, instead of being taken for another holder's order.

15 seeded schedules each against engines that check and that ignore fencing numbers, with two control processes cut off, paused for up to 40 s and dying between any two steps: no engine carries out an order that is not its one open order recorded, and all reach the last version afterwards. A holder that does not look at its clock again before a send is found.

--- a/src/tanagerturn/control/courier.py
+++ b/src/tanagerturn/control/courier.py
@@ -10,8 +10,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, Protocol
 
-from expression import Error, Ok, Result
-
 from tanagerturn.coordination.groups import CONTROL_GROUP
 from tanagerturn.coordination.ids import FencingNumber, LeaseName
 from tanagerturn.coordination.leases import safe_to_order_at
@@ -43,11 +41,17 @@
     from collections.abc import Callable
     from random import Random
 
+    from expression import Result
+
     from tanagerturn.coordination.client import StateClient
     from tanagerturn.coordination.errors import StepError
     from tanagerturn.coordination.leases import LeaseKeeper
     from tanagerturn.schema.settings_pb2 import DeploymentSettings
-    from tanagerturn.serving.backends.messages import BackendId
+    from tanagerturn.serving.backends.messages import (
+        AnnouncementAccepted,
+        AnnouncementFault,
+        BackendId,
+    )
     from tanagerturn.serving.orders.messages import OrderStep
 
 log = part_logger("orders")
@@ -59,7 +63,11 @@
 
 @dataclass(frozen=True)
 class Now:
-    """The present time on both clocks, in milliseconds."""
+    """The present time in milliseconds.
+
+    The wall clock is read once at the start and carried on by the monotonic one,
+    so that a jump of the wall clock changes nothing.
+    """
 
     monotonic_ms: int
     wall_ms: int
@@ -140,13 +148,12 @@
 
     def on_announcement(
         self, announcement: serving_pb2.Announcement, now: Now
-    ) -> Result[int, StepError]:
-        """Take an announcement; returns the last cache event without a gap."""
+    ) -> Result[AnnouncementAccepted, AnnouncementFault]:
+        """Take an announcement, or return the fault for which it is refused."""
         taken = self.view.on_announcement(announcement, now.wall_ms)
-        if taken.is_error():
-            return Error(taken.error)
-        self.book.on_state(announcement, now.wall_ms, self.random)
-        return Ok(taken.ok.cache_sequence)
+        if taken.is_ok():
+            self.book.on_state(announcement, now.wall_ms, self.random)
+        return taken
 
     def plan(self, now: Now) -> list[Job]:
         """Return the jobs that are due."""
--- a/src/tanagerturn/control/server.py
+++ b/src/tanagerturn/control/server.py
@@ -3,87 +3,36 @@
 from __future__ import annotations
 
 import secrets
-import time
-from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any, Final
+from random import Random
+from typing import TYPE_CHECKING, Any
 
-import pykka
 from prometheus_client import CollectorRegistry, Gauge
 
 from tanagerturn.actors import ask
+from tanagerturn.control.courier import CONTROL_LEASE, OrderCourier
+from tanagerturn.control.lease_actor import LeaseActor
+from tanagerturn.control.messages import Dump, NewRevision, Release, Tick
+from tanagerturn.control.order_actor import OrderActor, monotonic_ms
+from tanagerturn.control.transport import HttpEngineTransport
 from tanagerturn.coordination.groups import CONTROL_GROUP
-from tanagerturn.coordination.ids import LeaseName, ProcessId
+from tanagerturn.coordination.ids import ProcessId
 from tanagerturn.coordination.leases import LeaseKeeper, LeaseTerms, holder_id
+from tanagerturn.coordination.node import start_node
+from tanagerturn.entry.announcements import AnnouncementServer
+from tanagerturn.entry.site import Site, make_site
 from tanagerturn.observe.logs import part_logger
 from tanagerturn.observe.operations import OperationsServer
+from tanagerturn.schema.settings_pb2 import DeploymentSettings
+from tanagerturn.serving.orders.book import SEND_TIMEOUT_MS
 
 if TYPE_CHECKING:
     from tanagerturn.coordination.client import StateClient
+    from tanagerturn.schema.coordination_pb2 import SettingsRevision
     from tanagerturn.schema.settings_pb2 import ProcessSettings
 
-log = part_logger("control")
-
-CONTROL_LEASE: Final = LeaseName("control")
-
-
-@dataclass(frozen=True)
-class Tick:
-    """Time has passed."""
-
-
-@dataclass(frozen=True)
-class Release:
-    """The process stops: the lease is to be given up."""
-
-
-@dataclass(frozen=True)
-class Dump:
-    """Asks for the actor's state."""
-
-
-class LeaseActor(pykka.ThreadingActor):
-    """Keeps the lease of the active control process.
-
-    Args:
-        keeper: Acquires and renews the lease.
-        period_s: Time between two looks at the lease, in seconds.
-    """
+__all__ = ["CONTROL_LEASE", "ControlServer", "start_control"]
 
-    use_daemon_thread = True
-
-    def __init__(self, keeper: LeaseKeeper, period_s: float) -> None:
-        super().__init__()
-        self.keeper = keeper
-        """Acquires and renews the lease."""
-        self.period_s = period_s
-        """Time between two looks at the lease, in seconds."""
-        self.released = False
-        """The lease was given up for good."""
-
-    def on_receive(self, message: Any) -> Any:
-        """Handle a message."""
-        if isinstance(message, Tick):
-            return self.on_tick(message)
-        if isinstance(message, Release):
-            return self.on_release(message)
-        return self.on_dump(message)
-
-    def on_tick(self, message: Tick) -> None:
-        """Renew or acquire the lease, then look again after the period."""
-        if self.released:
-            return
-        self.keeper.step()
-        time.sleep(self.period_s)
-        self.actor_ref.tell(Tick())
-
-    def on_release(self, message: Release) -> None:
-        """Give the lease up."""
-        self.released = True
-        self.keeper.release()
-
-    def on_dump(self, message: Dump) -> dict[str, object]:
-        """Return the state."""
-        return self.keeper.dump(monotonic_ms())
+log = part_logger("control")
 
 
 class ControlServer:
@@ -114,15 +63,29 @@
             registry=self.registry,
         )
         active.set_function(lambda: float(self.active()))
-        self.lease_actor = LeaseActor.start(
-            self.keeper, settings.control.period_ms / 1000
-        )
+        period_s = settings.control.period_ms / 1000
+        self.lease_actor = LeaseActor.start(self.keeper, period_s)
         """Actor that keeps the lease."""
         self.lease_actor.tell(Tick())
+        self.site: Site = make_site(0, DeploymentSettings())
+        """The deployment's settings in force."""
+        courier = OrderCourier(client, self.keeper, Random(secrets.randbits(64)))
+        self.transport = HttpEngineTransport()
+        """Calls to engines."""
+        self.order_actor = OrderActor.start(
+            courier, self.transport, settings.site, period_s, self._on_site
+        )
+        """Actor that gives orders to engines."""
+        self.order_actor.tell(Tick())
+        self.announcements = self._listen()
+        """Listener for backend servers; None when the settings name none."""
+        self.node = start_node(settings, client, "control", self._on_revision)
+        """Settings and membership of the process."""
         self.operations = OperationsServer(
             settings.operations, self.registry, lambda: True, self.dump
         )
         """Listener for operators."""
+        self._warn_of_short_lease()
         log.info("Control process {} is up.", settings.id)
 
     def active(self) -> bool:
@@ -131,15 +94,47 @@
 
     def dump(self) -> dict[str, Any]:
         """Return the state of the process."""
-        return {"process": self.settings, "lease": ask(self.lease_actor, Dump())}
+        return {
+            "process": self.settings,
+            "lease": ask(self.lease_actor, Dump()),
+            "orders": ask(self.order_actor, Dump()),
+            **self.node.dump(),
+        }
 
     def stop(self) -> None:
-        """Give the lease up and stop."""
+        """Give no more orders, give the lease up, leave and stop."""
+        if self.announcements is not None:
+            self.announcements.stop()
+        self.order_actor.stop()
         ask(self.lease_actor, Release())
         self.lease_actor.stop()
+        self.node.leave()
+        self.node.stop()
         self.operations.stop()
+        self.transport.close()
         log.info("Control process {} has stopped.", self.settings.id)
 
+    def _listen(self) -> AnnouncementServer | None:
+        if not self.settings.control.HasField("announcements"):
+            return None
+        listener = self.settings.control.announcements
+        return AnnouncementServer(listener, self.order_actor, lambda: self.site)
+
+    def _warn_of_short_lease(self) -> None:
+        terms = self.keeper.core.terms
+        if terms.usable_ms - terms.renew_ms <= SEND_TIMEOUT_MS:
+            log.warning(
+                "A lease of {} ms is too short for orders of {} ms: few are sent.",
+                terms.duration_ms,
+                SEND_TIMEOUT_MS,
+            )
+
+    def _on_site(self, site: Site) -> None:
+        self.site = site
+
+    def _on_revision(self, revision: SettingsRevision) -> None:
+        self.order_actor.tell(NewRevision(revision))
+
 
 def start_control(settings: ProcessSettings, client: StateClient) -> ControlServer:
     """Start a control process inside this one.
@@ -149,8 +144,3 @@
         client: Calls to the replicated store.
     """
     return ControlServer(settings, client)
-
-
-def monotonic_ms() -> int:
-    """Return the monotonic clock in milliseconds."""
-    return time.monotonic_ns() // 1_000_000
--- /dev/null
+++ b/tests/control/orders/steps/orders_steps.py
@@ -0,0 +1,167 @@
+"""Steps of orders.feature."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import replace
+
+from behave import given, then, when
+
+from support.control_schedule import ControlWorld
+from support.environment import long_run
+from tanagerturn.control.courier import OrderCourier
+from tanagerturn.control.server import start_control
+from tanagerturn.coordination.groups import CONTROL_GROUP
+from tanagerturn.coordination.local import LocalStateClient
+from tanagerturn.coordination.settings_history import SettingsHistory
+from tanagerturn.deploy import free_port
+from tanagerturn.schema import serving_pb2, settings_pb2
+from tanagerturn.serving.orders.records import ORDER_PREFIX
+from tanagerturn.standins.engine.config import EngineConfig
+from tanagerturn.standins.engine.server import EngineServer
+
+WAIT_LIMIT_S = 30
+
+
+@when("{count:d} seeded schedules run against engines that {engines} fencing numbers")
+def run_schedules(context, count, engines):
+    count = count * 10 if long_run() else count
+    context.worlds = [ControlWorld(n, engines == "check") for n in range(count)]
+    for world in context.worlds:
+        world.run(900)
+
+
+@then("no engine carried out an order that was not its one open order recorded")
+def no_violation(context):
+    for seed, world in enumerate(context.worlds):
+        assert not world.violations, (seed, world.violations)
+
+
+@then("several terms went on from orders that others recorded")
+def several_terms(context):
+    terms = [world.renewed[0] for world in context.worlds]
+    assert sum(terms) > 3 * len(terms), terms
+    effective = sum(
+        len(e.effective) for w in context.worlds for e in w.engines.values()
+    )
+    assert effective > 3 * len(terms), effective
+
+
+@then("all engines reach the last version once the disturbances end")
+def all_reach(context):
+    for seed, world in enumerate(context.worlds):
+        world.settle()
+        world.run(1000)
+        models = {n: e.models["m"] for n, e in world.engines.items()}
+        wanted = (world.version, True)
+        assert set(models.values()) == {wanted}, (seed, wanted, models)
+        assert not world.violations, (seed, world.violations)
+
+
+class SendsLate(OrderCourier):
+    """Plants a fault: the clock is not looked at again before a send."""
+
+    def _job(self, step, now):
+        return replace(super()._job(step, now), until_ms=now.monotonic_ms + 60_000)
+
+
+@then("schedules find a holder that sends without looking at its clock again")
+def finds(context):
+    def violated(seed: int) -> bool:
+        world = ControlWorld(seed, False, courier_type=SendsLate)
+        world.run(900)
+        return bool(world.violations)
+
+    assert any(violated(seed) for seed in range(40))
+
+
+def wait_for(check, explain):
+    end = time.monotonic() + WAIT_LIMIT_S
+    while not check():
+        assert time.monotonic() < end, explain()
+        time.sleep(0.05)
+
+
+def start(context, name):
+    settings = settings_pb2.ProcessSettings(
+        id=name, cluster="test", site="kigali", availability_zone="a"
+    )
+    settings.operations.ip = settings.control.announcements.ip = "127.0.0.1"
+    settings.control.announcements.port = context.port
+    settings.control.lease_ms, settings.control.period_ms = 4000, 50
+    context.control = start_control(settings, context.state)
+    context.closers.append(context.control.stop)
+
+
+@given('a stand-in engine that runs version "{version}" and a control process')
+def engine_and_control(context, version):
+    context.port = free_port()
+    context.state = LocalStateClient()
+    context.number = 0
+    start(context, "control-1")
+    context.engine = EngineServer(
+        EngineConfig(
+            id="e-1",
+            version=version,
+            services=("drafting",),
+            announce_to=(f"127.0.0.1:{context.port}",),
+            heartbeat_ms=100,
+            load_model_ms=100,
+            checks_fencing=True,
+        )
+    )
+    context.engine.start()
+    context.closers.append(context.engine.stop)
+
+
+@when('settings with version "{version}" are accepted')
+def accept(context, version):
+    text = f"""
+services:
+- name: drafting
+  type: MODEL
+  models:
+  - model: draft
+    version: "{version}"
+  capacity:
+    ready_floor: 0
+"""
+    history = SettingsHistory(context.state, CONTROL_GROUP)
+    files = {"base": text, "site/kigali": "{}"}
+    done = history.apply(
+        files, context.number, f"c{version}", "ana", "", 0, lambda files: []
+    )
+    context.number = done.ok.number
+
+
+@then('the engine carries out one load of version "{version}" and no record is left')
+def loads(context, version):
+    def settled() -> bool:
+        found = context.state.scan(CONTROL_GROUP, ORDER_PREFIX, 1).ok.entries
+        return bool(loaded()) and not found
+
+    def loaded() -> list[str]:
+        orders = context.engine.model.orders.accepted
+        return [
+            o.order_id
+            for o in orders
+            if (o.version, o.action) == (version, serving_pb2.LOAD_MODEL)
+        ]
+
+    wait_for(settled, lambda: (context.control.dump(), loaded()))
+    assert len(loaded()) == 1
+
+
+@when("the control process stops and another one takes over")
+def take_over(context):
+    context.closers.remove(context.control.stop)
+    context.control.stop()
+    start(context, "control-2")
+    wait_for(context.control.active, context.control.dump)
+
+
+@then("the engine saw growing fencing numbers")
+def growing(context):
+    numbers = [o.fencing_number for o in context.engine.model.orders.accepted]
+    assert numbers == sorted(numbers), numbers
+    assert len(set(numbers)) == 2, numbers
