Find cached prefixes by bisection; place moves by source

A choice with prefixes of 80 blocks took 125 to 193 us over 24 engines, and a plan for 1000 moves 528 ms: the first looked at each block, the second at each request for each move. Bisection and one list for each source bring them to 65 to 81 us and 20 ms (medians, other work on the machine).

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -238,7 +238,54 @@
     return Trace(trace.header, tuple(requests), ())
 
 
-NAMES = {"reclaim": reclaim, "night": night, "cost": cost, "parts": parts}
+def many():
+    """Parts that matter with many engines: 20 engines at twelve times the load."""
+    names = ("all", "every engine weighed", "load reports don't age",
+             "late reports trusted", "no cache view")  # fmt: skip
+    results = []
+    for firm in (FASCICOLI, INYENYERI):
+        for seed in SEEDS:
+            trace = faster(make_trace(firm, Scenario.RECLAIM_WAVES, seed), 12)
+            engines = [b for b in trace.header.backends if b.model]
+            copies = [
+                replace(b, id=f"{b.id}-{copy}") for b in engines for copy in range(3)
+            ]
+            backends = (*trace.header.backends, *copies)
+            header = replace(trace.header, backends=backends)
+            trace = Trace(header, trace.requests, ())
+            for name in names:
+                module, values = PARTS[name]
+                arm = Arm(name, cache_view=name != "no cache view", **HELD)
+                with changed(module, **values):
+                    what = f"{firm.name}, 20 engines"
+                    results.append(run(what, trace, arm, seed, until_ms=45_000))
+    table(results, ("computed", "first_p95", "draft_mean", "late"))
+
+
+def price(firms=(INYENYERI, FASCICOLI)):
+    """Whether weighing prices and risks in routing changes cost or losses."""
+    results = []
+    for firm in firms:
+        for seed in SEEDS:
+            trace = make_trace(firm, Scenario.RECLAIM_WAVES, seed)
+            for name in ("all", "no price", "no risk"):
+                module, values = PARTS[name]
+                with changed(module, **values):
+                    results.append(
+                        run(f"{firm.name} waves", trace, Arm(name), seed,
+                            services=services_of(firm))
+                    )  # fmt: skip
+    table(results, ("cost", "recomputed", "computed", "late", "draft_mean"))
+
+
+NAMES = {
+    "many": many,
+    "price": price,
+    "reclaim": reclaim,
+    "night": night,
+    "cost": cost,
+    "parts": parts,
+}
 
 if __name__ == "__main__":
     for wanted in sys.argv[1:] or NAMES:
--- /dev/null
+++ b/bench/decisions_speed.py
@@ -0,0 +1,158 @@
+"""Times decisions: routing by engines and prefixes, and the other planners."""
+
+from __future__ import annotations
+
+import statistics
+import sys
+import time
+from pathlib import Path
+from random import Random
+
+sys.path.insert(0, str(Path(__file__).parents[1] / "tests"))
+
+from support.backends import announcement
+from support.cloud import offers
+from tanagerturn.schema import serving_pb2
+from tanagerturn.serving.backends.subset import subset_of
+from tanagerturn.serving.backends.view import make_backend_view
+from tanagerturn.serving.cache.blocks import text_blocks
+from tanagerturn.serving.capacity.messages import HeldHost, HostState, ServiceNeed
+from tanagerturn.serving.capacity.plan import Capacity
+from tanagerturn.serving.reclaims.messages import Importer, LinkLimits, RunningRequest
+from tanagerturn.serving.reclaims.plan import plan_fates
+from tanagerturn.serving.routing.choose import choose
+from tanagerturn.serving.routing.messages import RouteRequest
+
+ROUNDS = 3_000
+
+
+def timed(action, rounds):
+    """Return the median and the 99th percentile in microseconds."""
+    times = []
+    for i in range(rounds):
+        begin = time.perf_counter_ns()
+        action(i)
+        times.append((time.perf_counter_ns() - begin) / 1_000)
+    return statistics.median(times), sorted(times)[int(0.99 * len(times))]
+
+
+def full_view(engines, prefixes):
+    """Return a view whose engines hold prefixes of 80 blocks."""
+    view, random = make_backend_view(), Random(1)
+    for i in range(engines):
+        load = serving_pb2.LoadReport(running=random.randrange(8), read_at_ms=1)
+        name = f"{'abcdefg'[i % 7]}-{i}"
+        address = f"10.0.{i // 250}.{i % 250}:80"
+        state = announcement(name, address=address, load=load, kv_tokens=2_000_000)
+        assert view.on_announcement(state, 0).is_ok()
+    names = list(view.backends)
+    prompts = [text_blocks(f"work {i} " * 2_600, "m") for i in range(prefixes)]
+    for blocks in prompts:
+        for _ in range(3):
+            view.cache.on_used(random.choice(names), blocks, 0)
+    return view, prompts
+
+
+def routing():
+    """Time one choice."""
+    for engines in (9, 24, 100, 380, 760):
+        for prefixes in (0, 10, 500):
+            view, prompts = full_view(engines, prefixes)
+            random = Random(2)
+
+            def one(i, view=view, prompts=prompts, random=random):
+                blocks = prompts[i % len(prompts)] if prompts else ()
+                request = RouteRequest(
+                    "draft", "m", "1", prefix_blocks=blocks,
+                    prompt_tokens=5_500, output_tokens=400,
+                )  # fmt: skip
+                assert choose(view, request, 10, random).is_ok()
+
+            median, high = timed(one, ROUNDS)
+            print(f"| choose | {engines} engines, {prefixes} prefixes of 80 blocks | "
+                  f"{median:.0f} | {high:.0f} |")  # fmt: skip
+
+
+def announcements():
+    """Time one announcement with and without cache events."""
+    view, _ = full_view(24, 0)
+    for blocks in (0, 80):
+
+        def one(i, blocks=blocks):
+            events = []
+            if blocks:
+                event = serving_pb2.CacheEvent(
+                    sequence=i + 1,
+                    action=serving_pb2.CacheEvent.STORED,
+                    blocks=[f"{i * 1000 + j:016x}" for j in range(blocks)],
+                )
+                events = [event]
+            state = announcement("a-0", sequence=i + 2, cache_events=events,
+                                 incarnation=f"of {blocks}",
+                                 address="10.0.0.0:80")  # fmt: skip
+            assert view.on_announcement(state, i).is_ok()
+
+        median, high = timed(one, ROUNDS)
+        print(f"| announcement | {blocks} blocks in events | "
+              f"{median:.0f} | {high:.0f} |")  # fmt: skip
+        size = len(view.backends["a-0"].announcement.SerializeToString())
+        print(f"| announcement, bytes | {blocks} blocks in events | {size} | |")
+
+
+def reclaims():
+    """Time one plan of fates."""
+    for count in (20, 200, 1_000):
+        requests = [
+            RunningRequest(
+                f"r{i}",
+                f"a-{i % 5}",
+                prompt_tokens=500 + i,
+                done_tokens=100,
+                left_tokens=2_000,
+            )
+            for i in range(count)
+        ]
+        importers = [Importer(f"b-{i}", "b", 10**6, 32) for i in range(20)]
+        median, high = timed(
+            lambda _, r=requests, i=importers: plan_fates(
+                r, i, 30_000, LinkLimits(), 0
+            ),
+            20,
+        )
+        print(f"| reclaim plan | {count} requests, 20 importers | "
+              f"{median:.0f} | {high:.0f} |")  # fmt: skip
+
+
+def capacity():
+    """Time one plan of hosts."""
+    for hosts in (5, 20, 80):
+        held = [
+            HeldHost(f"h{i}", offers()[2 * (i % 4)].key, HostState.READY, 0, 0.4, 8)
+            for i in range(hosts)
+        ]
+        need = ServiceNeed("s", hosts * 6.0, hosts * 5.0, max_hosts=2 * hosts)
+        planner = Capacity()
+        median, high = timed(
+            lambda _, p=planner, n=need, h=held: p.plan(n, h, offers(), 0), 20
+        )
+        print(f"| capacity plan | {hosts} hosts held | {median:.0f} | {high:.0f} |")
+
+
+def subsets():
+    """Time one subset, and give its balance."""
+    engines = {f"engine-{i}": f"z{i % 7}" for i in range(760)}
+    median, high = timed(lambda i: subset_of(f"e{i}", "z1", engines, 24), 50)
+    print(f"| subset | 24 of 760 engines | {median:.0f} | {high:.0f} |")
+    followers = dict.fromkeys(engines, 0)
+    for i in range(380):
+        for engine in subset_of(f"entry-{i}", f"z{i % 7}", engines, 24):
+            followers[engine] += 1
+    counts = sorted(followers.values())
+    print(f"| subset, followers of an engine | least, median, most | "
+          f"{counts[0]}, {counts[380]}, {counts[-1]} | |")  # fmt: skip
+
+
+if __name__ == "__main__":
+    print("| what | size | median us | 99th us |\n| --- | --- | --- | --- |")
+    for part in (routing, announcements, reclaims, capacity, subsets):
+        part()
--- a/src/tanagerturn/serving/cache/view.py
+++ b/src/tanagerturn/serving/cache/view.py
@@ -138,18 +138,25 @@
     def matched(
         self, engine: BackendId, blocks: Sequence[BlockHash], now_ms: int
     ) -> int:
-        """Return how many leading blocks an engine is expected to hold."""
+        """Return how many leading blocks an engine is expected to hold.
+
+        The end is found by bisection: engines drop prefixes from either end.
+        """
         cache = self.engines.get(engine)
         if cache is None:
             return 0
         trusted_ms = max(now_ms - BLOCK_KEEP_MS, cache.distrust_before_ms)
         held = cache.blocks
-        count = 0
-        for block in blocks:
-            if held.get(block, -2) < trusted_ms:
-                break
-            count += 1
-        return count
+        if not blocks or held.get(blocks[0], -2) < trusted_ms:
+            return 0
+        low, high = 0, len(blocks) - 1
+        while low < high:
+            middle = (low + high + 1) // 2
+            if held.get(blocks[middle], -2) < trusted_ms:
+                high = middle - 1
+            else:
+                low = middle
+        return low + 1
 
     def engines_with(self, blocks: Sequence[BlockHash], limit: int) -> list[BackendId]:
         """Return engines that hold a long part of a prefix, longest first.
--- a/src/tanagerturn/serving/reclaims/plan.py
+++ b/src/tanagerturn/serving/reclaims/plan.py
@@ -188,20 +188,31 @@
     ranked: list[RequestPlan], links: _Links, last_ms: int
 ) -> Iterator[RequestPlan]:
     """Place moves: whenever a link is free, the costliest loss that can start."""
-    left = list(ranked)
+    left: dict[BackendId, list[RequestPlan]] = {}
+    for plan in ranked:
+        left.setdefault(plan.request.backend_id, []).append(plan)
     rooms = list(links.rooms)
-    while left and rooms:
+    while rooms and any(left.values()):
         room = min(rooms, key=lambda each: (each.free_at_ms, -each.free_slots))
-        fitting = [plan for plan in left if _fits(plan.request, room)]
+        firsts = [_first_fitting(plans, room) for plans in left.values()]
+        fitting = [plan for plan in firsts if plan is not None]
         if not fitting:
             rooms.remove(room)
             continue
-        plan = min(fitting, key=lambda each: _start_ms(each.request, room, links))
-        left.remove(plan)
+        plan = min(
+            fitting,
+            key=lambda each: (_start_ms(each.request, room, links), -each.loss),
+        )
+        left[plan.request.backend_id].remove(plan)
         yield _place(plan, room, links, last_ms)
-    for plan in left:
-        reason = "no importer has room"
-        yield RequestPlan(plan.request, Fate.HAND_OVER, reason, plan.loss)
+    reason = "no importer has room" if links.rooms else "no importer, or not allowed"
+    for plans in left.values():
+        for plan in plans:
+            yield RequestPlan(plan.request, Fate.HAND_OVER, reason, plan.loss)
+
+
+def _first_fitting(plans: list[RequestPlan], room: _Room) -> RequestPlan | None:
+    return next((plan for plan in plans if _fits(plan.request, room)), None)
 
 
 def _place(plan: RequestPlan, room: _Room, links: _Links, last_ms: int) -> RequestPlan:
--- a/src/tanagerturn/serving/routing/messages.py
+++ b/src/tanagerturn/serving/routing/messages.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from tanagerturn.coordination.errors import StepError
 from tanagerturn.schema import serving_pb2
@@ -46,8 +46,7 @@
     """Part of the request to run: both, prefill or decode."""
 
 
-@dataclass(frozen=True)
-class Estimate:
+class Estimate(NamedTuple):
     """What one candidate would cost the request; times in milliseconds."""
 
     backend_id: BackendId
