--- a/src/tanagerturn/entry/sse.py
+++ b/src/tanagerturn/entry/sse.py
@@ -9,6 +9,8 @@
 
 EVENT_LIMIT_BYTES: Final = 1024 * 1024
 DONE: Final = b"[DONE]"
+FINISH_REASONS: Final = frozenset({"stop", "length", "tool_calls", "content_filter"})
+"""Reasons with which an answer is whole."""
 FIELD: Final = b"data:"
 
 
@@ -35,12 +37,6 @@
     request_id: str = ""
     """Request that the event belongs to, if it says so."""
 
-    @property
-    def request_id(self) -> str | None:
-        """Return the request that the event belongs to, if it says so."""
-        tokens = self.payload.get("tanager")
-        return tokens.get("request_id") if isinstance(tokens, dict) else None
-
     @property
     def text(self) -> str:
         """Return the text that the event brings."""
@@ -53,6 +49,15 @@
                 parts.append(text)
         return "".join(parts)
 
+    @property
+    def cut_short(self) -> str:
+        """Return the reason when the engine ended the answer before its end."""
+        for choice in self.payload.get("choices", ()):
+            reason = choice.get("finish_reason")
+            if reason and reason not in FINISH_REASONS:
+                return str(reason)
+        return ""
+
     @property
     def usage(self) -> dict[str, int] | None:
         """Return the usage of the request, on the last event with data."""
