--- a/src/tanagerturn/control/server.py
+++ b/src/tanagerturn/control/server.py
@@ -15,17 +15,21 @@
 from tanagerturn.control.order_actor import OrderActor, monotonic_ms
 from tanagerturn.control.transport import HttpEngineTransport
 from tanagerturn.coordination.groups import CONTROL_GROUP
-from tanagerturn.coordination.ids import ProcessId
+from tanagerturn.coordination.ids import ClusterId, ProcessId
 from tanagerturn.coordination.leases import LeaseKeeper, LeaseTerms, holder_id
 from tanagerturn.coordination.node import start_node
+from tanagerturn.coordination.shares.service import ShareServicer
 from tanagerturn.entry.announcements import AnnouncementServer
 from tanagerturn.entry.site import Site, make_site
 from tanagerturn.observe.logs import part_logger
 from tanagerturn.observe.operations import OperationsServer
+from tanagerturn.schema import shares_pb2_grpc as spb_grpc
 from tanagerturn.schema.settings_pb2 import DeploymentSettings
 from tanagerturn.serving.orders.book import SEND_TIMEOUT_MS
 
 if TYPE_CHECKING:
+    import grpc
+
     from tanagerturn.coordination.client import StateClient
     from tanagerturn.schema.coordination_pb2 import SettingsRevision
     from tanagerturn.schema.settings_pb2 import ProcessSettings
@@ -79,7 +83,11 @@
         self.order_actor.tell(Tick())
         self.announcements = self._listen()
         """Listener for backend servers; None when the settings name none."""
-        self.node = start_node(settings, client, "control", self._on_revision)
+        self.shares = ShareServicer(ClusterId(settings.cluster), self.keeper)
+        """Divides client accounts' limits while this process is active."""
+        self.node = start_node(
+            settings, client, "control", self._on_revision, self._add_services
+        )
         """Settings and membership of the process."""
         self.operations = OperationsServer(
             settings.operations, self.registry, lambda: True, self.dump
@@ -98,6 +106,7 @@
             "process": self.settings,
             "lease": ask(self.lease_actor, Dump()),
             "orders": ask(self.order_actor, Dump()),
+            "shares": self.shares.dump(),
             **self.node.dump(),
         }
 
@@ -131,6 +140,11 @@
 
     def _on_site(self, site: Site) -> None:
         self.site = site
+        limits = {account.name: account.limits for account in site.accounts.values()}
+        self.shares.set_limits(limits, self.node.count("entry"))
+
+    def _add_services(self, server: grpc.Server) -> None:
+        spb_grpc.add_ShareServiceServicer_to_server(self.shares, server)
 
     def _on_revision(self, revision: SettingsRevision) -> None:
         self.order_actor.tell(NewRevision(revision))
--- a/src/tanagerturn/coordination/node.py
+++ b/src/tanagerturn/coordination/node.py
@@ -26,6 +26,7 @@
 from tanagerturn.coordination.ids import ClusterId, ProcessId
 from tanagerturn.coordination.membership.agent import MembershipAgent, start_agent
 from tanagerturn.schema import dissemination_pb2_grpc as dpb_grpc
+from tanagerturn.schema import membership_pb2 as mpb
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -103,6 +104,7 @@
         program: Name of the program, for example "entry".
         on_revision: Called with each newer settings revision, in order; it
             must not call the client or the node.
+        add_services: Adds further services to the relay's gRPC server.
     """
 
     def __init__(
@@ -111,6 +113,7 @@
         client: StateClient,
         program: str,
         on_revision: Callable[[SettingsRevision], None],
+        add_services: Callable[[grpc.Server], None] = lambda server: None,
     ) -> None:
         self.settings = settings
         """Settings of the process."""
@@ -119,7 +122,7 @@
         self.tls = _tls_files(settings)
         """Certificates; None for plain TCP."""
         cluster = ClusterId(settings.cluster)
-        relays = GrpcRelays(cluster, ProcessId(settings.id), self._open)
+        relays = GrpcRelays(cluster, ProcessId(settings.id), self.open_channel)
         self.watcher = SettingsWatcher(
             client, CONTROL_GROUP, self._apply, relays, self.peer_addresses
         )
@@ -130,7 +133,9 @@
         """Relay for other processes; None when the settings name none."""
         self.agent: MembershipAgent | None = None
         """Failure detection; None when the settings name none."""
-        relay_address = self._start_relay() if settings.HasField("relay") else ""
+        relay_address = ""
+        if settings.HasField("relay"):
+            relay_address = self._start_relay(add_services)
         if settings.HasField("membership"):
             self.agent = start_agent(
                 settings, program, relay_address, on_peer_settings=self._on_peer
@@ -167,6 +172,27 @@
         parent = parent_of(me, peers, frozenset(regions))
         return parent.relay_address if parent is not None else ""
 
+    def open_channel(self, address: str) -> grpc.Channel:
+        """Open a channel to another process, with TLS where it is used."""
+        return open_channel(address, self.tls)
+
+    def relay_of(self, process: str) -> str:
+        """Return the relay address of a process; empty when it has none."""
+        for member in self.alive():
+            if member.process == process:
+                return member.info.relay_address
+        return ""
+
+    def count(self, program: str) -> int:
+        """Return how many processes of a program are remembered and did not leave.
+
+        Dead ones count: they may only be cut off.
+        """
+        return sum(
+            member.info.program == program and member.health != mpb.LEFT
+            for member in self.members()
+        )
+
     def peer_addresses(self) -> list[str]:
         """Return relays to ask, those with the highest settings revision first."""
         able = [
@@ -206,14 +232,12 @@
     def _on_peer(self, news: PeerSettings) -> None:
         self.actor.tell(PeerAhead(news))
 
-    def _open(self, address: str) -> grpc.Channel:
-        return open_channel(address, self.tls)
-
-    def _start_relay(self) -> str:
+    def _start_relay(self, add_services: Callable[[grpc.Server], None]) -> str:
         listener = self.settings.relay
         self.server = grpc.server(ThreadPoolExecutor(RELAY_THREADS))
         servicer = RelayServicer(ClusterId(self.settings.cluster), self.watcher)
         dpb_grpc.add_RelayServiceServicer_to_server(servicer, self.server)
+        add_services(self.server)
         ip = f"[{listener.ip}]" if ":" in listener.ip else listener.ip
         port = listen(self.server, f"{ip}:{listener.port}", self.tls)
         self.server.start()
@@ -231,6 +255,7 @@
     client: StateClient,
     program: str,
     on_revision: Callable[[SettingsRevision], None],
+    add_services: Callable[[grpc.Server], None] = lambda server: None,
 ) -> CoordinationNode:
     """Start membership and settings of a process.
 
@@ -239,7 +264,7 @@
     Raises:
         StepError: The key or a listener can't be used.
     """
-    return CoordinationNode(settings, client, program, on_revision)
+    return CoordinationNode(settings, client, program, on_revision, add_services)
 
 
 def _tls_files(settings: settings_pb2.ProcessSettings) -> TlsFiles | None:
