--- a/src/tanagerturn/control/server.py
+++ b/src/tanagerturn/control/server.py
@@ -11,6 +11,7 @@
 from tanagerturn.actors import ask
 from tanagerturn.control.courier import CONTROL_LEASE, OrderCourier
 from tanagerturn.control.lease_actor import LeaseActor
+from tanagerturn.control.limits import LimitKeeper
 from tanagerturn.control.messages import Dump, NewRevision, Release, Tick
 from tanagerturn.control.order_actor import OrderActor, monotonic_ms
 from tanagerturn.control.transport import HttpEngineTransport
@@ -73,6 +74,10 @@
         self.lease_actor.tell(Tick())
         self.site: Site = make_site(0, DeploymentSettings())
         """The deployment's settings in force."""
+        self.shares = ShareServicer(ClusterId(settings.cluster), self.keeper)
+        """Divides client accounts' limits while this process is active."""
+        self.limits = LimitKeeper(client, self.shares)
+        """Tells the allocator limits and hosts."""
         courier = OrderCourier(client, self.keeper, Random(secrets.randbits(64)))
         self.transport = HttpEngineTransport()
         """Calls to engines."""
@@ -83,8 +88,6 @@
         self.order_actor.tell(Tick())
         self.announcements = self._listen()
         """Listener for backend servers; None when the settings name none."""
-        self.shares = ShareServicer(ClusterId(settings.cluster), self.keeper)
-        """Divides client accounts' limits while this process is active."""
         self.node = start_node(
             settings, client, "control", self._on_revision, self._add_services
         )
@@ -114,6 +117,7 @@
         """Give no more orders, give the lease up, leave and stop."""
         if self.announcements is not None:
             self.announcements.stop()
+        self.limits.stop()
         self.order_actor.stop()
         ask(self.lease_actor, Release())
         self.lease_actor.stop()
@@ -140,8 +144,7 @@
 
     def _on_site(self, site: Site) -> None:
         self.site = site
-        limits = {account.name: account.limits for account in site.accounts.values()}
-        self.shares.set_limits(limits, self.node.count("entry"))
+        self.limits.set_site(site)
 
     def _add_services(self, server: grpc.Server) -> None:
         spb_grpc.add_ShareServiceServicer_to_server(self.shares, server)
--- a/src/tanagerturn/coordination/node.py
+++ b/src/tanagerturn/coordination/node.py
@@ -26,7 +26,6 @@
 from tanagerturn.coordination.ids import ClusterId, ProcessId
 from tanagerturn.coordination.membership.agent import MembershipAgent, start_agent
 from tanagerturn.schema import dissemination_pb2_grpc as dpb_grpc
-from tanagerturn.schema import membership_pb2 as mpb
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -183,16 +182,6 @@
                 return member.info.relay_address
         return ""
 
-    def count(self, program: str) -> int:
-        """Return how many processes of a program are remembered and did not leave.
-
-        Dead ones count: they may only be cut off.
-        """
-        return sum(
-            member.info.program == program and member.health != mpb.LEFT
-            for member in self.members()
-        )
-
     def peer_addresses(self) -> list[str]:
         """Return relays to ask, those with the highest settings revision first."""
         able = [
