--- a/src/tanagerturn/coordination/shares/holder.py
+++ b/src/tanagerturn/coordination/shares/holder.py
@@ -46,15 +46,18 @@
         """Tell whether only the safe share counts: no grant is valid."""
         return now_ms >= self.valid_until_ms
 
-    def on_request(self, tokens: float, now_ms: int) -> None:
-        """Count a request, let in or refused, with the tokens it is to cost."""
+    def on_request(self, now_ms: int) -> None:
+        """Count a request, let in or refused."""
         self._age_demand(now_ms)
-        per_s = 1000 / DEMAND_AGE_MS
-        self.demand.requests_per_s += per_s
-        self.demand.tokens_per_s += tokens * per_s
+        self.demand.requests_per_s += 1000 / DEMAND_AGE_MS
         concurrent = max(self.demand.concurrent_requests, self.running + 1)
         self.demand.concurrent_requests = concurrent
 
+    def on_tokens(self, tokens: float, now_ms: int) -> None:
+        """Count tokens that were made."""
+        self._age_demand(now_ms)
+        self.demand.tokens_per_s += tokens * 1000 / DEMAND_AGE_MS
+
     def held(self, now_ms: int) -> spb.Amounts:
         """Return what is used or may be used beyond the safe share."""
         held = spb.Amounts()
--- a/src/tanagerturn/coordination/shares/service.py
+++ b/src/tanagerturn/coordination/shares/service.py
@@ -137,19 +137,27 @@
             self.shares.set_safe_shares(safe)
         self.tell()
 
-    def on_request(self, account: str, tokens: float) -> None:
+    def on_request(self, account: str) -> None:
         """Count a request, let in or refused."""
         with self.lock:
             share = self.shares.accounts.get(account)
             if share is not None:
-                share.on_request(tokens, self.clock())
+                share.on_request(self.clock())
 
-    def on_running(self, account: str, change: int) -> None:
-        """Count a request that began to run (1) or ended (-1)."""
+    def on_started(self, account: str) -> None:
+        """Count a request that began to run."""
         with self.lock:
             share = self.shares.accounts.get(account)
             if share is not None:
-                share.running += change
+                share.running += 1
+
+    def on_ended(self, account: str, tokens: float) -> None:
+        """Count a request that ended, and the tokens that it made."""
+        with self.lock:
+            share = self.shares.accounts.get(account)
+            if share is not None:
+                share.running -= 1
+                share.on_tokens(tokens, self.clock())
 
     def start(self) -> None:
         """Start to report."""
--- a/src/tanagerturn/entry/gate.py
+++ b/src/tanagerturn/entry/gate.py
@@ -26,6 +26,7 @@
     AccountLimiter,
     Allowance,
     Over,
+    Within,
     share_of,
 )
 from tanagerturn.serving.requests.ids import ClientAccountId
@@ -33,6 +34,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from tanagerturn.coordination.shares.service import ShareReporter
     from tanagerturn.entry.callers import CallerCall
     from tanagerturn.entry.site import Site
     from tanagerturn.schema import settings_pb2
@@ -88,6 +90,8 @@
         """Entry hosts that share the slots and the limits."""
         self.site: Site | None = None
         """Settings in force."""
+        self.shares: ShareReporter | None = None
+        """Shares that follow demand; None: an even part of each limit."""
         self.slots_read_s = 0.0
         """When the slots were read."""
         self.started: dict[TicketId, threading.Event] = {}
@@ -104,13 +108,25 @@
         """Take over settings."""
         with self.lock:
             self.site = site
-            self._set_limits()
+        self._set_limits()
 
     def set_hosts(self, hosts: int) -> None:
         """Take over the number of entry hosts that share the limits."""
         with self.lock:
             self.hosts = max(1, hosts)
-            self._set_limits()
+        self._set_limits()
+
+    def follow_shares(self, shares: ShareReporter) -> None:
+        """Let shares by demand take the place of even parts."""
+        self.shares = shares
+        self._set_limits()
+
+    def set_allowances(self, allowances: Mapping[ClientAccountId, Allowance]) -> None:
+        """Set what this host may let each client account use."""
+        now_s = time.monotonic()
+        with self.lock:
+            for account, allowance in allowances.items():
+                self.limiter.set_allowance(account, allowance, now_s)
 
     def enter(self, call: CallerCall, now_s: float) -> Pass:
         """Let a request in, perhaps after a wait.
@@ -126,8 +142,7 @@
             ProblemError: It is refused; it did not run.
         """
         account = ClientAccountId(call.account.name)
-        with self.lock:
-            over = self.limiter.start(account, now_s)
+        over = self._charge(account, now_s)
         if isinstance(over, Over):
             raise ProblemError(
                 429, "Over the limit", f"Over the limit of {over.limit.value}.",
@@ -137,7 +152,7 @@
             return self._admit(call, now_s)
         except BaseException:
             with self.lock:
-                self.limiter.finish(account, 0, now_s)
+                self._finish(account, 0, now_s)
             raise
 
     def leave(self, passed: Pass) -> None:
@@ -148,7 +163,7 @@
                 return
             passed.left = True
             account = ClientAccountId(passed.ticket.client_account)
-            self.limiter.finish(account, passed.tokens, now_s)
+            self._finish(account, passed.tokens, now_s)
             self._start(self.admission.finish(passed.ticket, now_s))
 
     def drain(self) -> None:
@@ -236,13 +251,37 @@
         service = self.site.services.get(name) if self.site else None
         return service.urgent_reserve if service is not None else 0.0
 
+    def _charge(self, account: ClientAccountId, now_s: float) -> Within | Over:
+        with self.lock:
+            verdict = self.limiter.start(account, now_s)
+        if self.shares is not None:
+            self.shares.on_request(account)
+            if isinstance(verdict, Within):
+                self.shares.on_started(account)
+        return verdict
+
+    def _finish(self, account: ClientAccountId, tokens: int, now_s: float) -> None:
+        self.limiter.finish(account, tokens, now_s)
+        if self.shares is not None:
+            self.shares.on_ended(account, tokens)
+
     def _set_limits(self) -> None:
-        if self.site is None:
+        site, hosts = self.site, self.hosts
+        if site is None:
             return
-        now_s = time.monotonic()
-        for account in self.site.settings.client_accounts:
-            allowance = share_of(allowance_of(account.limits), 1 / self.hosts)
-            self.limiter.set_allowance(ClientAccountId(account.name), allowance, now_s)
+        accounts = site.settings.client_accounts
+        if self.shares is not None:
+            limits = {account.name: account.limits for account in accounts}
+            self.shares.set_limits(limits, hosts)
+            return
+        self.set_allowances(
+            {
+                ClientAccountId(account.name): share_of(
+                    allowance_of(account.limits), 1 / hosts
+                )
+                for account in accounts
+            }
+        )
 
 
 def allowance_of(limits: settings_pb2.AccountLimits) -> Allowance:
--- a/src/tanagerturn/entry/server.py
+++ b/src/tanagerturn/entry/server.py
@@ -8,8 +8,9 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from tanagerturn.actors import ask
-from tanagerturn.coordination.groups import CONTROL_GROUP, REQUESTS_GROUP
-from tanagerturn.coordination.ids import ProcessId, Revision
+from tanagerturn.coordination.groups import REQUESTS_GROUP
+from tanagerturn.coordination.ids import ProcessId
+from tanagerturn.coordination.node import start_node
 from tanagerturn.entry.announcements import AnnouncementServer
 from tanagerturn.entry.app import CallerApp
 from tanagerturn.entry.clock import SystemClock
@@ -21,22 +22,22 @@
 from tanagerturn.entry.parts import Parts
 from tanagerturn.entry.records_actor import OwnerLease, RecordsActor, SweepTicker
 from tanagerturn.entry.settings_actor import NewRevision, SettingsActor
+from tanagerturn.entry.shares import start_shares
 from tanagerturn.entry.site import Site, make_site
 from tanagerturn.entry.transport import BackendTransport
 from tanagerturn.observe.logs import part_logger
 from tanagerturn.observe.operations import OperationsServer, WsgiServer
 from tanagerturn.schema import settings_pb2
-from tanagerturn.schema.coordination_pb2 import SettingsRevision, WatchBatch
 from tanagerturn.serving.backends.messages import AvailabilityZone
 from tanagerturn.serving.requests.conduct import Conductor
 from tanagerturn.serving.requests.ledger import RequestLedger
 
 if TYPE_CHECKING:
     from tanagerturn.coordination.client import StateClient
+    from tanagerturn.schema.coordination_pb2 import SettingsRevision
 
 log = part_logger("entry")
 
-SETTINGS_KEY: Final = "settings/current"
 CONNECTION_LIMIT: Final = 2000
 HEADER_LIMIT_BYTES: Final = 64 * 1024
 READ_TIMEOUT_S: Final = 30
@@ -95,10 +96,10 @@
             settings.operations, self.metrics.registry, self.ready, self.dump
         )
         """Listener for operators."""
-        self.watch = client.watch(
-            CONTROL_GROUP, SETTINGS_KEY, Revision(0), self._on_batch
-        )
-        """Watch of the settings."""
+        self.node = start_node(settings, client, "entry", self._on_revision)
+        """Settings and membership of the process."""
+        self.shares = start_shares(client, self.node, self.parts.gate, self.owner)
+        """Shares of the client accounts' limits; None without membership."""
         self.lease.start()
         self.ticker = SweepTicker(self.records)
         """Tells the records actor to sweep."""
@@ -127,6 +128,8 @@
             "entry_hosts": dict(self.hosts.owners),
             "lease": self.lease.keeper.dump(self.lease.keeper.clock()),
             "directory": ask(self.directory, Dump()),
+            "shares": self.shares.dump() if self.shares is not None else {},
+            "node": self.node.dump(),
         }
 
     def stop(self) -> int:
@@ -166,7 +169,11 @@
         self.lease.stop(release)
         self.callers.stop()
         self.announcements.stop()
-        self.watch.stop()
+        if self.shares is not None:
+            self.shares.stop()
+        if release:
+            self.node.leave()
+        self.node.stop()
         self.hosts.stop()
         self.settings_actor.stop()
         self.directory.stop()
@@ -208,12 +215,8 @@
         self.parts.gate.set_site(site)
         self.metrics.settings_revision.set(site.number)
 
-    def _on_batch(self, batch: WatchBatch) -> None:
-        for event in batch.events:
-            if event.deleted or event.entry.key != SETTINGS_KEY:
-                continue
-            revision = SettingsRevision.FromString(event.entry.value)
-            self.settings_actor.tell(NewRevision(revision))
+    def _on_revision(self, revision: SettingsRevision) -> None:
+        self.settings_actor.tell(NewRevision(revision))
 
 
 def start_entry(
--- a/tests/coordination/shares/steps/shares_steps.py
+++ b/tests/coordination/shares/steps/shares_steps.py
@@ -230,7 +230,7 @@
 def demand(context, made):
     for _ in range(200):
         context.now += 5
-        made.on_request("choir", 10)
+        made.on_request("choir")
     return made.step()
 
 
--- a/tests/support/share_schedule.py
+++ b/tests/support/share_schedule.py
@@ -108,7 +108,8 @@
             int(share.concurrent_requests),
             max(share.tokens_per_s, 1e-9),
         )
-        host.account.on_request(100, now_ms)
+        host.account.on_request(now_ms)
+        host.account.on_tokens(100, now_ms)
         host.limiter.set_allowance(ACCOUNT, allowance, now_ms / 1000)
         verdict = host.limiter.start(ACCOUNT, now_ms / 1000)
         host.account.running = host.limiter.demand(ACCOUNT)
