Test shares by demand through entry and control processes

One busy entry process of two gets more than 80 of 100 requests a second, the other keeps its safe part; when the control process is gone it falls to 10.

--- /dev/null
+++ b/tests/entry/shares/steps/shares_steps.py
@@ -0,0 +1,139 @@
+"""Steps of shares.feature."""
+
+from __future__ import annotations
+
+import tempfile
+import time
+from pathlib import Path
+
+from behave import given, then, when
+
+from tanagerturn.control.server import start_control
+from tanagerturn.coordination.groups import CONTROL_GROUP
+from tanagerturn.coordination.local import LocalStateClient
+from tanagerturn.coordination.settings_history import SettingsHistory
+from tanagerturn.entry.server import start_entry
+from tanagerturn.schema import settings_pb2
+from tanagerturn.security import hash_key
+
+WAIT_LIMIT_S = 40
+
+
+def wait_for(check, explain):
+    end = time.monotonic() + WAIT_LIMIT_S
+    while not check():
+        assert time.monotonic() < end, explain()
+        time.sleep(0.02)
+
+
+def process(context, name):
+    settings = settings_pb2.ProcessSettings(
+        id=name, cluster="test", site="kigali", region="main", availability_zone="a"
+    )
+    settings.operations.ip = settings.relay.ip = "127.0.0.1"
+    settings.membership.listener.ip = "127.0.0.1"
+    settings.membership.probe_interval_ms = 200
+    settings.membership.suspicion_ms = 800
+    settings.membership.key_file = str(context.key)
+    settings.membership.seeds.extend(context.seeds)
+    return settings
+
+
+@given("a control process and {count:d} entry processes with membership")
+def start_all(context, count):
+    folder = tempfile.TemporaryDirectory()
+    context.closers.append(folder.cleanup)
+    context.key = Path(folder.name) / "key"
+    context.key.write_bytes(b"0123456789abcdef")
+    context.state, context.seeds, context.entries = LocalStateClient(), [], []
+    settings = process(context, "control-1")
+    settings.control.lease_ms, settings.control.period_ms = 4000, 50
+    context.control = start_control(settings, context.state)
+    context.closers.append(context.control.stop)
+    context.seeds = [context.control.node.agent.address]
+    for number in range(count):
+        settings = process(context, f"entry-{number}")
+        settings.entry.callers.ip = settings.entry.announcements.ip = "127.0.0.1"
+        settings.entry.threads = 8
+        entry = start_entry(settings, context.state)
+        context.closers.append(entry.stop)
+        context.entries.append(entry)
+
+
+@given('settings with the client account "{name}" at {rate:d} requests per second')
+def accept(context, name, rate):
+    text = f"""
+client_accounts:
+- name: {name}
+  key_hashes: ["{hash_key("secret")}"]
+  limits:
+    requests_per_s: {rate}
+    concurrent_requests: 100
+    tokens_per_s: 10000
+"""
+    files = {"base": text, "site/kigali": "{}"}
+    history = SettingsHistory(context.state, CONTROL_GROUP)
+    assert history.apply(files, 0, "c1", "ana", "", 0, lambda files: []).is_ok()
+    wait_for(
+        lambda: all(
+            e.ready() and e.parts.gate.hosts == len(context.entries)
+            for e in context.entries
+        ),
+        lambda: "not ready",
+    )
+
+
+def rate_of(entry):
+    use = entry.parts.gate.limiter.accounts["choir"]
+    return use.allowance.requests_per_s
+
+
+def ask_one(context):
+    gate = context.entries[0].parts.gate
+    now_s = time.monotonic()
+    if type(gate._charge("choir", now_s)).__name__ == "Within":
+        with gate.lock:
+            gate._finish("choir", 0, now_s)
+
+
+@when('all requests of "{name}" come to one entry process')
+def all_to_one(context, name):
+    context.name = name
+
+
+@then(
+    "its share grows above {most:d} requests per second and the other's stays at "
+    "{least:d} or less"
+)
+def grows(context, most, least):
+    def grown() -> bool:
+        for _ in range(4):
+            ask_one(context)
+        return rate_of(context.entries[0]) > most
+
+    wait_for(grown, lambda: [e.dump()["shares"] for e in context.entries])
+    assert rate_of(context.entries[1]) <= least
+
+
+@when("the control process is gone")
+def control_gone(context):
+    context.closers.remove(context.control.stop)
+    context.control.stop()
+
+
+@then("the share falls to the safe {rate:d} requests per second")
+def falls(context, rate):
+    wait_for(
+        lambda: abs(rate_of(context.entries[0]) - rate) < 1e-6,
+        lambda: rate_of(context.entries[0]),
+    )
+
+
+@then("the dump of each process shows the other ones as alive and its settings")
+def dumps(context):
+    for entry in context.entries:
+        node = entry.dump()["node"]
+        health = {m["process"]: m["health"] for m in node["membership"]["members"]}
+        assert health["entry-0"] == health["entry-1"] == "alive", health
+        assert health["control-1"] == "left", health
+        assert node["settings"]["number"] == 1
