--- a/bench/dissemination.py
+++ b/bench/dissemination.py
@@ -9,6 +9,7 @@
 import time
 from typing import Final
 
+import psutil
 from hdrh.histogram import HdrHistogram
 from loguru import logger
 
@@ -111,6 +112,7 @@
     direct = sum(1 for w in watchers if not w.upstream)
     per_change = received / CHANGES / count
     rate = CHANGES_A_DAY / DAY_S
+    rss_mb = psutil.Process().memory_info().rss / 2**20
     print(
         f"watchers={count:3} direct={direct:2} depth={max(fleet.depths.values())} "
         f"messages/change={messages / CHANGES / count:4.2f} "
@@ -118,7 +120,8 @@
         f"at {CHANGES_A_DAY}/day bytes/s in={per_change * rate:5.0f} "
         f"busiest relay out={sent * rate:6.0f} "
         f"last applied ms p50={times.get_value_at_percentile(50) / 1000:6.1f} "
-        f"max={times.get_max_value() / 1000:6.1f}",
+        f"max={times.get_max_value() / 1000:6.1f} "
+        f"RSS={rss_mb:.0f} MiB",
         flush=True,
     )
 
--- /dev/null
+++ b/examples/embedding/scheduler.py
@@ -0,0 +1,146 @@
+"""A job scheduler with one active worker, on the coordination library alone.
+
+Three workers in one process meet over UDP, follow settings, and compete for a
+lease; the holder writes each tick under its fencing number. Half-way the holder
+stops without a word and another one goes on.
+
+usage: python examples/embedding/scheduler.py [--state IP:PORT,IP:PORT,IP:PORT]
+
+Without --state the replicated store is a local one in this process.
+"""
+
+from __future__ import annotations
+
+import argparse
+import secrets
+import tempfile
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from tanagerturn.coordination.groups import CONTROL_GROUP
+from tanagerturn.coordination.ids import ChangeId, LeaseName, ProcessId
+from tanagerturn.coordination.leases import LeaseKeeper, LeaseTerms, holder_id
+from tanagerturn.coordination.local import LocalStateClient
+from tanagerturn.coordination.node import start_node
+from tanagerturn.coordination.remote import connect
+from tanagerturn.coordination.settings_history import SettingsHistory
+from tanagerturn.schema import coordination_pb2, settings_pb2
+
+if TYPE_CHECKING:
+    from tanagerturn.coordination.client import StateClient
+
+LEASE_MS = 1500
+TICK_S = 0.1
+RUN_S = 6.0
+TICKS_KEY = "example/ticks"
+
+
+def monotonic_ms() -> int:
+    """Return the monotonic clock in milliseconds."""
+    return time.monotonic_ns() // 1_000_000
+
+
+class Worker:
+    """One worker: a member, a follower of settings, perhaps the lease's holder."""
+
+    def __init__(self, name: str, client: StateClient, key: Path, seeds: list[str]):
+        settings = settings_pb2.ProcessSettings(
+            id=name, cluster="example", region="main", availability_zone="a"
+        )
+        settings.membership.listener.ip = "127.0.0.1"
+        settings.membership.probe_interval_ms = 200
+        settings.membership.suspicion_ms = 800
+        settings.membership.key_file = str(key)
+        settings.membership.seeds.extend(seeds)
+        self.name = name
+        self.client = client
+        self.revision = 0
+        self.node = start_node(settings, client, "worker", self.on_revision)
+        self.keeper = LeaseKeeper(
+            client,
+            CONTROL_GROUP,
+            LeaseName("example"),
+            holder_id(ProcessId(name), secrets.token_hex(4)),
+            LeaseTerms(LEASE_MS),
+            monotonic_ms,
+        )
+
+    def on_revision(self, revision: coordination_pb2.SettingsRevision) -> None:
+        """Take newer settings."""
+        self.revision = revision.number
+
+    def tick(self) -> bool:
+        """Write a tick if this worker is the active one."""
+        if not self.keeper.step():
+            return False
+        value = f"{self.name} as {self.keeper.fencing_number}".encode()
+        put = coordination_pb2.Put(key=TICKS_KEY, value=value)
+        transaction = coordination_pb2.Transaction(
+            puts=[put], fences=[self.keeper.fence()]
+        )
+        command = coordination_pb2.Command(transaction=transaction)
+        written = self.client.propose(CONTROL_GROUP, command, 1.0)
+        applied = coordination_pb2.CommandResult.APPLIED
+        return written.is_ok() and written.ok.status == applied
+
+
+def change_settings(client: StateClient) -> None:
+    """Make a settings change; any worker or operator may."""
+    history = SettingsHistory(client, CONTROL_GROUP)
+    number = history.current().ok.number
+    changed = history.apply(
+        {"base": f"interval_ms: {100 + number}\n"},
+        number,
+        ChangeId(secrets.token_hex(8)),
+        "example",
+        "another interval",
+        time.time_ns() // 1_000_000,
+        lambda files: [],
+    )
+    print(f"settings revision {changed.ok.number} is accepted")
+
+
+def run(client: StateClient) -> list[str]:
+    """Run the workers; returns who ticked, in order, without repeats."""
+    with tempfile.TemporaryDirectory() as folder:
+        key = Path(folder) / "key"
+        key.write_bytes(secrets.token_bytes(32))
+        workers = [Worker("worker-1", client, key, [])]
+        seeds = [workers[0].node.agent.address]
+        workers += [Worker(f"worker-{n}", client, key, seeds) for n in (2, 3)]
+        change_settings(client)
+        active: list[str] = []
+        started = time.monotonic()
+        stopped = False
+        while time.monotonic() - started < RUN_S:
+            for worker in workers:
+                if worker.tick() and active[-1:] != [worker.name]:
+                    active.append(worker.name)
+                    print(f"{worker.name} is active")
+            if active and not stopped and time.monotonic() - started > RUN_S / 3:
+                stopped = True
+                gone = next(w for w in workers if w.name == active[-1])
+                workers.remove(gone)
+                gone.node.stop()
+                # A local store has no leader that lets leases lapse.
+                gone.keeper.release()
+                print(f"{gone.name} has stopped")
+            time.sleep(TICK_S)
+        for worker in workers:
+            seen = [m.process for m in worker.node.alive()]
+            print(f"{worker.name}: revision {worker.revision}, sees {seen}")
+            worker.node.stop()
+    return active
+
+
+def main() -> None:
+    """Run the example."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--state", default="", help="Addresses of state members.")
+    addresses = [a for a in parser.parse_args().state.split(",") if a]
+    run(connect(addresses) if addresses else LocalStateClient())
+
+
+if __name__ == "__main__":
+    main()
