--- a/src/tanagerturn/serving/routing/_estimate.py
+++ b/src/tanagerturn/serving/routing/_estimate.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from tanagerturn.schema import serving_pb2
 from tanagerturn.serving.cache.blocks import BLOCK_TOKENS
 from tanagerturn.serving.routing.messages import Estimate
 
@@ -20,40 +18,17 @@
 BATCH_SLOWDOWN: Final = 0.5
 """Share by which a full batch lengthens the time between tokens."""
 
-RECLAIMS_PER_HOUR: Final = 0.2
-"""Assumed reclaims of a reclaimable host in an hour."""
+GENERATE_WEIGHT: Final = 0.2
+"""Weight of the time to generate against the time to the first token.
 
-PRICE_MS: Final = 600_000.0
-"""Milliseconds of delay that low work accepts to save one unit of price."""
-
-MS_PER_HOUR: Final = 3_600_000.0
-
-
-@dataclass(frozen=True)
-class Weights:
-    """How much each part of an estimate counts, by priority."""
-
-    delay: float
-    """Weight of the wait and the prefill."""
-    generate: float
-    """Weight of the time to generate."""
-    price: float
-    """Weight of the price, as a share of `PRICE_MS`."""
-    risk: float
-    """Weight of the expected loss by a reclaim."""
-
-
-WEIGHTS: Final = {
-    serving_pb2.URGENT: Weights(delay=1.0, generate=1.0, price=0.0, risk=1.0),
-    serving_pb2.NORMAL: Weights(delay=1.0, generate=0.5, price=0.0, risk=1.0),
-    serving_pb2.LOW: Weights(delay=0.5, generate=0.1, price=1.0, risk=1.0),
-}
+Its differences between engines are mostly noise of the learned rates.
+"""
 
 
 def estimate(
     backend: Backend, view: BackendView, request: RouteRequest, now_ms: int
 ) -> Estimate:
-    """Estimate wait, prefill, generation, price and risk at a candidate."""
+    """Estimate wait, prefill and generation at a candidate."""
     rates = backend.rates
     load = backend.load(now_ms)
     wait_ms = max(queue_ms(backend, load), rates.observed_wait_ms(now_ms))
@@ -63,33 +38,18 @@
         cached_tokens = min(matched * BLOCK_TOKENS, request.prompt_tokens)
     prefill_ms = (request.prompt_tokens - cached_tokens) * rates.prefill_ms_per_token
     fill = min(1.0, load / backend.slots)
-    generate_ms = request.output_tokens * rates.token_ms * (1.0 + BATCH_SLOWDOWN * fill)
-    occupied_ms = prefill_ms + generate_ms
-    risk_ms = _risk_ms(backend, occupied_ms)
-    price = backend.price_per_hour * occupied_ms / MS_PER_HOUR
-    weights = WEIGHTS.get(request.priority, WEIGHTS[serving_pb2.NORMAL])
+    token_ms = rates.token_ms * (1.0 + BATCH_SLOWDOWN * fill)
+    generate_ms = request.output_tokens * token_ms
     delay_ms = wait_ms + prefill_ms
     if request.zone and backend.zone != request.zone:
         delay_ms += OTHER_ZONE_MS
-    score = (
-        weights.delay * delay_ms
-        + weights.generate * generate_ms
-        + weights.price * PRICE_MS * price
-        + weights.risk * risk_ms
-        + fill
-    )
-    if request.deadline_ms and now_ms + delay_ms + generate_ms > request.deadline_ms:
-        score += now_ms + delay_ms + generate_ms - request.deadline_ms
+    # Where all else is equal, the emptier one is taken.
+    score = delay_ms + GENERATE_WEIGHT * generate_ms + fill
+    late_ms = now_ms + delay_ms + generate_ms - request.deadline_ms
+    if request.deadline_ms and late_ms > 0.0:
+        score += late_ms
     return Estimate(
-        backend.id,
-        wait_ms,
-        prefill_ms,
-        generate_ms,
-        cached_tokens,
-        price,
-        risk_ms,
-        load,
-        score,
+        backend.id, wait_ms, prefill_ms, generate_ms, cached_tokens, load, score
     )
 
 
@@ -99,11 +59,3 @@
     if excess <= 0.0:
         return 0.0
     return excess * backend.rates.duration_ms / backend.slots
-
-
-def _risk_ms(backend: Backend, occupied_ms: float) -> float:
-    """Return the time expected to be lost: half of it, when it is reclaimed."""
-    if not backend.reclaimable:
-        return 0.0
-    chance = RECLAIMS_PER_HOUR * occupied_ms / MS_PER_HOUR
-    return 0.5 * min(1.0, chance) * occupied_ms
--- a/src/tanagerturn/serving/routing/messages.py
+++ b/src/tanagerturn/serving/routing/messages.py
@@ -29,7 +29,7 @@
     adapter: str = ""
     """Adapter that must be loaded; empty for none."""
     priority: serving_pb2.Priority.ValueType = serving_pb2.NORMAL
-    """Urgent work goes by latency, low work by price within its deadline."""
+    """Priority, for the decision's record; the engine orders its queue by it."""
     deadline_ms: int = 0
     """Present time at which the answer is too late; 0 for none."""
     prefix_blocks: Sequence[BlockHash] = ()
@@ -59,10 +59,6 @@
     """Expected time to generate the answer."""
     cached_tokens: int = 0
     """Prompt tokens expected in the prefix cache."""
-    price: float = 0.0
-    """Price of the host for the time that the request takes."""
-    risk_ms: float = 0.0
-    """Expected loss by a reclaim, as recomputed time."""
     load: float = 0.0
     """Estimated requests there."""
     score: float = 0.0
