--- a/tests/support/lease_schedule.py
+++ b/tests/support/lease_schedule.py
@@ -15,14 +15,14 @@
 
 DURATION_MS = 1000
 LONGEST_ORDER_MS = 300
-DRIFT = 0.05
+DRIFT = 0.1
 
 
 class Clock:
     """A monotonic clock whose rate is within the drift bound."""
 
-    def __init__(self, random: Random) -> None:
-        self.rate = 1 + random.choice((-DRIFT, DRIFT, random.uniform(-DRIFT, DRIFT)))
+    def __init__(self, random: Random, drift: float = DRIFT) -> None:
+        self.rate = 1 + random.choice((-drift, drift, random.uniform(-drift, drift)))
         self.offset = random.uniform(0, 1e6)
 
     def read(self, true_ms: float) -> int:
