--- a/bench/decisions_sim.py
+++ b/bench/decisions_sim.py
@@ -157,6 +157,9 @@
                     read_at_ms=int(now_ms),
                 ),
             )
+        if self.spec.id == self.sim.frozen:
+            full = serving_pb2.LoadReport(running=32, waiting=30, read_at_ms=1)
+            found.load.CopyFrom(full)
         found.address = self.sim.address_of(self.spec.id)
         found.incarnation, found.sequence = self.incarnation, self.sequence
         found.heartbeat_ms = HEARTBEAT_MS
@@ -191,10 +194,11 @@
         services=None,
         step_ms=50.0,
         load_lag_ms=500.0,
+        frozen="",
     ):
         self.trace, self.arm, self.seed, self.lossy = trace, arm, seed, lossy
         self.kv_tokens, self.random = kv_tokens, Random(seed)
-        self.step_ms, self.load_lag_ms = step_ms, load_lag_ms
+        self.step_ms, self.load_lag_ms, self.frozen = step_ms, load_lag_ms, frozen
         self.links = LinkLimits(tokens_per_s=link_tokens_per_s)
         self.end_ms = until_ms or trace.header.duration_ms
         self.now_ms, self.heap, self.count = 0.0, [], 0
--- a/src/tanagerturn/serving/backends/backend.py
+++ b/src/tanagerturn/serving/backends/backend.py
@@ -12,9 +12,6 @@
     from tanagerturn.serving.backends.messages import RequestId
 
 MISSED_HEARTBEATS: Final = 3
-LOAD_LAG_MS: Final = 500
-"""Requests sent this long before a load report may be missing from it."""
-
 LOAD_HALF_LIFE_MS: Final = 5_000.0
 """A load report says half as much after this time."""
 
@@ -103,8 +100,7 @@
         """Take a load report, from an announcement or with an answer."""
         self.load_seen_ms = now_ms
         self.reported = running + waiting
-        included = self._sent_before(now_ms - LOAD_LAG_MS)
-        self.others = max(0, self.reported - included)
+        self.others = max(0, self.reported - len(self.in_flight))
 
     def load(self, now_ms: int) -> float:
         """Return the estimated requests there: own ones, and others by age.
@@ -155,6 +151,3 @@
         gone_at_ms = now_ms + leaving_in_ms
         if self.gone_at_ms is None or gone_at_ms < self.gone_at_ms:
             self.gone_at_ms = gone_at_ms
-
-    def _sent_before(self, time_ms: int) -> int:
-        return sum(1 for sent_ms in self.in_flight.values() if sent_ms <= time_ms)
