--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -263,10 +263,24 @@
     many(("all", "load reports don't age"), 8_000.0)
 
 
-def frozen():
+def lossy(firms=(FASCICOLI, INYENYERI)):
+    """Cache events 30 s late and one in ten lost, at three times the load."""
+    results = []
+    for firm in firms:
+        for seed in SEEDS:
+            trace = faster(make_trace(firm, Scenario.RECLAIM_WAVES, seed), 3)
+            for name, late in (("all", False), ("events late and lost", True)):
+                arm = Arm(name, reclaims=False, **HELD)
+                what = f"{firm.name} x3"
+                results.append(run(what, trace, arm, seed, lossy=late,
+                                   until_ms=3 * MINUTE_MS))  # fmt: skip
+    table(results, ("computed", "first_p95", "draft_mean"))
+
+
+def frozen(firms=(FASCICOLI, INYENYERI)):
     """One engine of five repeats an old report of a full load."""
     results = []
-    for firm in (FASCICOLI, INYENYERI):
+    for firm in firms:
         for seed in SEEDS:
             trace = faster(make_trace(firm, Scenario.RECLAIM_WAVES, seed), 3)
             for name in ("all", "load reports don't age"):
@@ -282,6 +296,7 @@
 NAMES = {
     "many": many,
     "lag": lag,
+    "lossy": lossy,
     "frozen": frozen,
     "reclaim": reclaim,
     "night": night,
--- a/bench/decisions_speed.py
+++ b/bench/decisions_speed.py
@@ -10,6 +10,8 @@
 
 sys.path.insert(0, str(Path(__file__).parents[1] / "tests"))
 
+from google.protobuf import json_format
+
 from support.backends import announcement
 from support.cloud import offers
 from tanagerturn.schema import serving_pb2
@@ -95,8 +97,13 @@
         median, high = timed(one, ROUNDS)
         print(f"| announcement | {blocks} blocks in events | "
               f"{median:.0f} | {high:.0f} |")  # fmt: skip
-        size = len(view.backends["a-0"].announcement.SerializeToString())
-        print(f"| announcement, bytes | {blocks} blocks in events | {size} | |")
+        state = view.backends["a-0"].announcement
+        text = json_format.MessageToJson(
+            state, preserving_proto_field_name=True, indent=None
+        )
+        size = len(state.SerializeToString())
+        print(f"| announcement, bytes as protobuf, as JSON | {blocks} blocks | "
+              f"{size}, {len(text)} | |")  # fmt: skip
 
 
 def reclaims():
@@ -138,6 +145,22 @@
         print(f"| capacity plan | {hosts} hosts held | {median:.0f} | {high:.0f} |")
 
 
+def prefixes():
+    """Time one choice by the length of the prefix, over 24 engines."""
+    for blocks in (0, 8, 80, 512):
+        view, _ = full_view(24, 0)
+        prompt = text_blocks("x" * 256 * blocks, "m")
+        view.cache.on_used("a-0", prompt, 0)
+        request = RouteRequest(
+            "draft", "m", "1", prefix_blocks=prompt, prompt_tokens=64 * blocks
+        )
+        random = Random(3)
+        median, high = timed(
+            lambda _, v=view, r=request, d=random: choose(v, r, 10, d), ROUNDS
+        )
+        print(f"| choose | prefix of {blocks} blocks | {median:.0f} | {high:.0f} |")
+
+
 def subsets():
     """Time one subset, and give its balance."""
     engines = {f"engine-{i}": f"z{i % 7}" for i in range(760)}
@@ -154,5 +177,5 @@
 
 if __name__ == "__main__":
     print("| what | size | median us | 99th us |\n| --- | --- | --- | --- |")
-    for part in (routing, announcements, reclaims, capacity, subsets):
+    for part in (routing, prefixes, announcements, reclaims, capacity, subsets):
         part()
--- a/src/tanagerturn/serving/orders/book.py
+++ b/src/tanagerturn/serving/orders/book.py
@@ -153,6 +153,8 @@
         entry = self._entry(order)
         if entry is None or entry.stage is not OrderStage.SENDING:
             return
+        if answer is not SendAnswer.LOST and entry.attempts == 1:
+            entry.arrives_until_ms = 0
         if answer is SendAnswer.ACCEPTED:
             _move(entry, OrderStage.ACCEPTED, now_ms)
         elif answer is SendAnswer.LOST:
@@ -241,7 +243,7 @@
             _move(entry, OrderStage.RECORDING, now_ms)
             return RecordOrder(entry.order, entry.adopted)
         if backend is None or entry.outcome is not None:
-            return self._close(entry, backend, now_ms)
+            return self._close(entry, backend, term, now_ms)
         if entry.stage is OrderStage.RECORDED:
             return self._send(entry, backend, term, now_ms)
         if entry.stage is OrderStage.SENDING and waited_ms >= ANSWER_TIMEOUT_MS:
@@ -266,12 +268,22 @@
             return None
         entry.attempts += 1
         entry.incarnation = backend.incarnation
+        entry.arrives_until_ms = now_ms + SEND_TIMEOUT_MS
         _move(entry, OrderStage.SENDING, now_ms)
         return SendOrder(entry.order, backend.address, now_ms + SEND_TIMEOUT_MS)
 
     def _close(
-        self, entry: OpenOrder, backend: Backend | None, now_ms: int
+        self,
+        entry: OpenOrder,
+        backend: Backend | None,
+        term: ControlTerm,
+        now_ms: int,
     ) -> CloseOrder | None:
+        # A send that arrives after the next order would count as a new one at an
+        # engine that has forgotten it.
+        quiet_ms = term.quiet_until_ms if entry.adopted else 0
+        if backend is not None and now_ms < max(entry.arrives_until_ms, quiet_ms):
+            return None
         closing = entry.stage is OrderStage.CLOSING
         if closing and now_ms - entry.since_ms < ANSWER_TIMEOUT_MS:
             return None
--- a/src/tanagerturn/serving/orders/messages.py
+++ b/src/tanagerturn/serving/orders/messages.py
@@ -87,6 +87,8 @@
     """No send before this time."""
     adopted: bool = False
     """An earlier holder recorded it and may have sent it."""
+    arrives_until_ms: int = 0
+    """Until then a send of it may still reach the engine."""
     incarnation: str = ""
     """Start of the engine that the order was sent to."""
     outcome: serving_pb2.OrderOutcome | None = None
--- a/tests/serving/orders/orders.feature
+++ b/tests/serving/orders/orders.feature
@@ -31,3 +31,8 @@
   Scenario: Adapters, roles and replaced versions are brought to the settings
     Then an engine gets its role, model, adapter and then loses the old version
     And settings with model services give the desired state of their engines
+
+  Scenario: An order stays open while a send of it may still arrive
+    Given an order that was sent a second time after a lost answer
+    When the engine shows its outcome before the second send has ended
+    Then the order is closed only after the send's time is over
--- a/tests/serving/orders/steps/orders_steps.py
+++ b/tests/serving/orders/steps/orders_steps.py
@@ -15,9 +15,13 @@
 from tanagerturn.serving.orders.book import make_order_book
 from tanagerturn.serving.orders.desired import desired_engines, next_order
 from tanagerturn.serving.orders.messages import (
+    AskEngine,
+    CloseOrder,
     ControlTerm,
     DesiredEngine,
     DesiredModel,
+    SendAnswer,
+    SendOrder,
 )
 from tanagerturn.serving.orders.weights import (
     SAME_WEIGHTS_SPACING_MS,
@@ -171,3 +175,46 @@
     desired = desired_engines(settings, view.backends.values())
     model = DesiredModel("m", "2", frozenset(["x"]), "draft", pb.LOW, 2)
     assert desired == {"a-1": DesiredEngine("a-1", (model,))}
+
+
+@given("an order that was sent a second time after a lost answer")
+def sent_twice(context):
+    context.view, book = make_backend_view(), make_order_book()
+    context.book = book
+    hear(context, 1, "1")
+    context.desired = {"a-1": DesiredEngine("a-1", (DesiredModel("m", "2"),))}
+    order = steps(context, 0)[0].order
+    book.on_recorded(order, 0)
+    assert isinstance(steps(context, 0)[0], SendOrder)
+    book.on_send_answer(order, SendAnswer.LOST, "", 500)
+    assert isinstance(steps(context, 500)[0], AskEngine)
+    hear(context, 2, "1", at_ms=600)
+    send = next(step for at in range(600, 9_000, 100) for step in steps(context, at))
+    assert isinstance(send, SendOrder)
+    context.until_ms, context.order = send.until_ms, order
+
+
+def steps(context, now_ms):
+    return context.book.plan(context.desired, context.view, TERM, now_ms).steps
+
+
+def hear(context, sequence, version, at_ms=0, **fields):
+    model = pb.LoadedModel(model="m", version=version, ready=True)
+    state = announcement(
+        "a-1", sequence=sequence, models=[model], heartbeat_ms=60_000, **fields
+    )
+    context.view.on_announcement(state, at_ms)
+    context.book.on_state(state, at_ms, Random(1))
+
+
+@when("the engine shows its outcome before the second send has ended")
+def shows_outcome(context):
+    done = pb.OrderOutcome(order_id=context.order.order_id, done=True)
+    hear(context, 3, "2", at_ms=context.until_ms - 1_000, orders=[done])
+
+
+@then("the order is closed only after the send's time is over")
+def closed_late(context):
+    assert not steps(context, context.until_ms - 500)
+    closing = steps(context, context.until_ms)
+    assert [type(step) for step in closing] == [CloseOrder] and closing[0].done
--- a/tests/support/order_schedule.py
+++ b/tests/support/order_schedule.py
@@ -104,11 +104,12 @@
         self.holders = [Holder("one"), Holder("two")]
         self.ignore_lease = ignore_lease
         self.timers, self.violations, self.renewed_ms, self.step = [], [], 0, 0
-        self.version, self.lowest_ready = "1", 3
+        self.version, self.lowest_ready, self.count = "1", 3, 0
 
     def at(self, delay_ms, action):
         """Do something later."""
-        self.timers.append((self.now_ms + delay_ms, len(self.timers), action))
+        self.count += 1
+        self.timers.append((self.now_ms + delay_ms, self.count, action))
 
     def run(self, steps):
         """Run the schedule."""
