Fuzz what outsiders send, and refuse malformed events of engines

Found: an engine's event such as {"choices": null} raised a TypeError in the entry host's thread instead of MalformedEventError, so the attempt was not given to another engine. Events are checked against their documented types now. Not a fault: a half-closed connection with part of a request is held until waitress's channel_timeout (30 s); it is bounded.

--- a/src/tanagerturn/entry/sse.py
+++ b/src/tanagerturn/entry/sse.py
@@ -91,9 +91,43 @@
         event.tokens = about.get("tokens", 0)
         event.attempt = about.get("attempt")
         event.request_id = about.get("request_id", "")
+    if not _is_well_formed(event):
+        raise MalformedEventError("event has a field of a wrong type")
     return event
 
 
+def _is_well_formed(event: EngineEvent) -> bool:
+    """Tell whether the fields that are read have their documented types."""
+    offset, attempt, usage = event.offset, event.attempt, event.usage
+    choices = event.payload.get("choices", ())
+    return (
+        (offset is None or (type(offset) is int and offset >= 0))
+        and type(event.tokens) is int
+        and event.tokens >= 0
+        and (attempt is None or type(attempt) is int)
+        and isinstance(event.request_id, str)
+        and (usage is None or _is_usage(usage))
+        and isinstance(choices, list | tuple)
+        and all(_is_choice(choice) for choice in choices)
+    )
+
+
+def _is_usage(usage: object) -> bool:
+    if not isinstance(usage, dict):
+        return False
+    return all(count is None or type(count) in (int, dict) for count in usage.values())
+
+
+def _is_choice(choice: object) -> bool:
+    if not isinstance(choice, dict):
+        return False
+    delta = choice.get("delta")
+    if not isinstance(delta, dict | None):
+        return False
+    texts = (choice.get("text"), delta.get("content") if delta else None)
+    return all(text is None or isinstance(text, str) for text in texts)
+
+
 def _data_of(block: bytes) -> bytes:
     # Engines send one line of data an event; the general form is rare.
     if block.startswith(FIELD) and b"\n" not in block:
--- /dev/null
+++ b/tests/replay/fuzz/steps/listener_steps.py
@@ -0,0 +1,245 @@
+"""Steps of fuzz.feature about running listeners."""
+
+from __future__ import annotations
+
+import socket
+import tempfile
+import time
+import uuid
+from pathlib import Path
+
+import grpc
+import orjson
+import psutil
+import urllib3
+from behave import given as behave_given
+from behave import then
+from google.protobuf import json_format
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from support.generated import changed, json_values, messages
+from tanagerturn.coordination.groups import CONTROL_GROUP
+from tanagerturn.coordination.ids import ChangeId
+from tanagerturn.coordination.local import LocalStateClient
+from tanagerturn.coordination.remote import connect
+from tanagerturn.coordination.settings_history import SettingsHistory
+from tanagerturn.deploy import free_port, wait_until
+from tanagerturn.entry.server import start_entry
+from tanagerturn.schema import coordination_pb2 as pb
+from tanagerturn.schema import coordination_pb2_grpc as rpc
+from tanagerturn.schema.serving_pb2 import Announcement
+from tanagerturn.settings import parse_process, read_folder
+from tanagerturn.standins.engine.config import EngineConfig
+from tanagerturn.standins.engine.server import start_engine
+from tanagerturn.standins.service.config import ServiceConfig
+from tanagerturn.standins.service.server import start_service
+from tanagerturn.standins.tokens import expected_text
+from tanagerturn.state.server import start_state
+
+EXAMPLES = Path(__file__).parents[4] / "examples"
+KEY = "Bearer parish-desk-example-key"
+ANSWER_S = 10.0
+SILENCE_S = 0.05
+GROWTH_LIMIT_BYTES = 64 << 20
+PROCESS = """
+id: {name}
+cluster: c
+site: kigali
+availability_zone: a
+operations: {{ip: 127.0.0.1, port: 0}}
+state_members:
+- {{id: state-1, address: "127.0.0.1:{port}", availability_zone: a}}
+{part}
+"""
+
+
+def put(key: str) -> pb.Command:
+    transaction = pb.Transaction(puts=[pb.Put(key=key, value=b"1")])
+    return pb.Command(change_id=uuid.uuid4().hex, transaction=transaction)
+
+
+@behave_given("a single state member")
+def state_member(context):
+    folder = tempfile.TemporaryDirectory()
+    context.closers.append(folder.cleanup)
+    port = free_port()
+    part = (
+        f"state: {{grpc: {{ip: 127.0.0.1, port: {port}}}, data_folder: {folder.name}}}"
+    )
+    text = PROCESS.format(name="state-1", port=port, part=part)
+    context.fatal = []
+    member = start_state(parse_process(text, "state-1"), context.fatal.append)
+    context.closers.append(lambda: member.stop(0.0))
+    context.address = f"127.0.0.1:{port}"
+    context.client = connect([context.address])
+    context.closers.append(context.client.close)
+    wait_until(
+        lambda: context.client.propose(CONTROL_GROUP, put("first"), 1.0).is_ok(),
+        "first commit",
+    )
+
+
+@then("it answers or refuses every call, and still commits")
+def any_call(context):
+    channel = grpc.insecure_channel(context.address)
+    context.closers.append(channel.close)
+    state, log = rpc.StateServiceStub(channel), rpc.LogServiceStub(channel)
+    calls = {
+        pb.ProposeRequest: state.Propose,
+        pb.RangeRequest: state.Range,
+        pb.LeaseRequest: state.GetLease,
+        pb.LogMessages: lambda message, timeout: log.Deliver(iter([message]), timeout),
+    }
+
+    @settings(max_examples=120)
+    @given(st.sampled_from(list(calls)), st.data())
+    def check(kind, data):
+        message = data.draw(messages(kind))
+        if "group" in kind.DESCRIPTOR.fields_by_name:
+            message.group = data.draw(st.sampled_from(["control", "requests", "x"]))
+        for one in getattr(message, "messages", ()):
+            one.group = data.draw(st.sampled_from(["control", "requests"]))
+        try:
+            calls[kind](message, timeout=1.0)
+        except grpc.RpcError as error:
+            assert "Traceback" not in (error.details() or "")
+            assert error.code() != grpc.StatusCode.UNKNOWN, (message, error)
+
+    check()
+    assert not context.fatal
+    wait_until(
+        lambda: context.client.propose(CONTROL_GROUP, put("last"), 2.0).is_ok(),
+        "a commit afterwards",
+    )
+
+
+@behave_given("an entry host with a plain service and an engine")
+def entry_host(context):
+    client = LocalStateClient()
+    files = read_folder(EXAMPLES / "inyenyeri")
+    history = SettingsHistory(client, CONTROL_GROUP)
+    applied = history.apply(files, 0, ChangeId("c"), "ana", "", 0, lambda _: [])
+    assert applied.is_ok()
+    part = (
+        "entry: {callers: {ip: 127.0.0.1, port: 0}, "
+        "announcements: {ip: 127.0.0.1, port: 0}, balancer_grace_ms: 0}"
+    )
+    text = PROCESS.format(name="entry-1", port=1, part=part)
+    entry = start_entry(parse_process(text, "entry-1"), client)
+    context.closers.append(entry.stop)
+    context.entry = entry
+    announce_to = (entry.announcements.address,)
+    service = start_service(ServiceConfig(announce_to=announce_to))
+    context.closers.append(service.kill)
+    config = EngineConfig(
+        announce_to=announce_to, services=("drafts",), model="choir-writer", step_ms=2
+    )
+    engine = start_engine(config)
+    context.closers.append(engine.kill)
+    wait_until(lambda: entry.known_backend_servers() == 2, "announcements")
+    orderly(context)
+    context.memory_bytes = psutil.Process().memory_info().rss
+
+
+def orderly(context) -> None:
+    """Send one request of each kind and check its answer."""
+    url = f"http://{context.entry.callers.address}"
+    headers = {"Authorization": KEY}
+    lookup = urllib3.request("GET", f"{url}/services/seats/seats/1", headers=headers)
+    assert lookup.json()["path"] == "/seats/1", lookup.data
+    keyed = headers | {"Idempotency-Key": uuid.uuid4().hex}
+    url_of_purchase = f"{url}/services/seats/purchases"
+    purchase = urllib3.request("POST", url_of_purchase, body=b"{}", headers=keyed)
+    assert purchase.json()["key"] == keyed["Idempotency-Key"], purchase.data
+    body = {"model": "choir-writer", "prompt": "psalm", "max_tokens": 6}
+    draft = urllib3.request("POST", f"{url}/v1/completions", json=body, headers=headers)
+    assert draft.json()["choices"][0]["text"] == expected_text("psalm", 6), draft.data
+
+
+def exchange(
+    address: str, data: bytes, half_close: bool = False, silence_s: float = ANSWER_S
+) -> bytes:
+    """Send raw bytes and read what comes, up to the end or a silence."""
+    ip, _, port = address.rpartition(":")
+    received = b""
+    with socket.create_connection((ip, int(port)), timeout=ANSWER_S) as connection:
+        try:
+            connection.sendall(data)
+            if half_close:
+                connection.shutdown(socket.SHUT_WR)
+            connection.settimeout(silence_s)
+            while part := connection.recv(65536):
+                received += part
+        except OSError:
+            return received
+    return received
+
+
+def judge(received: bytes, sent: bytes) -> None:
+    assert b"Traceback" not in received, (sent, received)
+    for line in received.split(b"\r\n"):
+        if line.startswith(b"HTTP/1."):
+            assert line[9:12] != b"500", (sent, received)
+
+
+@then("callers' bytes of any kind get no traceback and no server error")
+def raw_callers(context):
+    body = b'{"model":"choir-writer","prompt":"x","max_tokens":2,"stream":true}'
+    head = f"Host: a\r\nAuthorization: {KEY}\r\nConnection: close\r\n".encode()
+    draft = b"POST /v1/completions HTTP/1.1\r\n" + head
+    draft += b"Content-Length: %d\r\n\r\n" % len(body) + body
+    lookup = b"GET /services/seats/seats/1 HTTP/1.1\r\n" + head + b"\r\n"
+    purchase = b"POST /services/seats/purchases HTTP/1.1\r\n" + head
+    purchase += b"Idempotency-Key: k\r\nContent-Length: 2\r\n\r\n{}"
+    address = context.entry.callers.address
+
+    @settings(max_examples=120)
+    @given(
+        st.one_of(changed(draft), changed(lookup), changed(purchase), st.binary()),
+        json_values,
+        st.booleans(),
+    )
+    def check(data, value, half_close):
+        judge(exchange(address, data, half_close, SILENCE_S), data)
+        text = orjson.dumps(value)
+        sent = b"POST /v1/chat/completions HTTP/1.1\r\n" + head
+        sent += b"Content-Length: %d\r\n\r\n" % len(text) + text
+        judge(exchange(address, sent), sent)
+
+    check()
+
+
+@then("announcements of any kind get no traceback and no server error")
+def raw_announcements(context):
+    address = context.entry.announcements.address
+
+    @settings(max_examples=120)
+    @given(messages(Announcement), st.data())
+    def check(announcement, data):
+        text = json_format.MessageToJson(announcement).encode()
+        text = data.draw(st.sampled_from([text, data.draw(changed(text))]))
+        sent = b"POST /announcements HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+        sent += b"Content-Length: %d\r\n\r\n" % len(text) + text
+        judge(exchange(address, sent), sent)
+
+    check()
+
+
+@then("an orderly lookup, purchase and draft are answered")
+def still_orderly(context):
+    deadline = time.monotonic() + ANSWER_S
+    while True:
+        try:
+            orderly(context)
+            return
+        except AssertionError:
+            # Announced strangers are tried first; they age out soon.
+            assert time.monotonic() < deadline
+            time.sleep(0.2)
+
+
+@then("the memory has grown by less than 64 MB")
+def memory_bounded(context):
+    grown = psutil.Process().memory_info().rss - context.memory_bytes
+    assert grown < GROWTH_LIMIT_BYTES, grown
