Keep backend servers' headers from callers; write the access log

Headers of callers were passed on to backend servers, X-Priority, X-Resume-From, X-Deadline-Ms, X-Attempt and X-Request-Id among them: a caller could raise its priority, and with X-Deadline-Ms: 1 it got 200 with an empty text. The entry host alone sets them now.

Entry hosts write an access line for each request, without contents, from which tanager-replay record makes a trace. The text of a prompt has one reader for entry hosts and stand-ins (serving/cache/prompts.py).

--- /dev/null
+++ b/src/tanagerturn/entry/access.py
@@ -0,0 +1,68 @@
+"""The access log: one line a request, without its content."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from tanagerturn.entry.site import find_call
+from tanagerturn.observe.logs import part_logger
+from tanagerturn.schema.serving_pb2 import CallKind, Priority
+from tanagerturn.serving.cache.blocks import CHARACTERS_PER_TOKEN, text_blocks
+from tanagerturn.serving.cache.prompts import prompt_text
+
+if TYPE_CHECKING:
+    from tanagerturn.entry.callers import CallerCall
+
+log = part_logger("access")
+
+DRAFT: Final = "draft"
+"""Name of the call for requests to model engines."""
+
+
+def note_access(call: CallerCall, now_ms: int) -> None:
+    """Write the line of a request that is about to run.
+
+    In logs of format JSON, the line's `extra` has the fields of `access`, from
+    which `tanager-replay record` makes a trace.
+
+    Args:
+        call: The request.
+        now_ms: Present time as wall clock.
+    """
+    fields = {
+        "time_ms": now_ms,
+        "request_id": call.request_id,
+        "client_account": call.account.name,
+        "service": call.service.name,
+        "kind": CallKind.Name(call.kind).lower(),
+        "priority": Priority.Name(call.priority).lower(),
+        "deadline_ms": call.deadline_ms,
+        "method": call.method,
+    }
+    fields |= _model_fields(call) if call.is_model else _plain_fields(call)
+    bound = log.bind(request_id=call.request_id, access=fields)
+    bound.info("{} {} by {}.", call.method, call.path, call.account.name)
+
+
+def _plain_fields(call: CallerCall) -> dict[str, object]:
+    path = call.path.partition("?")[0]
+    found = find_call(call.service, call.method, path)
+    name = found.name if found is not None else ""
+    return {"call": name, "path": call.path, "body_bytes": len(call.body)}
+
+
+def _model_fields(call: CallerCall) -> dict[str, object]:
+    try:
+        text = prompt_text(call.payload)
+    except ValueError:
+        text = ""
+    asked = call.payload.get("max_tokens")
+    mode = "stream" if call.stream else "whole"
+    return {
+        "call": DRAFT,
+        "model": str(call.payload.get("model", "")),
+        "blocks": text_blocks(text),
+        "prompt_tokens": max(1, len(text) // CHARACTERS_PER_TOKEN),
+        "max_tokens": asked if type(asked) is int and asked > 0 else 1,
+        "answer": "async" if call.respond_async else mode,
+    }
--- a/src/tanagerturn/entry/app.py
+++ b/src/tanagerturn/entry/app.py
@@ -7,8 +7,10 @@
 import time
 from typing import TYPE_CHECKING, Any
 
+from tanagerturn.entry.access import note_access
 from tanagerturn.entry.callers import CallerCall, new_request_id, read_call
 from tanagerturn.entry.collect import REQUESTS_PATH, answer_collect
+from tanagerturn.entry.directory import wall_ms
 from tanagerturn.entry.drafts import run_draft
 from tanagerturn.entry.lookups import run_lookup
 from tanagerturn.entry.parts import CallerResponse, Parts
@@ -78,7 +80,9 @@
             site = self.site()
             if environ["PATH_INFO"].startswith(REQUESTS_PATH):
                 return answer_collect(self.parts, environ, site)
-            return self._run(read_call(environ, site))
+            call = read_call(environ, site)
+            note_access(call, wall_ms())
+            return self._run(call)
         except ProblemError as error:
             return self._refuse(error, request_id)
         except Exception:
--- a/src/tanagerturn/entry/callers.py
+++ b/src/tanagerturn/entry/callers.py
@@ -41,6 +41,20 @@
     }
 )
 PRIVATE_HEADERS: Final = frozenset({"authorization", "cookie"})
+BACKEND_HEADERS: Final = frozenset(
+    {
+        "idempotency-key",
+        "x-attempt",
+        "x-deadline-ms",
+        "x-kv-handle",
+        "x-priority",
+        "x-request-id",
+        "x-resume-from",
+    }
+)
+"""Headers that backend servers obey: the entry host sets them, callers don't."""
+KEPT_HEADERS: Final = HOP_BY_HOP | PRIVATE_HEADERS | BACKEND_HEADERS
+"""Headers of callers that are not passed on."""
 
 
 @dataclass(frozen=True)
@@ -244,7 +258,7 @@
         if not name.startswith("HTTP_"):
             continue
         header = name[len("HTTP_") :].replace("_", "-").lower()
-        if header not in HOP_BY_HOP and header not in PRIVATE_HEADERS:
+        if header not in KEPT_HEADERS:
             headers.append((header, value))
     return headers
 
--- a/src/tanagerturn/replay/record.py
+++ b/src/tanagerturn/replay/record.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import orjson
 
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True)
 class AccessLine:
-    """One line of the access log, as JSON."""
+    """Fields of one line of the access log."""
 
     time_ms: int
     """When the request came in, as wall clock."""
@@ -79,7 +79,7 @@
     prompts the blocks that they share.
 
     Args:
-        lines: Lines of the log; other lines than of type `access` are passed over.
+        lines: Lines of the log in JSON; those of other parts are passed over.
         name: Name of the trace.
         firm: Whose traffic it is.
         zones: Availability zones of the deployment.
@@ -99,19 +99,27 @@
             value = orjson.loads(line)
         except orjson.JSONDecodeError:
             continue
-        if not isinstance(value, dict) or value.pop("type", None) != "access":
+        fields = _access_fields(value)
+        if fields is None:
             continue
         try:
-            found.append(decode(AccessLine, value))
+            found.append(decode(AccessLine, fields))
         except DecodeError as error:
             faults.append((number, str(error)))
     if not found and not faults:
-        faults.append((0, "no line of type access"))
+        faults.append((0, "no line of the access log"))
     if faults:
         raise TraceError(source, faults[:FAULTS_SHOWN])
     return _trace_of(found, name, firm, zones, entry_hosts)
 
 
+def _access_fields(value: Any) -> object:
+    """Return the access fields of a log line; None for another line."""
+    for name in ("record", "extra", "access"):
+        value = value.get(name) if isinstance(value, dict) else None
+    return value
+
+
 def _trace_of(
     found: list[AccessLine], name: str, firm: str, zones: Sequence[str], hosts: int
 ) -> Trace:
--- a/src/tanagerturn/standins/engine/_handler.py
+++ b/src/tanagerturn/standins/engine/_handler.py
@@ -12,11 +12,11 @@
 from google.protobuf import json_format
 
 from tanagerturn.schema.serving_pb2 import Order, Priority
+from tanagerturn.serving.cache.prompts import prompt_text
 from tanagerturn.standins._http import ConnectionDied, StandinHandler
 from tanagerturn.standins.engine._events import EventWriter, merge_chunks
 from tanagerturn.standins.engine.messages import FinishReason, Generation, KvCache
 from tanagerturn.standins.faults import Fault
-from tanagerturn.standins.tokens import prompt_text
 
 if TYPE_CHECKING:
     from queue import SimpleQueue
--- a/src/tanagerturn/standins/tokens.py
+++ b/src/tanagerturn/standins/tokens.py
@@ -7,46 +7,19 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Final
 
 import xxhash
 
 from tanagerturn.serving.cache.blocks import BLOCK_CHARACTERS, CHARACTERS_PER_TOKEN
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable
 
 TOKEN_CHARACTERS: Final = 8
 """Characters of each generated token."""
 
 
-def prompt_text(body: Mapping[str, Any]) -> str:
-    """Return the text that a completions or chat body asks to continue.
-
-    Args:
-        body: Parsed JSON body of the caller.
-
-    Returns:
-        The prompt, or each message as a line `ROLE: CONTENT`.
-
-    Raises:
-        ValueError: The body has neither a text prompt nor messages.
-    """
-    prompt = body.get("prompt")
-    if isinstance(prompt, str):
-        return prompt
-    messages = body.get("messages")
-    if not isinstance(messages, list) or not messages:
-        raise ValueError("body needs a prompt or messages")
-    return "".join(_message_line(message) for message in messages)
-
-
-def _message_line(message: object) -> str:
-    if not isinstance(message, dict):
-        raise ValueError("each message must be an object")
-    return f"{message.get('role', '')}: {message.get('content', '')}\n"
-
-
 def count_prompt_tokens(text: str) -> int:
     """Count the tokens of a prompt, at least one."""
     return max(1, -(-len(text) // CHARACTERS_PER_TOKEN))
--- a/tests/replay/fuzz/fuzz.feature
+++ b/tests/replay/fuzz/fuzz.feature
@@ -32,3 +32,12 @@
     And announcements of any kind get no traceback and no server error
     And an orderly lookup, purchase and draft are answered
     And the memory has grown by less than 64 MB
+
+  Scenario: Headers that backend servers obey are not taken from callers
+    Given an entry host with a plain service and an engine
+    Then a caller who sends each of them changes neither order nor answer
+
+  Scenario: The access log of an entry host becomes a trace without contents
+    Given an entry host with a plain service and an engine
+    When its log is kept while a lookup, a purchase and a draft are answered
+    Then the log becomes a trace of the three
--- a/tests/replay/fuzz/steps/listener_steps.py
+++ b/tests/replay/fuzz/steps/listener_steps.py
@@ -13,10 +13,11 @@
 import psutil
 import urllib3
 from behave import given as behave_given
-from behave import then
+from behave import then, when
 from google.protobuf import json_format
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from loguru import logger
 
 from support.generated import changed, json_values, messages
 from tanagerturn.coordination.groups import CONTROL_GROUP
@@ -26,9 +27,10 @@
 from tanagerturn.coordination.settings_history import SettingsHistory
 from tanagerturn.deploy import free_port, wait_until
 from tanagerturn.entry.server import start_entry
+from tanagerturn.replay.record import record_trace
 from tanagerturn.schema import coordination_pb2 as pb
 from tanagerturn.schema import coordination_pb2_grpc as rpc
-from tanagerturn.schema.serving_pb2 import Announcement
+from tanagerturn.schema.serving_pb2 import LOW, Announcement
 from tanagerturn.settings import parse_process, read_folder
 from tanagerturn.standins.engine.config import EngineConfig
 from tanagerturn.standins.engine.server import start_engine
@@ -137,6 +139,7 @@
     )
     engine = start_engine(config)
     context.closers.append(engine.kill)
+    context.engine = engine
     wait_until(lambda: entry.known_backend_servers() == 2, "announcements")
     orderly(context)
     context.memory_bytes = psutil.Process().memory_info().rss
@@ -243,3 +246,45 @@
 def memory_bounded(context):
     grown = psutil.Process().memory_info().rss - context.memory_bytes
     assert grown < GROWTH_LIMIT_BYTES, grown
+
+
+@then("a caller who sends each of them changes neither order nor answer")
+def spoofed_headers(context):
+    headers = {
+        "Authorization": KEY,
+        "X-Request-Id": "spoofed",
+        "X-Attempt": "7",
+        "X-Resume-From": "3",
+        "X-Priority": "urgent",
+        "X-Kv-Handle": "h",
+        "X-Deadline-Ms": "1",
+    }
+    url = f"http://{context.entry.callers.address}/v1/completions"
+    body = {"model": "choir-writer", "prompt": "psalm", "max_tokens": 6}
+    taken = []
+    submit = context.engine.submit
+    context.engine.submit = lambda asked: (taken.append(asked), submit(asked))[1]
+    answer = urllib3.request("POST", url, json=body, headers=headers).json()
+    assert answer["choices"][0]["text"] == expected_text("psalm", 6), answer
+    assert "spoofed" not in context.engine.asked
+    assert [asked.priority for asked in taken] == [LOW], taken
+
+
+@when("its log is kept while a lookup, a purchase and a draft are answered")
+def keep_log(context):
+    context.lines = []
+    sink = logger.add(context.lines.append, serialize=True, level="INFO")
+    context.closers.append(lambda: logger.remove(sink))
+    orderly(context)
+
+
+@then("the log becomes a trace of the three")
+def log_to_trace(context):
+    text = "".join(context.lines)
+    assert "psalm" not in text
+    trace = record_trace(text.encode().splitlines(), "t", "inyenyeri")
+    calls = [(request.call, request.kind.value) for request in trace.requests]
+    wanted = [("lookup", "idempotent"), ("purchase", "not_repeatable")]
+    assert calls[:2] == wanted, calls
+    assert trace.requests[2].max_tokens == 6
+    assert trace.requests[2].model == "choir-writer"
--- a/tests/replay/outcomes/steps/outcome_steps.py
+++ b/tests/replay/outcomes/steps/outcome_steps.py
@@ -213,7 +213,6 @@
 
 def access_line(number: int, **fields: object) -> bytes:
     line = {
-        "type": "access",
         "time_ms": 1_000_000 - number * 100,
         "request_id": f"r{number}",
         "client_account": "ushers",
@@ -224,7 +223,7 @@
         "deadline_ms": 2000,
         "path": "/seats/1",
     }
-    return orjson.dumps(line | fields)
+    return orjson.dumps({"record": {"extra": {"access": line | fields}}})
 
 
 @then("a log of three requests becomes a trace that is read again")
