Move streams off leaving engines with their KV caches; route by cached prefix

Cause: the decisions about reclaims and cached prefixes were made by nobody: an entry process sent no prefix blocks to routing, and a stream on a leaving engine waited for its end and was computed again elsewhere. Each entry process decides for its own streams, so no control process is needed. Also: the capacity measurements cover voters, relays and control.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,8 +1,8 @@
 """Measures the slopes that docs/CAPACITY.md is worked out from.
 
 Run: PYTHONPATH=src:tests python bench/capacity.py [--out FILE] [PART ...]
-Parts: announcements, view, routing, membership, settings, store. Each is
-measured at several sizes in this process; the result file keeps all points.
+Parts: announcements, view, routing, membership, settings, store, voter, control,
+relays. Each is measured at several sizes; the result file keeps all points.
 """
 
 from __future__ import annotations
@@ -10,22 +10,30 @@
 import argparse
 import gc
 import random
+import threading
 import time
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+import decisions_speed
 import numpy as np
 import orjson
 import psutil
+from dissemination import Fleet
 from google.protobuf import json_format
+from loguru import logger
+from state_cluster import start_cluster
 
 from support.membership_network import Network
+from tanagerturn.coordination.groups import CONTROL_GROUP
 from tanagerturn.coordination.membership.codec import seal, unseal
 from tanagerturn.coordination.membership.config import MembershipConfig
 from tanagerturn.coordination.store import Store
 from tanagerturn.entry.announcements import parse_announcement
 from tanagerturn.schema import coordination_pb2, serving_pb2
 from tanagerturn.serving.backends.view import make_backend_view
+from tanagerturn.serving.capacity.messages import HeldHost, HostState, ServiceNeed
+from tanagerturn.serving.capacity.plan import Capacity
 from tanagerturn.serving.routing.choose import choose
 from tanagerturn.serving.routing.messages import RouteRequest
 from tanagerturn.settings import merge_sites
@@ -36,7 +44,9 @@
 OUT = Path(__file__).parents[1] / "docs" / "measurements" / "data" / "capacity.json"
 NOW_MS = 1_790_000_000_000
 ZONES = {"west": ["a", "b", "c", "d"], "east": ["e", "f", "g"]}
-CACHE_BLOCKS = 64
+VOTER_S = 6.0
+VOTER_CALLERS = 16
+RELAY_CHANGES = 10
 
 
 def make_announcement(number: int, sequence: int) -> serving_pb2.Announcement:
@@ -252,6 +262,109 @@
     store.apply(coordination_pb2.Command(transaction=transaction))
 
 
+def measure_voter() -> dict[str, Any]:
+    """Processor time of each member for a commit, by commits a second."""
+    cluster = start_cluster()
+    points = []
+    try:
+        leader = cluster.leader()
+        follower = next(n for n in cluster.processes if n != leader)
+        for rate in (50, 150, 300):
+            spent = {n: cluster.cpu_s(n) for n in (leader, follower)}
+            done = pace_commits(cluster, rate)
+            points.append(
+                {
+                    "commits_per_s": done,
+                    "leader_us_per_s": (cluster.cpu_s(leader) - spent[leader])
+                    / VOTER_S
+                    * 1e6,
+                    "follower_us_per_s": (cluster.cpu_s(follower) - spent[follower])
+                    / VOTER_S
+                    * 1e6,
+                    "rss_mb": cluster.rss_mib(leader),
+                }
+            )
+    finally:
+        cluster.close()
+    return {"points": points}
+
+
+def pace_commits(cluster, rate: int) -> float:
+    """Commit at a steady rate from several callers; return the rate reached."""
+    started = time.monotonic()
+    done = [0] * VOTER_CALLERS
+
+    def call(caller: int) -> None:
+        number = caller
+        while True:
+            due = started + number / rate
+            if due - started > VOTER_S:
+                return
+            time.sleep(max(0.0, due - time.monotonic()))
+            put = coordination_pb2.Put(key=f"request/{number % 500}", value=b"x" * 400)
+            transaction = coordination_pb2.Transaction(puts=[put])
+            command = coordination_pb2.Command(transaction=transaction)
+            done[caller] += cluster.client.propose(CONTROL_GROUP, command, 5.0).is_ok()
+            number += VOTER_CALLERS
+
+    threads = [
+        threading.Thread(target=call, args=(caller,)) for caller in range(VOTER_CALLERS)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return sum(done) / VOTER_S
+
+
+def measure_control() -> dict[str, Any]:
+    """Processor time of one plan of hosts, by hosts held."""
+    points = []
+    offers = decisions_speed.offers()
+    for hosts in (5, 20, 80, 160):
+        held = [
+            HeldHost(f"h{i}", offers[2 * (i % 4)].key, HostState.READY, 0, 0.4, 8)
+            for i in range(hosts)
+        ]
+        need = ServiceNeed("s", hosts * 6.0, hosts * 5.0, max_hosts=2 * hosts)
+        planner = Capacity()
+
+        def plan() -> None:
+            planner.plan(need, held, offers, 0)  # noqa: B023
+
+        points.append({"hosts": hosts, "cpu_us": cpu_us(plan, 5)})
+    return {"points": points}
+
+
+def measure_relays() -> dict[str, Any]:
+    """Bytes of one settings change at a daemon and at the busiest relay."""
+    points = []
+    for watchers in (10, 50, 100):
+        fleet = Fleet(watchers)
+        followers = list(fleet.relays.watchers.values())
+        before = [w.bytes_received for w in followers]
+        sent_before = [w.hub.bytes_sent for w in followers]
+        started = time.process_time()
+        for number in range(1, RELAY_CHANGES + 1):
+            fleet.change(number)
+        spent = time.process_time() - started
+        received = [
+            w.bytes_received - b for w, b in zip(followers, before, strict=True)
+        ]
+        sent = [
+            w.hub.bytes_sent - b for w, b in zip(followers, sent_before, strict=True)
+        ]
+        points.append(
+            {
+                "watchers": watchers,
+                "bytes_per_change": float(np.mean(received)) / RELAY_CHANGES,
+                "busiest_relay_bytes_per_change": max(sent) / RELAY_CHANGES,
+                "cpu_us_per_change": spent / RELAY_CHANGES / watchers * 1e6,
+            }
+        )
+    return {"points": points}
+
+
 PARTS = {
     "announcements": measure_announcements,
     "view": measure_view,
@@ -259,6 +372,9 @@
     "membership": measure_membership,
     "settings": measure_settings,
     "store": measure_store,
+    "voter": measure_voter,
+    "control": measure_control,
+    "relays": measure_relays,
 }
 
 
@@ -273,6 +389,7 @@
 
 def main() -> None:
     """Measure the parts that are named, all by default."""
+    logger.remove()
     parser = argparse.ArgumentParser()
     parser.add_argument("parts", nargs="*", default=list(PARTS))
     parser.add_argument("--out", type=Path, default=OUT)
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -2,12 +2,14 @@
 
 Run: PYTHONPATH=src:tests python bench/relay.py [--streams 50] [--tokens 200]
 Streams go to a stand-in engine directly, then through one entry process; both
-in the same run. Prints one JSON line.
+in the same run. Prints one JSON line; --out adds it to a
+result file, in place of an earlier one for the same number of streams.
 """
 
 from __future__ import annotations
 
 import argparse
+import re
 import subprocess
 import sys
 import tempfile
@@ -108,12 +110,29 @@
     return times
 
 
+def write_settings(folder: Path) -> Path:
+    """Write the example settings without the limits of client accounts."""
+    limits = "requests_per_s: 100000\n      concurrent_requests: 10000\n"
+    limits += "      tokens_per_s: 100000000"
+    for name, text in read_folder(EXAMPLES / "inyenyeri").items():
+        path = folder / ("base.yaml" if name == "base" else f"sites/{name[5:]}.yaml")
+        path.parent.mkdir(parents=True, exist_ok=True)
+        wide = re.sub(
+            r"requests_per_s: .*\n.*concurrent_requests: .*\n.*tokens_per_s: .*",
+            limits,
+            text,
+        )
+        path.write_text(wide, encoding="utf-8")
+    return folder
+
+
 def start_cluster(folder: Path) -> Cluster:
     """Start one state and one entry process with the example settings."""
+    settings = write_settings(folder / "settings")
     plan = DeploymentPlan(
         cluster="bench",
         site="kigali",
-        files=read_folder(EXAMPLES / "inyenyeri"),
+        files=read_folder(settings),
         data_folder=folder,
         state_members=1,
         controls=0,
@@ -125,7 +144,7 @@
         program.start()
     subprocess.run(
         [sys.executable, "-c", APPLY, "--member", cluster.addresses[0], "--timeout",
-         "20", "config", "apply", str(EXAMPLES / "inyenyeri"), "--expected", "0"],
+         "20", "config", "apply", str(settings), "--expected", "0"],
         check=True, capture_output=True,
     )  # fmt: skip
     wait_for(lambda: cluster.ready(cluster.entries[0]), "entry ready")
@@ -138,12 +157,20 @@
     process = subprocess.Popen(
         [sys.executable, "-c", STANDIN, "engine", "--id", "engine", "--port",
          str(port), "--announce-to", announce_to, "--service", "drafts", "--model",
-         MODEL, "--slots", str(streams), "--step-ms", str(step_ms)],
+         MODEL, "--slots", str(2 * streams), "--step-ms", str(step_ms)],
         stdout=subprocess.DEVNULL,
     )  # fmt: skip
     return process, f"127.0.0.1:{port}"
 
 
+def keep(path: Path, result: dict) -> None:
+    """Put a result into a file of results by streams."""
+    kept = orjson.loads(path.read_bytes()) if path.exists() else []
+    kept = [r for r in kept if r["streams"] != result["streams"]] + [result]
+    kept.sort(key=lambda r: r["streams"])
+    path.write_bytes(orjson.dumps(kept, option=orjson.OPT_INDENT_2) + b"\n")
+
+
 def main() -> None:
     """Run the measurement."""
     parser = argparse.ArgumentParser()
@@ -151,6 +178,7 @@
     parser.add_argument("--tokens", type=int, default=200)
     parser.add_argument("--rounds", type=int, default=3)
     parser.add_argument("--step-ms", type=float, default=15.0)
+    parser.add_argument("--out", type=Path)
     options = parser.parse_args()
     with tempfile.TemporaryDirectory() as folder:
         cluster = start_cluster(Path(folder))
@@ -189,6 +217,8 @@
                 "rss_after_mb": round(process.memory_info().rss / 2**20, 1),
             }
             print(orjson.dumps(result).decode())
+            if options.out is not None:
+                keep(options.out, result)
         finally:
             engine.terminate()
             engine.wait(10)
--- a/src/tanagerturn/entry/access.py
+++ b/src/tanagerturn/entry/access.py
@@ -7,8 +7,6 @@
 from tanagerturn.entry.site import find_call
 from tanagerturn.observe.logs import part_logger
 from tanagerturn.schema.serving_pb2 import CallKind, Priority
-from tanagerturn.serving.cache.blocks import CHARACTERS_PER_TOKEN, text_blocks
-from tanagerturn.serving.cache.prompts import prompt_text
 
 if TYPE_CHECKING:
     from tanagerturn.entry.callers import CallerCall
@@ -52,17 +50,12 @@
 
 
 def _model_fields(call: CallerCall) -> dict[str, object]:
-    try:
-        text = prompt_text(call.payload)
-    except ValueError:
-        text = ""
-    asked = call.payload.get("max_tokens")
     mode = "stream" if call.stream else "whole"
     return {
         "call": DRAFT,
         "model": str(call.payload.get("model", "")),
-        "blocks": text_blocks(text),
-        "prompt_tokens": max(1, len(text) // CHARACTERS_PER_TOKEN),
-        "max_tokens": asked if type(asked) is int and asked > 0 else 1,
+        "blocks": list(call.prompt.blocks),
+        "prompt_tokens": call.prompt.tokens,
+        "max_tokens": max(1, call.prompt.output_tokens),
         "answer": "async" if call.respond_async else mode,
     }
--- a/src/tanagerturn/entry/callers.py
+++ b/src/tanagerturn/entry/callers.py
@@ -19,9 +19,17 @@
     CallKind,
     Priority,
 )
+from tanagerturn.serving.cache.blocks import (
+    CHARACTERS_PER_TOKEN,
+    cache_seed,
+    text_blocks,
+)
+from tanagerturn.serving.cache.prompts import prompt_text
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Mapping, Sequence
+
+    from tanagerturn.serving.cache.blocks import BlockHash
 
 KEY_LIMIT: Final = 200
 SERVICES_PATH: Final = "/services/"
@@ -57,6 +65,22 @@
 """Headers of callers that are not passed on."""
 
 
+@dataclass(frozen=True)
+class Prompt:
+    """What routing has to know of a prompt."""
+
+    blocks: Sequence[BlockHash] = ()
+    """Hashes of its prefix blocks."""
+    tokens: int = 0
+    """Estimated tokens."""
+    output_tokens: int = 0
+    """Tokens asked for."""
+
+
+NO_PROMPT: Final = Prompt()
+"""Prompt of a call to a plain service."""
+
+
 @dataclass(frozen=True)
 class CallerCall:
     """One request of a caller, read and checked."""
@@ -93,6 +117,8 @@
     """The caller wants to collect the answer later."""
     payload: Mapping[str, Any] = field(default_factory=dict)
     """Parsed body of a request to a model engine."""
+    prompt: Prompt = NO_PROMPT
+    """What routing has to know of its prompt."""
 
 
 def read_call(environ: Mapping[str, Any], site: Site) -> CallerCall:
@@ -203,6 +229,32 @@
         stream=payload.get("stream") is True and not respond_async,
         respond_async=respond_async,
         payload=payload,
+        prompt=read_prompt(payload, service),
+    )
+
+
+def read_prompt(payload: Mapping[str, Any], service: pb.Service) -> Prompt:
+    """Return what routing has to know of a prompt.
+
+    Args:
+        payload: Body of the request.
+        service: Service that runs the model.
+
+    Raises:
+        ProblemError: The messages have no text.
+    """
+    try:
+        text = prompt_text(payload)
+    except ValueError as error:
+        raise ProblemError(400, "Malformed body", str(error)) from error
+    named = payload["model"]
+    models = service.models
+    found = next((m for m in models if m.model == named), models[0])
+    asked = payload.get("max_tokens") or payload.get("max_completion_tokens")
+    return Prompt(
+        blocks=text_blocks(text, cache_seed(found.model, found.version)),
+        tokens=max(1, len(text) // CHARACTERS_PER_TOKEN),
+        output_tokens=asked if type(asked) is int and asked > 0 else 0,
     )
 
 
--- a/src/tanagerturn/entry/directory.py
+++ b/src/tanagerturn/entry/directory.py
@@ -13,12 +13,14 @@
 
 from tanagerturn.observe.logs import part_logger
 from tanagerturn.serving.backends.view import make_backend_view
+from tanagerturn.serving.reclaims.plan import importers_for, own_fraction
 from tanagerturn.serving.routing.choose import choose
 
 if TYPE_CHECKING:
     from expression import Result
 
     from tanagerturn.schema.serving_pb2 import Announcement
+    from tanagerturn.serving.backends.backend import Backend
     from tanagerturn.serving.backends.messages import (
         AnnouncementAccepted,
         AnnouncementFault,
@@ -26,6 +28,7 @@
         Completion,
         RequestId,
     )
+    from tanagerturn.serving.reclaims.messages import Importer
     from tanagerturn.serving.routing.messages import (
         NoBackend,
         RouteDecision,
@@ -93,6 +96,50 @@
     """The backend server."""
 
 
+@dataclass(frozen=True)
+class Place:
+    """An attempt goes to a named backend server, which it counts at."""
+
+    request_id: RequestId
+    """Request of the attempt."""
+    backend_id: BackendId
+    """The backend server."""
+
+
+@dataclass(frozen=True)
+class Reclaiming:
+    """Asks which engines of a model leave, and which may take their streams."""
+
+    service: str
+    """Service."""
+    model: str
+    """Model."""
+
+
+@dataclass(frozen=True)
+class Source:
+    """An engine that leaves."""
+
+    address: str
+    """IP number and port."""
+    gone_at_ms: int
+    """Wall clock time in milliseconds at which it is gone."""
+
+
+@dataclass(frozen=True)
+class Situation:
+    """Engines that leave and engines that may take their streams."""
+
+    sources: dict[BackendId, Source]
+    """Engines that leave."""
+    importers: list[Importer]
+    """Engines that may take KV caches."""
+    addresses: dict[BackendId, str]
+    """Addresses of the importers."""
+    fraction: float
+    """Part of the links that this process may use."""
+
+
 @dataclass(frozen=True)
 class Dump:
     """Asks for the actor's state."""
@@ -181,6 +228,36 @@
         backend = self.view.backends.get(message.backend_id)
         return backend is not None and self.view.is_leaving(backend)
 
+    @handle.register(Place)
+    def on_place(self, message: Place) -> str:
+        """Count an attempt; return the address, empty when it takes no work."""
+        now_ms = wall_ms()
+        backend = self.view.backends.get(message.backend_id)
+        if backend is None or not self.view.takes_work(backend, now_ms):
+            return ""
+        self.view.on_started(backend.id, message.request_id, now_ms)
+        return backend.address
+
+    @handle.register(Reclaiming)
+    def on_reclaiming(self, message: Reclaiming) -> Situation:
+        """Return the engines that leave and those that may take over."""
+        now_ms = wall_ms()
+        pool = self.view.pool(message.service, message.model)
+        leaving = [backend for backend in pool if self.view.is_leaving(backend)]
+        sources = {
+            backend.id: Source(backend.address, self._gone_at_ms(backend, now_ms))
+            for backend in leaving
+        }
+        importers = importers_for(
+            self.view, message.service, message.model, "", "", now_ms
+        )
+        addresses = {
+            importer.backend_id: self.view.backends[importer.backend_id].address
+            for importer in importers
+        }
+        fraction = own_fraction(self.view, sources)
+        return Situation(sources, importers, addresses, fraction)
+
     @handle.register(Dump)
     def on_dump(self, message: Dump) -> dict[str, Any]:
         """Return the state."""
@@ -195,10 +272,19 @@
                 }
                 for backend in backends
             },
+            "cache_sequences": {
+                backend.id: self.view.cache.sequence(backend.id) for backend in backends
+            },
             "notices": dict(self.view.notices),
             "last_decisions": list(self.last_decisions),
         }
 
+    def _gone_at_ms(self, backend: Backend, now_ms: int) -> int:
+        times = [self.view.notices.get(backend.id), self.view.notices.get(backend.zone)]
+        if backend.leaving:
+            times.append(backend.gone_at_ms)
+        return min((at_ms for at_ms in times if at_ms is not None), default=now_ms)
+
 
 def wall_ms() -> int:
     """Return the wall clock in milliseconds."""
--- a/src/tanagerturn/entry/drafts.py
+++ b/src/tanagerturn/entry/drafts.py
@@ -24,8 +24,10 @@
     NothingSentError,
 )
 from tanagerturn.schema.serving_pb2 import PATIENT
-from tanagerturn.serving.backends.messages import BackendId, Completion
+from tanagerturn.serving.backends.messages import BackendId, Completion, RequestId
+from tanagerturn.serving.reclaims.messages import NO_HANDLE, RunningRequest
 from tanagerturn.serving.retries.backoff import backoff_s
+from tanagerturn.serving.routing.messages import Estimate, RouteDecision
 from tanagerturn.serving.streams.assembler import OutOfOrderError, StreamAssembler
 from tanagerturn.serving.streams.chunks import Chunk, LossCause
 from tanagerturn.serving.streams.stalls import make_stall_limits, silence_limit_s
@@ -34,7 +36,7 @@
     from collections.abc import Iterable, Iterator
 
     from tanagerturn.entry.callers import CallerCall
-    from tanagerturn.serving.routing.messages import RouteDecision
+    from tanagerturn.entry.moves import Moved
 
 ATTEMPT_LIMIT: Final = 5
 PATIENT_ATTEMPT_LIMIT: Final = 1000
@@ -50,6 +52,10 @@
 )
 
 
+class MovedAwayError(Exception):
+    """The stream is to go on at another engine."""
+
+
 class RejectedByEngineError(Exception):
     """The engine refuses the request itself; no other engine would take it.
 
@@ -94,6 +100,12 @@
         """The whole answer was read."""
         self.first_token_s = 0.0
         """Monotonic time of the first token, in seconds."""
+        self.backend_id = BackendId("")
+        """Engine of the present attempt."""
+        self.moved: Moved | None = None
+        """Where the stream is to go on; set by the moves actor."""
+        self.kv_handle = NO_HANDLE
+        """Imported KV cache that the next attempt can use."""
         self.made = TokenCount()
         """Tokens delivered, for the account's limit."""
         service = call.service
@@ -114,11 +126,34 @@
             ProblemError: No engine could finish it.
             RejectedByEngineError: The engine refuses the request itself.
         """
+        self.parts.drafts.add(self)
+        try:
+            yield from self._events()
+        finally:
+            self.parts.drafts.remove(self)
+
+    def describe(self, now_ms: int) -> RunningRequest:
+        """Return what deciding about a reclaim has to know of the stream."""
+        prompt = self.call.prompt
+        return RunningRequest(
+            request_id=RequestId(self.call.request_id),
+            backend_id=self.backend_id,
+            priority=self.call.priority,
+            kind=self.call.kind,
+            prompt_tokens=prompt.tokens,
+            done_tokens=self.tokens,
+            left_tokens=max(1, prompt.output_tokens - self.tokens),
+            token_ms=float(self.call.service.token_target_ms),
+            deadline_ms=now_ms + round(self.deadline.left_s() * 1000),
+        )
+
+    def _events(self) -> Iterator[bytes]:
         last = "no attempt"
         patient = self.call.kind == PATIENT
         limit = PATIENT_ATTEMPT_LIMIT if patient else ATTEMPT_LIMIT
         while self.attempts.count < limit and self.deadline.left_s() > 0:
-            decision = self._choose()
+            decision = self._next_engine()
+            self.backend_id = decision.backend_id
             self._count_attempt()
             started_s = time.monotonic()
             try:
@@ -127,6 +162,9 @@
                 last = str(error)
                 self._lost(decision, error)
                 continue
+            except MovedAwayError:
+                self._leave(decision)
+                continue
             except GeneratorExit:
                 self.parts.ended(self.call, decision.backend_id)
                 self.cancel(decision)
@@ -155,6 +193,27 @@
         except (NothingSentError, BrokenCallError):
             return
 
+    def _leave(self, decision: RouteDecision) -> None:
+        """Give the leaving engine up; the next attempt goes on elsewhere."""
+        self.parts.ended(self.call, decision.backend_id)
+        self.attempts.excluded.add(decision.backend_id)
+        self.cancel(decision)
+        self.stream.resume(LossCause.RECLAIM)
+        self.parts.metrics.resumed.labels(cause=LossCause.RECLAIM.value).inc()
+
+    def _next_engine(self) -> RouteDecision:
+        """Return the engine that has the KV cache, or choose one."""
+        moved, self.moved = self.moved, None
+        self.kv_handle = NO_HANDLE
+        if moved is not None and moved.importer is not None:
+            address = self.parts.place(self.call, moved.importer)
+            if address:
+                self.kv_handle = moved.handle
+                estimate = Estimate(moved.importer)
+                reason = "it has the imported KV cache"
+                return RouteDecision(moved.importer, address, reason, estimate)
+        return self._choose()
+
     def _choose(self) -> RouteDecision:
         while True:
             try:
@@ -214,6 +273,8 @@
             for chunk in stream.chunks():
                 for event in reader.feed(chunk):
                     yield from self._take(event)
+                if self.moved is not None and not self.finished:
+                    raise MovedAwayError
                 if not limited and self.tokens > self.resumed_from:
                     left_s = self.deadline.left_s()
                     stream.set_silence_limit(silence_limit_s(self.stalls, True, left_s))
@@ -230,6 +291,8 @@
         if self.tokens:
             headers["X-Resume-From"] = str(self.tokens)
             payload["continuation"] = self.stream.text
+        if self.kv_handle:
+            headers["X-Kv-Handle"] = self.kv_handle
         headers["content-type"] = JSON_TYPE
         stream = self.parts.transport.open_stream(
             decision.address,
--- a/src/tanagerturn/entry/parts.py
+++ b/src/tanagerturn/entry/parts.py
@@ -9,7 +9,8 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from tanagerturn.actors import ask
-from tanagerturn.entry.directory import Choose, Ended, IsLeaving, wall_ms
+from tanagerturn.entry.directory import Choose, Ended, IsLeaving, Place, wall_ms
+from tanagerturn.entry.moves import RunningDrafts
 from tanagerturn.entry.problems import ProblemError
 from tanagerturn.serving.backends.messages import BackendId, RequestId
 from tanagerturn.serving.retries.budget import RetryBudget
@@ -89,6 +90,8 @@
     """Counters of the process."""
     zone: AvailabilityZone
     """Availability zone of this process."""
+    drafts: RunningDrafts = field(default_factory=RunningDrafts)
+    """Streams that run now."""
     budget: RetryBudget = field(default_factory=RetryBudget)
     """Retries by service and client account."""
     random: random.Random = field(default_factory=random.Random)
@@ -128,6 +131,9 @@
             deadline_ms=wall_ms() + call.deadline_ms,
             excluded=excluded,
             zone=self.zone,
+            prefix_blocks=call.prompt.blocks,
+            prompt_tokens=call.prompt.tokens,
+            output_tokens=call.prompt.output_tokens,
         )
         chosen = ask(self.directory, Choose(RequestId(call.request_id), route))
         if chosen.is_error():
@@ -141,6 +147,15 @@
         decision: RouteDecision = chosen.ok
         return decision
 
+    def place(self, call: CallerCall, backend_id: BackendId) -> str:
+        """Count an attempt at a named backend server.
+
+        Returns:
+            Its address; empty when it takes no new work.
+        """
+        message = Place(RequestId(call.request_id), backend_id)
+        return str(ask(self.directory, message))
+
     def is_leaving(self, backend_id: BackendId) -> bool:
         """Tell whether a backend server leaves or is to be reclaimed."""
         return bool(ask(self.directory, IsLeaving(backend_id)))
--- a/src/tanagerturn/entry/server.py
+++ b/src/tanagerturn/entry/server.py
@@ -11,6 +11,7 @@
 from tanagerturn.coordination.groups import REQUESTS_GROUP
 from tanagerturn.coordination.ids import ProcessId
 from tanagerturn.coordination.node import start_node
+from tanagerturn.entry import moves
 from tanagerturn.entry.announcements import AnnouncementServer
 from tanagerturn.entry.app import CallerApp
 from tanagerturn.entry.clock import SystemClock
@@ -19,6 +20,7 @@
 from tanagerturn.entry.hosts import EntryHosts
 from tanagerturn.entry.jobs import PatientJobs
 from tanagerturn.entry.metrics import make_entry_metrics
+from tanagerturn.entry.moves import MovesActor, MovesTicker
 from tanagerturn.entry.parts import Parts
 from tanagerturn.entry.records_actor import OwnerLease, RecordsActor, SweepTicker
 from tanagerturn.entry.settings_actor import NewRevision, SettingsActor
@@ -101,6 +103,12 @@
         self.shares = start_shares(client, self.node, self.parts.gate, self.owner)
         """Shares of the client accounts' limits; None without membership."""
         self.lease.start()
+        self.moves = MovesActor.start(
+            self.directory, self.parts.transport, self.parts.drafts, lambda: self.site
+        )
+        """Actor that moves streams off engines that leave."""
+        self.moves_ticker = MovesTicker(self.moves)
+        """Tells the moves actor that time passes."""
         self.ticker = SweepTicker(self.records)
         """Tells the records actor to sweep."""
         self.callers.start()
@@ -130,6 +138,7 @@
             "directory": ask(self.directory, Dump()),
             "shares": self.shares.dump() if self.shares is not None else {},
             "node": self.node.dump(),
+            "moves": ask(self.moves, moves.Dump()),
         }
 
     def stop(self) -> int:
@@ -165,6 +174,8 @@
 
     def _close(self, release: bool) -> None:
         self.ticker.stop()
+        self.moves_ticker.stop()
+        self.moves.stop()
         self.records.stop()
         self.lease.stop(release)
         self.callers.stop()
--- a/tests/support/environment.py
+++ b/tests/support/environment.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from hypothesis import HealthCheck, settings
+from loguru import logger
 
 if TYPE_CHECKING:
     from behave.model import Scenario
@@ -22,6 +23,8 @@
     suppress_health_check=list(HealthCheck),
 )
 settings.load_profile("check")
+# The schedules lose thousands of messages; a failing step says what is wrong.
+logger.remove()
 
 
 def long_run() -> bool:
