Split the membership core; isolate a control process for an hour

A control process that is isolated for an hour of passed-in time while 18 versions are accepted has no order with an effect in that time and comes back without the lease.

--- a/src/tanagerturn/coordination/membership/agent.py
+++ b/src/tanagerturn/coordination/membership/agent.py
@@ -28,7 +28,7 @@
     from collections.abc import Callable, Iterable
 
     from tanagerturn.coordination.membership._sender import Datagram
-    from tanagerturn.coordination.membership.core import MemberEvent, PeerSettings
+    from tanagerturn.coordination.membership.events import MemberEvent, PeerSettings
     from tanagerturn.schema import settings_pb2
 
 ASK_TIMEOUT_S: Final = 2.0
--- a/src/tanagerturn/coordination/membership/core.py
+++ b/src/tanagerturn/coordination/membership/core.py
@@ -5,12 +5,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from tanagerturn.coordination.membership._sender import Datagram, Sender
+from tanagerturn.coordination.membership._sync import TableSync
 from tanagerturn.coordination.membership._view import describe
-from tanagerturn.coordination.membership.links import RegionReach, link_members
+from tanagerturn.coordination.membership.events import MemberEvent, PeerSettings
+from tanagerturn.coordination.membership.links import RegionLinks
 from tanagerturn.coordination.membership.probes import (
     Probe,
     ProbeOrder,
@@ -28,23 +29,6 @@
     from tanagerturn.coordination.membership.config import MembershipConfig
 
 
-@dataclass(frozen=True)
-class MemberEvent:
-    """The health of a process changed."""
-
-    process: ProcessId
-    health: mpb.Health.ValueType
-    info: mpb.ProcessInfo
-
-
-@dataclass(frozen=True)
-class PeerSettings:
-    """The settings revision that a process has."""
-
-    process: ProcessId
-    number: int
-
-
 class MembershipCore:
     """One process's failure detection.
 
@@ -76,29 +60,22 @@
         """All processes that are remembered."""
         self.order = ProbeOrder(random)
         """Order of probes in this region."""
-        self.far_order = ProbeOrder(random)
-        """Order of probes into other regions."""
         self.probe: Probe | None = None
         """The open probe in this region."""
-        self.far_probe: Probe | None = None
-        """The open probe into another region."""
         self.relayed = RelayedProbes()
         """Open probes for others."""
-        self.reach = RegionReach()
-        """When other regions last answered."""
+        self.links = RegionLinks(self.me, self.table, config, random)
+        """Probes into other regions."""
         self.suspects: dict[ProcessId, int] = {}
         """Time by which each suspect of this region has to refute."""
         self.sequence = 0
         """Of the last probe."""
         self.unanswered_since_ms: int | None = None
         """First probe since the last answer to one."""
-        self.sync_target = ""
-        """Address whose pages are being read; empty when none."""
-        self.sync_after = ""
-        """Last process of the last page."""
+        self.sync = TableSync(self.sender, random)
+        """Comparison of tables."""
         self.last_tick_ms: int | None = None
         self.next_probe_ms = 0
-        self.next_sync_ms = 0
         self.next_seed_ms = 0
         self.leaving = False
         """This process said that it leaves."""
@@ -124,7 +101,7 @@
             self.table.forget_old(now_ms)
         self._end_suspicions(now_ms)
         self._contact_missing(now_ms)
-        self._sync(now_ms)
+        self._compare_tables(now_ms)
         return self.sender.take()
 
     def receive(self, packet: mpb.Packet, address: str, now_ms: int) -> list[Datagram]:
@@ -144,9 +121,9 @@
             if packet.settings_number > self.sender.settings_number:
                 news = PeerSettings(member.process, packet.settings_number)
                 self.peer_settings.append(news)
-        elif not self.sync_target:
+        elif not self.sync.target:
             # Somebody knows us whom we do not know: learn what it knows.
-            self._start_sync(address, now_ms)
+            self.sync.start(address, now_ms)
         self._handle(packet, address, now_ms)
         return self.sender.take()
 
@@ -167,13 +144,6 @@
         silent_ms = now_ms - self.unanswered_since_ms
         return silent_ms > 3 * self.config.probe_interval_ms
 
-    def is_link(self) -> bool:
-        """Tell whether this process talks to other regions."""
-        links = link_members(
-            self.table.present(), self.me.info.region, self.config.region_links
-        )
-        return self.me in links
-
     def take_events(self) -> list[MemberEvent]:
         """Return and forget the changes since the last call."""
         events, self.events = self.events, []
@@ -191,8 +161,8 @@
             "incarnation": self.me.incarnation,
             "pauses": self.me.info.pauses,
             "isolated": self.isolated(now_ms),
-            "link": self.is_link(),
-            "separated_regions": self.reach.separated(now_ms),
+            "link": self.links.is_link(),
+            "separated_regions": self.links.separated(now_ms),
             "duplicate": self.duplicate,
             **self.sender.counters(),
         }
@@ -262,24 +232,9 @@
         self._take_update(suspicion, now_ms)
 
     def _start_far_probe(self, now_ms: int) -> None:
-        if self.far_probe is not None:
-            missed = self.table.get(self.far_probe.target)
-            self.far_probe = None
-            if missed is not None:
-                missed.link = LinkState.FAILED
-        region = self.me.info.region
-        regions = sorted({m.info.region for m in self.table.present()} - {region})
-        if not regions or not self.is_link():
-            return
-        chosen = self.random.choice(regions)
-        far = [m for m in self.table.present() if m.info.region == chosen]
-        links = link_members(far, chosen, self.config.region_links)
-        # Now and then any process: the links known here may all be gone.
-        candidates = far if self.random.random() < 0.2 else links
-        target = self.far_order.next({m.process: m for m in candidates})
+        target = self.links.next_target(now_ms)
         if target is not None:
-            self.reach.on_probe(chosen, now_ms)
-            self.far_probe = self._ping(target, now_ms)
+            self.links.probe = self._ping(target, now_ms)
 
     # Packets
 
@@ -292,11 +247,9 @@
         elif kind == "ack":
             self._on_ack(packet, address, now_ms)
         elif kind == "sync_request":
-            self._on_sync_request(packet.sync_request, address)
-        elif kind == "sync_reply" and address == self.sync_target:
-            self.sync_after = packet.sync_reply.last_process
-            if packet.sync_reply.last:
-                self.sync_target = ""
+            self.sync.on_request(packet.sync_request, address)
+        elif kind == "sync_reply":
+            self.sync.on_reply(packet.sync_reply, address)
 
     def _on_ping(self, packet: mpb.Packet, address: str, now_ms: int) -> None:
         if packet.ping.target not in ("", self.me.process):
@@ -308,7 +261,7 @@
         region = self.me.info.region
         if sender is not None:
             region = sender.info.region
-            self._note_one_way(sender, now_ms)
+            sender.note_one_way(now_ms, 3 * self.config.probe_interval_ms)
             if sender.health != mpb.ALIVE:
                 first.append(sender)
         ack = mpb.Ack(sequence=packet.ping.sequence, process=self.me.process)
@@ -334,13 +287,13 @@
         if self.probe and self.probe.sequence == ack.sequence:
             self._note_answer(self.probe, packet, now_ms)
             self.probe = None
-        elif self.far_probe and self.far_probe.sequence == ack.sequence:
-            member = self._note_answer(self.far_probe, packet, now_ms)
-            self.far_probe = None
-            if member is not None:
-                self._on_far_answer(member, now_ms)
-        elif not self.sync_target and now_ms >= self.next_sync_ms:
-            self._start_sync(address, now_ms)
+        elif self.links.probe and self.links.probe.sequence == ack.sequence:
+            member = self._note_answer(self.links.probe, packet, now_ms)
+            self.links.probe = None
+            if member is not None and self.links.on_answer(member, now_ms):
+                self.sync.start(member.info.address, now_ms)
+        elif self.sync.due(now_ms):
+            self.sync.start(address, now_ms)
 
     def _note_answer(
         self, probe: Probe, packet: mpb.Packet, now_ms: int
@@ -352,22 +305,9 @@
             member.link = LinkState.GOOD
             return member
         member.link = LinkState.INDIRECT
-        self._note_one_way(member, now_ms)
+        member.note_one_way(now_ms, 3 * self.config.probe_interval_ms)
         return member
 
-    def _note_one_way(self, member: Member, now_ms: int) -> None:
-        window_ms = 3 * self.config.probe_interval_ms
-        if member.heard_at_ms < 0 or now_ms - member.heard_at_ms > window_ms:
-            return
-        if member.link in (LinkState.INDIRECT, LinkState.FAILED):
-            member.link = LinkState.ONE_WAY
-
-    def _on_far_answer(self, member: Member, now_ms: int) -> None:
-        was_separated = member.info.region in self.reach.separated(now_ms)
-        self.reach.on_answer(member.info.region)
-        if was_separated:
-            self._start_sync(member.info.address, now_ms)
-
     # Health
 
     def _take_update(self, update: mpb.Update, now_ms: int) -> None:
@@ -424,7 +364,7 @@
         # Answers came while this process did not run: nobody is to blame.
         gap_ms = now_ms - last_ms
         self.probe = None
-        self.far_probe = None
+        self.links.probe = None
         self.unanswered_since_ms = None
         self.suspects = {p: at + gap_ms for p, at in self.suspects.items()}
         self.me.info.pauses += 1
@@ -450,31 +390,9 @@
         if self.random.random() * self.table.present_count < 3 * len(dead):
             self._ping(self.random.choice(dead), now_ms)
 
-    def _sync(self, now_ms: int) -> None:
-        if not self.sync_target and now_ms >= self.next_sync_ms:
+    def _compare_tables(self, now_ms: int) -> None:
+        if self.sync.due(now_ms):
             near = [m for m in self._near() if m.health == mpb.ALIVE]
             if near:
-                self._start_sync(self.random.choice(near).info.address, now_ms)
-        if self.sync_target and now_ms >= self.next_sync_ms:
-            self.sync_target = ""
-        if self.sync_target and self.sender.budget.left > 0:
-            self._ask_page()
-
-    def _start_sync(self, address: str, now_ms: int) -> None:
-        self.sync_target = address
-        self.sync_after = ""
-        jitter = self.random.uniform(0.8, 1.2)
-        self.next_sync_ms = now_ms + round(self.config.sync_interval_ms * jitter)
-
-    def _ask_page(self) -> None:
-        request = mpb.SyncRequest(
-            after_process=self.sync_after, digest=self.table.digest()
-        )
-        packet = mpb.Packet(sync_request=request)
-        self.sender.send(self.sync_target, packet, [])
-
-    def _on_sync_request(self, request: mpb.SyncRequest, address: str) -> None:
-        if request.digest == self.table.digest():
-            self.sender.send(address, mpb.Packet(sync_reply=mpb.SyncReply(last=True)))
-        elif self.sender.budget.left > 0:
-            self.sender.send_page(address, request.after_process)
+                self.sync.start(self.random.choice(near).info.address, now_ms)
+        self.sync.advance(now_ms)
--- /dev/null
+++ b/src/tanagerturn/coordination/membership/events.py
@@ -0,0 +1,27 @@
+"""What the core tells its owner."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from tanagerturn.coordination.ids import ProcessId
+    from tanagerturn.schema import membership_pb2 as mpb
+
+
+@dataclass(frozen=True)
+class MemberEvent:
+    """The health of a process changed."""
+
+    process: ProcessId
+    health: mpb.Health.ValueType
+    info: mpb.ProcessInfo
+
+
+@dataclass(frozen=True)
+class PeerSettings:
+    """The settings revision that a process has."""
+
+    process: ProcessId
+    number: int
--- a/src/tanagerturn/coordination/membership/table.py
+++ b/src/tanagerturn/coordination/membership/table.py
@@ -60,6 +60,13 @@
         recent = [t for t in self.returns if now_ms - t <= FLAP_WINDOW_MS]
         return len(recent) >= FLAPS
 
+    def note_one_way(self, now_ms: int, window_ms: int) -> None:
+        """Mark the link as one way if its packets come and ours got no answer."""
+        if self.heard_at_ms < 0 or now_ms - self.heard_at_ms > window_ms:
+            return
+        if self.link in (LinkState.INDIRECT, LinkState.FAILED):
+            self.link = LinkState.ONE_WAY
+
     @property
     def present(self) -> bool:
         """Whether it takes part: alive, or suspect and able to refute."""
--- a/src/tanagerturn/coordination/node.py
+++ b/src/tanagerturn/coordination/node.py
@@ -32,7 +32,7 @@
 
     from tanagerturn.coordination.client import StateClient
     from tanagerturn.coordination.membership.agent import MemberView
-    from tanagerturn.coordination.membership.core import PeerSettings
+    from tanagerturn.coordination.membership.events import PeerSettings
     from tanagerturn.schema import settings_pb2
     from tanagerturn.schema.coordination_pb2 import SettingsRevision
 
--- a/tests/control/orders/orders.feature
+++ b/tests/control/orders/orders.feature
@@ -15,6 +15,13 @@
   Scenario: A holder that sends without looking at its clock again is found out
     Then schedules find a holder that sends without looking at its clock again
 
+  Scenario: A control process that is isolated for an hour stays without effect
+    Given two control processes and engines that ignore fencing numbers
+    When the holder is isolated for an hour while 18 versions are accepted
+    Then only the other one's orders had an effect and the last version runs
+    When the isolated one comes back and a further version is accepted
+    Then the isolated one holds nothing and the last version runs
+
   Scenario: A control process orders a stand-in engine over HTTP
     Given a stand-in engine that runs version "1" and a control process
     When settings with version "2" are accepted
--- a/tests/control/orders/steps/orders_steps.py
+++ b/tests/control/orders/steps/orders_steps.py
@@ -75,6 +75,54 @@
     assert any(violated(seed) for seed in range(40))
 
 
+@given("two control processes and engines that ignore fencing numbers")
+def calm_world(context):
+    context.world = ControlWorld(1, False)
+    context.world.settle()
+    context.world.run(100)
+    held = [c for c in context.world.controls if c.courier.keeper.held(now(context))]
+    context.isolated = held[0]
+
+
+def now(context):
+    return context.world.now_ms
+
+
+@when("the holder is isolated for an hour while {count:d} versions are accepted")
+def isolated_hour(context, count):
+    world = context.world
+    context.isolated.client.isolated = True
+    for version in range(2, count + 2):
+        world.version = str(version)
+        world.run(36_000 // count)
+
+
+@then("only the other one's orders had an effect and the last version runs")
+def other_only(context):
+    world = context.world
+    assert not world.violations, world.violations
+    assert not context.isolated.courier.keeper.held(now(context))
+    for engine in world.engines.values():
+        assert engine.models["m"] == (world.version, True), engine.models
+        assert len(engine.effective) >= 18
+        assert all(order.startswith("2-") for order in engine.effective)
+
+
+@when("the isolated one comes back and a further version is accepted")
+def comes_back(context):
+    context.isolated.client.isolated = False
+    context.world.version = "99"
+    context.world.run(1000)
+
+
+@then("the isolated one holds nothing and the last version runs")
+def holds_nothing(context):
+    assert not context.isolated.courier.keeper.held(now(context))
+    models = {engine.models["m"] for engine in context.world.engines.values()}
+    assert models == {("99", True)}, models
+    assert not context.world.violations
+
+
 def wait_for(check, explain):
     end = time.monotonic() + WAIT_LIMIT_S
     while not check():
--- a/tests/coordination/node/node.feature
+++ b/tests/coordination/node/node.feature
@@ -11,3 +11,7 @@
     Then the new node reaches revision 5 from "highest revision among peers"
     When a relay stops silently and 1 change is accepted
     Then all nodes reach revision 6
+
+  Scenario: The example of embedding runs on the coordination library alone
+    When the example of embedding runs
+    Then a second worker went on after the first one stopped
--- a/tests/coordination/node/steps/node_steps.py
+++ b/tests/coordination/node/steps/node_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import runpy
 import tempfile
 import time
 from pathlib import Path
@@ -16,6 +17,7 @@
 from tanagerturn.coordination.settings_history import SettingsHistory
 from tanagerturn.schema import settings_pb2
 
+EXAMPLE = Path(__file__).parents[4] / "examples" / "embedding" / "scheduler.py"
 WAIT_LIMIT_S = 30
 
 
@@ -118,3 +120,14 @@
     context.nodes.remove(relay)
     context.closers.remove(relay.stop)
     accept(context.store, count)
+
+
+@when("the example of embedding runs")
+def run_example(context):
+    example = runpy.run_path(str(EXAMPLE))
+    context.active = example["run"](LocalStateClient())
+
+
+@then("a second worker went on after the first one stopped")
+def second_worker(context):
+    assert len(context.active) == len(set(context.active)) == 2, context.active
