--- a/src/tanagerturn/replay/report.py
+++ b/src/tanagerturn/replay/report.py
@@ -171,6 +171,7 @@
     axes = plot.subplots()
     drawn = axes.barh(list(bars), list(bars.values()))
     axes.bar_label(drawn, padding=3)
+    axes.margins(x=0.12)
     axes.invert_yaxis()
     axes.set_xlabel("tokens")
     return _svg(plot)
--- a/tests/replay/fuzz/fuzz.feature
+++ b/tests/replay/fuzz/fuzz.feature
@@ -41,3 +41,7 @@
     Given an entry host with a plain service and an engine
     When its log is kept while a lookup, a purchase and a draft are answered
     Then the log becomes a trace of the three
+
+  Scenario: Backend servers that answer anything
+    Given an entry host whose backend servers answer anything
+    Then callers get answers or problems in time, no traceback and no server error
--- a/tests/replay/fuzz/steps/listener_steps.py
+++ b/tests/replay/fuzz/steps/listener_steps.py
@@ -116,8 +116,8 @@
     )
 
 
-@behave_given("an entry host with a plain service and an engine")
-def entry_host(context):
+@behave_given("an entry host alone")
+def entry_alone(context):
     client = LocalStateClient()
     files = read_folder(EXAMPLES / "inyenyeri")
     history = SettingsHistory(client, CONTROL_GROUP)
@@ -131,6 +131,12 @@
     entry = start_entry(parse_process(text, "entry-1"), client)
     context.closers.append(entry.stop)
     context.entry = entry
+
+
+@behave_given("an entry host with a plain service and an engine")
+def entry_host(context):
+    entry_alone(context)
+    entry = context.entry
     announce_to = (entry.announcements.address,)
     service = start_service(ServiceConfig(announce_to=announce_to))
     context.closers.append(service.kill)
