Record the platform's reclaim notices and tell entry processes of them

Cause: new work stopped only when the leaving backend server said so itself; the notices of the cloud API reached nobody. The active control process polls them, records each under its fencing number, and entry processes watch the records. Before: a host that does not announce its reclaim went on getting work.

--- a/src/tanagerturn/control/server.py
+++ b/src/tanagerturn/control/server.py
@@ -9,10 +9,12 @@
 from prometheus_client import CollectorRegistry, Gauge
 
 from tanagerturn.actors import ask
+from tanagerturn.control.cloud import CloudClient
 from tanagerturn.control.courier import CONTROL_LEASE, OrderCourier
 from tanagerturn.control.lease_actor import LeaseActor
 from tanagerturn.control.limits import LimitKeeper
 from tanagerturn.control.messages import Dump, NewRevision, Release, Tick
+from tanagerturn.control.notice_actor import NoticeActor
 from tanagerturn.control.order_actor import OrderActor, monotonic_ms
 from tanagerturn.control.transport import HttpEngineTransport
 from tanagerturn.coordination.groups import CONTROL_GROUP
@@ -30,6 +32,7 @@
 
 if TYPE_CHECKING:
     import grpc
+    import pykka
 
     from tanagerturn.coordination.client import StateClient
     from tanagerturn.schema.coordination_pb2 import SettingsRevision
@@ -86,6 +89,8 @@
         )
         """Actor that gives orders to engines."""
         self.order_actor.tell(Tick())
+        self.notice_actor = self._start_notices(client, period_s)
+        """Actor that records reclaim notices; None without a cloud API."""
         self.announcements = self._listen()
         """Listener for backend servers; None when the settings name none."""
         self.node = start_node(
@@ -110,6 +115,7 @@
             "lease": ask(self.lease_actor, Dump()),
             "orders": ask(self.order_actor, Dump()),
             "shares": self.shares.dump(),
+            "notices": self._dump_notices(),
             **self.node.dump(),
         }
 
@@ -118,6 +124,8 @@
         if self.announcements is not None:
             self.announcements.stop()
         self.limits.stop()
+        if self.notice_actor is not None:
+            self.notice_actor.stop()
         self.order_actor.stop()
         ask(self.lease_actor, Release())
         self.lease_actor.stop()
@@ -127,6 +135,19 @@
         self.transport.close()
         log.info("Control process {} has stopped.", self.settings.id)
 
+    def _start_notices(
+        self, client: StateClient, period_s: float
+    ) -> pykka.ActorRef[NoticeActor] | None:
+        if not self.settings.control.cloud_url:
+            return None
+        cloud = CloudClient(self.settings.control.cloud_url)
+        actor = NoticeActor.start(client, self.keeper, cloud, period_s)
+        actor.tell(Tick())
+        return actor
+
+    def _dump_notices(self) -> Any:
+        return ask(self.notice_actor, Dump()) if self.notice_actor is not None else {}
+
     def _listen(self) -> AnnouncementServer | None:
         if not self.settings.control.HasField("announcements"):
             return None
--- a/src/tanagerturn/entry/directory.py
+++ b/src/tanagerturn/entry/directory.py
@@ -83,6 +83,14 @@
     """Wall clock time in milliseconds at which it is taken."""
 
 
+@dataclass(frozen=True)
+class NoticeEnded:
+    """A notice was called off or is over."""
+
+    target: str
+    """Availability zone or backend server."""
+
+
 @dataclass(frozen=True)
 class Slots:
     """Asks for the slots of each service at the backend servers that stay."""
@@ -209,6 +217,11 @@
         """Stop new work for what is to be reclaimed."""
         self.view.on_notice(message.target, message.at_ms)  # type: ignore[arg-type]
 
+    @handle.register(NoticeEnded)
+    def on_notice_ended(self, message: NoticeEnded) -> None:
+        """Forget a notice."""
+        self.view.on_notice_ended(message.target)  # type: ignore[arg-type]
+
     @handle.register(Slots)
     def on_slots(self, message: Slots) -> dict[str, int]:
         """Return the slots of each service."""
--- a/src/tanagerturn/entry/server.py
+++ b/src/tanagerturn/entry/server.py
@@ -21,6 +21,7 @@
 from tanagerturn.entry.jobs import PatientJobs
 from tanagerturn.entry.metrics import make_entry_metrics
 from tanagerturn.entry.moves import MovesActor, MovesTicker
+from tanagerturn.entry.notices import NoticeWatcher
 from tanagerturn.entry.parts import Parts
 from tanagerturn.entry.records_actor import OwnerLease, RecordsActor, SweepTicker
 from tanagerturn.entry.settings_actor import NewRevision, SettingsActor
@@ -103,6 +104,8 @@
         self.shares = start_shares(client, self.node, self.parts.gate, self.owner)
         """Shares of the client accounts' limits; None without membership."""
         self.lease.start()
+        self.notices = NoticeWatcher(client, self.directory)
+        """Watches the reclaim notices that the control process records."""
         self.moves = MovesActor.start(
             self.directory, self.parts.transport, self.parts.drafts, lambda: self.site
         )
@@ -174,6 +177,7 @@
 
     def _close(self, release: bool) -> None:
         self.ticker.stop()
+        self.notices.stop()
         self.moves_ticker.stop()
         self.moves.stop()
         self.records.stop()
--- a/tests/support/entry_world.py
+++ b/tests/support/entry_world.py
@@ -46,7 +46,14 @@
 class EntryWorld:
     """A deployment of Inyenyeri's example with stand-ins."""
 
-    def __init__(self, entries: int, change=lambda text: text, threads: int = 64):
+    def __init__(
+        self,
+        entries: int,
+        change=lambda text: text,
+        threads: int = 64,
+        controls: int = 0,
+        control_text: str = "",
+    ):
         self.folder = tempfile.TemporaryDirectory()
         files = read_folder(EXAMPLES / "inyenyeri")
         plan = DeploymentPlan(
@@ -55,7 +62,8 @@
             files={name: change(text) for name, text in files.items()},
             data_folder=Path(self.folder.name),
             state_members=1,
-            controls=0,
+            controls=controls,
+            control_text=control_text,
             entries=entries,
             threads=threads,
         )
