Refuse members of another cluster; advance idle watches

A member asks others what it is, and a repair asks spares for their incarnation: an answer from another cluster was taken as good. It names its cluster now. A watch whose prefix is not written moves on with the store, so that many writes elsewhere don't cost it a full copy.

--- a/src/tanagerturn/state/_maintenance.py
+++ b/src/tanagerturn/state/_maintenance.py
@@ -88,7 +88,7 @@
         for member in self.server.members:
             if find(health.membership, member.id) is not None:
                 continue
-            answer = self.server.client.status(member.address, STATUS_TIMEOUT_S)
+            answer = self.server.ask(member.address, STATUS_TIMEOUT_S)
             if answer.is_ok():
                 member.incarnation = answer.ok.incarnation
                 found.append(member)
--- a/src/tanagerturn/state/_watches.py
+++ b/src/tanagerturn/state/_watches.py
@@ -78,16 +78,18 @@
         """Queue what was applied since the last call."""
         if store.revision == self.revision:
             return
-        new = store.batch_since("", self.revision) if self.watchers else None
-        self.revision = store.revision
-        if new is None:
+        known, self.revision = self.revision, store.revision
+        if not self.watchers:
             return
+        new = store.batch_since("", known)
         for watcher in self.watchers:
             if watcher.revision >= store.revision:
                 continue
             if new.snapshot or _is_touched(watcher.prefix, new):
                 batch = store.batch_since(watcher.prefix, watcher.revision)
                 watcher.offer(batch)
+            elif watcher.revision >= known:
+                watcher.revision = store.revision
         self.watchers = [one for one in self.watchers if not one.is_ended]
 
 
--- a/src/tanagerturn/state/server.py
+++ b/src/tanagerturn/state/server.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 import grpc
+from expression import Error
 
 from tanagerturn.coordination.channels import SERVER_OPTIONS, TlsFiles, listen
 from tanagerturn.coordination.errors import RefusedError, StepError
@@ -39,6 +40,7 @@
     from collections.abc import Callable, Mapping, Sequence
 
     import pykka
+    from expression import Result
 
     from tanagerturn.coordination.storage.group import GroupStorage
     from tanagerturn.schema import settings_pb2
@@ -149,6 +151,16 @@
             },
         }
 
+    def ask(
+        self, address: str, timeout_s: float
+    ) -> Result[pb.StatusResponse, StepError]:
+        """Ask another member for its state; one of another cluster is refused."""
+        answer = self.client.status(address, timeout_s)
+        if answer.is_ok() and answer.ok.cluster != self.settings.cluster:
+            reason = f"belongs to cluster {answer.ok.cluster!r}"
+            return Error(RefusedError("ask status", address, reason))
+        return answer
+
     def tell(self, group: str, message: object) -> None:
         """Pass a message to a group; dropped when it doesn't run."""
         actor = self.groups.get(group)
@@ -210,7 +222,7 @@
             for other in self.members:
                 if other.id == self.settings.id:
                     continue
-                answer = self.client.status(other.address, STATUS_TIMEOUT_S)
+                answer = self.ask(other.address, STATUS_TIMEOUT_S)
                 if answer.is_ok():
                     answers[other.id] = answer.ok
             membership = founding_membership(
--- a/src/tanagerturn/state/service.py
+++ b/src/tanagerturn/state/service.py
@@ -94,7 +94,10 @@
         self, request: pb.Empty, context: grpc.ServicerContext
     ) -> pb.StatusResponse:
         """Return the state of all groups; none before the member has started."""
-        response = pb.StatusResponse(incarnation=self.server.folder.incarnation)
+        folder = self.server.folder
+        response = pb.StatusResponse(
+            incarnation=folder.incarnation, cluster=folder.cluster
+        )
         for group in self.server.groups.values():
             answer: Future[pb.GroupStatus] = Future()
             group.tell(m.AskStatus(answer))
@@ -107,9 +110,9 @@
         """Change the members of a group by one step."""
         member = request.member
         if request.action == Action.ADD_LEARNER and not member.incarnation:
-            found = self.server.client.status(member.address, _left_s(context) / 2)
+            found = self.server.ask(member.address, _left_s(context) / 2)
             if found.is_error():
-                reason = f"the new member doesn't answer: {found.error}"
+                reason = f"the new member can't be added: {found.error}"
                 context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, reason)
             member.incarnation = found.ok.incarnation
         answer: Future[Any] = Future()
--- a/tests/state/server/server.feature
+++ b/tests/state/server/server.feature
@@ -26,6 +26,11 @@
     And a follower comes back with an empty data folder
     Then it ends because "the group knows this member with another data folder"
 
+  Scenario: A member of another cluster is not taken in
+    Given three running members
+    When a member of cluster "d" is added by hand
+    Then the change is refused because "belongs to cluster 'd'"
+
   Scenario: A spare replaces a lost member, and a second loss loses nothing
     Given three running members and a spare, with a repair after 0.5 s
     When 5 changes are made
--- a/tests/state/server/steps/server_steps.py
+++ b/tests/state/server/steps/server_steps.py
@@ -38,9 +38,9 @@
     return ports
 
 
-def start(context, number) -> StateServer:
+def start(context, number, cluster="c") -> StateServer:
     settings = settings_pb2.ProcessSettings(
-        id=f"s{number}", cluster="c", site="x", availability_zone="z"
+        id=f"s{number}", cluster=cluster, site="x", availability_zone="z"
     )
     settings.state.CopyFrom(
         settings_pb2.StateProcess(
@@ -227,6 +227,22 @@
     assert reason in str(context.ended[0]), context.ended
 
 
+@when('a member of cluster "{cluster}" is added by hand')
+def add_foreign(context, cluster):
+    context.ports += free_ports(1)
+    foreign = start(context, 3, cluster)
+    member = pb.Member(id="s3", address=foreign.address)
+    action = pb.MemberChangeRequest.ADD_LEARNER
+    context.changed = context.client.change_member(
+        CONTROL_GROUP, action, member, WAIT_S
+    )
+
+
+@then('the change is refused because "{reason}"')
+def change_refused(context, reason):
+    assert reason in str(context.changed.error), context.changed
+
+
 @when("a follower is lost for good")
 @when("a second follower is lost for good")
 def lost(context):
