--- a/src/tanagerturn/entry/callers.py
+++ b/src/tanagerturn/entry/callers.py
@@ -19,9 +19,17 @@
     CallKind,
     Priority,
 )
+from tanagerturn.serving.cache.blocks import (
+    CHARACTERS_PER_TOKEN,
+    cache_seed,
+    text_blocks,
+)
+from tanagerturn.serving.cache.prompts import prompt_text
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Mapping, Sequence
+
+    from tanagerturn.serving.cache.blocks import BlockHash
 
 KEY_LIMIT: Final = 200
 SERVICES_PATH: Final = "/services/"
@@ -41,6 +49,36 @@
     }
 )
 PRIVATE_HEADERS: Final = frozenset({"authorization", "cookie"})
+BACKEND_HEADERS: Final = frozenset(
+    {
+        "idempotency-key",
+        "x-attempt",
+        "x-deadline-ms",
+        "x-kv-handle",
+        "x-priority",
+        "x-request-id",
+        "x-resume-from",
+    }
+)
+"""Headers that backend servers obey: the entry host sets them, callers don't."""
+KEPT_HEADERS: Final = HOP_BY_HOP | PRIVATE_HEADERS | BACKEND_HEADERS
+"""Headers of callers that are not passed on."""
+
+
+@dataclass(frozen=True)
+class Prompt:
+    """What routing has to know of a prompt."""
+
+    blocks: Sequence[BlockHash] = ()
+    """Hashes of its prefix blocks."""
+    tokens: int = 0
+    """Estimated tokens."""
+    output_tokens: int = 0
+    """Tokens asked for."""
+
+
+NO_PROMPT: Final = Prompt()
+"""Prompt of a call to a plain service."""
 
 
 @dataclass(frozen=True)
@@ -79,6 +117,8 @@
     """The caller wants to collect the answer later."""
     payload: Mapping[str, Any] = field(default_factory=dict)
     """Parsed body of a request to a model engine."""
+    prompt: Prompt = NO_PROMPT
+    """What routing has to know of its prompt."""
 
 
 def read_call(environ: Mapping[str, Any], site: Site) -> CallerCall:
@@ -189,6 +229,32 @@
         stream=payload.get("stream") is True and not respond_async,
         respond_async=respond_async,
         payload=payload,
+        prompt=read_prompt(payload, service),
+    )
+
+
+def read_prompt(payload: Mapping[str, Any], service: pb.Service) -> Prompt:
+    """Return what routing has to know of a prompt.
+
+    Args:
+        payload: Body of the request.
+        service: Service that runs the model.
+
+    Raises:
+        ProblemError: The messages have no text.
+    """
+    try:
+        text = prompt_text(payload)
+    except ValueError as error:
+        raise ProblemError(400, "Malformed body", str(error)) from error
+    named = payload["model"]
+    models = service.models
+    found = next((m for m in models if m.model == named), models[0])
+    asked = payload.get("max_tokens") or payload.get("max_completion_tokens")
+    return Prompt(
+        blocks=text_blocks(text, cache_seed(found.model, found.version)),
+        tokens=max(1, len(text) // CHARACTERS_PER_TOKEN),
+        output_tokens=asked if type(asked) is int and asked > 0 else 0,
     )
 
 
@@ -244,7 +310,7 @@
         if not name.startswith("HTTP_"):
             continue
         header = name[len("HTTP_") :].replace("_", "-").lower()
-        if header not in HOP_BY_HOP and header not in PRIVATE_HEADERS:
+        if header not in KEPT_HEADERS:
             headers.append((header, value))
     return headers
 
