Let shares outlast a change of the allocator

When the active control process died, its lease lasted as long as the grants, so every host fell to a fifth of its even part for some 8 s. Grants last 20 s now and half of each limit is divided evenly for good.

--- a/src/tanagerturn/coordination/shares/allocator.py
+++ b/src/tanagerturn/coordination/shares/allocator.py
@@ -19,8 +19,9 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-GRANT_MS: Final = 5000
-"""Time that a grant lasts by the holder's clock, margins not yet taken off."""
+GRANT_MS: Final = 20_000
+"""Time that a grant lasts by the holder's clock, margins not yet taken off; it
+outlasts a change of the allocator."""
 
 TARGETS_MS: Final = 500
 """Time for which computed targets of a client account are used."""
--- a/src/tanagerturn/coordination/shares/amounts.py
+++ b/src/tanagerturn/coordination/shares/amounts.py
@@ -19,7 +19,7 @@
 WHOLE: Final = "concurrent_requests"
 """The kind that is divided in whole numbers."""
 
-SAFE_FRACTION: Final = 0.2
+SAFE_FRACTION: Final = 0.5
 """Part of a limit that is divided equally for good."""
 
 
--- a/src/tanagerturn/coordination/shares/service.py
+++ b/src/tanagerturn/coordination/shares/service.py
@@ -8,7 +8,7 @@
 import grpc
 from loguru import logger
 
-from tanagerturn.coordination.shares.allocator import ShareAllocator
+from tanagerturn.coordination.shares.allocator import GRANT_MS, ShareAllocator
 from tanagerturn.coordination.shares.amounts import split_limits
 from tanagerturn.coordination.shares.holder import HostShares
 from tanagerturn.schema import shares_pb2 as spb
@@ -48,6 +48,8 @@
         """The allocator of this term."""
         self.pools: dict[str, spb.Amounts] = {}
         """Pool of each client account."""
+        self.grant_ms = GRANT_MS
+        """Time that a grant lasts; the same in all processes."""
 
     def set_limits(self, limits: Mapping[str, AccountLimits], hosts: int) -> None:
         """Take the limits of newer settings, or another number of hosts."""
@@ -77,7 +79,8 @@
                 return None
             if self.allocator is None or self.number != self.keeper.fencing_number:
                 self.number = self.keeper.fencing_number
-                self.allocator = ShareAllocator(self.keeper.core.granted_at_ms)
+                started_ms = self.keeper.core.granted_at_ms
+                self.allocator = ShareAllocator(started_ms, self.grant_ms)
                 self.allocator.set_pools(self.pools)
             return self.allocator.report(request, now_ms)
 
--- a/tests/entry/shares/steps/shares_steps.py
+++ b/tests/entry/shares/steps/shares_steps.py
@@ -49,6 +49,7 @@
     settings = process(context, "control-1")
     settings.control.lease_ms, settings.control.period_ms = 4000, 50
     context.control = start_control(settings, context.state)
+    context.control.shares.grant_ms = 4000
     context.closers.append(context.control.stop)
     context.seeds = [context.control.node.agent.address]
     for number in range(count):
