--- a/src/tanagerturn/entry/main.py
+++ b/src/tanagerturn/entry/main.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import sys
+from typing import TYPE_CHECKING, Final
 
 import click
 
@@ -14,6 +15,10 @@
     from tanagerturn.schema.settings_pb2 import ProcessSettings
 
 
+SWITCH_INTERVAL_S: Final = 0.0005
+"""Longest turn of a thread: a request waits for several threads in turn."""
+
+
 @click.command()
 @click.option("--settings", "path", required=True, help="Settings file of the process.")
 @click.option("--check", is_flag=True, help="Check the settings and exit.")
@@ -31,6 +36,7 @@
     from tanagerturn.coordination.remote import connect
     from tanagerturn.entry.server import start_entry
 
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
     client = connect(
         [member.address for member in settings.state_members], tls_files(settings)
     )
--- a/tests/entry/requests/steps/requests_steps.py
+++ b/tests/entry/requests/steps/requests_steps.py
@@ -94,7 +94,7 @@
 class CutOffClient:
     """Stands for the store at a process that is dead: nothing gets through."""
 
-    def propose(self, *_):
+    def propose(self, *_, **__):
         """Lose the command."""
         return Error(UnavailableError("propose", "", "cut off"))
 
