--- a/src/tanagerturn/replay/main.py
+++ b/src/tanagerturn/replay/main.py
@@ -173,7 +173,8 @@
     results = load_results(result_file)
     if results.header.trace != trace.header.name:
         raise click.ClickException(f"results are of {results.header.trace}")
-    verdicts = judge_all(results, trace.outcomes)
+    window = (results.header.from_ms, results.header.to_ms)
+    verdicts = judge_all(results, trace.outcomes_between(*window))
     for verdict in verdicts:
         click.echo(str(verdict))
         if not verdict.passed:
@@ -217,7 +218,9 @@
 
     trace = load_trace(trace_file)
     runs = [load_results(path) for path in result_files]
-    Path(out).write_text(build_report(runs, trace.outcomes), encoding="utf-8")
+    window = (runs[0].header.from_ms, runs[0].header.to_ms)
+    page = build_report(runs, trace.outcomes_between(*window))
+    Path(out).write_text(page, encoding="utf-8")
     click.echo(out)
 
 
--- a/src/tanagerturn/replay/target.py
+++ b/src/tanagerturn/replay/target.py
@@ -18,6 +18,7 @@
 from tanagerturn.coordination.ids import ChangeId
 from tanagerturn.deploy import DeploymentPlan, start_deployment, wait_until
 from tanagerturn.settings import SettingsError, merge_sites, read_folder
+from tanagerturn.standins._http import reset_connection
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -82,7 +83,7 @@
         threading.Thread(target=self._watch, name="watch", daemon=True).start()
 
     def kill_entry(self, number: int) -> None:
-        """Let an entry host die: listeners close, its state connection is cut."""
+        """Let an entry host die: its connections are reset, its listeners close."""
         entries = self.deployment.entries
         if len(entries) < 2:
             self.stage.note("entry", "the last entry host stays")
@@ -90,6 +91,8 @@
         entry = entries.pop(number % len(entries))
         client = next(c for c in self.deployment.clients if c is entry.client)
         client.close()
+        for channel in list(entry.callers.server.active_channels.values()):
+            reset_connection(channel.socket)
         entry.callers.stop()
         entry.announcements.stop()
 
--- a/src/tanagerturn/replay/trace.py
+++ b/src/tanagerturn/replay/trace.py
@@ -300,9 +300,14 @@
     @property
     def outcomes(self) -> tuple[StatedOutcome, ...]:
         """All stated outcomes, of the trace and of its events."""
+        return self.outcomes_between(0, self.header.duration_ms + 1)
+
+    def outcomes_between(self, from_ms: int, to_ms: int) -> tuple[StatedOutcome, ...]:
+        """Return the outcomes of the trace and of the events in a window."""
         stated = list(self.header.outcomes)
         for event in self.events:
-            stated += event.outcomes
+            if from_ms <= event.at_ms < to_ms:
+                stated += event.outcomes
         return tuple(dict.fromkeys(stated))
 
 
