Hold the hosts that capacity plans want, by calls to the cloud API

Cause: plans of capacity were carried out by nobody. The active control process records each start under its fencing number before it asks, settles lost answers by asking again with the same request id, drains a host before it gives it back, and the next holder goes on from the records.

--- a/src/tanagerturn/control/messages.py
+++ b/src/tanagerturn/control/messages.py
@@ -25,6 +25,11 @@
     """Asks for the actor's state."""
 
 
+@dataclass(frozen=True)
+class Loads:
+    """Asks for the loads of the backend servers that announce themselves."""
+
+
 @dataclass(frozen=True)
 class NewRevision:
     """A revision of the settings was accepted."""
--- a/src/tanagerturn/control/notice_actor.py
+++ b/src/tanagerturn/control/notice_actor.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 
 import pykka
@@ -26,6 +27,22 @@
 
 log = part_logger("notices")
 
+
+@dataclass(frozen=True)
+class Drain:
+    """A host is to get no new work, to be given back later."""
+
+    host_id: str
+    """The host."""
+    at_ms: int
+    """Wall clock time in milliseconds by which its streams are to be moved."""
+
+
+@dataclass(frozen=True)
+class Recorded:
+    """Asks for the hosts that are recorded as leaving."""
+
+
 CALL_TIMEOUT_S: Final = 2.0
 
 Status = pb.CommandResult.Status
@@ -70,6 +87,10 @@
         """Handle a message."""
         if isinstance(message, Tick):
             return self.on_tick(message)
+        if isinstance(message, Drain):
+            return self.on_drain(message)
+        if isinstance(message, Recorded):
+            return self.on_recorded(message)
         if isinstance(message, Dump):
             return self.on_dump(message)
         raise TypeError(f"unknown message {message!r}")
@@ -82,6 +103,20 @@
         time.sleep(self.period_s)
         self.actor_ref.tell(Tick())
 
+    def on_drain(self, message: Drain) -> bool:
+        """Record a drain; tell whether it is recorded."""
+        if not self._holds() or not self._adopted():
+            return False
+        record = self.book.on_notice(
+            message.host_id, message.at_ms, self.number, _wall_ms()
+        )
+        return record is None or self._record(record)
+
+    def on_recorded(self, message: Recorded) -> set[str]:
+        """Return the hosts that are recorded as leaving."""
+        reclaims = self.book.reclaims.values()
+        return {reclaim.target for reclaim in reclaims if not reclaim.called_off}
+
     def on_dump(self, message: Dump) -> dict[str, Any]:
         """Return the state."""
         return {"after": self.after, "reclaims": list(self.book.reclaims.values())}
--- a/src/tanagerturn/control/order_actor.py
+++ b/src/tanagerturn/control/order_actor.py
@@ -11,7 +11,8 @@
 import pykka
 
 from tanagerturn.control.courier import Now, perform
-from tanagerturn.control.messages import Done, Dump, NewRevision, Tick
+from tanagerturn.control.hosts import BackendLoad
+from tanagerturn.control.messages import Done, Dump, Loads, NewRevision, Tick
 from tanagerturn.entry.directory import Announce
 from tanagerturn.entry.site import Site, make_site
 from tanagerturn.observe.logs import part_logger
@@ -130,6 +131,19 @@
         self.courier.settings = self.site.settings
         self.on_site(self.site)
 
+    @handle.register(Loads)
+    def on_loads(self, message: Loads) -> dict[str, BackendLoad]:
+        """Return the loads of the backend servers."""
+        now_ms = self.now().wall_ms
+        return {
+            backend.id: BackendLoad(
+                tuple(backend.announcement.services),
+                backend.slots,
+                backend.load(now_ms),
+            )
+            for backend in self.courier.view.backends.values()
+        }
+
     @handle.register(Dump)
     def on_dump(self, message: Dump) -> dict[str, object]:
         """Return the state."""
--- a/src/tanagerturn/control/server.py
+++ b/src/tanagerturn/control/server.py
@@ -9,12 +9,14 @@
 from prometheus_client import CollectorRegistry, Gauge
 
 from tanagerturn.actors import ask
+from tanagerturn.control.capacity_actor import CapacityActor
 from tanagerturn.control.cloud import CloudClient
 from tanagerturn.control.courier import CONTROL_LEASE, OrderCourier
+from tanagerturn.control.hosts import HeldLease, HostKeeper
 from tanagerturn.control.lease_actor import LeaseActor
 from tanagerturn.control.limits import LimitKeeper
 from tanagerturn.control.messages import Dump, NewRevision, Release, Tick
-from tanagerturn.control.notice_actor import NoticeActor
+from tanagerturn.control.notice_actor import Drain, NoticeActor
 from tanagerturn.control.order_actor import OrderActor, monotonic_ms
 from tanagerturn.control.transport import HttpEngineTransport
 from tanagerturn.coordination.groups import CONTROL_GROUP
@@ -91,6 +93,8 @@
         self.order_actor.tell(Tick())
         self.notice_actor = self._start_notices(client, period_s)
         """Actor that records reclaim notices; None without a cloud API."""
+        self.capacity_actor = self._start_capacity(client, period_s)
+        """Actor that holds hosts; None without a cloud API."""
         self.announcements = self._listen()
         """Listener for backend servers; None when the settings name none."""
         self.node = start_node(
@@ -115,7 +119,8 @@
             "lease": ask(self.lease_actor, Dump()),
             "orders": ask(self.order_actor, Dump()),
             "shares": self.shares.dump(),
-            "notices": self._dump_notices(),
+            "notices": _dump_of(self.notice_actor),
+            "capacity": _dump_of(self.capacity_actor),
             **self.node.dump(),
         }
 
@@ -124,8 +129,9 @@
         if self.announcements is not None:
             self.announcements.stop()
         self.limits.stop()
-        if self.notice_actor is not None:
-            self.notice_actor.stop()
+        for actor in (self.capacity_actor, self.notice_actor):
+            if actor is not None:
+                actor.stop()
         self.order_actor.stop()
         ask(self.lease_actor, Release())
         self.lease_actor.stop()
@@ -145,8 +151,24 @@
         actor.tell(Tick())
         return actor
 
-    def _dump_notices(self) -> Any:
-        return ask(self.notice_actor, Dump()) if self.notice_actor is not None else {}
+    def _start_capacity(
+        self, client: StateClient, period_s: float
+    ) -> pykka.ActorRef[CapacityActor] | None:
+        notices = self.notice_actor
+        if notices is None:
+            return None
+        keeper = HostKeeper(
+            client,
+            HeldLease(self.keeper),
+            CloudClient(self.settings.control.cloud_url),
+            lambda host, at_ms: bool(ask(notices, Drain(host, at_ms))),
+            Random(secrets.randbits(64)),
+        )
+        actor = CapacityActor.start(
+            keeper, self.order_actor, notices, lambda: self.site.settings, period_s
+        )
+        actor.tell(Tick())
+        return actor
 
     def _listen(self) -> AnnouncementServer | None:
         if not self.settings.control.HasField("announcements"):
@@ -182,3 +204,7 @@
         client: Calls to the replicated store.
     """
     return ControlServer(settings, client)
+
+
+def _dump_of(actor: pykka.ActorRef[Any] | None) -> Any:
+    return ask(actor, Dump()) if actor is not None else {}
