--- a/src/tanagerturn/control/hosts.py
+++ b/src/tanagerturn/control/hosts.py
@@ -169,6 +169,8 @@
         """Recorded starts whose host is not there yet, by request id."""
         self.draining: set[str] = set()
         """Hosts that are drained to be given back."""
+        self.own: set[str] = set()
+        """Hosts that a start request brought; others are never given back."""
         self.since_ms: dict[tuple[str, HostState], int] = {}
         """When each host was first seen in its state."""
         self.capacity: dict[str, Capacity] = {}
@@ -200,6 +202,7 @@
             log.warning("The cloud API gave no offers or hosts.")
             return
         present = [host for host in hosts.ok if host.state != "gone"]
+        self.own = {host.id for host in present if host.request_id}
         self.draining = {
             host.id
             for host in present
@@ -267,12 +270,14 @@
 
     @carry_out.register(DrainHost)
     def _(self, step: DrainHost, now_ms: int) -> None:
-        if self.drain(step.id, now_ms + DRAIN_MS):
+        if step.id in self.own and self.drain(step.id, now_ms + DRAIN_MS):
             self.draining.add(step.id)
             log.info("Drains host {}: {}.", step.id, step.reason)
 
     @carry_out.register(StopHost)
     def _(self, step: StopHost, now_ms: int) -> None:
+        if step.id not in self.own:
+            return
         given_back = self.cloud.give_back(step.id)
         if given_back.is_ok():
             self.draining.discard(step.id)
--- a/src/tanagerturn/control/server.py
+++ b/src/tanagerturn/control/server.py
@@ -94,7 +94,7 @@
         self.notice_actor = self._start_notices(client, period_s)
         """Actor that records reclaim notices; None without a cloud API."""
         self.capacity_actor = self._start_capacity(client, period_s)
-        """Actor that holds hosts; None without a cloud API."""
+        """Actor that holds hosts; None without a cloud API and announcements."""
         self.announcements = self._listen()
         """Listener for backend servers; None when the settings name none."""
         self.node = start_node(
@@ -155,7 +155,8 @@
         self, client: StateClient, period_s: float
     ) -> pykka.ActorRef[CapacityActor] | None:
         notices = self.notice_actor
-        if notices is None:
+        if notices is None or not self.settings.control.HasField("announcements"):
+            # Without announcements no host would ever count as ready.
             return None
         keeper = HostKeeper(
             client,
--- a/src/tanagerturn/observe/logs.py
+++ b/src/tanagerturn/observe/logs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import sys
 from typing import TYPE_CHECKING, Final
 
@@ -31,6 +32,8 @@
         extra={"part": "process", "tail": "", "process_id": process_id},
         patcher=_set_tail,
     )
+    # Waitress tells of each request that waits for a thread; the gate bounds them.
+    logging.getLogger("waitress.queue").setLevel(logging.ERROR)
     as_json = settings.format == JSON
     logger.add(
         sys.stderr,
--- a/src/tanagerturn/operator/output.py
+++ b/src/tanagerturn/operator/output.py
@@ -8,6 +8,7 @@
 import click
 
 from tanagerturn.observe.dumps import to_json, to_plain
+from tanagerturn.tables import format_table
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -40,19 +41,11 @@
         return "(none)"
     columns = list(rows[0])
     cells = [[_cell(row.get(column)) for column in columns] for row in rows]
-    widths = [
-        max(len(line[i]) for line in [columns, *cells]) for i in range(len(columns))
-    ]
-    lines = [_line(columns, widths), _line(["-" * width for width in widths], widths)]
-    return "\n".join(lines + [_line(line, widths) for line in cells])
+    dashes = ["-" * len(column) for column in columns]
+    return format_table(columns, [dashes, *cells])
 
 
 def _cell(value: Any) -> str:
     plain = to_plain(value)
     text = ", ".join(map(str, plain)) if isinstance(plain, list) else str(plain)
     return text if len(text) <= CELL_LIMIT else text[: CELL_LIMIT - 1] + "…"
-
-
-def _line(cells: Sequence[str], widths: Sequence[int]) -> str:
-    padded = [cell.ljust(width) for cell, width in zip(cells, widths, strict=True)]
-    return "  ".join(padded).rstrip()
--- a/src/tanagerturn/replay/main.py
+++ b/src/tanagerturn/replay/main.py
@@ -23,11 +23,11 @@
 from tanagerturn.replay.tables import (
     SPREAD_HEAD,
     format_number,
-    format_table,
     spread_rows,
 )
 from tanagerturn.schema.settings_pb2 import Logging
 from tanagerturn.settings import SettingsError
+from tanagerturn.tables import format_table
 
 if TYPE_CHECKING:
     from tanagerturn.replay.results import RunResults
--- a/src/tanagerturn/replay/tables.py
+++ b/src/tanagerturn/replay/tables.py
@@ -1,4 +1,4 @@
-"""Tables of plain text."""
+"""Rows of tables that compare runs."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable
 
     from tanagerturn.replay.figures import Spread
 
@@ -20,18 +20,6 @@
     return f"{value:.4g}"
 
 
-def format_table(head: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
-    """Lay rows out in columns of equal width."""
-    lines = [tuple(head), *(tuple(row) for row in rows)]
-    widths = [max(len(line[i]) for line in lines) for i in range(len(head))]
-    return "\n".join(
-        "  ".join(
-            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
-        ).rstrip()
-        for line in lines
-    )
-
-
 def spread_rows(spreads: Iterable[Spread]) -> list[tuple[str, ...]]:
     """Turn a comparison into rows."""
     return [
--- a/tests/control/capacity/capacity.feature
+++ b/tests/control/capacity/capacity.feature
@@ -17,6 +17,12 @@
     Then 2 hosts are on demand and none is reclaimable
     And no kind of host was asked for more than 8 times
 
+  Scenario: Hosts that nobody asked for are never given back
+    Given a service of 2 to 6 hosts and a cloud of 4 zones
+    And 5 hosts that were there before
+    When the load is 0 for 20 minutes
+    Then 5 hosts in 4 zones are held
+
   Scenario: A holder that dies at any call leaves no host twice or forgotten
     Given a service of 2 to 6 hosts and a cloud of 4 zones
     Then at whatever call the holder dies, the next one ends with 2 hosts
--- a/tests/control/capacity/steps/capacity_steps.py
+++ b/tests/control/capacity/steps/capacity_steps.py
@@ -208,6 +208,14 @@
     context.world = World(low, high)
 
 
+@given("{count:d} hosts that were there before")
+def hosts_before(context, count):
+    world = context.world
+    for number in range(count):
+        request = StartRequest("", ZONES[number % 4], "std", True, "desk")
+        world.cloud.model.add_running(f"old-{number}", request, 0.0)
+
+
 @when("the load is {load:d} for {minutes:d} minutes")
 def run_load(context, load, minutes):
     context.world.load = float(load)
--- a/tests/control/notices/notices.feature
+++ b/tests/control/notices/notices.feature
@@ -8,6 +8,7 @@
     And 30 lookups go to the second service only
     When the active control process stops and the cloud gives a second notice
     Then the entry host knows of both
+    And no hosts are planned where control hears no announcements
 
   Scenario: Answers of the cloud that make no sense are passed over
     Given a cloud API that answers anything
--- a/tests/control/notices/steps/notices_steps.py
+++ b/tests/control/notices/steps/notices_steps.py
@@ -90,6 +90,12 @@
     wait_for(lambda: known_notices(context) == names)
 
 
+@then("no hosts are planned where control hears no announcements")
+def no_plans(context):
+    controls = context.world.deployment.controls
+    assert [control.dump()["capacity"] for control in controls] == [{}]
+
+
 @dataclass
 class FakeAnswer:
     """An answer of a cloud API."""
