Keep remembered changes and events of the store compactly

A protobuf message costs 0.6 to 1.6 KB beside its data. Events now share the entry with the store, and a change's result is kept whole only when it says more than status and revision.

--- a/src/tanagerturn/coordination/store.py
+++ b/src/tanagerturn/coordination/store.py
@@ -13,6 +13,11 @@
 
 from sortedcontainers import SortedDict
 
+from tanagerturn.coordination._store_parts import (
+    StoredChange,
+    StoredEvent,
+    stored_change,
+)
 from tanagerturn.coordination.ids import Revision
 from tanagerturn.schema import coordination_pb2 as pb
 
@@ -52,7 +57,7 @@
     """Present keys, in order."""
     leases: list[pb.Lease]
     """Leases, by name."""
-    changes: list[tuple[str, tuple[int, pb.CommandResult]]]
+    changes: list[tuple[str, StoredChange]]
     """Remembered changes, oldest first."""
 
     def records(self) -> Iterator[pb.StoreRecord]:
@@ -64,9 +69,11 @@
             yield pb.StoreRecord(entry=entry)
         for lease in self.leases:
             yield pb.StoreRecord(lease=lease)
-        for change_id, (accepted_at_ms, result) in self.changes:
+        for change_id, stored in self.changes:
             change = pb.RememberedChange(
-                change_id=change_id, accepted_at_ms=accepted_at_ms, result=result
+                change_id=change_id,
+                accepted_at_ms=stored.accepted_at_ms,
+                result=stored.result(),
             )
             yield pb.StoreRecord(change=change)
         yield pb.StoreRecord(end=count)
@@ -84,9 +91,9 @@
         """Present keys, in order."""
         self.leases: dict[str, pb.Lease] = {}
         """Leases by name, free ones included: their numbers go on growing."""
-        self.changes: OrderedDict[str, tuple[int, pb.CommandResult]] = OrderedDict()
+        self.changes: OrderedDict[str, StoredChange] = OrderedDict()
         """Change id to the time accepted in milliseconds and the result."""
-        self.events: deque[pb.Event] = deque()
+        self.events: deque[StoredEvent] = deque()
         """Last writes, for watchers."""
         self.events_bytes = 0
         """Size of the keys and values of the events."""
@@ -111,10 +118,10 @@
         self.clock_ms = max(self.clock_ms, command.accepted_at_ms)
         self._forget_changes(self.clock_ms)
         if command.change_id in self.changes:
-            return self.changes[command.change_id][1]
+            return self.changes[command.change_id].result()
         result = self._run(command)
         if command.change_id:
-            self.changes[command.change_id] = (self.clock_ms, result)
+            self.changes[command.change_id] = stored_change(self.clock_ms, result)
         return result
 
     def image(self) -> StoreImage:
@@ -152,7 +159,7 @@
             if event.revision <= after_revision:
                 break
             if event.entry.key.startswith(prefix):
-                events.append(event)
+                events.append(event.message())
         events.reverse()
         return pb.WatchBatch(revision=self.revision, events=events)
 
@@ -211,23 +218,23 @@
             key=key, value=value, create_revision=created, mod_revision=self.revision
         )
         self.entries[key] = entry
-        self._record(pb.Event(entry=entry, revision=self.revision))
+        self._record(StoredEvent(entry, False, self.revision))
 
     def _delete(self, key: str) -> None:
         if self.entries.pop(key, None) is None:
             return
         entry = pb.KeyValue(key=key)
-        self._record(pb.Event(entry=entry, deleted=True, revision=self.revision))
+        self._record(StoredEvent(entry, True, self.revision))
 
-    def _record(self, event: pb.Event) -> None:
+    def _record(self, event: StoredEvent) -> None:
         self.events.append(event)
-        self.events_bytes += _event_bytes(event)
+        self.events_bytes += event.size
         while (
             len(self.events) > EVENT_HISTORY_LIMIT
             or self.events_bytes > EVENT_HISTORY_LIMIT_BYTES
         ):
             dropped = self.events.popleft()
-            self.events_bytes -= _event_bytes(dropped)
+            self.events_bytes -= dropped.size
             self.events_start = Revision(dropped.revision)
 
     def _acquire(self, command: pb.LeaseAcquire) -> pb.CommandResult:
@@ -280,8 +287,8 @@
 
     def _forget_changes(self, now_ms: int) -> None:
         while self.changes:
-            accepted_at_ms, _ = next(iter(self.changes.values()))
-            is_recent = accepted_at_ms + CHANGE_KEEP_MS > now_ms
+            oldest = next(iter(self.changes.values()))
+            is_recent = oldest.accepted_at_ms + CHANGE_KEEP_MS > now_ms
             if is_recent and len(self.changes) <= CHANGE_LIMIT:
                 return
             self.changes.popitem(last=False)
@@ -325,7 +332,8 @@
             store.leases[record.lease.name] = record.lease
         elif kind == "change":
             change = record.change
-            store.changes[change.change_id] = (change.accepted_at_ms, change.result)
+            stored = stored_change(change.accepted_at_ms, change.result)
+            store.changes[change.change_id] = stored
         elif kind == "end" and record.end == count:
             ended = True
         else:
@@ -338,10 +346,6 @@
     return store
 
 
-def _event_bytes(event: pb.Event) -> int:
-    return len(event.entry.key) + len(event.entry.value)
-
-
 def _malformed(transaction: pb.Transaction) -> str:
     keys = [p.key for p in transaction.puts] + [d.key for d in transaction.deletes]
     if len(set(keys)) != len(keys):
