Drop callers who have stopped reading their answers

Cause: the thread of a caller who reads nothing waited without an end, so that as many such callers as the host has threads could take them all. Ruled out: waitress's channel_timeout, which leaves channels with a running request alone. Now a connection on which nothing was read for 30 s is closed and its thread goes on; the engine is cancelled as for a caller that left.

--- a/src/tanagerturn/entry/server.py
+++ b/src/tanagerturn/entry/server.py
@@ -22,6 +22,7 @@
 from tanagerturn.entry.metrics import make_entry_metrics
 from tanagerturn.entry.moves import MovesActor, MovesTicker
 from tanagerturn.entry.parts import Parts
+from tanagerturn.entry.readers import ReaderWatch
 from tanagerturn.entry.records_actor import OwnerLease, RecordsActor, SweepTicker
 from tanagerturn.entry.settings_actor import NewRevision, SettingsActor
 from tanagerturn.entry.shares import start_shares
@@ -112,6 +113,8 @@
         self.ticker = SweepTicker(self.records)
         """Tells the records actor to sweep."""
         self.callers.start()
+        self.readers = ReaderWatch(self.callers)
+        """Drops callers that have stopped reading."""
         log.info("Entry process {} is up at {}.", settings.id, self.callers.address)
 
     def ready(self) -> bool:
@@ -178,6 +181,7 @@
         self.moves.stop()
         self.records.stop()
         self.lease.stop(release)
+        self.readers.stop()
         self.callers.stop()
         self.announcements.stop()
         if self.shares is not None:
--- a/tests/entry/requests/requests.feature
+++ b/tests/entry/requests/requests.feature
@@ -64,3 +64,9 @@
     And an oversized body and oversized headers are refused
     And dripping and half-closed requests hold up no other
     And a lookup is answered
+
+  Scenario: Callers who read nothing are dropped, and their threads go on
+    Given a listener with 2 threads whose answers are 40 MB
+    When 2 callers read nothing
+    Then both are dropped after 31 seconds, not after 29
+    And a caller who reads gets its answer whole
--- a/tests/entry/requests/steps/requests_steps.py
+++ b/tests/entry/requests/steps/requests_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import threading
 import time
 from dataclasses import replace
@@ -9,7 +10,8 @@
 from random import Random
 
 import orjson
-from behave import then, when
+import urllib3
+from behave import given, then, when
 from expression import Error
 
 from support.entry_steps import SEED, assert_whole, collect
@@ -18,6 +20,9 @@
     wait_for,
 )
 from tanagerturn.coordination.errors import UnavailableError
+from tanagerturn.entry.readers import drop_idle_readers
+from tanagerturn.observe.operations import WsgiServer
+from tanagerturn.schema import settings_pb2
 
 TOKENS = 60
 PATIENT_TOKENS = 400
@@ -260,3 +265,50 @@
 @then("a lookup is answered")
 def lookup_answered(context):
     assert context.world.look_up().status == 200
+
+
+@given("a listener with {threads:d} threads whose answers are {size:d} MB")
+def large_listener(context, threads, size):
+    context.ended = []
+    context.size = size * 2**20
+
+    def application(environ, start_response):
+        start_response("200 OK", [("Content-Length", str(context.size))])
+        try:
+            for _ in range(size * 16):
+                yield bytes(2**16)
+        finally:
+            context.ended.append(True)
+
+    listener = settings_pb2.Listener(ip="127.0.0.1", port=0)
+    context.server = WsgiServer(
+        application, listener, threads, "large", outbuf_high_watermark=2**18
+    )
+    context.closers.append(context.server.stop)
+    context.server.start()
+
+
+@when("{count:d} callers read nothing")
+def read_nothing(context, count):
+    ip, _, port = context.server.address.rpartition(":")
+    for _ in range(count):
+        sock = socket.create_connection((ip, int(port)))
+        context.closers.append(sock.close)
+        sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+    channels = context.server.server.active_channels
+    wait_for(lambda: sum(c.total_outbufs_len > 2**18 for c in channels.values()) == 2)
+
+
+@then("both are dropped after {late:d} seconds, not after {early:d}")
+def dropped_late(context, late, early):
+    channels = list(context.server.server.active_channels.values())
+    last_s = max(channel.last_activity for channel in channels)
+    assert drop_idle_readers(context.server, last_s + early) == 0
+    assert drop_idle_readers(context.server, last_s + late) == 2
+    wait_for(lambda: len(context.ended) == 2)
+
+
+@then("a caller who reads gets its answer whole")
+def reader_served(context):
+    answer = urllib3.request("GET", f"http://{context.server.address}/", retries=False)
+    assert len(answer.data) == context.size
