--- a/src/tanagerturn/reference.py
+++ b/src/tanagerturn/reference.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import importlib
 import re
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final
 
 from google.protobuf.descriptor import FieldDescriptor
+from prometheus_client import REGISTRY
 
 from tanagerturn.entry.metrics import make_entry_metrics
 from tanagerturn.schema import settings_pb2
@@ -28,7 +30,12 @@
     folder.mkdir(parents=True, exist_ok=True)
     settings_page = make_settings_page(SCHEMA.read_text(encoding="utf-8"))
     (folder / "settings.md").write_text(settings_page, encoding="utf-8")
-    registries = {"tanager-entry": make_entry_metrics().registry}
+    # The metrics of state members are made when their module is loaded.
+    importlib.import_module("tanagerturn.state.metrics")
+    registries = {
+        "tanager-entry": make_entry_metrics().registry,
+        "tanager-state": REGISTRY,
+    }
     (folder / "metrics.md").write_text(make_metrics_page(registries), encoding="utf-8")
 
 
@@ -63,6 +70,7 @@
         lines += [
             f"| `{metric.name}` | {metric.type} | {metric.documentation} |"
             for metric in registry.collect()
+            if metric.name.startswith("tanager")
         ]
         lines.append("")
     return "\n".join(lines)
