--- a/tests/settings/settings.feature
+++ b/tests/settings/settings.feature
@@ -32,3 +32,7 @@
 
   Scenario: Salted hashes are compared once for each key, whatever the load
     Then many first requests with one key cost one comparison for each hash
+
+  Scenario: Dumps mask secrets
+    When the deployment "fascicoli" is read
+    Then a dump of its settings for "padova" shows accounts without their key hashes
--- a/tests/settings/steps/settings_steps.py
+++ b/tests/settings/steps/settings_steps.py
@@ -10,6 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from tanagerturn.observe.dumps import to_json
 from tanagerturn.security import KeyRing, KeyVerifier, hash_key, matches
 from tanagerturn.settings import (
     SettingsError,
@@ -167,3 +168,12 @@
         "a",
         "",
     ]
+
+
+@then('a dump of its settings for "{site}" shows accounts without their key hashes')
+def masked_dump(context, site):
+    settings_of_site = context.sites[site].settings
+    text = to_json(settings_of_site).decode()
+    assert "studio-marin" in text
+    assert "scrypt:" not in text
+    assert "scrypt:" in str(settings_of_site)
