Make the three programs' command lines by one function

Cause: the same options, checks and thread settings stood three times, with two lengths of thread turns.

--- a/src/tanagerturn/control/main.py
+++ b/src/tanagerturn/control/main.py
@@ -4,9 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-import click
-
-from tanagerturn.program import VERSION, read_settings, run_program, tls_files
+from tanagerturn.program import connect_state, make_command
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -14,26 +12,11 @@
     from tanagerturn.schema.settings_pb2 import ProcessSettings
 
 
-@click.command()
-@click.option("--settings", "path", required=True, help="Settings file of the process.")
-@click.option("--check", is_flag=True, help="Check the settings and exit.")
-@click.version_option(VERSION)
-def main(path: str, check: bool) -> None:
-    """Hold the right number of hosts and carry reclaims out."""
-    settings = read_settings(path, "control")
-    if check:
-        click.echo(f"{path}: good")
-        return
-    run_program(settings, _start)
-
-
-def _start(settings: ProcessSettings, drain: Callable[[], None]) -> Callable[[], int]:
+def start(settings: ProcessSettings, drain: Callable[[], None]) -> Callable[[], int]:
+    """Start the program's parts; see `run_program`."""
     from tanagerturn.control.server import start_control
-    from tanagerturn.coordination.remote import connect
 
-    client = connect(
-        [member.address for member in settings.state_members], tls_files(settings)
-    )
+    client = connect_state(settings)
     server = start_control(settings, client)
     server.operations.commands["/drain"] = drain
 
@@ -43,3 +26,8 @@
         return 0
 
     return stop
+
+
+main = make_command(
+    "control", "Hold the right number of hosts and carry reclaims out.", start
+)
--- a/src/tanagerturn/entry/main.py
+++ b/src/tanagerturn/entry/main.py
@@ -2,12 +2,9 @@
 
 from __future__ import annotations
 
-import sys
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
-import click
-
-from tanagerturn.program import VERSION, read_settings, run_program, tls_files
+from tanagerturn.program import connect_state, make_command
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -15,31 +12,11 @@
     from tanagerturn.schema.settings_pb2 import ProcessSettings
 
 
-SWITCH_INTERVAL_S: Final = 0.0005
-"""Longest turn of a thread: a request waits for several threads in turn."""
-
-
-@click.command()
-@click.option("--settings", "path", required=True, help="Settings file of the process.")
-@click.option("--check", is_flag=True, help="Check the settings and exit.")
-@click.version_option(VERSION)
-def main(path: str, check: bool) -> None:
-    """Take callers' requests and route them to backend servers."""
-    settings = read_settings(path, "entry")
-    if check:
-        click.echo(f"{path}: good")
-        return
-    run_program(settings, _start)
-
-
-def _start(settings: ProcessSettings, drain: Callable[[], None]) -> Callable[[], int]:
-    from tanagerturn.coordination.remote import connect
+def start(settings: ProcessSettings, drain: Callable[[], None]) -> Callable[[], int]:
+    """Start the program's parts; see `run_program`."""
     from tanagerturn.entry.server import start_entry
 
-    sys.setswitchinterval(SWITCH_INTERVAL_S)
-    client = connect(
-        [member.address for member in settings.state_members], tls_files(settings)
-    )
+    client = connect_state(settings)
     server = start_entry(settings, client)
     server.operations.commands["/drain"] = drain
 
@@ -49,3 +26,8 @@
         return left
 
     return stop
+
+
+main = make_command(
+    "entry", "Take callers' requests and route them to backend servers.", start
+)
--- a/src/tanagerturn/program.py
+++ b/src/tanagerturn/program.py
@@ -16,6 +16,7 @@
 from tanagerturn.settings import SettingsError, load_process
 
 if TYPE_CHECKING:
+    from tanagerturn.coordination.remote import RemoteStateClient
     from tanagerturn.schema.settings_pb2 import ProcessSettings
 
 VERSION: Final = "0.1.0"
@@ -55,6 +56,37 @@
     return settings
 
 
+def make_command(part: str, summary: str, start: Start) -> click.Command:
+    """Make the command line of a long-running program.
+
+    Args:
+        part: Part of the settings that the program needs: entry, state or control.
+        summary: One sentence of help.
+        start: Starts the program's parts; see `run_program`.
+    """
+
+    @click.command(help=summary)
+    @click.option("--settings", "path", required=True, help="Settings of the process.")
+    @click.option("--check", is_flag=True, help="Check the settings and exit.")
+    @click.version_option(VERSION)
+    def command(path: str, check: bool) -> None:
+        settings = read_settings(path, part)
+        if check:
+            click.echo(f"{path}: good")
+            return
+        run_program(settings, start)
+
+    return command
+
+
+def connect_state(settings: ProcessSettings) -> RemoteStateClient:
+    """Return a client of the state members that a process's settings name."""
+    from tanagerturn.coordination.remote import connect
+
+    addresses = [member.address for member in settings.state_members]
+    return connect(addresses, tls_files(settings))
+
+
 def tls_files(settings: ProcessSettings) -> TlsFiles | None:
     """Return the certificates that a process's settings name, or None."""
     if not settings.HasField("tls"):
--- a/src/tanagerturn/state/main.py
+++ b/src/tanagerturn/state/main.py
@@ -2,42 +2,25 @@
 
 from __future__ import annotations
 
-import sys
 from typing import TYPE_CHECKING, Final
 
-import click
-
-from tanagerturn.program import VERSION, read_settings, run_program
+from tanagerturn.program import make_command
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from tanagerturn.schema.settings_pb2 import ProcessSettings
 
-
 STOP_GRACE_S: Final = 5.0
 
 
-@click.command()
-@click.option("--settings", "path", required=True, help="Settings file of the process.")
-@click.option("--check", is_flag=True, help="Check the settings and exit.")
-@click.version_option(VERSION)
-def main(path: str, check: bool) -> None:
-    """Hold the replicated state."""
-    settings = read_settings(path, "state")
-    if check:
-        click.echo(f"{path}: good")
-        return
-    run_program(settings, _start)
-
-
-def _start(settings: ProcessSettings, drain: Callable[[], None]) -> Callable[[], int]:
+def start(settings: ProcessSettings, drain: Callable[[], None]) -> Callable[[], int]:
+    """Start the program's parts; see `run_program`."""
     from prometheus_client import REGISTRY
 
     from tanagerturn.observe.operations import OperationsServer
-    from tanagerturn.state.server import THREAD_SWITCH_S, start_state
+    from tanagerturn.state.server import start_state
 
-    sys.setswitchinterval(THREAD_SWITCH_S)
     server = start_state(settings)
     operations = OperationsServer(
         settings.operations, REGISTRY, server.ready, server.dump, {"/drain": drain}
@@ -49,3 +32,6 @@
         return 0
 
     return stop
+
+
+main = make_command("state", "Hold the replicated state.", start)
--- a/src/tanagerturn/state/server.py
+++ b/src/tanagerturn/state/server.py
@@ -54,9 +54,6 @@
 FOUNDING_S: Final = 0.1
 """Time between questions to other members while the member starts."""
 
-THREAD_SWITCH_S: Final = 0.001
-"""For `sys.setswitchinterval`: a commit passes through several threads."""
-
 TICKS_PER_HEARTBEAT: Final = 2
 STATUS_TIMEOUT_S: Final = 1.0
 DUMP_TIMEOUT_S: Final = 2.0
