Take the ageing of load reports out

A report moved towards half of the slots with a half-life of 5 s. Waits, cached blocks and announcements keep their ages.

Folders backends, routing and reclaims pass; type checker passes.

--- a/src/tanagerturn/serving/backends/backend.py
+++ b/src/tanagerturn/serving/backends/backend.py
@@ -12,9 +12,6 @@
     from tanagerturn.serving.backends.messages import RequestId
 
 MISSED_HEARTBEATS: Final = 3
-LOAD_HALF_LIFE_MS: Final = 5_000.0
-"""A load report says half as much after this time."""
-
 FAILURES_TO_EJECT: Final = 3
 EJECTION_MS: Final = 1_000
 EJECTION_MAX_MS: Final = 30_000
@@ -51,8 +48,6 @@
         """When it stops at the latest, if it is leaving."""
         self.load_read_at_ms = -1
         """The backend server's clock at its last load report."""
-        self.load_seen_ms = now_ms
-        """When that load report was first seen."""
         self.others = 0
         """Requests of other entry processes in the last load report."""
         self.reported = 0
@@ -94,24 +89,16 @@
         if announcement.load.read_at_ms > self.load_read_at_ms:
             self.load_read_at_ms = announcement.load.read_at_ms
             load = announcement.load
-            self.report_load(load.running, load.waiting, now_ms)
+            self.report_load(load.running, load.waiting)
 
-    def report_load(self, running: int, waiting: int, now_ms: int) -> None:
+    def report_load(self, running: int, waiting: int) -> None:
         """Take a load report, from an announcement or with an answer."""
-        self.load_seen_ms = now_ms
         self.reported = running + waiting
         self.others = max(0, self.reported - len(self.in_flight))
 
-    def load(self, now_ms: int) -> float:
-        """Return the estimated requests there: own ones, and others by age.
-
-        Own requests count at once and in full. What the report says of others
-        moves towards half of the slots as the report grows old.
-        """
-        age_ms = now_ms - self.load_seen_ms
-        trust = 0.5 ** (age_ms / LOAD_HALF_LIFE_MS) if age_ms > 0 else 1.0
-        others = self.others * trust + 0.5 * self.slots * (1.0 - trust)
-        return float(len(self.in_flight) + others)
+    def load(self) -> int:
+        """Return the estimated requests there: own ones at once, and others."""
+        return len(self.in_flight) + self.others
 
     def alive(self, now_ms: int) -> bool:
         """Tell whether it was heard of within three heartbeats."""
--- a/src/tanagerturn/serving/backends/subset.py
+++ b/src/tanagerturn/serving/backends/subset.py
@@ -77,9 +77,9 @@
     return frozenset([*chosen, *own][:size])
 
 
-def digest_of(backend: Backend, leaving: bool, now_ms: int) -> Digest:
+def digest_of(backend: Backend, leaving: bool) -> Digest:
     """Return the digest of a followed engine for other entry processes."""
-    fill = min(1.0, backend.load(now_ms) / backend.slots)
+    fill = min(1.0, backend.load() / backend.slots)
     return Digest(id_hash(backend.id), fill, leaving)
 
 
--- a/src/tanagerturn/serving/backends/view.py
+++ b/src/tanagerturn/serving/backends/view.py
@@ -135,13 +135,11 @@
         backend.in_flight.pop(request_id, None)
         backend.fail(now_ms)
 
-    def on_load_hint(
-        self, backend_id: BackendId, running: int, waiting: int, now_ms: int
-    ) -> None:
+    def on_load_hint(self, backend_id: BackendId, running: int, waiting: int) -> None:
         """Take the load that came with an answer."""
         backend = self.backends.get(backend_id)
         if backend is not None:
-            backend.report_load(running, waiting, now_ms)
+            backend.report_load(running, waiting)
 
     def on_notice(self, target: AvailabilityZone | BackendId, at_ms: int) -> None:
         """Take a reclaim notice for a zone or a backend server.
--- a/src/tanagerturn/serving/reclaims/plan.py
+++ b/src/tanagerturn/serving/reclaims/plan.py
@@ -155,7 +155,7 @@
     for backend in view.candidates(service, model, version, adapter, now_ms=now_ms):
         if backend.role == serving_pb2.PREFILL:
             continue
-        load = backend.load(now_ms)
+        load = backend.load()
         free_tokens = backend.kv_free
         if request_tokens:
             kv_tokens = backend.announcement.kv_tokens
--- a/src/tanagerturn/serving/routing/_estimate.py
+++ b/src/tanagerturn/serving/routing/_estimate.py
@@ -30,7 +30,7 @@
 ) -> Estimate:
     """Estimate wait, prefill and generation at a candidate."""
     rates = backend.rates
-    load = backend.load(now_ms)
+    load = backend.load()
     wait_ms = max(queue_ms(backend, load), rates.observed_wait_ms(now_ms))
     cached_tokens = 0
     if request.prefix_blocks:
--- a/src/tanagerturn/serving/routing/choose.py
+++ b/src/tanagerturn/serving/routing/choose.py
@@ -171,8 +171,8 @@
     now_ms: int,
     random: Random,
 ) -> RouteDecision:
-    best = min(able, key=lambda b: (b.load(now_ms) / b.slots, random.random()))
-    load = best.load(now_ms)
+    best = min(able, key=lambda b: (b.load() / b.slots, random.random()))
+    load = best.load()
     return RouteDecision(
         best.id,
         best.address,
