--- a/tests/replay/fuzz/fuzz.feature
+++ b/tests/replay/fuzz/fuzz.feature
@@ -45,3 +45,6 @@
   Scenario: Backend servers that answer anything
     Given an entry host whose backend servers answer anything
     Then callers get answers or problems in time, no traceback and no server error
+
+  Scenario: A cloud that answers anything
+    Then the cloud client returns results or errors with their step, in time
--- a/tests/replay/fuzz/steps/backend_steps.py
+++ b/tests/replay/fuzz/steps/backend_steps.py
@@ -15,8 +15,10 @@
 
 from support.environment import long_run
 from support.generated import changed
+from tanagerturn.control.cloud import CloudClient
+from tanagerturn.coordination.errors import StepError
 from tanagerturn.deploy import wait_until
-from tanagerturn.schema.serving_pb2 import Announcement, LoadedModel
+from tanagerturn.schema.serving_pb2 import Announcement, HostStart, LoadedModel
 from tanagerturn.standins.announcer import Announcer
 
 KEY = "Bearer parish-desk-example-key"
@@ -47,21 +49,27 @@
             return
 
 
-def start_anything(context, name: str, announcement: Announcement) -> None:
+def start_server(context) -> tuple[socketserver.ThreadingTCPServer, str]:
     server = socketserver.ThreadingTCPServer(("127.0.0.1", 0), AnythingHandler)
     server.daemon_threads = True
     server.answer = ANSWERS[0]
     threading.Thread(target=server.serve_forever, args=(0.05,), daemon=True).start()
+    context.closers += [server.server_close, server.shutdown]
     ip, port = server.server_address
+    return server, f"{ip}:{port}"
+
+
+def start_anything(context, name: str, announcement: Announcement) -> None:
+    server, address = start_server(context)
     announcement.id = name
-    announcement.address = f"{ip}:{port}"
+    announcement.address = address
     announcement.availability_zone = "a"
     announcement.slots = 64
     target = (context.entry.announcements.address,)
     announcer = Announcer(target, 1000, lambda after: announcement)
     announcer.start()
     context.servers.append(server)
-    context.closers += [server.shutdown, server.server_close, announcer.stop]
+    context.closers.append(announcer.stop)
 
 
 @behave_given("an entry host whose backend servers answer anything")
@@ -111,3 +119,43 @@
 
     check()
     assert context.slowest_s < IN_TIME_S
+
+
+CLOUD_ANSWER = (
+    b'{"notices":[{"sequence":1,"host_id":"h","availability_zone":"a",'
+    b'"ends_in_ms":1e999}],"offers":[{"availability_zone":"a","host_class":"c",'
+    b'"reclaimable":true,"price_per_hour":1.5}],"hosts":[{"id":"h"},7,null]}'
+)
+
+
+@then("the cloud client returns results or errors with their step, in time")
+def any_cloud_answer(context):
+    server, address = start_server(context)
+    client = CloudClient(f"http://{address}")
+    context.closers.append(client.close)
+    calls = (
+        lambda: client.notices(0),
+        client.offers,
+        client.hosts,
+        lambda: client.start(HostStart(request_id="r")),
+        lambda: client.give_back("h/../x"),
+    )
+
+    def check_answer(answer: bytes) -> None:
+        server.answer = answer
+        for call in calls:
+            result = call()
+            assert result.is_ok() or isinstance(result.error, StepError), answer
+
+    def in_body(body: bytes) -> bytes:
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+    check_answer(in_body(CLOUD_ANSWER))
+
+    @settings(max_examples=60)
+    @given(changed(CLOUD_ANSWER), changed(in_body(CLOUD_ANSWER)))
+    def check(body, raw):
+        check_answer(in_body(body))
+        check_answer(raw)
+
+    check()
