Bound the cloud's answers while they are read; one reading of the TLS settings

Cause: a large answer was read whole before it was cut (found by reading), and the same function stood three times. A scenario feeds an answer over the limit.

--- a/src/tanagerturn/control/cloud.py
+++ b/src/tanagerturn/control/cloud.py
@@ -73,6 +73,16 @@
     """Present price."""
 
 
+@dataclass(frozen=True)
+class CloudAnswer:
+    """An answer of the cloud API."""
+
+    status: int
+    """HTTP status."""
+    body: bytes
+    """Body, of bounded size."""
+
+
 class CloudClient:
     """Calls to the cloud API; each is tried once.
 
@@ -158,7 +168,7 @@
         if answer.is_error():
             return Error(answer.error)
         try:
-            body = orjson.loads(answer.ok.data[:ANSWER_LIMIT_BYTES])
+            body = orjson.loads(answer.ok.body)
         except orjson.JSONDecodeError as error:
             return Error(UnavailableError(step, self.url, str(error)))
         if answer.ok.status != 200 or not isinstance(body, dict):
@@ -167,7 +177,7 @@
 
     def _send(
         self, step: str, method: str, path: str, body: bytes
-    ) -> Result[urllib3.BaseHTTPResponse, StepError]:
+    ) -> Result[CloudAnswer, StepError]:
         headers = {"Content-Type": "application/json"}
         try:
             answer = self.http.request(
@@ -177,10 +187,17 @@
                 headers=headers,
                 timeout=TIMEOUT_S,
                 redirect=False,
+                preload_content=False,
             )
-        except urllib3.exceptions.HTTPError as error:
+            data = answer.read(ANSWER_LIMIT_BYTES + 1)
+            if len(data) > ANSWER_LIMIT_BYTES:
+                answer.close()
+            answer.release_conn()
+        except (urllib3.exceptions.HTTPError, OSError) as error:
             return Error(UnavailableError(step, self.url, str(error)))
-        return Ok(answer)
+        if len(data) > ANSWER_LIMIT_BYTES:
+            return Error(UnavailableError(step, self.url, "the answer is too large"))
+        return Ok(CloudAnswer(answer.status, data))
 
 
 def _read_item(found: object, kind: type[Item]) -> Item | None:
--- a/src/tanagerturn/coordination/channels.py
+++ b/src/tanagerturn/coordination/channels.py
@@ -13,6 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from tanagerturn.schema import settings_pb2
+
 MESSAGE_LIMIT_BYTES: Final = 32 * 1024 * 1024
 KEEPALIVE_MS: Final = 5000
 """A connection without an answer is probed after this time."""
@@ -56,6 +58,14 @@
     """Authority that signs the cluster's certificates."""
 
 
+def tls_files(settings: settings_pb2.ProcessSettings) -> TlsFiles | None:
+    """Return the certificates that a process's settings name, or None."""
+    if not settings.HasField("tls"):
+        return None
+    tls = settings.tls
+    return TlsFiles(tls.certificate, tls.private_key, tls.authority)
+
+
 def open_channel(address: str, tls: TlsFiles | None) -> grpc.Channel:
     """Open a channel; it connects on first use.
 
--- a/src/tanagerturn/coordination/node.py
+++ b/src/tanagerturn/coordination/node.py
@@ -15,7 +15,7 @@
 import pykka
 from loguru import logger
 
-from tanagerturn.coordination.channels import TlsFiles, listen, open_channel
+from tanagerturn.coordination.channels import listen, open_channel, tls_files
 from tanagerturn.coordination.dissemination.relay_service import (
     GrpcRelays,
     RelayServicer,
@@ -118,7 +118,7 @@
         """Settings of the process."""
         self.on_revision = on_revision
         """Called with each newer settings revision."""
-        self.tls = _tls_files(settings)
+        self.tls = tls_files(settings)
         """Certificates; None for plain TCP."""
         cluster = ClusterId(settings.cluster)
         relays = GrpcRelays(cluster, ProcessId(settings.id), self.open_channel)
@@ -254,10 +254,3 @@
         StepError: The key or a listener can't be used.
     """
     return CoordinationNode(settings, client, program, on_revision, add_services)
-
-
-def _tls_files(settings: settings_pb2.ProcessSettings) -> TlsFiles | None:
-    if not settings.HasField("tls"):
-        return None
-    tls = settings.tls
-    return TlsFiles(tls.certificate, tls.private_key, tls.authority)
--- a/src/tanagerturn/operator/session.py
+++ b/src/tanagerturn/operator/session.py
@@ -12,6 +12,7 @@
 import orjson
 import urllib3
 
+from tanagerturn.coordination.channels import tls_files
 from tanagerturn.coordination.errors import StepError, UnavailableError
 from tanagerturn.coordination.groups import CONTROL_GROUP
 from tanagerturn.coordination.settings_history import (
@@ -19,7 +20,6 @@
     SettingsHistory,
     SettingsInvalid,
 )
-from tanagerturn.program import tls_files
 from tanagerturn.settings import SettingsError, load_process
 
 if TYPE_CHECKING:
--- a/src/tanagerturn/program.py
+++ b/src/tanagerturn/program.py
@@ -11,7 +11,7 @@
 
 import click
 
-from tanagerturn.coordination.channels import TlsFiles
+from tanagerturn.coordination.channels import tls_files
 from tanagerturn.observe.logs import part_logger, set_up_logs
 from tanagerturn.settings import SettingsError, load_process
 
@@ -87,14 +87,6 @@
     return connect(addresses, tls_files(settings))
 
 
-def tls_files(settings: ProcessSettings) -> TlsFiles | None:
-    """Return the certificates that a process's settings name, or None."""
-    if not settings.HasField("tls"):
-        return None
-    tls = settings.tls
-    return TlsFiles(tls.certificate, tls.private_key, tls.authority)
-
-
 def shorten_thread_turns() -> None:
     """Let threads take turns more often: each step of a request waits for one."""
     sys.setswitchinterval(SWITCH_INTERVAL_S)
--- a/src/tanagerturn/state/server.py
+++ b/src/tanagerturn/state/server.py
@@ -13,7 +13,11 @@
 import grpc
 from expression import Error
 
-from tanagerturn.coordination.channels import SERVER_OPTIONS, TlsFiles, listen
+from tanagerturn.coordination.channels import (
+    SERVER_OPTIONS,
+    listen,
+    tls_files,
+)
 from tanagerturn.coordination.errors import RefusedError, StepError
 from tanagerturn.coordination.groups import GROUPS
 from tanagerturn.coordination.ids import ClusterId, GroupId, MemberId
@@ -82,7 +86,7 @@
         """The open data folder."""
         self.on_fatal = on_fatal
         """Called when the member can't go on."""
-        self.tls = _tls_files(settings)
+        self.tls = tls_files(settings)
         """Certificates."""
         self.clocks = Clocks()
         """Clocks of the host."""
@@ -342,10 +346,3 @@
         )
         for one in settings.state_members
     ]
-
-
-def _tls_files(settings: settings_pb2.ProcessSettings) -> TlsFiles | None:
-    if not settings.HasField("tls"):
-        return None
-    tls = settings.tls
-    return TlsFiles(tls.certificate, tls.private_key, tls.authority)
--- a/tests/control/notices/steps/notices_steps.py
+++ b/tests/control/notices/steps/notices_steps.py
@@ -12,7 +12,7 @@
 
 from support.entry_world import EntryWorld, wait_for
 from tanagerturn.actors import ask
-from tanagerturn.control.cloud import CloudClient
+from tanagerturn.control.cloud import ANSWER_LIMIT_BYTES, CloudClient
 from tanagerturn.entry.directory import Dump
 from tanagerturn.standins.cloud.messages import StartRequest
 from tanagerturn.standins.cloud.model import CloudConfig
@@ -103,6 +103,16 @@
     status: int
     data: bytes
 
+    def read(self, amount):
+        """Return the body."""
+        return self.data[:amount]
+
+    def close(self):
+        """Close the connection."""
+
+    def release_conn(self):
+        """Give the connection back."""
+
 
 @given("a cloud API that answers anything")
 def any_answers(context):
@@ -143,3 +153,7 @@
             assert all(n.host_id and n.ends_in_ms >= 0 for n in found.ok)
 
     check()
+    endless = CloudClient("http://127.0.0.1:1")
+    endless.http = FakeHttp()
+    endless.http.answer = FakeAnswer(200, b" " * (ANSWER_LIMIT_BYTES + 5))
+    assert endless.notices(0).is_error()
