--- a/src/tanagerturn/entry/app.py
+++ b/src/tanagerturn/entry/app.py
@@ -5,7 +5,7 @@
 import http
 import threading
 import time
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Final
 
 from tanagerturn.entry.access import note_access
 from tanagerturn.entry.callers import CallerCall, new_request_id, read_call
@@ -15,7 +15,12 @@
 from tanagerturn.entry.lookups import run_lookup
 from tanagerturn.entry.parts import CallerResponse, Parts
 from tanagerturn.entry.patient import existing_response, run_patient
-from tanagerturn.entry.problems import OUTCOME_UNKNOWN, ProblemError, make_problem
+from tanagerturn.entry.problems import (
+    NOT_RUN,
+    OUTCOME_UNKNOWN,
+    ProblemError,
+    make_problem,
+)
 from tanagerturn.entry.purchases import run_once
 from tanagerturn.observe.logs import part_logger
 from tanagerturn.schema.serving_pb2 import IDEMPOTENT, NOT_REPEATABLE, PATIENT
@@ -29,6 +34,8 @@
 
 log = part_logger("callers")
 
+READY_RETRY_S: Final = 1.0
+
 
 class CallerApp:
     """Answers callers' requests, one thread of the server each.
@@ -78,6 +85,8 @@
     def _respond(self, environ: Any, request_id: str) -> CallerResponse:
         try:
             site = self.site()
+            if not site.number:
+                raise not_ready(environ)
             if environ["PATH_INFO"].startswith(REQUESTS_PATH):
                 return answer_collect(self.parts, environ, site)
             call = read_call(environ, site)
@@ -139,6 +148,16 @@
         return CallerResponse(problem.status, problem.headers, [problem.body])
 
 
+def not_ready(environ: Any) -> ProblemError:
+    """Return the problem of a request that came before any settings.
+
+    What became of an earlier request with the same key can't be told yet.
+    """
+    outcome = OUTCOME_UNKNOWN if environ.get("HTTP_IDEMPOTENCY_KEY") else NOT_RUN
+    detail = "This entry host has no settings yet."
+    return ProblemError(503, "Not ready", detail, outcome, "receive", READY_RETRY_S)
+
+
 class _Body:
     """Body of a response that tells when the server is done with it."""
 
