--- a/src/tanagerturn/control/order_actor.py
+++ b/src/tanagerturn/control/order_actor.py
@@ -134,12 +134,11 @@
     @handle.register(Loads)
     def on_loads(self, message: Loads) -> dict[str, BackendLoad]:
         """Return the loads of the backend servers."""
-        now_ms = self.now().wall_ms
         return {
             backend.id: BackendLoad(
                 tuple(backend.announcement.services),
                 backend.slots,
-                backend.load(now_ms),
+                backend.load(),
             )
             for backend in self.courier.view.backends.values()
         }
