Move KV caches only to engines of the same version, by their real room

Cause: importers of any version of the model were taken, and their room was judged by what they report as used, which may be cached prefixes.

--- a/src/tanagerturn/entry/directory.py
+++ b/src/tanagerturn/entry/directory.py
@@ -122,6 +122,8 @@
     """Service."""
     model: str
     """Model."""
+    request_tokens: float = 0.0
+    """Mean KV cache of a request, in tokens."""
 
 
 @dataclass(frozen=True)
@@ -257,12 +259,22 @@
         now_ms = wall_ms()
         pool = self.view.pool(message.service, message.model)
         leaving = [backend for backend in pool if self.view.is_leaving(backend)]
+        # KV caches fit engines of the same version only; mixed versions are rare.
+        versions = Counter(_version_of(each, message.model) for each in leaving)
+        version = versions.most_common(1)[0][0] if versions else ""
+        leaving = [b for b in leaving if _version_of(b, message.model) == version]
         sources = {
             backend.id: Source(backend.address, self._gone_at_ms(backend, now_ms))
             for backend in leaving
         }
         importers = importers_for(
-            self.view, message.service, message.model, "", "", now_ms
+            self.view,
+            message.service,
+            message.model,
+            version,
+            "",
+            now_ms,
+            message.request_tokens,
         )
         addresses = {
             importer.backend_id: self.view.backends[importer.backend_id].address
@@ -299,6 +311,11 @@
         return min((at_ms for at_ms in times if at_ms is not None), default=now_ms)
 
 
+def _version_of(backend: Backend, model: str) -> str:
+    loaded = backend.announcement.models
+    return next((each.version for each in loaded if each.model == model), "")
+
+
 def wall_ms() -> int:
     """Return the wall clock in milliseconds."""
     return time.time_ns() // 1_000_000
--- a/src/tanagerturn/entry/moves.py
+++ b/src/tanagerturn/entry/moves.py
@@ -226,13 +226,17 @@
 
     def _step(self, pool: Pool, runs: list[DraftRun]) -> None:
         self._forget_ended(pool, runs)
-        situation = ask(self.directory, Reclaiming(pool.service, pool.model))
+        now_ms = wall_ms()
+        tokens = [run.describe(now_ms).kv_tokens for run in runs]
+        mean_tokens = sum(tokens) / len(tokens)
+        situation = ask(
+            self.directory, Reclaiming(pool.service, pool.model, mean_tokens)
+        )
         leaving = [run for run in runs if run.backend_id in situation.sources]
         if not leaving:
             return
         moves = self.moves.setdefault(pool, ReclaimMoves(LinkLimits()))
         moves.limits = LinkLimits().share(situation.fraction)
-        now_ms = wall_ms()
         at_ms = min(situation.sources[run.backend_id].gone_at_ms for run in leaving)
         steps = moves.step(
             [run.describe(now_ms) for run in leaving],
