Keep one ejection of failing backend servers, with a floor and a slow return

Cause: the logic stood twice. The one in use ejected without a floor for the whole service and took servers back at full load; the one with floor and slow return was called by nothing. Now the view of backend servers uses the latter: 3 failures in a row, at most a third of a service's servers (one at least if there are others), and a weight that grows back over 20 s.

--- a/src/tanagerturn/serving/backends/backend.py
+++ b/src/tanagerturn/serving/backends/backend.py
@@ -12,9 +12,6 @@
     from tanagerturn.serving.backends.messages import RequestId
 
 MISSED_HEARTBEATS: Final = 3
-FAILURES_TO_EJECT: Final = 3
-EJECTION_MS: Final = 1_000
-EJECTION_MAX_MS: Final = 30_000
 
 
 class Backend:
@@ -38,10 +35,6 @@
         """What finished requests showed."""
         self.chosen = 0
         """Turn in which it was last chosen, for round robin."""
-        self.failures = 0
-        """Failures since the last success."""
-        self.ejected_until_ms = 0
-        """Gets no work before this time unless no other can take it."""
         self.leaving = False
         """It said that it leaves; that is never taken back."""
         self.gone_at_ms: int | None = None
@@ -104,20 +97,6 @@
         """Tell whether it was heard of within three heartbeats."""
         return now_ms < self.expires_ms
 
-    def fail(self, now_ms: int) -> None:
-        """Count a failure; after several in a row it gets no work for a time."""
-        self.failures += 1
-        excess = self.failures - FAILURES_TO_EJECT
-        if excess < 0:
-            return
-        pause_ms = min(EJECTION_MAX_MS, EJECTION_MS * 2 ** min(excess, 10))
-        self.ejected_until_ms = max(self.ejected_until_ms, now_ms + pause_ms)
-
-    def succeed(self) -> None:
-        """Count a success; it ends a run of failures."""
-        self.failures = 0
-        self.ejected_until_ms = 0
-
     def serves(self, service: str) -> bool:
         """Tell whether it announces a service."""
         return service in self.announcement.services
--- a/src/tanagerturn/serving/retries/outliers.py
+++ b/src/tanagerturn/serving/backends/outliers.py
@@ -8,15 +8,16 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from tanagerturn.serving.requests.ids import BackendServerId
+    from tanagerturn.serving.backends.messages import BackendId
 
-FAILURES_IN_A_ROW: Final = 5
+FAILURES_IN_A_ROW: Final = 3
 EJECT_S: Final = 10.0
 """Time of the first ejection; it grows with each that follows."""
 
 LONGEST_EJECT_S: Final = 120.0
 MOST_EJECTED: Final = 0.34
-"""Share of the backend servers of a service that may be ejected."""
+"""Share of the backend servers of a service that may be ejected; one at least,
+if there are others."""
 
 RETURN_S: Final = 20.0
 """Time over which a backend server's weight grows back."""
@@ -53,10 +54,10 @@
     """Ejection among the backend servers of one service."""
 
     def __init__(self) -> None:
-        self.health: dict[BackendServerId, Health] = {}
+        self.health: dict[BackendId, Health] = {}
         """Failures by backend server."""
 
-    def succeeded(self, server: BackendServerId, now_s: float) -> None:
+    def succeeded(self, server: BackendId, now_s: float) -> None:
         """Count a success."""
         health = self.health.get(server)
         if health is None:
@@ -67,8 +68,8 @@
 
     def failed(
         self,
-        server: BackendServerId,
-        servers: Collection[BackendServerId],
+        server: BackendId,
+        servers: Collection[BackendId],
         now_s: float,
     ) -> bool:
         """Count a failure.
@@ -86,25 +87,24 @@
         if health.failures < FAILURES_IN_A_ROW or health.ejected(now_s):
             return False
         ejected = sum(1 for other in servers if self.is_ejected(other, now_s))
-        if ejected + 1 > MOST_EJECTED * len(servers):
+        most = max(1.0, MOST_EJECTED * len(servers))
+        if len(servers) < 2 or ejected + 1 > most:
             return False
         health.ejections += 1
         health.failures = 0
         health.back_at_s = now_s + min(LONGEST_EJECT_S, EJECT_S * health.ejections)
         return True
 
-    def is_ejected(self, server: BackendServerId, now_s: float) -> bool:
+    def is_ejected(self, server: BackendId, now_s: float) -> bool:
         """Tell whether a backend server gets no new requests now."""
         health = self.health.get(server)
         return health is not None and health.ejected(now_s)
 
-    def weight(self, server: BackendServerId, now_s: float) -> float:
+    def weight(self, server: BackendId, now_s: float) -> float:
         """Return the share of the usual load that a backend server may get."""
         health = self.health.get(server)
         return health.weight(now_s) if health is not None else 1.0
 
-    def forget(self, servers: Collection[BackendServerId]) -> None:
-        """Drop what is known of backend servers that are gone."""
-        for server in list(self.health):
-            if server not in servers:
-                del self.health[server]
+    def forget(self, server: BackendId) -> None:
+        """Drop what is known of a backend server that is gone."""
+        self.health.pop(server, None)
--- a/src/tanagerturn/serving/backends/view.py
+++ b/src/tanagerturn/serving/backends/view.py
@@ -19,6 +19,7 @@
     AnnouncementFault,
     BackendId,
 )
+from tanagerturn.serving.backends.outliers import OutlierEjector
 from tanagerturn.serving.cache.blocks import BLOCK_TOKENS
 from tanagerturn.serving.cache.view import CacheView, make_cache_view
 
@@ -33,6 +34,7 @@
         RequestId,
     )
 
+MS_PER_S: Final = 1000.0
 RETIRED_INCARNATIONS: Final = 4
 """Ended incarnations remembered for each backend server."""
 
@@ -68,6 +70,8 @@
         """Zone or backend server under notice to the time it is taken."""
         self.cache: CacheView = make_cache_view()
         """Which prefixes the engines hold."""
+        self.outliers = OutlierEjector()
+        """Failures of backend servers."""
         self._by_address: dict[str, BackendId] = {}
         self._retired: dict[BackendId, list[str]] = {}
         self._pools: dict[PoolKey, list[Backend]] = {}
@@ -122,7 +126,7 @@
             return
         backend.in_flight.pop(request_id, None)
         if completion is not None:
-            backend.succeed()
+            self.outliers.succeeded(backend_id, now_ms / MS_PER_S)
             backend.rates.observe(completion, now_ms)
 
     def on_failure(
@@ -133,7 +137,8 @@
         if backend is None:
             return
         backend.in_flight.pop(request_id, None)
-        backend.fail(now_ms)
+        peers = [b.id for b in self.backends.values() if _share_service(b, backend)]
+        self.outliers.failed(backend_id, peers, now_ms / MS_PER_S)
 
     def on_load_hint(self, backend_id: BackendId, running: int, waiting: int) -> None:
         """Take the load that came with an answer."""
@@ -182,6 +187,14 @@
             return False
         return not self.notices or not self.is_leaving(backend)
 
+    def is_ejected(self, backend: Backend, now_ms: int) -> bool:
+        """Tell whether it failed so often that it gets no work for a time."""
+        return self.outliers.is_ejected(backend.id, now_ms / MS_PER_S)
+
+    def weight(self, backend: Backend, now_ms: int) -> float:
+        """Return the share of the usual load that it may get after an ejection."""
+        return self.outliers.weight(backend.id, now_ms / MS_PER_S)
+
     def pool(
         self, service: str, model: str = "", version: str = "", adapter: str = ""
     ) -> list[Backend]:
@@ -222,7 +235,7 @@
             for backend in self.pool(service, model, version, adapter)
             if self.takes_work(backend, now_ms)
         ]
-        healthy = [b for b in able if b.ejected_until_ms <= now_ms]
+        healthy = [b for b in able if not self.is_ejected(b, now_ms)]
         return healthy or able
 
     def _is_old(self, announcement: serving_pb2.Announcement) -> bool:
@@ -274,6 +287,7 @@
         if self._by_address.get(backend.address) == backend_id:
             del self._by_address[backend.address]
         self.cache.forget(backend_id)
+        self.outliers.forget(backend_id)
         self._pools.clear()
 
 
@@ -286,6 +300,10 @@
     return BackendView(networks)
 
 
+def _share_service(one: Backend, other: Backend) -> bool:
+    return any(one.serves(name) for name in other.announcement.services)
+
+
 def _differs(before: serving_pb2.Announcement, after: serving_pb2.Announcement) -> bool:
     if before.leaving != after.leaving or before.role != after.role:
         return True
--- a/src/tanagerturn/serving/routing/choose.py
+++ b/src/tanagerturn/serving/routing/choose.py
@@ -89,7 +89,7 @@
         if drawn:
             return drawn
     able = [b for b in pool if _may_take(view, request, b, now_ms)]
-    healthy = [b for b in able if b.ejected_until_ms <= now_ms]
+    healthy = [b for b in able if _is_healthy(view, b, now_ms, random)]
     return healthy or able
 
 
@@ -112,11 +112,19 @@
     return [
         backend
         for backend in drawn
-        if backend.ejected_until_ms <= now_ms
+        if _is_healthy(view, backend, now_ms, random)
         and _may_take(view, request, backend, now_ms)
     ]
 
 
+def _is_healthy(
+    view: BackendView, backend: Backend, now_ms: int, random: Random
+) -> bool:
+    """Tell whether it may be drawn; after an ejection it is drawn more and more."""
+    weight = view.weight(backend, now_ms)
+    return weight >= 1.0 or random.random() < weight
+
+
 def _may_take(
     view: BackendView, request: RouteRequest, backend: Backend, now_ms: int
 ) -> bool:
--- /dev/null
+++ b/tests/serving/backends/outliers.feature
@@ -0,0 +1,12 @@
+@routing
+Feature: Ejection of failing backend servers
+
+  Scenario: A failing backend server is ejected, within the floor, and returns slowly
+    Given 4 backend servers
+    When "s1" fails 5 times in a row
+    Then "s1" is ejected
+    When "s2" fails 20 times in a row
+    Then "s2" is not ejected
+    And "s1" returns after 10 seconds with a weight of 0.1
+    And "s1" has a weight of 1 after 30 seconds
+    And a single backend server is never ejected
--- a/tests/serving/retries/retries.feature
+++ b/tests/serving/retries/retries.feature
@@ -1,5 +1,5 @@
 @requests
-Feature: Retries, hedging and ejection
+Feature: Retries and hedging
 
   Scenario: Retries stay a share of first tries when everything fails
     Given a retry budget of 0.1
@@ -39,13 +39,3 @@
     Then percentile 95 hedges after 188 to 194 ms
     And percentile 0 never hedges
     And no hedge comes before 100 latencies were measured
-
-  Scenario: A failing backend server is ejected, within the floor, and returns slowly
-    Given 4 backend servers
-    When "s1" fails 5 times in a row
-    Then "s1" is ejected
-    When "s2" fails 20 times in a row
-    Then "s2" is not ejected
-    And "s1" returns after 10 seconds with a weight of 0.1
-    And "s1" has a weight of 1 after 30 seconds
-    And a single backend server is never ejected
--- a/tests/serving/retries/steps/retries_steps.py
+++ b/tests/serving/retries/steps/retries_steps.py
@@ -11,7 +11,6 @@
 from tanagerturn.serving.retries.budget import BudgetKey, RetryBudget
 from tanagerturn.serving.retries.failures import Failure, Phase, may_retry
 from tanagerturn.serving.retries.hedging import LatencyWindow, hedge_after_s
-from tanagerturn.serving.retries.outliers import OutlierEjector
 
 SEED = 7
 
@@ -105,42 +104,3 @@
     for _ in range(count - 1):
         window.record(0.1)
     assert hedge_after_s(window, 95) is None
-
-
-@given("{count:d} backend servers")
-def backend_servers(context, count):
-    context.servers = [f"s{number}" for number in range(1, count + 1)]
-    context.ejector = OutlierEjector()
-
-
-@when('"{server}" fails {count:d} times in a row')
-def fails(context, server, count):
-    for _ in range(count):
-        context.ejector.failed(server, context.servers, 0.0)
-
-
-@then('"{server}" is ejected')
-def ejected(context, server):
-    assert context.ejector.is_ejected(server, 0.0)
-
-
-@then('"{server}" is not ejected')
-def not_ejected(context, server):
-    assert not context.ejector.is_ejected(server, 0.0)
-
-
-@then('"{server}" returns after {seconds:g} seconds with a weight of {weight:g}')
-def returns(context, server, seconds, weight):
-    assert context.ejector.weight(server, seconds - 0.001) == 0.0
-    assert context.ejector.weight(server, seconds + 0.001) == weight
-
-
-@then('"{server}" has a weight of 1 after {seconds:g} seconds')
-def full_weight(context, server, seconds):
-    assert context.ejector.weight(server, seconds + 0.001) == 1.0
-
-
-@then("a single backend server is never ejected")
-def single(context):
-    ejector = OutlierEjector()
-    assert not any(ejector.failed("s1", ["s1"], 0.0) for _ in range(50))
