--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -29,7 +29,6 @@
 from tanagerturn.coordination.membership.codec import seal, unseal
 from tanagerturn.coordination.membership.config import MembershipConfig
 from tanagerturn.coordination.store import Store
-from tanagerturn.entry.announcements import parse_announcement
 from tanagerturn.schema import coordination_pb2, serving_pb2
 from tanagerturn.serving.backends.view import make_backend_view
 from tanagerturn.serving.capacity.messages import HeldHost, HostState, ServiceNeed
@@ -37,6 +36,7 @@
 from tanagerturn.serving.routing.choose import choose
 from tanagerturn.serving.routing.messages import RouteRequest
 from tanagerturn.settings import merge_sites
+from tanagerturn.shared.announcements import parse_announcement
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/tanagerturn/control/limits.py
+++ b/src/tanagerturn/control/limits.py
@@ -7,13 +7,13 @@
 
 from tanagerturn.coordination.groups import REQUESTS_GROUP
 from tanagerturn.coordination.ids import Revision
-from tanagerturn.entry.hosts import HOST_PREFIX
+from tanagerturn.shared.hosts import HOST_PREFIX
 
 if TYPE_CHECKING:
     from tanagerturn.coordination.client import StateClient
     from tanagerturn.coordination.shares.service import ShareServicer
-    from tanagerturn.entry.site import Site
     from tanagerturn.schema.coordination_pb2 import WatchBatch
+    from tanagerturn.shared.site import Site
 
 
 class LimitKeeper:
--- a/src/tanagerturn/control/order_actor.py
+++ b/src/tanagerturn/control/order_actor.py
@@ -13,11 +13,11 @@
 from tanagerturn.control.courier import Now, perform
 from tanagerturn.control.hosts import BackendLoad
 from tanagerturn.control.messages import Done, Dump, Loads, NewRevision, Tick
-from tanagerturn.entry.directory import Announce
-from tanagerturn.entry.site import Site, make_site
 from tanagerturn.observe.logs import part_logger
 from tanagerturn.schema import settings_pb2
 from tanagerturn.settings import SettingsError, merge_sites
+from tanagerturn.shared.announcements import Announce
+from tanagerturn.shared.site import Site, make_site
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/tanagerturn/control/server.py
+++ b/src/tanagerturn/control/server.py
@@ -24,13 +24,13 @@
 from tanagerturn.coordination.leases import LeaseKeeper, LeaseTerms, holder_id
 from tanagerturn.coordination.node import start_node
 from tanagerturn.coordination.shares.service import ShareServicer
-from tanagerturn.entry.announcements import AnnouncementServer
-from tanagerturn.entry.site import Site, make_site
 from tanagerturn.observe.logs import part_logger
 from tanagerturn.observe.operations import OperationsServer
 from tanagerturn.schema import shares_pb2_grpc as spb_grpc
 from tanagerturn.schema.settings_pb2 import DeploymentSettings
 from tanagerturn.serving.orders.book import SEND_TIMEOUT_MS
+from tanagerturn.shared.announcements import AnnouncementServer
+from tanagerturn.shared.site import Site, make_site
 
 if TYPE_CHECKING:
     import grpc
--- a/src/tanagerturn/deploy.py
+++ b/src/tanagerturn/deploy.py
@@ -191,7 +191,7 @@
 
 def control_part(plan: DeploymentPlan) -> str:
     """Return the `control` part of a control process's settings."""
-    return f"control:\n  lease_ms: 3000\n  period_ms: 100\n{plan.control_text}"
+    return f"control:\n  lease_ms: 4000\n  period_ms: 100\n{plan.control_text}"
 
 
 def entry_part(
--- a/src/tanagerturn/entry/_execution.py
+++ b/src/tanagerturn/entry/_execution.py
@@ -10,13 +10,13 @@
 from tanagerturn.entry.directory import wall_ms
 from tanagerturn.entry.drafts import DraftRun, RejectedByEngineError, whole_answer
 from tanagerturn.entry.lookups import LookupRun
-from tanagerturn.entry.problems import OUTCOME_UNKNOWN, PROBLEM_TYPE, ProblemError
 from tanagerturn.entry.recorded import kept_answer
 from tanagerturn.entry.transport import BackendAnswer
 from tanagerturn.observe.logs import part_logger
 from tanagerturn.schema import serving_pb2
 from tanagerturn.serving.requests.errors import CommitUnknownError
 from tanagerturn.serving.requests.life import Proof
+from tanagerturn.shared.problems import OUTCOME_UNKNOWN, PROBLEM_TYPE, ProblemError
 
 if TYPE_CHECKING:
     from tanagerturn.entry.callers import CallerCall
--- a/src/tanagerturn/entry/access.py
+++ b/src/tanagerturn/entry/access.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING, Final
 
-from tanagerturn.entry.site import find_call
 from tanagerturn.observe.logs import part_logger
 from tanagerturn.schema.serving_pb2 import CallKind, Priority
+from tanagerturn.shared.site import find_call
 
 if TYPE_CHECKING:
     from tanagerturn.entry.callers import CallerCall
--- a/src/tanagerturn/entry/app.py
+++ b/src/tanagerturn/entry/app.py
@@ -15,22 +15,22 @@
 from tanagerturn.entry.lookups import run_lookup
 from tanagerturn.entry.parts import CallerResponse, Parts
 from tanagerturn.entry.patient import existing_response, run_patient
-from tanagerturn.entry.problems import (
+from tanagerturn.entry.purchases import run_once
+from tanagerturn.observe.logs import part_logger
+from tanagerturn.schema.serving_pb2 import IDEMPOTENT, NOT_REPEATABLE, PATIENT
+from tanagerturn.serving.requests.ids import ClientAccountId, IdempotencyKey
+from tanagerturn.shared.problems import (
     NOT_RUN,
     OUTCOME_UNKNOWN,
     ProblemError,
     make_problem,
 )
-from tanagerturn.entry.purchases import run_once
-from tanagerturn.observe.logs import part_logger
-from tanagerturn.schema.serving_pb2 import IDEMPOTENT, NOT_REPEATABLE, PATIENT
-from tanagerturn.serving.requests.ids import ClientAccountId, IdempotencyKey
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
     from tanagerturn.entry.metrics import EntryMetrics
-    from tanagerturn.entry.site import Site
+    from tanagerturn.shared.site import Site
 
 log = part_logger("callers")
 
--- a/src/tanagerturn/entry/callers.py
+++ b/src/tanagerturn/entry/callers.py
@@ -9,8 +9,6 @@
 
 import orjson
 
-from tanagerturn.entry.problems import ProblemError
-from tanagerturn.entry.site import Site, find_call
 from tanagerturn.schema import settings_pb2 as pb
 from tanagerturn.schema.serving_pb2 import (
     IDEMPOTENT,
@@ -25,6 +23,8 @@
     text_blocks,
 )
 from tanagerturn.serving.cache.prompts import prompt_text
+from tanagerturn.shared.problems import ProblemError
+from tanagerturn.shared.site import Site, find_call
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
--- a/src/tanagerturn/entry/collect.py
+++ b/src/tanagerturn/entry/collect.py
@@ -10,18 +10,18 @@
 from tanagerturn.entry.callers import authenticate
 from tanagerturn.entry.directory import wall_ms
 from tanagerturn.entry.parts import CallerResponse
-from tanagerturn.entry.problems import OUTCOME_UNKNOWN, ProblemError
 from tanagerturn.entry.recorded import RETRY_SOON_S, stored_response
 from tanagerturn.schema import serving_pb2
 from tanagerturn.serving.requests.ids import ClientAccountId, IdempotencyKey
 from tanagerturn.serving.requests.life import OPEN
+from tanagerturn.shared.problems import OUTCOME_UNKNOWN, ProblemError
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from tanagerturn.entry.parts import Parts
-    from tanagerturn.entry.site import Site
     from tanagerturn.serving.requests.held import Held
+    from tanagerturn.shared.site import Site
 
 REQUESTS_PATH = "/requests/"
 
--- a/src/tanagerturn/entry/directory.py
+++ b/src/tanagerturn/entry/directory.py
@@ -15,11 +15,11 @@
 from tanagerturn.serving.backends.view import make_backend_view
 from tanagerturn.serving.reclaims.plan import importers_for, own_fraction
 from tanagerturn.serving.routing.choose import choose
+from tanagerturn.shared.announcements import Announce
 
 if TYPE_CHECKING:
     from expression import Result
 
-    from tanagerturn.schema.serving_pb2 import Announcement
     from tanagerturn.serving.backends.backend import Backend
     from tanagerturn.serving.backends.messages import (
         AnnouncementAccepted,
@@ -41,14 +41,6 @@
 """Slots of a backend server that announces none."""
 
 
-@dataclass(frozen=True)
-class Announce:
-    """A backend server announced itself."""
-
-    announcement: Announcement
-    """The announcement."""
-
-
 @dataclass(frozen=True)
 class Choose:
     """An attempt needs a backend server; it counts as started from now on."""
--- a/src/tanagerturn/entry/drafts.py
+++ b/src/tanagerturn/entry/drafts.py
@@ -15,7 +15,6 @@
     TokenCount,
     backend_headers,
 )
-from tanagerturn.entry.problems import NOT_RUN, OUTCOME_UNKNOWN, ProblemError
 from tanagerturn.entry.sse import EngineEvent, EventReader, MalformedEventError
 from tanagerturn.entry.transport import (
     BackendAnswer,
@@ -31,6 +30,7 @@
 from tanagerturn.serving.streams.assembler import OutOfOrderError, StreamAssembler
 from tanagerturn.serving.streams.chunks import Chunk, LossCause
 from tanagerturn.serving.streams.stalls import make_stall_limits, silence_limit_s
+from tanagerturn.shared.problems import NOT_RUN, OUTCOME_UNKNOWN, ProblemError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
--- a/src/tanagerturn/entry/gate.py
+++ b/src/tanagerturn/entry/gate.py
@@ -12,7 +12,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 
-from tanagerturn.entry.problems import ProblemError
 from tanagerturn.schema import serving_pb2
 from tanagerturn.serving.admission.admission import Admission
 from tanagerturn.serving.admission.tickets import (
@@ -30,14 +29,15 @@
     share_of,
 )
 from tanagerturn.serving.requests.ids import ClientAccountId
+from tanagerturn.shared.problems import ProblemError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
     from tanagerturn.coordination.shares.service import ShareReporter
     from tanagerturn.entry.callers import CallerCall
-    from tanagerturn.entry.site import Site
     from tanagerturn.schema import settings_pb2
+    from tanagerturn.shared.site import Site
 
 REFUSAL_THREADS: Final = 4
 """Threads kept for answering refusals."""
--- a/src/tanagerturn/entry/hosts.py
+++ b/src/tanagerturn/entry/hosts.py
@@ -9,13 +9,13 @@
 from tanagerturn.coordination.ids import ProcessId, Revision
 from tanagerturn.schema import coordination_pb2
 from tanagerturn.serving.requests.takeover import owner_lease
+from tanagerturn.shared.hosts import HOST_PREFIX
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from tanagerturn.coordination.client import StateClient
 
-HOST_PREFIX: Final = "entry/"
 TIMEOUT_S: Final = 1.0
 
 
--- a/src/tanagerturn/entry/jobs.py
+++ b/src/tanagerturn/entry/jobs.py
@@ -17,9 +17,9 @@
 )
 from tanagerturn.entry.directory import wall_ms
 from tanagerturn.entry.drafts import DraftRun, whole_answer
-from tanagerturn.entry.problems import ProblemError
 from tanagerturn.observe.logs import part_logger
 from tanagerturn.serving.requests.layout import record_key
+from tanagerturn.shared.problems import ProblemError
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/src/tanagerturn/entry/lookups.py
+++ b/src/tanagerturn/entry/lookups.py
@@ -15,7 +15,6 @@
     answer_response,
     backend_headers,
 )
-from tanagerturn.entry.problems import NOT_RUN, OUTCOME_UNKNOWN, ProblemError
 from tanagerturn.entry.transport import (
     BackendAnswer,
     BrokenCallError,
@@ -26,6 +25,7 @@
 from tanagerturn.serving.retries.backoff import wait_before_retry
 from tanagerturn.serving.retries.budget import BudgetKey
 from tanagerturn.serving.retries.failures import Failure, Phase, can_succeed, may_retry
+from tanagerturn.shared.problems import NOT_RUN, OUTCOME_UNKNOWN, ProblemError
 
 if TYPE_CHECKING:
     from tanagerturn.entry.callers import CallerCall
--- a/src/tanagerturn/entry/moves.py
+++ b/src/tanagerturn/entry/moves.py
@@ -37,9 +37,9 @@
 
     from tanagerturn.entry.directory import Situation
     from tanagerturn.entry.drafts import DraftRun
-    from tanagerturn.entry.site import Site
     from tanagerturn.entry.transport import BackendTransport
     from tanagerturn.serving.backends.messages import BackendId
+    from tanagerturn.shared.site import Site
 
 log = part_logger("moves")
 
--- a/src/tanagerturn/entry/parts.py
+++ b/src/tanagerturn/entry/parts.py
@@ -11,11 +11,11 @@
 from tanagerturn.actors import ask
 from tanagerturn.entry.directory import Choose, Ended, IsLeaving, Place, wall_ms
 from tanagerturn.entry.moves import RunningDrafts
-from tanagerturn.entry.problems import ProblemError
 from tanagerturn.serving.backends.messages import BackendId, RequestId
 from tanagerturn.serving.retries.budget import RetryBudget
 from tanagerturn.serving.retries.hedging import LatencyWindow, hedge_after_s
 from tanagerturn.serving.routing.messages import RouteRequest
+from tanagerturn.shared.problems import ProblemError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/tanagerturn/entry/patient.py
+++ b/src/tanagerturn/entry/patient.py
@@ -27,7 +27,6 @@
     whole_answer,
 )
 from tanagerturn.entry.parts import CallerResponse, Parts
-from tanagerturn.entry.problems import ProblemError
 from tanagerturn.entry.recorded import (
     make_new_request,
     problem_of,
@@ -37,6 +36,7 @@
 from tanagerturn.serving.requests.held import Existing, Held
 from tanagerturn.serving.requests.layout import record_key
 from tanagerturn.serving.requests.replies import Reply, ReplyKind, reply_to
+from tanagerturn.shared.problems import ProblemError
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/src/tanagerturn/entry/purchases.py
+++ b/src/tanagerturn/entry/purchases.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.entry.parts import CallerResponse, Deadline, Parts, backend_headers
-from tanagerturn.entry.problems import ProblemError
 from tanagerturn.entry.recorded import kept_answer, make_new_request, reply_response
 from tanagerturn.entry.transport import (
     BackendAnswer,
@@ -16,6 +15,7 @@
 from tanagerturn.serving.backends.messages import BackendId, Completion
 from tanagerturn.serving.requests import call as calls
 from tanagerturn.serving.requests.ports import CallPolicy
+from tanagerturn.shared.problems import ProblemError
 
 if TYPE_CHECKING:
     from tanagerturn.entry.callers import CallerCall
--- a/src/tanagerturn/entry/recorded.py
+++ b/src/tanagerturn/entry/recorded.py
@@ -9,15 +9,15 @@
 from tanagerturn.entry.callers import CallerCall
 from tanagerturn.entry.directory import wall_ms
 from tanagerturn.entry.parts import CallerResponse, answer_response
-from tanagerturn.entry.problems import OUTCOME_UNKNOWN, ProblemError
 from tanagerturn.entry.transport import BackendAnswer
 from tanagerturn.schema import serving_pb2
 from tanagerturn.serving.requests.held import NewRequest
 from tanagerturn.serving.requests.ids import ClientAccountId, IdempotencyKey, RequestId
 from tanagerturn.serving.requests.replies import Reply, ReplyKind, reply_of
+from tanagerturn.shared.problems import OUTCOME_UNKNOWN, ProblemError
 
 if TYPE_CHECKING:
-    from tanagerturn.entry.site import Site
+    from tanagerturn.shared.site import Site
 
 RETRY_SOON_S: Final = 1.0
 UNKNOWN_RETRY_S: Final = 5.0
--- a/src/tanagerturn/entry/records_actor.py
+++ b/src/tanagerturn/entry/records_actor.py
@@ -26,8 +26,8 @@
 
     from tanagerturn.entry.hosts import EntryHosts
     from tanagerturn.entry.parts import Parts
-    from tanagerturn.entry.site import Site
     from tanagerturn.serving.requests.held import Held
+    from tanagerturn.shared.site import Site
 
 log = part_logger("records")
 
--- a/src/tanagerturn/entry/server.py
+++ b/src/tanagerturn/entry/server.py
@@ -12,7 +12,6 @@
 from tanagerturn.coordination.ids import ProcessId
 from tanagerturn.coordination.node import start_node
 from tanagerturn.entry import moves
-from tanagerturn.entry.announcements import AnnouncementServer
 from tanagerturn.entry.app import CallerApp
 from tanagerturn.entry.clock import SystemClock
 from tanagerturn.entry.directory import DirectoryActor, Dump, Slots
@@ -27,7 +26,6 @@
 from tanagerturn.entry.records_actor import OwnerLease, RecordsActor, SweepTicker
 from tanagerturn.entry.settings_actor import NewRevision, SettingsActor
 from tanagerturn.entry.shares import start_shares
-from tanagerturn.entry.site import Site, make_site
 from tanagerturn.entry.transport import BackendTransport
 from tanagerturn.observe.logs import part_logger
 from tanagerturn.observe.operations import OperationsServer, WsgiServer
@@ -35,6 +33,8 @@
 from tanagerturn.serving.backends.messages import AvailabilityZone
 from tanagerturn.serving.requests.conduct import Conductor
 from tanagerturn.serving.requests.ledger import RequestLedger
+from tanagerturn.shared.announcements import AnnouncementServer
+from tanagerturn.shared.site import Site, make_site
 
 if TYPE_CHECKING:
     from tanagerturn.coordination.client import StateClient
--- a/src/tanagerturn/entry/settings_actor.py
+++ b/src/tanagerturn/entry/settings_actor.py
@@ -7,10 +7,10 @@
 
 import pykka
 
-from tanagerturn.entry.site import Site, make_site
 from tanagerturn.observe.logs import part_logger
 from tanagerturn.schema import settings_pb2
 from tanagerturn.settings import SettingsError, merge_sites
+from tanagerturn.shared.site import Site, make_site
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- /dev/null
+++ b/src/tanagerturn/shared/__init__.py
@@ -0,0 +1,1 @@
+"""What entry and control processes share."""
--- a/src/tanagerturn/entry/announcements.py
+++ b/src/tanagerturn/shared/announcements.py
@@ -2,25 +2,25 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 
 import orjson
 from google.protobuf import json_format
 
 from tanagerturn.actors import ask
-from tanagerturn.entry.directory import Announce
-from tanagerturn.entry.problems import ProblemError, make_problem
 from tanagerturn.observe.logs import part_logger
 from tanagerturn.observe.operations import WsgiServer
 from tanagerturn.schema.serving_pb2 import Announcement
+from tanagerturn.shared.problems import ProblemError, make_problem
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     import pykka
 
-    from tanagerturn.entry.site import Site
     from tanagerturn.schema.settings_pb2 import Listener
+    from tanagerturn.shared.site import Site
 
 log = part_logger("announcements")
 
@@ -28,6 +28,14 @@
 BODY_LIMIT_BYTES: Final = 1024 * 1024
 
 
+@dataclass(frozen=True)
+class Announce:
+    """A backend server announced itself."""
+
+    announcement: Announcement
+    """The announcement."""
+
+
 class AnnouncementServer:
     """Takes announcements and hands them to the directory.
 
--- a/tests/replay/fuzz/steps/reader_steps.py
+++ b/tests/replay/fuzz/steps/reader_steps.py
@@ -22,14 +22,14 @@
 from tanagerturn.coordination.storage.files import DiskFiles
 from tanagerturn.coordination.storage.group import GroupStorage
 from tanagerturn.coordination.store import Store
-from tanagerturn.entry.announcements import parse_announcement
-from tanagerturn.entry.problems import ProblemError
 from tanagerturn.entry.sse import EventReader, MalformedEventError
 from tanagerturn.replay.results import ResultError, read_results
 from tanagerturn.schema import coordination_pb2 as pb
 from tanagerturn.schema import membership_pb2 as mpb
 from tanagerturn.schema.serving_pb2 import Announcement
 from tanagerturn.settings import SettingsError, merge_sites, parse_process, read_folder
+from tanagerturn.shared.announcements import parse_announcement
+from tanagerturn.shared.problems import ProblemError
 
 EXAMPLES = Path(__file__).parents[4] / "examples"
 KEY = b"0123456789abcdef"
