--- a/src/tanagerturn/entry/_execution.py
+++ b/src/tanagerturn/entry/_execution.py
@@ -8,7 +8,8 @@
 import orjson
 
 from tanagerturn.entry.directory import wall_ms
-from tanagerturn.entry.drafts import DraftRun, RejectedByEngineError, whole_answer
+from tanagerturn.entry.draft_run import DraftRun, RejectedByEngineError
+from tanagerturn.entry.drafts import whole_answer
 from tanagerturn.entry.lookups import LookupRun
 from tanagerturn.entry.recorded import kept_answer
 from tanagerturn.entry.transport import BackendAnswer
--- a/src/tanagerturn/entry/jobs.py
+++ b/src/tanagerturn/entry/jobs.py
@@ -16,7 +16,7 @@
     give_up,
 )
 from tanagerturn.entry.directory import wall_ms
-from tanagerturn.entry.drafts import DraftRun, whole_answer
+from tanagerturn.entry.drafts import whole_answer
 from tanagerturn.observe.logs import part_logger
 from tanagerturn.serving.requests.layout import record_key
 from tanagerturn.shared.problems import ProblemError
@@ -25,6 +25,7 @@
     from collections.abc import Iterator
 
     from tanagerturn.entry.callers import CallerCall
+    from tanagerturn.entry.draft_run import DraftRun
     from tanagerturn.entry.parts import Parts
     from tanagerturn.serving.requests.held import Held
 
--- a/src/tanagerturn/entry/moves.py
+++ b/src/tanagerturn/entry/moves.py
@@ -40,7 +40,7 @@
     from collections.abc import Callable
 
     from tanagerturn.entry.directory import Situation
-    from tanagerturn.entry.drafts import DraftRun
+    from tanagerturn.entry.draft_run import DraftRun
     from tanagerturn.entry.transport import BackendTransport
     from tanagerturn.serving.backends.messages import BackendId
     from tanagerturn.shared.site import Site
--- a/src/tanagerturn/entry/patient.py
+++ b/src/tanagerturn/entry/patient.py
@@ -19,9 +19,8 @@
     permit,
 )
 from tanagerturn.entry.directory import wall_ms
+from tanagerturn.entry.draft_run import DraftRun, RejectedByEngineError
 from tanagerturn.entry.drafts import (
-    DraftRun,
-    RejectedByEngineError,
     error_event,
     stream_response,
     whole_answer,
