Read the clocks in one place; describe each stream once a tick

Cause: the wall clock in milliseconds was written out in eight places, and a tick of the moves actor described the streams of a leaving engine twice.

--- a/src/tanagerturn/control/capacity_actor.py
+++ b/src/tanagerturn/control/capacity_actor.py
@@ -8,6 +8,7 @@
 import pykka
 
 from tanagerturn.actors import ask
+from tanagerturn.clocks import wall_ms
 from tanagerturn.control.messages import Dump, Loads, Tick
 from tanagerturn.control.notice_actor import Recorded
 
@@ -85,5 +86,4 @@
     def _plan(self) -> None:
         backends = ask(self.orders, Loads())
         recorded = ask(self.notices, Recorded())
-        now_ms = time.time_ns() // 1_000_000
-        self.hosts.step(self.settings(), backends, recorded, now_ms)
+        self.hosts.step(self.settings(), backends, recorded, wall_ms())
--- a/src/tanagerturn/control/notice_actor.py
+++ b/src/tanagerturn/control/notice_actor.py
@@ -12,6 +12,7 @@
 
 import pykka
 
+from tanagerturn.clocks import wall_ms
 from tanagerturn.control.messages import Dump, Tick
 from tanagerturn.coordination.groups import CONTROL_GROUP
 from tanagerturn.coordination.ids import FencingNumber, LeaseName
@@ -108,7 +109,7 @@
         if not self._holds() or not self._adopted():
             return False
         record = self.book.on_notice(
-            message.host_id, message.at_ms, self.number, _wall_ms()
+            message.host_id, message.at_ms, self.number, wall_ms()
         )
         return record is None or self._record(record)
 
@@ -147,7 +148,7 @@
                 # Its host is gone; an earlier holder has dealt with it.
                 self.after = notice.sequence
                 continue
-            now_ms = _wall_ms()
+            now_ms = wall_ms()
             record = self.book.on_notice(
                 notice.host_id, now_ms + notice.ends_in_ms, self.number, now_ms
             )
@@ -165,7 +166,7 @@
         return True
 
     def _remove_outdated(self) -> None:
-        for target in self.book.outdated(_wall_ms()):
+        for target in self.book.outdated(wall_ms()):
             removal = self.book.removal(
                 target, LeaseName(self.keeper.name), self.number
             )
@@ -182,7 +183,3 @@
             log.warning("A notice was not recorded.")
             return None
         return int(done.ok.revision)
-
-
-def _wall_ms() -> int:
-    return time.time_ns() // 1_000_000
--- a/src/tanagerturn/control/order_actor.py
+++ b/src/tanagerturn/control/order_actor.py
@@ -10,6 +10,7 @@
 
 import pykka
 
+from tanagerturn.clocks import monotonic_ms, wall_ms
 from tanagerturn.control.courier import Now, perform
 from tanagerturn.control.hosts import BackendLoad
 from tanagerturn.control.messages import Done, Dump, Loads, NewRevision, Tick
@@ -35,11 +36,6 @@
 JOBS_AT_ONCE: Final = 16
 
 
-def monotonic_ms() -> int:
-    """Return the monotonic clock in milliseconds."""
-    return time.monotonic_ns() // 1_000_000
-
-
 class OrderActor(pykka.ThreadingActor):
     """Plans orders each period and takes what became of them.
 
@@ -74,7 +70,7 @@
         """Time between two plans."""
         self.on_site = on_site
         """Called with each newer value of the settings."""
-        self.wall_offset_ms = time.time_ns() // 1_000_000 - monotonic_ms()
+        self.wall_offset_ms = wall_ms() - monotonic_ms()
         """Wall clock less monotonic clock, as of the start."""
         self.pool = ThreadPoolExecutor(JOBS_AT_ONCE, "orders")
         """Does the jobs."""
--- a/src/tanagerturn/control/server.py
+++ b/src/tanagerturn/control/server.py
@@ -9,6 +9,7 @@
 from prometheus_client import CollectorRegistry, Gauge
 
 from tanagerturn.actors import ask
+from tanagerturn.clocks import monotonic_ms
 from tanagerturn.control.capacity_actor import CapacityActor
 from tanagerturn.control.cloud import CloudClient
 from tanagerturn.control.courier import CONTROL_LEASE, OrderCourier
@@ -17,7 +18,7 @@
 from tanagerturn.control.limits import LimitKeeper
 from tanagerturn.control.messages import Dump, NewRevision, Release, Tick
 from tanagerturn.control.notice_actor import Drain, NoticeActor
-from tanagerturn.control.order_actor import OrderActor, monotonic_ms
+from tanagerturn.control.order_actor import OrderActor
 from tanagerturn.control.transport import HttpEngineTransport
 from tanagerturn.coordination.groups import CONTROL_GROUP
 from tanagerturn.coordination.ids import ClusterId, ProcessId
--- a/src/tanagerturn/deploy.py
+++ b/src/tanagerturn/deploy.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from tanagerturn.clocks import wall_ms
 from tanagerturn.control.server import ControlServer, start_control
 from tanagerturn.coordination.groups import CONTROL_GROUP
 from tanagerturn.coordination.ids import ChangeId
@@ -238,7 +239,7 @@
         nonlocal applied
         result = history.apply(
             deployment.plan.files, 0, change_id, "deploy", "first revision",
-            time.time_ns() // 1_000_000, lambda files: [],
+            wall_ms(), lambda files: [],
         )  # fmt: skip
         applied = result.is_ok()
         return applied
--- a/src/tanagerturn/entry/_execution.py
+++ b/src/tanagerturn/entry/_execution.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from tanagerturn.entry.directory import wall_ms
+from tanagerturn.clocks import wall_ms
 from tanagerturn.entry.draft_run import DraftRun, RejectedByEngineError
 from tanagerturn.entry.drafts import whole_answer
 from tanagerturn.entry.lookups import LookupRun
--- a/src/tanagerturn/entry/app.py
+++ b/src/tanagerturn/entry/app.py
@@ -7,10 +7,10 @@
 import time
 from typing import TYPE_CHECKING, Any, Final
 
+from tanagerturn.clocks import wall_ms
 from tanagerturn.entry.access import note_access
 from tanagerturn.entry.callers import CallerCall, new_request_id, read_call
 from tanagerturn.entry.collect import REQUESTS_PATH, answer_collect
-from tanagerturn.entry.directory import wall_ms
 from tanagerturn.entry.drafts import run_draft
 from tanagerturn.entry.lookups import run_lookup
 from tanagerturn.entry.parts import CallerResponse, Parts
--- a/src/tanagerturn/entry/clock.py
+++ b/src/tanagerturn/entry/clock.py
@@ -4,13 +4,15 @@
 
 import time
 
+from tanagerturn.clocks import wall_ms
+
 
 class SystemClock:
     """Clocks of the host."""
 
     def wall_ms(self) -> int:
         """Return the wall clock in milliseconds."""
-        return time.time_ns() // 1_000_000
+        return wall_ms()
 
     def monotonic_s(self) -> float:
         """Return the monotonic clock in seconds."""
--- a/src/tanagerturn/entry/collect.py
+++ b/src/tanagerturn/entry/collect.py
@@ -7,8 +7,8 @@
 
 import orjson
 
+from tanagerturn.clocks import wall_ms
 from tanagerturn.entry.callers import authenticate
-from tanagerturn.entry.directory import wall_ms
 from tanagerturn.entry.parts import CallerResponse
 from tanagerturn.entry.recorded import RETRY_SOON_S, stored_response
 from tanagerturn.schema import serving_pb2
--- a/src/tanagerturn/entry/directory.py
+++ b/src/tanagerturn/entry/directory.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 from collections import Counter
 from dataclasses import dataclass
 from functools import singledispatchmethod
@@ -11,6 +10,7 @@
 
 import pykka
 
+from tanagerturn.clocks import wall_ms
 from tanagerturn.observe.logs import part_logger
 from tanagerturn.serving.backends.view import make_backend_view
 from tanagerturn.serving.reclaims.plan import importers_for, own_fraction
@@ -306,8 +306,3 @@
 def _version_of(backend: Backend, model: str) -> str:
     loaded = backend.announcement.models
     return next((each.version for each in loaded if each.model == model), "")
-
-
-def wall_ms() -> int:
-    """Return the wall clock in milliseconds."""
-    return time.time_ns() // 1_000_000
--- a/src/tanagerturn/entry/jobs.py
+++ b/src/tanagerturn/entry/jobs.py
@@ -7,6 +7,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING, Final
 
+from tanagerturn.clocks import wall_ms
 from tanagerturn.entry._execution import (
     NotOursError,
     StoppingError,
@@ -15,7 +16,6 @@
     finish,
     give_up,
 )
-from tanagerturn.entry.directory import wall_ms
 from tanagerturn.entry.drafts import whole_answer
 from tanagerturn.observe.logs import part_logger
 from tanagerturn.serving.requests.layout import record_key
--- a/src/tanagerturn/entry/moves.py
+++ b/src/tanagerturn/entry/moves.py
@@ -18,7 +18,8 @@
 import pykka
 
 from tanagerturn.actors import ask
-from tanagerturn.entry.directory import Reclaiming, wall_ms
+from tanagerturn.clocks import wall_ms
+from tanagerturn.entry.directory import Reclaiming
 from tanagerturn.entry.transport import (
     BackendRequest,
     BrokenCallError,
@@ -231,8 +232,8 @@
     def _step(self, pool: Pool, runs: list[DraftRun]) -> None:
         self._forget_ended(pool, runs)
         now_ms = wall_ms()
-        tokens = [run.describe(now_ms).kv_tokens for run in runs]
-        mean_tokens = sum(tokens) / len(tokens)
+        described = [run.describe(now_ms) for run in runs]
+        mean_tokens = sum(each.kv_tokens for each in described) / len(described)
         situation = ask(
             self.directory, Reclaiming(pool.service, pool.model, mean_tokens)
         )
@@ -243,7 +244,7 @@
         moves.limits = LinkLimits().share(situation.fraction)
         at_ms = min(situation.sources[run.backend_id].gone_at_ms for run in leaving)
         steps = moves.step(
-            [run.describe(now_ms) for run in leaving],
+            [each for each in described if each.backend_id in situation.sources],
             situation.importers,
             at_ms,
             now_ms,
--- a/src/tanagerturn/entry/parts.py
+++ b/src/tanagerturn/entry/parts.py
@@ -9,7 +9,8 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from tanagerturn.actors import ask
-from tanagerturn.entry.directory import Choose, Ended, IsLeaving, Place, wall_ms
+from tanagerturn.clocks import wall_ms
+from tanagerturn.entry.directory import Choose, Ended, IsLeaving, Place
 from tanagerturn.entry.moves import RunningDrafts
 from tanagerturn.serving.backends.messages import BackendId, RequestId
 from tanagerturn.serving.retries.budget import RetryBudget
--- a/src/tanagerturn/entry/patient.py
+++ b/src/tanagerturn/entry/patient.py
@@ -10,6 +10,7 @@
 
 import orjson
 
+from tanagerturn.clocks import wall_ms
 from tanagerturn.entry._execution import (
     NotOursError,
     StoppingError,
@@ -18,7 +19,6 @@
     give_up,
     permit,
 )
-from tanagerturn.entry.directory import wall_ms
 from tanagerturn.entry.draft_run import DraftRun, RejectedByEngineError
 from tanagerturn.entry.drafts import (
     error_event,
--- a/src/tanagerturn/entry/recorded.py
+++ b/src/tanagerturn/entry/recorded.py
@@ -6,8 +6,8 @@
 
 import orjson
 
+from tanagerturn.clocks import wall_ms
 from tanagerturn.entry.callers import CallerCall
-from tanagerturn.entry.directory import wall_ms
 from tanagerturn.entry.parts import CallerResponse, answer_response
 from tanagerturn.entry.transport import BackendAnswer
 from tanagerturn.schema import serving_pb2
--- a/src/tanagerturn/operator/config.py
+++ b/src/tanagerturn/operator/config.py
@@ -12,6 +12,7 @@
 import yaml
 from google.protobuf.json_format import MessageToDict
 
+from tanagerturn.clocks import wall_ms
 from tanagerturn.coordination.ids import ChangeId
 from tanagerturn.coordination.settings_history import file_contents
 from tanagerturn.observe.dumps import masked
@@ -74,7 +75,7 @@
     change_id = change_id or uuid.uuid4().hex
     click.echo(f"change id {change_id}", err=True)
     result = session.history.apply(
-        files, expected, ChangeId(change_id), author, note, _now_ms(), _faults
+        files, expected, ChangeId(change_id), author, note, wall_ms(), _faults
     )
     _show_revision(session, session.expect(result))
 
@@ -100,7 +101,7 @@
     change_id = change_id or uuid.uuid4().hex
     click.echo(f"change id {change_id}", err=True)
     result = session.history.rollback(
-        number, expected, ChangeId(change_id), author, note, _now_ms(), _faults
+        number, expected, ChangeId(change_id), author, note, wall_ms(), _faults
     )
     _show_revision(session, session.expect(result))
 
@@ -195,7 +196,3 @@
         "note": revision.note,
         "change_id": revision.change_id,
     }
-
-
-def _now_ms() -> int:
-    return time.time_ns() // 1_000_000
--- a/src/tanagerturn/operator/requests.py
+++ b/src/tanagerturn/operator/requests.py
@@ -4,11 +4,11 @@
 
 import dataclasses
 import getpass
-import time
 from typing import IO
 
 import click
 
+from tanagerturn.clocks import wall_ms
 from tanagerturn.coordination.groups import REQUESTS_GROUP
 from tanagerturn.coordination.ids import ProcessId
 from tanagerturn.operator.session import Session
@@ -81,7 +81,7 @@
         data = body.read() if body is not None else b""
         headers = [Header(name="Content-Type", value=content_type)]
         answer = Answer(status=status, headers=headers, body=data)
-    now_ms = time.time_ns() // 1_000_000
+    now_ms = wall_ms()
     resolved = resolve_request(_ledger(session), account, key, operator, answer, now_ms)
     session.output.show_value(session.expect(resolved))
 
--- a/src/tanagerturn/replay/target.py
+++ b/src/tanagerturn/replay/target.py
@@ -5,7 +5,6 @@
 import shutil
 import tempfile
 import threading
-import time
 import uuid
 from pathlib import Path
 from typing import TYPE_CHECKING, Final
@@ -13,6 +12,7 @@
 import xxhash
 import yaml
 
+from tanagerturn.clocks import wall_ms
 from tanagerturn.control.server import CONTROL_LEASE
 from tanagerturn.coordination.groups import CONTROL_GROUP
 from tanagerturn.coordination.ids import ChangeId
@@ -108,7 +108,7 @@
             ChangeId(uuid.uuid4().hex),
             change.author,
             "replayed",
-            time.time_ns() // 1_000_000,
+            wall_ms(),
             _faults_of,
         )
         if result.is_error():
