--- a/src/tanagerturn/entry/callers.py
+++ b/src/tanagerturn/entry/callers.py
@@ -23,6 +23,7 @@
     text_blocks,
 )
 from tanagerturn.serving.cache.prompts import prompt_text
+from tanagerturn.serving.requests.ids import KEY_LIMIT_CHARACTERS
 from tanagerturn.shared.problems import ProblemError
 from tanagerturn.shared.site import Site, find_call
 
@@ -31,7 +32,6 @@
 
     from tanagerturn.serving.cache.blocks import BlockHash
 
-KEY_LIMIT: Final = 200
 SERVICES_PATH: Final = "/services/"
 MODEL_PATHS: Final = ("/v1/completions", "/v1/chat/completions")
 HOP_BY_HOP: Final = frozenset(
@@ -287,8 +287,8 @@
     if kind == NOT_REPEATABLE and not key:
         detail = "This call may not be repeated: send an Idempotency-Key."
         raise ProblemError(400, "Idempotency-Key missing", detail)
-    if len(key) > KEY_LIMIT or not key.isprintable():
-        detail = f"Use at most {KEY_LIMIT} printable characters."
+    if len(key) > KEY_LIMIT_CHARACTERS or not key.isprintable():
+        detail = f"Use at most {KEY_LIMIT_CHARACTERS} printable characters."
         raise ProblemError(400, "Idempotency-Key not usable", detail)
     return key
 
