--- a/src/tanagerturn/clocks.py
+++ b/src/tanagerturn/clocks.py
@@ -13,3 +13,8 @@
 def monotonic_ms() -> int:
     """Return the monotonic clock in milliseconds."""
     return time.monotonic_ns() // 1_000_000
+
+
+def boot_s() -> float:
+    """Return the clock since the host's boot in seconds; it counts suspension."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/src/tanagerturn/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""One process a host that carries callers' requests on one event loop."""
--- /dev/null
+++ b/src/tanagerturn/gateway/control.py
@@ -0,0 +1,124 @@
+"""Answers backend servers that announce themselves, and operators."""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, Final
+
+from tanagerturn.clocks import boot_s
+from tanagerturn.coordination.errors import RefusedError
+from tanagerturn.gateway.logs import part_log
+from tanagerturn.gateway.messages import (
+    Announce,
+    ControlCall,
+    GetConfiguration,
+    MalformedCall,
+    PutConfiguration,
+    Withdraw,
+)
+from tanagerturn.schema import gateway_pb2 as gpb
+
+if TYPE_CHECKING:
+    from tanagerturn.gateway.configurations import Configurations
+    from tanagerturn.gateway.mesh import Mesh
+    from tanagerturn.gateway.messages import RawHeaders
+    from tanagerturn.gateway.server import Exchange
+    from tanagerturn.gateway.state import GatewayState
+
+JSON: Final[RawHeaders] = [(b"Content-Type", b"application/json")]
+
+YOUNG_S: Final = 4.0
+"""Time after its start in which a gateway may not know all backend servers yet."""
+
+log = part_log("control")
+
+
+class Control:
+    """The listener for backend servers and operators.
+
+    Args:
+        state: State of the gateway.
+        mesh: Datagrams to other gateways.
+        configurations: The way of configurations.
+        started_s: Boot clock at the start of the process.
+    """
+
+    def __init__(
+        self,
+        state: GatewayState,
+        mesh: Mesh,
+        configurations: Configurations,
+        started_s: float,
+    ) -> None:
+        self.state = state
+        """State of the gateway."""
+        self.mesh = mesh
+        """Datagrams to other gateways."""
+        self.configurations = configurations
+        """The way of configurations."""
+        self.started_s = started_s
+        """Boot clock at the start of the process."""
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one call."""
+        call = self.state.dialect.decode_control(
+            exchange.method, exchange.target, exchange.body
+        )
+        status, body = await self.answer(call)
+        await exchange.respond(status, JSON, body)
+
+    @singledispatchmethod
+    async def answer(self, call: ControlCall) -> tuple[int, bytes]:
+        """Carry a call out and return status and body of its answer."""
+        raise TypeError(f"unknown call {call!r}")
+
+    @answer.register
+    async def _(self, call: MalformedCall) -> tuple[int, bytes]:
+        log.info("call_refused", status=call.status, reason=call.reason)
+        return call.status, b"{}"
+
+    @answer.register
+    async def _(self, call: Announce) -> tuple[int, bytes]:
+        now_s = boot_s()
+        announcement = call.announcement
+        if self.state.fleet.on_announcement(announcement, now_s, heard=True):
+            log.info(
+                "backend_announced",
+                backend=announcement.id,
+                address=announcement.address,
+                service=",".join(announcement.services),
+                leaving=announcement.leaving,
+                leaving_in_ms=announcement.leaving_in_ms,
+            )
+            self.mesh.tell_news(gpb.BackendNews(announcements=[announcement]))
+        return 200, b"{}"
+
+    @answer.register
+    async def _(self, call: Withdraw) -> tuple[int, bytes]:
+        now_s = boot_s()
+        leaving_in_ms = int(self.state.settings.drain_s * 1000)
+        news = self.state.fleet.on_withdrawal(
+            call.backend_id, call.born_ms, leaving_in_ms, now_s
+        )
+        if news is not None:
+            log.info("backend_withdrawn", backend=call.backend_id)
+            self.mesh.tell_news(gpb.BackendNews(announcements=[news]))
+        elif now_s - self.started_s < YOUNG_S:
+            return 503, b"{}"
+        return 200, b"{}"
+
+    @answer.register
+    async def _(self, call: PutConfiguration) -> tuple[int, bytes]:
+        accepted = await self.configurations.put(call.document)
+        if accepted.is_ok():
+            return 200, b"{}"
+        error = accepted.error
+        return (400 if isinstance(error, RefusedError) else 503), b"{}"
+
+    @answer.register
+    async def _(self, call: GetConfiguration) -> tuple[int, bytes]:
+        newest = await self.configurations.newest()
+        if newest.is_error():
+            log.info("read_refused", reason=str(newest.error))
+            return 503, b"{}"
+        return 200, newest.ok
--- /dev/null
+++ b/src/tanagerturn/gateway/duties.py
@@ -0,0 +1,261 @@
+"""Calls to the cloud API that one gateway at a time makes: usage and capacity.
+
+The holder has a lease of the state group. The cloud API checks no fencing number
+here, so a new holder waits until the one before it can't act any more. What is
+reported is committed first: the next holder repeats it unchanged.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+import h11
+import orjson
+from expression import Error, Ok, Result
+
+from tanagerturn.clocks import boot_s
+from tanagerturn.coordination.errors import StepError, UnavailableError
+from tanagerturn.coordination.ids import ProcessId
+from tanagerturn.coordination.leases import (
+    LeaseCore,
+    LeaseStep,
+    LeaseTerms,
+    holder_id,
+    safe_to_order_at,
+)
+from tanagerturn.gateway.http1 import connect
+from tanagerturn.gateway.logs import part_log
+from tanagerturn.schema import coordination_pb2 as pb
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from tanagerturn.gateway.member import StateMember
+    from tanagerturn.gateway.messages import RawHeaders
+    from tanagerturn.gateway.replicated import ReplicatedStore
+    from tanagerturn.gateway.state import GatewayState
+    from tanagerturn.schema import gateway_pb2 as gpb
+
+LEASE_NAME: Final = "cloud-duties"
+
+LEASE_MS: Final = 2_400
+"""Duration of the lease; a renewal each 0.7 s, and a new holder soon."""
+
+CALL_TIMEOUT_S: Final = 1.5
+"""Longest time of one call to the cloud API; it may be slow."""
+
+PROPOSE_TIMEOUT_S: Final = 0.8
+"""Longest time of one commit."""
+
+TICK_S: Final = 0.2
+
+REPORT_AFTER_S: Final = 2.0
+"""Time after a window's end at which its counts are complete: requests at its end
+have begun, and all gateways have told them."""
+
+REPORT_PREFIX: Final = "usage/"
+
+REPORTS_KEPT: Final = 8
+"""Committed reports that are kept for the next holder."""
+
+log = part_log("duties")
+
+
+class Duties:
+    """Competes for the lease, and acts while it is held.
+
+    Args:
+        state: State of the gateway.
+        store: The state group.
+        member: The gateway's member; gateways without one do not compete.
+        digests: Returns the last digests of other gateways.
+    """
+
+    def __init__(
+        self,
+        state: GatewayState,
+        store: ReplicatedStore,
+        member: StateMember | None,
+        digests: Callable[[], Sequence[gpb.Digest]],
+    ) -> None:
+        self.state = state
+        """State of the gateway."""
+        self.store = store
+        """The state group."""
+        self.member = member
+        """The gateway's member."""
+        self.digests = digests
+        """Returns the last digests of other gateways."""
+        self.lease = LeaseCore(LeaseTerms(LEASE_MS))
+        """What is known about the lease."""
+        self.holder = ""
+        """Id of this start of the process."""
+        self.reported: set[int] = set()
+        """Windows whose report the cloud API has taken."""
+        self.was_holder = False
+
+    async def run(self) -> None:
+        """Act while the lease is held, until the process ends."""
+        settings = self.state.settings
+        if settings.duties is None or self.member is None:
+            return
+        started = f"{int(boot_s() * 1000):x}-{self.state.random.getrandbits(32):x}"
+        self.holder = holder_id(ProcessId(settings.host), started)
+        while True:
+            await asyncio.sleep(TICK_S)
+            try:
+                await self._step()
+            except Exception as error:
+                # The next step tries again; requests of callers go on.
+                log.error("duty_failed", reason=repr(error))
+
+    def may_act(self, now_s: float) -> bool:
+        """Whether this gateway may call the cloud API now."""
+        now_ms = int(now_s * 1000)
+        longest_ms = int(CALL_TIMEOUT_S * 1000)
+        lease = self.lease
+        duties = self.state.settings.duties
+        if duties is None or not lease.held(now_ms):
+            return False
+        wait_ms = max(int(duties.lease_s * 1000), LEASE_MS)
+        terms = LeaseTerms(wait_ms)
+        return now_ms >= safe_to_order_at(lease.granted_at_ms, terms, longest_ms)
+
+    async def _step(self) -> None:
+        if self.state.is_draining:
+            await self._release()
+            return
+        await self._keep_lease()
+        is_holder = self.lease.held(int(boot_s() * 1000))
+        if is_holder != self.was_holder:
+            self.was_holder = is_holder
+            event = "duties_taken" if is_holder else "duties_lost"
+            log.info(event, fencing_number=self.lease.fencing_number)
+        duties = self.state.settings.duties
+        if duties is not None and duties.reports_usage and self.may_act(boot_s()):
+            await self._report_usage()
+
+    async def _keep_lease(self) -> None:
+        step = self.lease.next_step(int(boot_s() * 1000))
+        if step is LeaseStep.ACQUIRE:
+            acquire = pb.LeaseAcquire(
+                name=LEASE_NAME, holder=self.holder, duration_ms=LEASE_MS
+            )
+            result = await self._propose(pb.Command(lease_acquire=acquire))
+            if result.is_ok():
+                self.lease.on_acquired(result.ok, int(boot_s() * 1000))
+        if self.lease.next_step(int(boot_s() * 1000)) is LeaseStep.RENEW:
+            sent_ms = int(boot_s() * 1000)
+            renew = pb.LeaseRenew(
+                name=LEASE_NAME, fencing_number=self.lease.fencing_number
+            )
+            result = await self._propose(pb.Command(lease_renew=renew))
+            if result.is_ok():
+                self.lease.on_renewed(result.ok, sent_ms, int(boot_s() * 1000))
+
+    async def _release(self) -> None:
+        if not self.lease.granted:
+            return
+        number = self.lease.fencing_number
+        self.lease.on_lost(int(boot_s() * 1000))
+        release = pb.LeaseRelease(name=LEASE_NAME, fencing_number=number)
+        await self._propose(pb.Command(lease_release=release))
+
+    async def _propose(
+        self, command: pb.Command
+    ) -> Result[pb.CommandResult, StepError]:
+        result = await self.store.propose(command, PROPOSE_TIMEOUT_S)
+        if result.is_error():
+            self.lease.on_no_answer(int(boot_s() * 1000))
+            log.debug("lease_not_answered", reason=str(result.error))
+        return result
+
+    async def _report_usage(self) -> None:
+        state = self.state
+        wall_s = state.wall_time.read(boot_s())
+        usage = state.usage
+        last = usage.window_at(wall_s - REPORT_AFTER_S) - 1
+        oldest = usage.window_at(wall_s - state.settings.report_due_s) - 1
+        for window in range(oldest, last + 1):
+            if window not in self.reported and usage.total(window):
+                await self._report_window(window)
+        self.reported = {window for window in self.reported if window >= oldest}
+
+    async def _report_window(self, window: int) -> None:
+        counts = await self._committed(window)
+        if counts is None or not self.may_act(boot_s()):
+            return
+        path, body = self.state.dialect.encode_usage(window, counts)
+        status = await self.call("POST", path, body)
+        if status.is_error():
+            log.info("usage_not_reported", window=window, reason=str(status.error))
+            return
+        log.info("usage_reported", window=window, status=status.ok, counts=counts)
+        if status.ok < 300 or status.ok == 409:
+            self.reported.add(window)
+
+    async def _committed(self, window: int) -> dict[str, int] | None:
+        """Return the counts that every holder reports for a window."""
+        key = f"{REPORT_PREFIX}{window:012d}"
+        counts = self.state.usage.total(window)
+        transaction = pb.Transaction(
+            puts=[pb.Put(key=key, value=orjson.dumps(counts), expected_revision=0)],
+            deletes=[pb.Delete(key=f"{REPORT_PREFIX}{window - REPORTS_KEPT:012d}")],
+            fences=[
+                pb.Fence(lease=LEASE_NAME, fencing_number=self.lease.fencing_number)
+            ],
+        )
+        result = await self._propose(pb.Command(transaction=transaction))
+        if result.is_error():
+            return None
+        status = result.ok.status
+        if status == pb.CommandResult.APPLIED:
+            return counts
+        if status == pb.CommandResult.CONFLICT and result.ok.current:
+            kept: dict[str, int] = orjson.loads(result.ok.current[0].value)
+            return kept
+        log.info("usage_not_committed", window=window, status=status)
+        return None
+
+    async def call(self, method: str, path: str, body: bytes) -> Result[int, StepError]:
+        """Make one call to the cloud API and return its status."""
+        settings = self.state.settings
+        assert settings.duties is not None
+        address = settings.duties.address
+        headers: RawHeaders = [
+            (b"Host", address.encode()),
+            (b"Content-Type", b"application/json"),
+            (b"Content-Length", str(len(body)).encode()),
+            (b"Connection", b"close"),
+            *self.state.dialect.encode_duty(settings.host, self.lease.fencing_number),
+        ]
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                return Ok(await _call(address, method, path, headers, body))
+        except (OSError, h11.RemoteProtocolError) as error:
+            reason = str(error) or "no answer in time"
+            return Error(UnavailableError("call cloud API", address, reason))
+
+
+async def _call(
+    address: str, method: str, path: str, headers: RawHeaders, body: bytes
+) -> int:
+    wire = await connect(address, CALL_TIMEOUT_S)
+    try:
+        http = h11.Connection(h11.CLIENT)
+        request = h11.Request(method=method, target=path, headers=headers)
+        head = http.send(request) or b""
+        data = http.send(h11.Data(data=body)) or b""
+        http.send(h11.EndOfMessage())
+        wire.write(head + data)
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                http.receive_data(await wire.read())
+            elif isinstance(event, h11.Response):
+                return event.status_code
+            elif not isinstance(event, h11.InformationalResponse):
+                raise ConnectionResetError("no answer before the connection ended")
+    finally:
+        wire.abort()
--- /dev/null
+++ b/src/tanagerturn/gateway/fleet.py
@@ -0,0 +1,347 @@
+"""What a gateway knows of the backend servers, from all sources together.
+
+Announcements that came to any gateway, own requests at once, requests of the
+other gateways by their digests, failures, and which prompt parts were sent where.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+import xxhash
+
+from tanagerturn.schema import gateway_pb2 as gpb
+from tanagerturn.serving.backends.messages import BackendId
+from tanagerturn.serving.backends.view import make_backend_view
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from tanagerturn.gateway.messages import LoadHint, Prompt, PromptPart, PromptPartId
+    from tanagerturn.schema import serving_pb2
+    from tanagerturn.serving.backends.backend import Backend
+    from tanagerturn.serving.backends.view import BackendView
+
+UNREACHED_S: Final = 0.4
+"""Time for which a backend server that could not be reached gets no requests; it
+doubles with each further failure."""
+
+UNREACHED_MOST_S: Final = 3.0
+"""Longest of these times; a crashed backend server is back after some seconds."""
+
+WORK_AGE_S: Final = 3.0
+"""Digests older than this say nothing about the work of their sender."""
+
+SILENT_KEEP_S: Final = 8.0
+"""Time after its last sign of life for which a backend server is still used when
+no other one is at hand; one cut off from control may still serve."""
+
+DEFAULT_KV_TOKENS: Final = 400_000
+"""Memory assumed of an engine when the configuration does not tell it."""
+
+KEPT_SHARE: Final = 0.7
+"""Part of an engine's memory expected to hold prompt parts; the rest is taken by
+running requests."""
+
+
+@dataclass(frozen=True)
+class Work:
+    """Work at one backend server."""
+
+    running: int = 0
+    """Requests in flight."""
+    prompt_tokens: int = 0
+    """Prompt tokens sent and not known to be read yet."""
+    kv_tokens: int = 0
+    """Tokens of memory that the requests in flight are expected to take."""
+
+
+NO_WORK: Final = Work()
+
+
+@dataclass
+class Sent:
+    """One own request in flight."""
+
+    sent_s: float
+    prompt_tokens: int
+    """Prompt tokens that the engine has to read for it."""
+    kv_tokens: int
+    is_read: bool = False
+    """Its first event has come."""
+
+
+@dataclass
+class BackendState:
+    """What own requests and other gateways tell of one backend server."""
+
+    sent: dict[str, Sent] = field(default_factory=dict)
+    """Own requests in flight by attempt id."""
+    others: dict[str, tuple[Work, float]] = field(default_factory=dict)
+    """Work of other gateways, and when their digest came."""
+    unreached: int = 0
+    """Failures to reach it in a row."""
+    blocked_until_s: float = 0.0
+    """It gets no requests before this time."""
+    parts: OrderedDict[PromptPartId, int] = field(default_factory=OrderedDict)
+    """Prompt parts that it was sent, with their tokens; the last used at the end."""
+    parts_tokens: int = 0
+    """Tokens of all these parts."""
+    used_s: float = -1e9
+    """When it last answered an own request."""
+    pace: float = 1.0
+    """Observed over expected time to the first event."""
+
+    def own_work(self) -> Work:
+        """Return the work of own requests."""
+        running = len(self.sent)
+        if not running:
+            return NO_WORK
+        prompt = sum(s.prompt_tokens for s in self.sent.values() if not s.is_read)
+        return Work(running, prompt, sum(s.kv_tokens for s in self.sent.values()))
+
+    def work(self, now_s: float) -> Work:
+        """Return the work of all gateways."""
+        own = self.own_work()
+        running, prompt, kv = own.running, own.prompt_tokens, own.kv_tokens
+        for work, at_s in self.others.values():
+            if now_s - at_s < WORK_AGE_S:
+                running += work.running
+                prompt += work.prompt_tokens
+                kv += work.kv_tokens
+        return Work(running, prompt, kv)
+
+    def cached_tokens(self, parts: Sequence[PromptPart]) -> int:
+        """Return the leading prompt tokens that it is expected to hold."""
+        held = 0
+        for part in parts:
+            if part.id not in self.parts:
+                break
+            held += part.tokens
+        return held
+
+    def note_parts(self, parts: Iterable[PromptPart], room_tokens: int) -> None:
+        """Note that it was sent prompt parts; the least recently used yield."""
+        for part in parts:
+            if part.id not in self.parts:
+                self.parts_tokens += part.tokens
+            self.parts[part.id] = part.tokens
+            self.parts.move_to_end(part.id)
+        while self.parts_tokens > room_tokens and self.parts:
+            _, tokens = self.parts.popitem(last=False)
+            self.parts_tokens -= tokens
+
+
+class Fleet:
+    """All backend servers, as one gateway knows them."""
+
+    def __init__(self) -> None:
+        self.view: BackendView = make_backend_view()
+        """Announced values and ejections."""
+        self.states: dict[BackendId, BackendState] = {}
+        """Requests and failures by backend server."""
+        self.heard_s: dict[BackendId, float] = {}
+        """When an announcement came to this gateway itself."""
+        self.by_hash: dict[int, BackendId] = {}
+        """Backend servers by the hash of their id."""
+        self.kv_tokens: dict[str, int] = {}
+        """Memory of one engine by service."""
+
+    def on_announcement(
+        self, announcement: serving_pb2.Announcement, now_s: float, *, heard: bool
+    ) -> bool:
+        """Take an announcement.
+
+        Args:
+            announcement: The announcement; a late one is ignored.
+            now_s: Present boot clock.
+            heard: It came from the backend server itself.
+
+        Returns:
+            Whether other gateways have to know of it at once.
+        """
+        taken = self.view.on_announcement(announcement, to_ms(now_s))
+        if taken.is_error() or not taken.ok.applied:
+            return False
+        backend_id = BackendId(announcement.id)
+        self.by_hash[backend_hash(backend_id)] = backend_id
+        if heard:
+            self.heard_s[backend_id] = now_s
+        return taken.ok.eligibility_changed
+
+    def on_withdrawal(
+        self, backend_id: BackendId, born_ms: int, leaving_in_ms: int, now_s: float
+    ) -> serving_pb2.Announcement | None:
+        """Take the word of a backend server that it ends.
+
+        Returns:
+            The announcement that tells others; None when it is not known here or
+            a later start of it is.
+        """
+        backend = self.view.backends.get(backend_id)
+        if backend is None:
+            return None
+        announced = backend.announcement
+        if born_ms and announced.born_ms and born_ms < announced.born_ms:
+            return None
+        leaving = type(announced)()
+        leaving.CopyFrom(announced)
+        leaving.leaving = True
+        leaving.leaving_in_ms = leaving_in_ms
+        leaving.sequence = announced.sequence + 1
+        self.on_announcement(leaving, now_s, heard=False)
+        return leaving
+
+    def on_heard(self, hashes: Iterable[int], now_s: float) -> None:
+        """Note that another gateway heard from backend servers itself."""
+        for number in hashes:
+            backend = self.view.backends.get(self.by_hash.get(number, BackendId("")))
+            if backend is not None:
+                backend.hear(to_ms(now_s))
+
+    def on_work(
+        self, gateway: str, work: Iterable[tuple[int, Work]], now_s: float
+    ) -> None:
+        """Take the work of another gateway out of its digest."""
+        told = {self.by_hash.get(number): each for number, each in work}
+        for backend_id, state in self.states.items():
+            if backend_id in told:
+                state.others[gateway] = (told[backend_id], now_s)
+            else:
+                state.others.pop(gateway, None)
+
+    def on_sent(
+        self, backend: Backend, attempt: str, prompt: Prompt | None, now_s: float
+    ) -> None:
+        """Count a request that is being sent."""
+        state = self.state(backend.id)
+        if prompt is None:
+            state.sent[attempt] = Sent(now_s, 0, 0)
+            return
+        cached = state.cached_tokens(prompt.parts)
+        uncached = max(0, prompt.prompt_tokens - cached)
+        output = prompt.expected_output_tokens or prompt.most_output_tokens
+        state.sent[attempt] = Sent(now_s, uncached, prompt.prompt_tokens + output)
+        room = int(KEPT_SHARE * self.room_tokens(backend))
+        state.note_parts(prompt.parts, room)
+
+    def on_first_event(self, backend_id: BackendId, attempt: str) -> None:
+        """Note that the prompt of an own request was read."""
+        sent = self.state(backend_id).sent.get(attempt)
+        if sent is not None:
+            sent.is_read = True
+
+    def on_ended(self, backend_id: BackendId, attempt: str) -> None:
+        """Take an own request off."""
+        self.state(backend_id).sent.pop(attempt, None)
+
+    def on_success(self, backend_id: BackendId, now_s: float) -> None:
+        """Note that it answered a request well."""
+        state = self.state(backend_id)
+        state.unreached = 0
+        state.blocked_until_s = 0.0
+        state.used_s = now_s
+        self.view.outliers.succeeded(backend_id, now_s)
+
+    def on_failure(self, backend: Backend, now_s: float) -> None:
+        """Note that it failed a request; several in a row eject it."""
+        peers = [b.id for b in self.view.pool(service_of(backend))]
+        self.view.outliers.failed(backend.id, peers, now_s)
+
+    def on_unreached(self, backend_id: BackendId, now_s: float) -> None:
+        """Note that no connection to it could be opened, or it fell silent."""
+        state = self.state(backend_id)
+        wait_s = min(UNREACHED_MOST_S, UNREACHED_S * 2**state.unreached)
+        state.unreached = min(state.unreached + 1, 8)
+        state.blocked_until_s = now_s + wait_s
+
+    def on_load_hint(self, backend: Backend, hint: LoadHint) -> None:
+        """Take the load that came with an answer."""
+        backend.report_load(hint.running, hint.waiting)
+
+    def expire(self, now_s: float) -> None:
+        """Forget backend servers without a sign of life."""
+        for backend in list(self.view.backends.values()):
+            seen_s = max(backend.heard_ms / 1000, self.state(backend.id).used_s)
+            if now_s - seen_s > SILENT_KEEP_S:
+                self.view.forget(backend.id)
+                self.states.pop(backend.id, None)
+                self.heard_s.pop(backend.id, None)
+                self.by_hash.pop(backend_hash(backend.id), None)
+
+    def state(self, backend_id: BackendId) -> BackendState:
+        """Return what is known of a backend server."""
+        found = self.states.get(backend_id)
+        if found is None:
+            found = self.states[backend_id] = BackendState()
+        return found
+
+    def candidates(
+        self, service: str, excluded: Iterable[BackendId], now_s: float
+    ) -> list[Backend]:
+        """Return the backend servers that may get a request now.
+
+        Those that were heard of lately and reached go first; silent ones, blocked
+        ones and ejected ones are used only while there is no other.
+        """
+        shut = frozenset(excluded)
+        able = [
+            b
+            for b in self.view.pool(service)
+            if b.id not in shut and not self.view.is_leaving(b)
+        ]
+        fresh = [b for b in able if b.alive(to_ms(now_s))] or able
+        open_ = [b for b in fresh if now_s >= self.state(b.id).blocked_until_s]
+        healthy = [b for b in open_ if not self.view.outliers.is_ejected(b.id, now_s)]
+        return healthy or open_ or fresh
+
+    def room_tokens(self, backend: Backend) -> int:
+        """Return the memory of an engine in tokens."""
+        return self.kv_tokens.get(service_of(backend)) or DEFAULT_KV_TOKENS
+
+    def registry_hash(self, now_s: float) -> int:
+        """Return a hash of what the registry holds, equal where it is equal."""
+        total = 0
+        for backend in self.view.backends.values():
+            if not backend.alive(to_ms(now_s)):
+                continue
+            told = backend.announcement
+            text = f"{told.id}|{told.born_ms}|{told.address}|{backend.leaving}"
+            total ^= xxhash.xxh64_intdigest(text.encode())
+        return total
+
+    def news(self, now_s: float) -> gpb.BackendNews:
+        """Return the last announcement of each backend server that is alive."""
+        news = gpb.BackendNews()
+        for backend in self.view.backends.values():
+            if backend.alive(to_ms(now_s)):
+                news.announcements.append(backend.announcement)
+                news.heard_ago_ms.append(max(0, to_ms(now_s) - backend.heard_ms))
+        return news
+
+    def on_news(self, news: gpb.BackendNews, now_s: float) -> bool:
+        """Take what another gateway tells; return whether anything changed."""
+        changed = False
+        ages_ms = list(news.heard_ago_ms) or [0] * len(news.announcements)
+        for announcement, ago_ms in zip(news.announcements, ages_ms, strict=True):
+            heard_s = now_s - ago_ms / 1000
+            changed |= self.on_announcement(announcement, heard_s, heard=False)
+        return changed
+
+
+def to_ms(now_s: float) -> int:
+    """Return a time in whole milliseconds."""
+    return int(now_s * 1000)
+
+
+def backend_hash(backend_id: BackendId) -> int:
+    """Return the number that stands for a backend server in digests."""
+    return xxhash.xxh64_intdigest(backend_id.encode())
+
+
+def service_of(backend: Backend) -> str:
+    """Return the service that a backend server runs."""
+    services = backend.announcement.services
+    return services[0] if services else ""
--- /dev/null
+++ b/src/tanagerturn/gateway/gateway.py
@@ -0,0 +1,362 @@
+"""Puts the parts of one gateway together and runs them on one event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from typing import TYPE_CHECKING, Final
+
+from tanagerturn.clocks import boot_s, wall_ms
+from tanagerturn.gateway.configurations import Configurations
+from tanagerturn.gateway.control import Control
+from tanagerturn.gateway.duties import Duties
+from tanagerturn.gateway.fleet import Work, backend_hash
+from tanagerturn.gateway.founding import Founding
+from tanagerturn.gateway.links import Links
+from tanagerturn.gateway.logs import part_log
+from tanagerturn.gateway.member import TICK_S as MEMBER_TICK_S
+from tanagerturn.gateway.member import StateMember
+from tanagerturn.gateway.mesh import TICK_S, Mesh
+from tanagerturn.gateway.relay import Relay
+from tanagerturn.gateway.replicated import ReplicatedStore
+from tanagerturn.gateway.server import HttpServer
+from tanagerturn.gateway.state import make_state
+from tanagerturn.schema import gateway_pb2 as gpb
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tanagerturn.gateway.configuration import IngressLimits
+    from tanagerturn.gateway.dialect import Dialect
+    from tanagerturn.gateway.server import Exchange
+    from tanagerturn.gateway.settings import GatewaySettings
+    from tanagerturn.schema import coordination_pb2 as pb
+
+HEARD_S: Final = 2.0
+"""Backend servers that were heard of within this time are told in digests."""
+
+REPAIR_S: Final = 0.15
+"""Time between looks at the members of the state group."""
+
+REGISTRY_PULL_S: Final = 0.5
+"""Time between two fetches of another gateway's backend servers."""
+
+DRAIN_LEAST_S: Final = 3.0
+"""Time for which a stopping gateway still takes connections: the balancer asks
+once a second and takes it out after two misses."""
+
+DRAIN_MARGIN_S: Final = 0.4
+"""Time before the platform's SIGKILL at which a stopping gateway ends."""
+
+SWITCH_INTERVAL_S: Final = 0.001
+"""Longest turn of a thread while another one waits."""
+
+READY_WITHOUT_GROUP_S: Final = 3.0
+"""Time after which a gateway with a configuration is ready although it could not
+confirm that it is the newest."""
+
+WINDOWS_TOLD: Final = 4
+"""Report windows in a digest: reports are made of those that ended lately."""
+
+log = part_log("gateway")
+
+
+class Gateway:
+    """One running gateway.
+
+    Args:
+        settings: Settings of the process.
+        dialect: Adapter of the platform.
+        loop: The event loop.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        dialect: Dialect,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        self.settings = settings
+        """Settings of the process."""
+        self.loop = loop
+        """The event loop."""
+        self.started_s = boot_s()
+        """Boot clock at the start."""
+        self.state = make_state(settings, dialect, self.started_s, wall_ms() / 1000)
+        """State that the parts share."""
+        self.links = Links(self.on_frame)
+        """Links to other gateways."""
+        self.member: StateMember | None = None
+        """Member of the state group, on hosts with a disk."""
+        self.mesh = Mesh(
+            settings,
+            self.state.random,
+            self._fill_digest,
+            self._on_digest,
+            self._on_news,
+            self._on_version,
+        )
+        """Datagrams to other gateways."""
+        if settings.data_folder is not None:
+            self.member = StateMember(settings, self.links, loop, self._on_batch)
+        self.store = ReplicatedStore(self.links, self.member, self._digests)
+        """Calls to the state group."""
+        self.relay = Relay(self.state)
+        """Requests of callers."""
+        self.configurations = Configurations(
+            self.state, self.store, self.links, self.mesh, self.relay.wake
+        )
+        """The way of configurations."""
+        self.control = Control(
+            self.state, self.mesh, self.configurations, self.started_s
+        )
+        """Backend servers and operators."""
+        self.duties = Duties(self.state, self.store, self.member, self._digests)
+        """Calls to the cloud API."""
+        self.callers = HttpServer(self.relay.handle, self._limits)
+        """Listener for callers."""
+        self.readiness = HttpServer(self.on_readiness, self._limits)
+        """Listener for the balancer."""
+        self.operators = HttpServer(self.control.handle, self._limits)
+        """Listener for backend servers and operators."""
+        self.founding = Founding()
+        """Founding of the state group."""
+        self.is_confirmed = False
+        """The configuration was confirmed by the state group since the start."""
+        self.registry_pulled_s = 0.0
+        self.ended = asyncio.Event()
+        """Set when the process may end."""
+
+    async def run(self) -> None:
+        """Serve until a signal ends the process."""
+        sys.setswitchinterval(SWITCH_INTERVAL_S)
+        settings = self.settings
+        await self.mesh.listen()
+        await self.links.listen(settings.link_address)
+        await self.operators.listen(settings.control_address)
+        await self.readiness.listen(settings.readiness_address)
+        await self.callers.listen(settings.callers_address)
+        self.loop.add_signal_handler(signal.SIGTERM, self.on_terminate)
+        log.info("started", host=settings.host, zone=settings.zone)
+        tasks = [
+            self.loop.create_task(self._every(TICK_S, self._tick)),
+            self.loop.create_task(self._every(MEMBER_TICK_S, self._tick_member)),
+            self.loop.create_task(self._every(REPAIR_S, self._tick_group)),
+            self.loop.create_task(self.duties.run()),
+            self.loop.create_task(self._confirm()),
+        ]
+        await self.ended.wait()
+        for task in tasks:
+            task.cancel()
+        log.info("stopped", host=settings.host, running=self.callers.running)
+
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        if self.state.is_draining or not self.state.configuration.version:
+            return False
+        young = boot_s() - self.started_s < READY_WITHOUT_GROUP_S
+        return self.is_confirmed or not young
+
+    def on_terminate(self) -> None:
+        """Begin to stop: take no new callers, and answer those that are here."""
+        if self.state.is_draining:
+            return
+        self.state.is_draining = True
+        log.info("stopping", running=self.callers.running)
+        self.callers.drain()
+        if self.member is not None:
+            self.member.hand_over()
+        self.mesh.send_digest(boot_s())
+        self.loop.create_task(self._drain())
+
+    async def on_readiness(self, exchange: Exchange) -> None:
+        """Answer the balancer."""
+        is_known = exchange.target == self.state.dialect.readiness_path
+        status = 404 if not is_known else 200 if self.is_ready() else 503
+        await exchange.respond(status, [], b"")
+
+    async def on_frame(self, frame: gpb.Frame, peer: str) -> gpb.Frame | None:
+        """Handle a frame of another gateway."""
+        kind = frame.WhichOneof("kind")
+        if kind == "log" and self.member is not None:
+            self.member.deliver(frame.log.messages)
+        elif kind == "found" and self.member is not None:
+            self.member.found()
+            return gpb.Frame(done=gpb.Done())
+        elif kind == "ask_news":
+            return gpb.Frame(news=self.state.fleet.news(boot_s()))
+        elif kind == "read" and frame.read.stale_allowed:
+            return self.configurations.serve()
+        elif kind in ("propose", "read"):
+            return await self.store.serve(frame)
+        return None
+
+    def _limits(self) -> IngressLimits:
+        return self.state.configuration.limits
+
+    def _digests(self) -> list[gpb.Digest]:
+        return self.mesh.present(boot_s())
+
+    async def _every(self, interval_s: float, tick: Callable[[], None]) -> None:
+        while True:
+            try:
+                tick()
+            except Exception as error:
+                # A fault in one tick must not end what all others depend on.
+                log.error("tick_failed", tick=tick.__name__, reason=repr(error))
+            await asyncio.sleep(interval_s)
+
+    def _tick(self) -> None:
+        now_s = boot_s()
+        self.mesh.tick(now_s)
+        self.state.set_gateways(self.mesh.count(now_s))
+        self.state.fleet.expire(now_s)
+        self.state.pool.expire(set(self.state.fleet.view.backends), now_s)
+
+    def _tick_member(self) -> None:
+        if self.member is not None:
+            self.member.tick()
+
+    def _tick_group(self) -> None:
+        now_s = boot_s()
+        digests = self._digests()
+        self.links.forget({d.link_address for d in digests} | self._member_addresses())
+        if self.member is not None:
+            self.member.repair(digests)
+        settings = self.settings
+        is_first_seed = settings.seed_ips[:1] == (settings.ip,)
+        if not settings.is_first_start or not is_first_seed or self.founding.is_over:
+            return
+        own = gpb.Digest(host=settings.host)
+        self._fill_digest(own, now_s)
+        chosen = self.founding.choose([own, *digests], settings.state_members, now_s)
+        if chosen is None:
+            return
+        if chosen.host == settings.host and self.member is not None:
+            self.member.found()
+        else:
+            self.links.to(chosen.link_address).tell(gpb.Frame(found=gpb.FoundCall()))
+
+    def _member_addresses(self) -> set[str]:
+        if self.member is None:
+            return set()
+        return set(self.member.transport.addresses.values())
+
+    def _fill_digest(self, digest: gpb.Digest, now_s: float) -> None:
+        state = self.state
+        wall_s = state.wall_time.read(now_s)
+        digest.sent_at_ms = int(wall_s * 1000)
+        digest.configuration_version = state.configuration.version
+        digest.registry_hash = state.fleet.registry_hash(now_s)
+        digest.draining = state.is_draining
+        for backend_id, heard_s in state.fleet.heard_s.items():
+            if now_s - heard_s < HEARD_S:
+                digest.heard.append(backend_hash(backend_id))
+        for backend_id, known in state.fleet.states.items():
+            work = known.own_work()
+            if work.running:
+                digest.work.add(
+                    backend=backend_hash(backend_id),
+                    running=work.running,
+                    prompt_tokens=work.prompt_tokens,
+                    kv_tokens=work.kv_tokens,
+                )
+        for name, demand_per_s in state.limits.demands(now_s):
+            digest.accounts.add(client_account=name, demand_per_s=demand_per_s)
+        first = state.usage.window_at(wall_s) - WINDOWS_TOLD
+        for number, counts in state.usage.own.items():
+            if number > first:
+                window = digest.windows.add(number=number)
+                for name, count in counts.items():
+                    window.counts.add(client_account=name, count=count)
+        member = self.member
+        if member is not None:
+            digest.member.CopyFrom(member.description)
+            digest.founded = member.is_founded
+            if member.core is not None:
+                digest.term = member.core.term
+                digest.leader_address = member.leader_address
+
+    def _on_digest(self, digest: gpb.Digest, now_s: float) -> None:
+        state = self.state
+        state.wall_time.on_heard(digest.host, digest.sent_at_ms / 1000, now_s)
+        state.fleet.on_heard(digest.heard, now_s)
+        work = [
+            (each.backend, Work(each.running, each.prompt_tokens, each.kv_tokens))
+            for each in digest.work
+        ]
+        state.fleet.on_work(digest.host, work, now_s)
+        demands = [(each.client_account, each.demand_per_s) for each in digest.accounts]
+        state.limits.on_demand(digest.host, demands, now_s)
+        start = f"{digest.host}@{digest.started_ms}"
+        for window in digest.windows:
+            counts = {each.client_account: each.count for each in window.counts}
+            state.usage.on_told(start, window.number, counts)
+        self.configurations.on_told(digest.configuration_version, digest.link_address)
+        if self.member is not None and digest.member.id:
+            # A member that was just added does not know the others otherwise.
+            self.member.transport.learn([digest.member])
+        self._compare_registries(digest, now_s)
+
+    def _compare_registries(self, digest: gpb.Digest, now_s: float) -> None:
+        if digest.registry_hash == self.state.fleet.registry_hash(now_s):
+            return
+        if now_s - self.registry_pulled_s < REGISTRY_PULL_S:
+            return
+        self.registry_pulled_s = now_s
+        self.loop.create_task(self._pull_registry(digest.link_address))
+
+    async def _pull_registry(self, address: str) -> None:
+        link = self.links.to(address)
+        answered = await link.call(gpb.Frame(ask_news=gpb.NewsCall()), REGISTRY_PULL_S)
+        if answered.is_error():
+            log.info("registry_not_fetched", peer=address, reason=str(answered.error))
+            return
+        self._on_news(answered.ok.news, boot_s())
+
+    def _on_news(self, news: gpb.BackendNews, now_s: float) -> None:
+        if self.state.fleet.on_news(news, now_s):
+            self.relay.wake()
+
+    def _on_version(self, version: int, ip: str) -> None:
+        address = f"{ip}:{self.settings.link_port}"
+        self.configurations.on_told(version, address)
+
+    def _on_batch(self, batch: pb.WatchBatch) -> None:
+        self.configurations.on_batch(batch)
+
+    async def _confirm(self) -> None:
+        """Learn the newest configuration from the state group, as soon as it can."""
+        while not self.is_confirmed:
+            self.is_confirmed = (await self.configurations.newest()).is_ok()
+            if not self.is_confirmed:
+                await asyncio.sleep(REPAIR_S)
+
+    async def _drain(self) -> None:
+        """Wait for running requests, then let the process end."""
+        begun_s = boot_s()
+        end_s = begun_s + self.settings.grace_s - DRAIN_MARGIN_S
+        while boot_s() < end_s:
+            await asyncio.sleep(TICK_S)
+            rested = boot_s() - begun_s >= DRAIN_LEAST_S
+            if rested and not self.callers.running:
+                break
+        self.mesh.leave()
+        self.callers.close()
+        self.ended.set()
+
+
+async def run_gateway(settings: GatewaySettings, dialect: Dialect) -> None:
+    """Run one gateway until a signal ends it.
+
+    Args:
+        settings: Settings of the process.
+        dialect: Adapter of the platform.
+
+    Raises:
+        OSError: An address can't be used.
+        StepError: The data folder can't be used.
+    """
+    gateway = Gateway(settings, dialect, asyncio.get_running_loop())
+    await gateway.run()
--- /dev/null
+++ b/src/tanagerturn/gateway/member.py
@@ -0,0 +1,360 @@
+"""This gateway's member of the state group, on hosts with a disk.
+
+The log, its storage and its actor are those of tanager-state; here are the way
+of its messages, how the group is founded and how lost members are replaced.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from concurrent.futures import Future
+from random import Random
+from typing import TYPE_CHECKING, Any, Final
+
+from tanagerturn.clocks import boot_s, wall_ms
+from tanagerturn.coordination.ids import ClusterId, GroupId, MemberId
+from tanagerturn.coordination.log.core import Core
+from tanagerturn.coordination.log.membership import voters
+from tanagerturn.coordination.log.ready import Options
+from tanagerturn.coordination.storage.files import DiskFiles
+from tanagerturn.coordination.storage.folder import open_folder
+from tanagerturn.gateway.logs import part_log
+from tanagerturn.schema import coordination_pb2 as pb
+from tanagerturn.schema import gateway_pb2 as gpb
+from tanagerturn.state import messages as m
+from tanagerturn.state._repair import GroupHealth, next_change
+from tanagerturn.state._watches import Watcher
+from tanagerturn.state.group import ReplicationGroup
+from tanagerturn.state.metrics import GroupMetrics
+from tanagerturn.state.writer import SnapshotWriter
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    import pykka
+    from expression import Result
+
+    from tanagerturn.coordination.errors import StepError
+    from tanagerturn.coordination.store import Store
+    from tanagerturn.gateway.links import Links
+    from tanagerturn.gateway.settings import GatewaySettings
+
+CLUSTER: Final = ClusterId("gateways")
+GROUP: Final = GroupId("gateways")
+
+HEARTBEAT_S: Final = 0.15
+"""Time between a leader's heartbeats."""
+
+ELECTION_TIMEOUT_S: Final = 0.9
+"""Shortest time without a leader before an election: six heartbeats, since a
+member shares its core with callers' requests."""
+
+TICK_S: Final = 0.075
+"""Time between ticks: half a heartbeat."""
+
+REPAIR_AFTER_S: Final = 2.5
+"""A voter that was not heard for this long is replaced; a second one may be lost
+four seconds after the first is back."""
+
+SNAPSHOT_ENTRIES: Final = 2_000
+"""Entries between two snapshots: leases are renewed about once a second."""
+
+log = part_log("member")
+
+
+class MemberClocks:
+    """Clocks of the member; suspension of the host counts as time."""
+
+    def monotonic_s(self) -> float:
+        """Return the boot clock in seconds."""
+        return boot_s()
+
+    def wall_ms(self) -> int:
+        """Return the wall clock in milliseconds."""
+        return wall_ms()
+
+
+class MemberTransport:
+    """Hands messages of the member's thread to the links of the event loop.
+
+    Args:
+        links: Links to other gateways.
+        loop: The event loop.
+    """
+
+    def __init__(self, links: Links, loop: asyncio.AbstractEventLoop) -> None:
+        self.links = links
+        """Links to other gateways."""
+        self.loop = loop
+        """The event loop."""
+        self.addresses: dict[str, str] = {}
+        """Link address by member."""
+
+    def learn(self, members: Sequence[pb.Member]) -> None:
+        """Take over the addresses of a membership."""
+        for member in members:
+            self.addresses[member.id] = member.address
+
+    def send(self, messages: Sequence[pb.LogMessage]) -> None:
+        """Send messages; those to unknown members are dropped."""
+        by_address: dict[str, list[pb.LogMessage]] = {}
+        for message in messages:
+            address = self.addresses.get(message.receiver)
+            if address is not None:
+                by_address.setdefault(address, []).append(message)
+        for address, batch in by_address.items():
+            frame = gpb.Frame(log=pb.LogMessages(messages=batch))
+            self.loop.call_soon_threadsafe(self._tell, address, frame)
+
+    def _tell(self, address: str, frame: gpb.Frame) -> None:
+        self.links.to(address).tell(frame)
+
+
+class LoopWatcher(Watcher):
+    """A watch whose batches go to the event loop.
+
+    Args:
+        prefix: Prefix of the watched keys.
+        loop: The event loop.
+        on_batch: Called on the loop with each batch.
+    """
+
+    def __init__(
+        self,
+        prefix: str,
+        loop: asyncio.AbstractEventLoop,
+        on_batch: Callable[[pb.WatchBatch], None],
+    ) -> None:
+        super().__init__(prefix, 0)
+        self.loop = loop
+        """The event loop."""
+        self.on_batch = on_batch
+        """Called with each batch."""
+
+    def offer(self, batch: pb.WatchBatch) -> None:
+        """Hand a batch on."""
+        self.revision = batch.revision
+        self.loop.call_soon_threadsafe(self.on_batch, batch)
+
+    def end(self) -> None:
+        """Note that the member does not know what is new; a new watch is added."""
+        self.is_ended = True
+
+
+class StateMember:
+    """The member of one gateway.
+
+    Args:
+        settings: Settings of the process, with a data folder.
+        links: Links to other gateways.
+        loop: The event loop.
+        on_batch: Called on the loop with each batch of committed writes.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        links: Links,
+        loop: asyncio.AbstractEventLoop,
+        on_batch: Callable[[pb.WatchBatch], None],
+    ) -> None:
+        assert settings.data_folder is not None
+        self.settings = settings
+        """Settings of the process."""
+        self.loop = loop
+        """The event loop."""
+        self.on_batch = on_batch
+        """Called with committed writes."""
+        self.transport = MemberTransport(links, loop)
+        """Way of messages."""
+        files = DiskFiles(settings.data_folder / "state")
+        self.folder = open_folder(files, CLUSTER, MemberId(settings.host))
+        """The open data folder."""
+        self.id = MemberId(f"{settings.host}-{self.folder.incarnation}")
+        """Id of the member; an emptied disk makes another member."""
+        self.actor: pykka.ActorRef[Any] | None = None
+        """The running member; None before it takes part in a group."""
+        self.core: Core | None = None
+        """Its log, to be read only."""
+        self.watcher: LoopWatcher | None = None
+        """The present watch."""
+        self.repairing: asyncio.Task[None] | None = None
+        """A member change that is under way."""
+        if self.folder.is_founded((GROUP,)):
+            self._start(pb.Membership())
+
+    @property
+    def description(self) -> pb.Member:
+        """What others need to add it."""
+        return pb.Member(
+            id=self.id,
+            address=self.settings.link_address,
+            role=pb.VOTER,
+            availability_zone=self.settings.zone,
+            incarnation=self.folder.incarnation,
+        )
+
+    @property
+    def is_founded(self) -> bool:
+        """Whether it belongs to a group."""
+        return self.core is not None and bool(self.core.log.membership.members)
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether its group has the voters that bear the stated losses."""
+        if self.core is None:
+            return False
+        return len(voters(self.core.log.membership)) >= self.settings.state_members
+
+    @property
+    def leader_address(self) -> str:
+        """Link address of the leader; empty when it is not known."""
+        if self.core is None or not self.core.leader:
+            return ""
+        return self.transport.addresses.get(self.core.leader, "")
+
+    def found(self) -> None:
+        """Found the group with this member alone; others are added after."""
+        if self.actor is None:
+            log.info("group_founded", member=self.id)
+            self._start(pb.Membership(members=[self.description]))
+
+    def deliver(self, messages: Sequence[pb.LogMessage]) -> None:
+        """Take in messages of other members."""
+        if self.actor is None:
+            if not any(message.receiver == self.id for message in messages):
+                return
+            log.info("added_to_group", member=self.id)
+            self._start(pb.Membership())
+        assert self.actor is not None
+        self.actor.tell(m.Deliver(messages))
+
+    def tick(self) -> None:
+        """Let time pass."""
+        if self.actor is None:
+            return
+        self.actor.tell(m.Tick())
+        if self.watcher is None or self.watcher.is_ended:
+            self.watcher = LoopWatcher("", self.loop, self.on_batch)
+            self.actor.tell(m.AddWatch(self.watcher))
+
+    def repair(self, digests: Sequence[gpb.Digest]) -> None:
+        """Bring the group to its voters, if this member leads it."""
+        busy = self.repairing is not None and not self.repairing.done()
+        if self.actor is not None and not busy:
+            self.repairing = self.loop.create_task(self._repair(digests))
+
+    async def propose(self, command: pb.Command) -> Result[pb.CommandResult, StepError]:
+        """Commit a command, if this member leads."""
+        answer: Future[Result[pb.CommandResult, StepError]] = Future()
+        result: Result[pb.CommandResult, StepError] = await self._ask(
+            m.Propose(command, answer), answer
+        )
+        return result
+
+    async def query(
+        self, run: Callable[[Store], Any], *, stale_allowed: bool = False
+    ) -> Result[Any, StepError]:
+        """Read the store, confirmed by a majority unless stale is allowed."""
+        answer: Future[Result[Any, StepError]] = Future()
+        result: Result[Any, StepError] = await self._ask(
+            m.Query(run, answer, stale_allowed), answer
+        )
+        return result
+
+    def hand_over(self) -> None:
+        """Hand the leadership over before the process ends."""
+        if self.actor is not None:
+            self.actor.tell(m.HandOver())
+
+    async def _ask(self, message: object, answer: Future[Any]) -> Any:
+        assert self.actor is not None
+        self.actor.tell(message)
+        return await asyncio.wrap_future(answer)
+
+    async def _repair(self, digests: Sequence[gpb.Digest]) -> None:
+        answer: Future[GroupHealth | None] = Future()
+        health = await self._ask(m.AskHealth(answer), answer)
+        if health is None:
+            return
+        health = without_replaced(health, digests)
+        spares = spare_members(health, digests)
+        wanted = self.settings.state_members
+        change = next_change(health, spares, wanted, REPAIR_AFTER_S)
+        if change is None:
+            return
+        changed: Future[Result[pb.Membership, StepError]] = Future()
+        result = await self._ask(
+            m.ChangeMember(change.action, change.member, changed), changed
+        )
+        outcome = str(result.error) if result.is_error() else "committed"
+        log.info(
+            "member_change",
+            action=change.action,
+            peer=change.member.id,
+            outcome=outcome,
+        )
+
+    def _start(self, membership: pb.Membership) -> None:
+        storage = self.folder.group(GROUP)
+        if not storage.is_founded and membership.members:
+            storage.found(membership)
+        recovered, store = storage.recover()
+        options = Options(
+            cluster=CLUSTER,
+            group=GROUP,
+            member=self.id,
+            election_timeout_s=ELECTION_TIMEOUT_S,
+            heartbeat_s=HEARTBEAT_S,
+        )
+        self.core = Core(options, recovered, Random(os.urandom(16)), boot_s())
+        self.transport.learn([self.description])
+        self.transport.learn(self.core.log.membership.members)
+        writer = SnapshotWriter.start(storage.snapshots, self._tell, end_process)
+        self.actor = ReplicationGroup.start(
+            core=self.core,
+            storage=storage,
+            store=store,
+            transport=self.transport,
+            clocks=MemberClocks(),
+            writer=writer,
+            snapshot_entries=SNAPSHOT_ENTRIES,
+            metrics=GroupMetrics(self.settings.host, GROUP),
+            on_fatal=end_process,
+        )
+
+    def _tell(self, message: object) -> None:
+        if self.actor is not None:
+            self.actor.tell(message)
+
+
+def without_replaced(health: GroupHealth, digests: Sequence[gpb.Digest]) -> GroupHealth:
+    """Return the health with voters counted lost whose host has another disk."""
+    disks = {d.member.address: d.member.id for d in digests if d.member.id}
+    unheard_s = dict(health.unheard_s)
+    for member in health.membership.members:
+        if disks.get(member.address, member.id) != member.id:
+            unheard_s[member.id] = float("inf")
+    return GroupHealth(health.membership, unheard_s, health.caught_up)
+
+
+def spare_members(
+    health: GroupHealth, digests: Sequence[gpb.Digest]
+) -> list[pb.Member]:
+    """Return members outside the group, those of the least covered zones first."""
+    known = {member.id for member in health.membership.members}
+    zones = [member.availability_zone for member in health.membership.members]
+    spares = [
+        digest.member
+        for digest in digests
+        if digest.member.id and digest.member.id not in known and not digest.draining
+    ]
+    spares.sort(key=lambda spare: (zones.count(spare.availability_zone), spare.id))
+    return spares
+
+
+def end_process(error: StepError) -> None:
+    """End at once: nothing more may be acknowledged from this disk."""
+    log.error("member_ended", reason=str(error))
+    os._exit(1)
--- /dev/null
+++ b/src/tanagerturn/platform/main.py
@@ -0,0 +1,31 @@
+"""Runs one gateway on a machine of the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import sys
+
+from tanagerturn.coordination.errors import StepError
+from tanagerturn.gateway.gateway import run_gateway
+from tanagerturn.gateway.logs import part_log, set_up_logs
+from tanagerturn.platform.dialect import PlatformDialect
+from tanagerturn.platform.settings import read_settings
+
+
+def main() -> int:
+    """Run until a signal ends the process; return its exit code."""
+    try:
+        settings = read_settings()
+        set_up_logs(settings.host)
+        # What was imported lives as long as the process.
+        gc.freeze()
+        asyncio.run(run_gateway(settings, PlatformDialect(settings.heartbeat_ms)))
+    except (StepError, OSError) as error:
+        part_log("main").error("not_started", reason=str(error))
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/tanagerturn/serving/backends/backend.py
+++ b/src/tanagerturn/serving/backends/backend.py
@@ -73,10 +73,7 @@
         """Parts of a request that it runs."""
         self.kv_free = announcement.kv_tokens * (1.0 - announcement.load.kv_used)
         """Tokens of free KV cache."""
-        self.heard_ms = now_ms
-        """When it was last heard of."""
-        self.expires_ms = now_ms + MISSED_HEARTBEATS * announcement.heartbeat_ms
-        """Unless it announces again, it is gone at this time."""
+        self.hear(now_ms)
         if announcement.leaving:
             self._leave(announcement.leaving_in_ms, now_ms)
         if announcement.load.read_at_ms > self.load_read_at_ms:
@@ -84,6 +81,14 @@
             load = announcement.load
             self.report_load(load.running, load.waiting)
 
+    def hear(self, now_ms: int) -> None:
+        """Note a sign of life."""
+        self.heard_ms = now_ms
+        """When it was last heard of."""
+        heartbeat_ms = self.announcement.heartbeat_ms
+        self.expires_ms = now_ms + MISSED_HEARTBEATS * heartbeat_ms
+        """Unless it announces again, it is gone at this time."""
+
     def report_load(self, running: int, waiting: int) -> None:
         """Take a load report, from an announcement or with an answer."""
         self.reported = running + waiting
--- a/src/tanagerturn/serving/backends/view.py
+++ b/src/tanagerturn/serving/backends/view.py
@@ -174,6 +174,10 @@
                 del self.notices[target]
         return gone
 
+    def forget(self, backend_id: BackendId) -> None:
+        """Drop a backend server that is known to be gone."""
+        self._remove(backend_id)
+
     def is_leaving(self, backend: Backend) -> bool:
         """Tell whether a backend server leaves, by either way of learning."""
         if backend.leaving or backend.id in self.notices:
@@ -242,11 +246,24 @@
         backend_id = BackendId(announcement.id)
         if announcement.incarnation in self._retired.get(backend_id, ()):
             return True
+        if self._is_older_start(announcement):
+            return True
         backend = self.backends.get(backend_id)
         if backend is None or backend.incarnation != announcement.incarnation:
             return False
         return announcement.sequence <= backend.sequence
 
+    def _is_older_start(self, announcement: serving_pb2.Announcement) -> bool:
+        """Tell whether a later start is known under the id or the address."""
+        if not announcement.born_ms:
+            return False
+        at_address = self._by_address.get(announcement.address, BackendId(""))
+        for backend_id in (BackendId(announcement.id), at_address):
+            known = self.backends.get(backend_id)
+            if known is not None and announcement.born_ms < known.announcement.born_ms:
+                return True
+        return False
+
     def _apply(self, announcement: serving_pb2.Announcement, now_ms: int) -> bool:
         backend_id = BackendId(announcement.id)
         known = self.backends.get(backend_id)
@@ -307,6 +324,8 @@
 def _differs(before: serving_pb2.Announcement, after: serving_pb2.Announcement) -> bool:
     if before.leaving != after.leaving or before.role != after.role:
         return True
+    if before.address != after.address:
+        return True
     if list(before.services) != list(after.services):
         return True
     return list(before.models) != list(after.models)
