Keep each client account's limit at one gateway; order engines by demand

One owner, found by hashing, now counts an account; parts by demand remain for when it does not answer. Ruled out: shares of the burst with debt (over the limit on ninety gateways).

--- a/src/tanagerturn/gateway/duties.py
+++ b/src/tanagerturn/gateway/duties.py
@@ -24,18 +24,22 @@
     holder_id,
     safe_to_order_at,
 )
+from tanagerturn.gateway.capacity import CapacityOrders
 from tanagerturn.gateway.http1 import connect
 from tanagerturn.gateway.logs import part_log
 from tanagerturn.schema import coordination_pb2 as pb
+from tanagerturn.serving.capacity.messages import Market
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from tanagerturn.gateway.configuration import Service
     from tanagerturn.gateway.member import StateMember
     from tanagerturn.gateway.messages import RawHeaders
     from tanagerturn.gateway.replicated import ReplicatedStore
     from tanagerturn.gateway.state import GatewayState
     from tanagerturn.schema import gateway_pb2 as gpb
+    from tanagerturn.serving.capacity.counts import CountKey
 
 LEASE_NAME: Final = "cloud-duties"
 
@@ -50,6 +54,9 @@
 
 TICK_S: Final = 0.2
 
+FIRST_NUMBER: Final = 1
+"""Fencing number of the first holder ever; none was before it."""
+
 REPORT_AFTER_S: Final = 2.0
 """Time after a window's end at which its counts are complete: requests at its end
 have begun, and all gateways have told them."""
@@ -94,6 +101,8 @@
         self.reported: set[int] = set()
         """Windows whose report the cloud API has taken."""
         self.was_holder = False
+        self.capacity = CapacityOrders(state, self._order, boot_s())
+        """Orders for backend servers."""
 
     async def run(self) -> None:
         """Act while the lease is held, until the process ends."""
@@ -118,6 +127,8 @@
         duties = self.state.settings.duties
         if duties is None or not lease.held(now_ms):
             return False
+        if lease.fencing_number == FIRST_NUMBER:
+            return True
         wait_ms = max(int(duties.lease_s * 1000), LEASE_MS)
         terms = LeaseTerms(wait_ms)
         return now_ms >= safe_to_order_at(lease.granted_at_ms, terms, longest_ms)
@@ -132,9 +143,12 @@
             self.was_holder = is_holder
             event = "duties_taken" if is_holder else "duties_lost"
             log.info(event, fencing_number=self.lease.fencing_number)
+            self.capacity.reset()
         duties = self.state.settings.duties
         if duties is not None and duties.reports_usage and self.may_act(boot_s()):
             await self._report_usage()
+        if duties is not None and duties.orders_backends and self.may_act(boot_s()):
+            await self.capacity.step(boot_s())
 
     async def _keep_lease(self) -> None:
         step = self.lease.next_step(int(boot_s() * 1000))
@@ -171,6 +185,19 @@
             log.debug("lease_not_answered", reason=str(result.error))
         return result
 
+    async def _order(self, service: Service, key: CountKey, count: int) -> int | None:
+        if not self.may_act(boot_s()):
+            return None
+        reclaimable = key.market is Market.RECLAIMABLE
+        path, body = self.state.dialect.encode_scale(
+            service.name, key.zone, count, reclaimable=reclaimable
+        )
+        status = await self.call("POST", path, body)
+        if status.is_error():
+            log.info("order_not_answered", zone=key.zone, reason=str(status.error))
+            return None
+        return status.ok
+
     async def _report_usage(self) -> None:
         state = self.state
         wall_s = state.wall_time.read(boot_s())
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -102,7 +102,7 @@
             self.member = StateMember(settings, self.links, loop, self._on_batch)
         self.store = ReplicatedStore(self.links, self.member, self._digests)
         """Calls to the state group."""
-        self.relay = Relay(self.state)
+        self.relay = Relay(self.state, self.links)
         """Requests of callers."""
         self.configurations = Configurations(
             self.state, self.store, self.links, self.mesh, self.relay.wake
@@ -186,6 +186,8 @@
             return gpb.Frame(done=gpb.Done())
         elif kind == "ask_news":
             return gpb.Frame(news=self.state.fleet.news(boot_s()))
+        elif kind == "take":
+            return self.state.limits.serve(frame.take, boot_s())
         elif kind == "read" and frame.read.stale_allowed:
             return self.configurations.serve()
         elif kind in ("propose", "read"):
@@ -210,7 +212,8 @@
     def _tick(self) -> None:
         now_s = boot_s()
         self.mesh.tick(now_s)
-        self.state.set_gateways(self.mesh.count(now_s))
+        others = {d.host: d.link_address for d in self.mesh.present(now_s)}
+        self.state.set_gateways(others, self.mesh.known(now_s), now_s)
         self.state.fleet.expire(now_s)
         self.state.pool.expire(set(self.state.fleet.view.backends), now_s)
 
@@ -262,7 +265,7 @@
                     prompt_tokens=work.prompt_tokens,
                     kv_tokens=work.kv_tokens,
                 )
-        for name, demand_per_s in state.limits.demands(now_s):
+        for name, demand_per_s in state.limits.spread.demands(now_s):
             digest.accounts.add(client_account=name, demand_per_s=demand_per_s)
         first = state.usage.window_at(wall_s) - WINDOWS_TOLD
         for number, counts in state.usage.own.items():
@@ -288,7 +291,7 @@
         ]
         state.fleet.on_work(digest.host, work, now_s)
         demands = [(each.client_account, each.demand_per_s) for each in digest.accounts]
-        state.limits.on_demand(digest.host, demands, now_s)
+        state.limits.spread.on_demand(digest.host, demands, now_s)
         start = f"{digest.host}@{digest.started_ms}"
         for window in digest.windows:
             counts = {each.client_account: each.count for each in window.counts}
--- a/src/tanagerturn/gateway/mesh.py
+++ b/src/tanagerturn/gateway/mesh.py
@@ -214,9 +214,10 @@
         keep_s = max(PEER_KEEP_S, 4 * self.digest_interval_s())
         return [p.digest for p in self.peers.values() if now_s - p.heard_s < keep_s]
 
-    def count(self, now_s: float) -> int:
-        """Return the number of gateways, this one included."""
-        return 1 + len(self.present(now_s))
+    def known(self, now_s: float) -> int:
+        """Return the number of gateways, this one and recently lost ones included."""
+        now_ms = int(now_s * 1000)
+        return sum(_is_told(m, now_ms) for m in self.core.table.members.values())
 
     def _broadcast(self, data: bytes, now_s: float) -> None:
         if len(data) > DATAGRAM_LIMIT_BYTES:
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -22,6 +22,7 @@
 
     from tanagerturn.gateway.attempt import AnswerHead
     from tanagerturn.gateway.configuration import Account, Route, ServiceName
+    from tanagerturn.gateway.links import Links
     from tanagerturn.gateway.messages import InboundRequest, RawHeaders
     from tanagerturn.gateway.server import Exchange
     from tanagerturn.gateway.state import GatewayState
@@ -149,11 +150,14 @@
 
     Args:
         state: State of the gateway.
+        links: Links to other gateways, which keep limits of client accounts.
     """
 
-    def __init__(self, state: GatewayState) -> None:
+    def __init__(self, state: GatewayState, links: Links) -> None:
         self.state = state
         """State of the gateway."""
+        self.links = links
+        """Links to other gateways."""
         self.waiters: set[asyncio.Future[None]] = set()
         """Requests that wait for a place at a backend server."""
 
@@ -161,7 +165,7 @@
         """Answer one request."""
         run: Run | None = None
         try:
-            run = self._begin(exchange)
+            run = await self._begin(exchange)
             await self._carry(run)
         except Refusal as refusal:
             await self._refuse(exchange, run, refusal)
@@ -176,7 +180,7 @@
             if not waiter.done():
                 waiter.set_result(None)
 
-    def _begin(self, exchange: Exchange) -> Run:
+    async def _begin(self, exchange: Exchange) -> Run:
         state = self.state
         configuration = state.configuration
         decoded = state.dialect.decode_request(
@@ -195,7 +199,7 @@
             account = configuration.account_for(request.key)
             if account is None:
                 raise Refusal(401, f"unknown key in {configuration.version}")
-        self._charge(request, account, exchange.arrived_s)
+        await self._charge(request, account)
         patience_s = min(
             request.patience_s if request.patience_s is not None else math.inf,
             route.timeout_s,
@@ -212,9 +216,7 @@
             StreamProgress(request.last_event_id),
         )
 
-    def _charge(
-        self, request: InboundRequest, account: Account | None, now_s: float
-    ) -> None:
+    async def _charge(self, request: InboundRequest, account: Account | None) -> None:
         if account is None:
             return
         units = 1.0
@@ -223,7 +225,7 @@
             if request.prompt is not None:
                 prompt = request.prompt
                 units = float(prompt.prompt_tokens + prompt.most_output_tokens)
-        taken = self.state.limits.take(account.name, units, now_s)
+        taken = await self.state.limits.take(account.name, units, self.links)
         if isinstance(taken, Exceeded):
             raise Refusal(429, f"over the limit of {account.name}", taken.retry_after_s)
 
--- a/src/tanagerturn/gateway/state.py
+++ b/src/tanagerturn/gateway/state.py
@@ -8,14 +8,17 @@
 
 from tanagerturn.gateway.configuration import Configuration, empty_configuration
 from tanagerturn.gateway.fleet import Fleet
+from tanagerturn.gateway.limits import AccountLimits
 from tanagerturn.gateway.logs import part_log
 from tanagerturn.gateway.pool import ConnectionPool
 from tanagerturn.gateway.usage import UsageCounts
 from tanagerturn.gateway.wall_time import WallTime
-from tanagerturn.serving.limits.spread import SpreadLimits, SpreadTerms
+from tanagerturn.serving.limits.spread import SpreadTerms
 from tanagerturn.serving.retries.window import RetryTerms, RetryWindow
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from tanagerturn.gateway.dialect import Dialect
     from tanagerturn.gateway.settings import GatewaySettings
 
@@ -30,7 +33,7 @@
     """Settings of the process."""
     dialect: Dialect
     """Adapter of the platform."""
-    limits: SpreadLimits
+    limits: AccountLimits
     """Limits of client accounts."""
     wall_time: WallTime
     """Corrected wall clock."""
@@ -81,10 +84,17 @@
         )
         return True
 
-    def set_gateways(self, count: int) -> None:
-        """Take the number of gateways that share limits and budgets."""
-        self.gateways = max(1, count)
-        self.limits.gateways = self.gateways
+    def set_gateways(self, others: Mapping[str, str], known: int, now_s: float) -> None:
+        """Take the other gateways that are present.
+
+        Args:
+            others: Their link addresses by host.
+            known: Number of all that are known, this one and lost ones included.
+            now_s: Present time.
+        """
+        self.gateways = 1 + len(others)
+        share = min(1.0, self.gateways / max(1, known))
+        self.limits.set_gateways(others, share, now_s)
 
     def retry_window(self, service: str) -> RetryWindow:
         """Return the retry budget of a service."""
@@ -112,7 +122,7 @@
     return GatewayState(
         settings=settings,
         dialect=dialect,
-        limits=SpreadLimits(settings.limit_tolerated),
+        limits=AccountLimits(settings.host, settings.limit_tolerated),
         wall_time=WallTime(now_s, wall_s),
         usage=UsageCounts(settings.report_window_s),
     )
--- /dev/null
+++ b/src/tanagerturn/serving/capacity/counts.py
@@ -0,0 +1,250 @@
+"""Numbers of backend servers to order by zone and market; pure.
+
+For clouds that take a number of backend servers for each zone and market, not
+single hosts. Answers the pattern of a zone whose reclaimable backend servers are
+all taken within seconds while no others are to be had: reclaimable ones are
+spread over all zones, one that can't be taken serves on, and what runs is given
+back only when those that replace it are ready.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+from tanagerturn.serving.capacity.messages import Market
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from tanagerturn.serving.backends.messages import AvailabilityZone
+
+ENGINE_TOKENS_PER_S: Final = 25_000.0
+"""Tokens a second that callers may ask of one engine: it reads 38 to 62 in a
+millisecond, half of them are cached, and running requests take turns with it."""
+
+SPARE_ENGINES: Final = 1
+"""Engines beyond the need, for a burst that comes within the boot time."""
+
+BASE_ENGINES: Final = 1
+"""Engines that can't be reclaimed while reclaimable ones are to be had."""
+
+FEWER_AFTER_S: Final = 10.0
+"""Time for which fewer must be enough before one is given back."""
+
+LEAST_ENGINES: Final = 3
+"""Engines for callers that come after a silence; a deployment starts like that."""
+
+DEMAND_TIME_S: Final = 5.0
+"""Time constant of the demand that engines are ordered for; what is shorter than
+a boot is met by the spare ones."""
+
+GIVE_BACK_AFTER_S: Final = 2.5
+"""Time for which enough reclaimable ones must be ready before on-demand ones are
+given back; a reclaim often follows soon after a start."""
+
+BOOT_FACTOR: Final = 1.6
+"""Multiple of the boot time after which an ordered backend server is not expected
+any more."""
+
+REFUSED_S: Final = 2.0
+"""Time for which a refused zone and market is not asked again."""
+
+
+class CountKey(NamedTuple):
+    """What an order names besides its service."""
+
+    zone: AvailabilityZone
+    """Availability zone."""
+    market: Market
+    """How the backend servers are rented."""
+
+
+@dataclass(frozen=True)
+class ZoneOffer:
+    """What may be ordered in one zone."""
+
+    zone: AvailabilityZone
+    """The zone."""
+    price: float
+    """Price of an on-demand backend server."""
+    least: int
+    """Backend servers of both markets at least."""
+    most: int
+    """Backend servers of both markets at most."""
+
+
+class CountPlanner:
+    """Plans one service.
+
+    Args:
+        boot_s: Time from an order to a backend server that is ready.
+    """
+
+    def __init__(self, boot_s: float) -> None:
+        self.boot_s = boot_s
+        """Time from an order to a backend server that is ready."""
+        self.refused_until_s: dict[CountKey, float] = {}
+        """Refused orders, and when they are tried again."""
+        self.accepted: dict[CountKey, tuple[int, float]] = {}
+        """Last accepted number by zone and market, and when it was ordered."""
+        self.smoothed = 0.0
+        """Smoothed demand in tokens a second."""
+        self.smoothed_at_s = 0.0
+        self.engines = 0
+        """Number that is held now."""
+        self.fewer_since_s: float | None = None
+        """Since when fewer would be enough."""
+        self.enough_since_s: float | None = None
+        """Since when enough reclaimable ones have been ready."""
+
+    def on_accepted(self, key: CountKey, count: int, now_s: float) -> None:
+        """Remember an order that the cloud carries out."""
+        self.accepted[key] = (count, now_s)
+        self.refused_until_s.pop(key, None)
+
+    def on_refused(self, key: CountKey, now_s: float) -> None:
+        """Remember that the cloud has none of a kind now."""
+        self.refused_until_s[key] = now_s + REFUSED_S
+        self.accepted.pop(key, None)
+
+    def plan(
+        self,
+        tokens_per_s: float,
+        offers: Sequence[ZoneOffer],
+        has_reclaimable: bool,
+        ready: Mapping[CountKey, int],
+        now_s: float,
+    ) -> dict[CountKey, int]:
+        """Return the numbers to hold.
+
+        Args:
+            tokens_per_s: What callers ask, refused requests included.
+            offers: Zones in which backend servers may be ordered, at least one.
+            has_reclaimable: Reclaimable ones are on offer.
+            ready: Backend servers that are ready and do not leave.
+            now_s: Present time.
+        """
+        smoothed = self._smooth(tokens_per_s, now_s)
+        need = self._steady(needed_engines(smoothed), now_s)
+        base = base_zone(offers, ready)
+        counts: dict[CountKey, int] = {}
+        held: Counter[AvailabilityZone] = Counter()
+        if has_reclaimable:
+            held[base] = BASE_ENGINES
+            spots = spread(need + SPARE_ENGINES - BASE_ENGINES, offers, held)
+            for offer in offers:
+                lacking = offer.least - held[offer.zone] - spots[offer.zone]
+                spots[offer.zone] += max(0, lacking)
+            counts = {CountKey(z, Market.RECLAIMABLE): n for z, n in spots.items()}
+            held.update(spots)
+        on_demand = self._on_demand(need, counts, ready, now_s)
+        order = sorted(offers, key=lambda o: _keep_rank(o, ready))
+        for offer in order:
+            key = CountKey(offer.zone, Market.ON_DEMAND)
+            # Those that run are kept before others are ordered.
+            counts[key] = min(on_demand, ready.get(key, 0))
+            on_demand -= counts[key]
+        for offer in order:
+            key = CountKey(offer.zone, Market.ON_DEMAND)
+            room = offer.most - counts.get(CountKey(offer.zone, Market.RECLAIMABLE), 0)
+            more = max(0, min(on_demand, room - counts[key]))
+            counts[key] += more
+            on_demand -= more
+        return counts
+
+    def _on_demand(
+        self,
+        need: int,
+        spots: Mapping[CountKey, int],
+        ready: Mapping[CountKey, int],
+        now_s: float,
+    ) -> int:
+        """Return the on-demand backend servers to hold."""
+        if not spots:
+            return need + SPARE_ENGINES
+        wanted = need - BASE_ENGINES
+        running = sum(min(n, ready.get(key, 0)) for key, n in spots.items())
+        coming = sum(self._expected(key, ready, now_s) for key in spots)
+        substitutes = BASE_ENGINES + max(0, wanted - coming)
+        if running < wanted:
+            self.enough_since_s = None
+        elif self.enough_since_s is None:
+            self.enough_since_s = now_s
+        held = sum(n for key, n in ready.items() if key.market is Market.ON_DEMAND)
+        steady = self.enough_since_s
+        if steady is not None and now_s - steady >= GIVE_BACK_AFTER_S:
+            return substitutes
+        return max(substitutes, held)
+
+    def _expected(
+        self, key: CountKey, ready: Mapping[CountKey, int], now_s: float
+    ) -> int:
+        """Return the backend servers of a kind that run or are about to."""
+        runs = ready.get(key, 0)
+        count, at_s = self.accepted.get(key, (0, 0.0))
+        if now_s - at_s < BOOT_FACTOR * self.boot_s:
+            return max(runs, count)
+        return runs
+
+    def _smooth(self, tokens_per_s: float, now_s: float) -> float:
+        """Return the demand over the time that an engine takes to boot and more."""
+        passed_s = max(0.0, now_s - self.smoothed_at_s)
+        weight = 1.0 - math.exp(-passed_s / DEMAND_TIME_S)
+        self.smoothed += weight * (tokens_per_s - self.smoothed)
+        self.smoothed_at_s = now_s
+        return self.smoothed
+
+    def _steady(self, engines: int, now_s: float) -> int:
+        """Return the number to hold: more at once, fewer after a steady time."""
+        if engines >= self.engines:
+            self.engines = engines
+            self.fewer_since_s = None
+        elif self.fewer_since_s is None:
+            self.fewer_since_s = now_s
+        elif now_s - self.fewer_since_s >= FEWER_AFTER_S:
+            self.engines -= 1
+            self.fewer_since_s = None
+        return self.engines
+
+
+def needed_engines(tokens_per_s: float) -> int:
+    """Return the engines that meet a demand."""
+    return max(LEAST_ENGINES, math.ceil(tokens_per_s / ENGINE_TOKENS_PER_S))
+
+
+def base_zone(
+    offers: Sequence[ZoneOffer], ready: Mapping[CountKey, int]
+) -> AvailabilityZone:
+    """Return the cheapest zone for the base, one where it runs already first."""
+    return min(offers, key=lambda offer: _keep_rank(offer, ready)).zone
+
+
+def spread(
+    count: int, offers: Sequence[ZoneOffer], held: Counter[AvailabilityZone]
+) -> Counter[AvailabilityZone]:
+    """Divide backend servers among zones, as evenly as their bounds allow.
+
+    Args:
+        count: Number to divide.
+        offers: Zones to choose from.
+        held: What is held in zones besides.
+    """
+    divided: Counter[AvailabilityZone] = Counter()
+    for _ in range(count):
+        able = [o for o in offers if divided[o.zone] + held[o.zone] < o.most]
+        if not able:
+            break
+        best = min(able, key=lambda o: (divided[o.zone], o.price, o.zone))
+        divided[best.zone] += 1
+    return divided
+
+
+def _keep_rank(
+    offer: ZoneOffer, ready: Mapping[CountKey, int]
+) -> tuple[bool, float, str]:
+    """Order zones in which on-demand backend servers are kept or ordered."""
+    runs = ready.get(CountKey(offer.zone, Market.ON_DEMAND), 0) > 0
+    return not runs, offer.price, offer.zone
--- a/src/tanagerturn/serving/limits/spread.py
+++ b/src/tanagerturn/serving/limits/spread.py
@@ -76,6 +76,14 @@
         self.demand_per_s *= math.exp(-passed_s / DEMAND_AGE_S)
         self.demand_at_s = now_s
 
+    def others_demand_per_s(self, now_s: float) -> float:
+        """Return the demand at other gateways, as heard lately."""
+        return sum(
+            demand
+            for demand, at_s in self.others.values()
+            if now_s - at_s < DEMAND_KEEP_S
+        )
+
 
 class SpreadLimits:
     """The parts of all client accounts' limits at one gateway.
@@ -136,15 +144,18 @@
                 told.append((name, account.demand_per_s))
         return told
 
+    def total_demand_per_s(self, now_s: float) -> float:
+        """Return the demand of all accounts at all gateways."""
+        total = 0.0
+        for account in self.accounts.values():
+            account.age(now_s)
+            total += account.demand_per_s + account.others_demand_per_s(now_s)
+        return total
+
     def share(self, account: AccountSpread, now_s: float) -> float:
         """Return this gateway's part of an account's limit, 0 to 1."""
         account.age(now_s)
-        others = sum(
-            demand
-            for demand, at_s in account.others.values()
-            if now_s - at_s < DEMAND_KEEP_S
-        )
-        total = account.demand_per_s + others
+        total = account.demand_per_s + account.others_demand_per_s(now_s)
         even = 1.0 / max(1, self.gateways)
         if total <= 0.0:
             return even
