Move streams off engines that are about to end

A stream is stopped and its memory copied to another engine 1.1 s before the end, and goes on there; all streams are passed on in whole events, so that both parts join.

--- a/src/tanagerturn/gateway/dialect.py
+++ b/src/tanagerturn/gateway/dialect.py
@@ -16,6 +16,7 @@
         ControlCall,
         Forwarding,
         InboundRequest,
+        KvCopy,
         RawHeaders,
     )
 
@@ -46,6 +47,16 @@
         """Return the headers of a gateway's own failure."""
         ...
 
+    def encode_move(self, attempt_id: str, target_address: str) -> tuple[str, bytes]:
+        """Return path and body of a call that stops a run and copies its memory."""
+        ...
+
+    def decode_moved(
+        self, status: int, body: bytes, source_address: str
+    ) -> Result[KvCopy, StepError]:
+        """Decode the answer to such a call."""
+        ...
+
     def decode_control(self, method: str, target: str, body: bytes) -> ControlCall:
         """Decode a call of a backend server or an operator."""
         ...
--- a/src/tanagerturn/gateway/duties.py
+++ b/src/tanagerturn/gateway/duties.py
@@ -10,12 +10,9 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
-import h11
 import orjson
-from expression import Error, Ok, Result
 
 from tanagerturn.clocks import boot_s
-from tanagerturn.coordination.errors import StepError, UnavailableError
 from tanagerturn.coordination.ids import ProcessId
 from tanagerturn.coordination.leases import (
     LeaseCore,
@@ -24,8 +21,8 @@
     holder_id,
     safe_to_order_at,
 )
+from tanagerturn.gateway.calls import call
 from tanagerturn.gateway.capacity import CapacityOrders
-from tanagerturn.gateway.http1 import connect
 from tanagerturn.gateway.logs import part_log
 from tanagerturn.schema import coordination_pb2 as pb
 from tanagerturn.serving.capacity.messages import Market
@@ -33,9 +30,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from expression import Result
+
+    from tanagerturn.coordination.errors import StepError
     from tanagerturn.gateway.configuration import Service
     from tanagerturn.gateway.member import StateMember
-    from tanagerturn.gateway.messages import RawHeaders
     from tanagerturn.gateway.replicated import ReplicatedStore
     from tanagerturn.gateway.state import GatewayState
     from tanagerturn.schema import gateway_pb2 as gpb
@@ -192,7 +191,7 @@
         path, body = self.state.dialect.encode_scale(
             service.name, key.zone, count, reclaimable=reclaimable
         )
-        status = await self.call("POST", path, body)
+        status = await self.call(path, body)
         if status.is_error():
             log.info("order_not_answered", zone=key.zone, reason=str(status.error))
             return None
@@ -214,7 +213,7 @@
         if counts is None or not self.may_act(boot_s()):
             return
         path, body = self.state.dialect.encode_usage(window, counts)
-        status = await self.call("POST", path, body)
+        status = await self.call(path, body)
         if status.is_error():
             log.info("usage_not_reported", window=window, reason=str(status.error))
             return
@@ -245,44 +244,13 @@
         log.info("usage_not_committed", window=window, status=status)
         return None
 
-    async def call(self, method: str, path: str, body: bytes) -> Result[int, StepError]:
+    async def call(self, path: str, body: bytes) -> Result[int, StepError]:
         """Make one call to the cloud API and return its status."""
         settings = self.state.settings
         assert settings.duties is not None
+        headers = self.state.dialect.encode_duty(
+            settings.host, self.lease.fencing_number
+        )
         address = settings.duties.address
-        headers: RawHeaders = [
-            (b"Host", address.encode()),
-            (b"Content-Type", b"application/json"),
-            (b"Content-Length", str(len(body)).encode()),
-            (b"Connection", b"close"),
-            *self.state.dialect.encode_duty(settings.host, self.lease.fencing_number),
-        ]
-        try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
-                return Ok(await _call(address, method, path, headers, body))
-        except (OSError, h11.RemoteProtocolError) as error:
-            reason = str(error) or "no answer in time"
-            return Error(UnavailableError("call cloud API", address, reason))
-
-
-async def _call(
-    address: str, method: str, path: str, headers: RawHeaders, body: bytes
-) -> int:
-    wire = await connect(address, CALL_TIMEOUT_S)
-    try:
-        http = h11.Connection(h11.CLIENT)
-        request = h11.Request(method=method, target=path, headers=headers)
-        head = http.send(request) or b""
-        data = http.send(h11.Data(data=body)) or b""
-        http.send(h11.EndOfMessage())
-        wire.write(head + data)
-        while True:
-            event = http.next_event()
-            if event is h11.NEED_DATA:
-                http.receive_data(await wire.read())
-            elif isinstance(event, h11.Response):
-                return event.status_code
-            elif not isinstance(event, h11.InformationalResponse):
-                raise ConnectionResetError("no answer before the connection ended")
-    finally:
-        wire.abort()
+        answered = await call(address, path, headers, body, CALL_TIMEOUT_S)
+        return answered.map(lambda answer: answer.status)
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -46,6 +46,9 @@
 """Time for which a stopping gateway still takes connections: the balancer asks
 once a second and takes it out after two misses."""
 
+FLUSH_S: Final = 0.1
+"""Time for the last bytes to leave before the process ends."""
+
 DRAIN_MARGIN_S: Final = 0.4
 """Time before the platform's SIGKILL at which a stopping gateway ends."""
 
@@ -215,6 +218,7 @@
         others = {d.host: d.link_address for d in self.mesh.present(now_s)}
         self.state.set_gateways(others, self.mesh.known(now_s), now_s)
         self.state.fleet.expire(now_s)
+        self.relay.evacuate(now_s)
         self.state.pool.expire(set(self.state.fleet.view.backends), now_s)
 
     def _tick_member(self) -> None:
@@ -340,13 +344,14 @@
         """Wait for running requests, then let the process end."""
         begun_s = boot_s()
         end_s = begun_s + self.settings.grace_s - DRAIN_MARGIN_S
-        while boot_s() < end_s:
+        while boot_s() - begun_s < DRAIN_LEAST_S:
             await asyncio.sleep(TICK_S)
-            rested = boot_s() - begun_s >= DRAIN_LEAST_S
-            if rested and not self.callers.running:
-                break
-        self.mesh.leave()
+        # Later requests could not be finished before the process is killed.
         self.callers.close()
+        while boot_s() < end_s and self.callers.running:
+            await asyncio.sleep(TICK_S)
+        self.mesh.leave()
+        await asyncio.sleep(FLUSH_S)
         self.ended.set()
 
 
--- a/src/tanagerturn/gateway/messages.py
+++ b/src/tanagerturn/gateway/messages.py
@@ -76,6 +76,16 @@
     """Headers that go on to the backend server."""
 
 
+@dataclass(frozen=True)
+class KvCopy:
+    """Memory of a run that was stopped, copied to another engine."""
+
+    source_address: str
+    """IP number and port of the engine that ran it before."""
+    handle: str
+    """Name of the copy at that engine."""
+
+
 @dataclass(frozen=True)
 class Forwarding:
     """What a gateway adds to a request for a backend server."""
@@ -90,6 +100,8 @@
     """Event after which a stream goes on."""
     engine_priority: int | None = None
     """Rank at the engine, 0 is the most urgent; None leaves it to the engine."""
+    kv_copy: KvCopy | None = None
+    """Memory of the same run from which it goes on."""
 
 
 @dataclass(frozen=True)
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -10,6 +10,7 @@
 from tanagerturn.clocks import boot_s
 from tanagerturn.gateway import placement
 from tanagerturn.gateway.attempt import AnswerBroken, BackendExchange, read_whole
+from tanagerturn.gateway.calls import call
 from tanagerturn.gateway.configuration import NO_VERSION, RequestKind, pick_target
 from tanagerturn.gateway.events import EventSplitter, StreamProgress
 from tanagerturn.gateway.failures import Ending, Sendings, Step, next_step
@@ -23,7 +24,7 @@
     from tanagerturn.gateway.attempt import AnswerHead
     from tanagerturn.gateway.configuration import Account, Route, ServiceName
     from tanagerturn.gateway.links import Links
-    from tanagerturn.gateway.messages import InboundRequest, RawHeaders
+    from tanagerturn.gateway.messages import InboundRequest, KvCopy, RawHeaders
     from tanagerturn.gateway.server import Exchange
     from tanagerturn.gateway.state import GatewayState
     from tanagerturn.serving.backends.backend import Backend
@@ -60,6 +61,13 @@
 """Time after which a waiting request looks for a place even if none was freed
 here; places are freed by other gateways, too."""
 
+MOVE_BEFORE_S: Final = 1.1
+"""Time before an engine's end at which its streams are moved: short ones have
+ended by then, and a move takes some tens of milliseconds."""
+
+MOVE_TIMEOUT_S: Final = 0.8
+"""Longest time of a move, queued behind others on the same link."""
+
 LAST_ENGINE_PRIORITY: Final = 9
 """Least urgent rank that engines know."""
 
@@ -95,7 +103,7 @@
     """A backend server sent nothing for too long."""
 
 
-@dataclass
+@dataclass(eq=False)
 class Run:
     """One request on its way."""
 
@@ -125,6 +133,10 @@
     """Its begin was counted for usage."""
     cause: str = ""
     """What the last failure was."""
+    backend: Backend | None = None
+    """Backend server that has it now."""
+    moving: asyncio.Task[Moved | None] | None = None
+    """Move to another engine that is under way."""
     failure: tuple[AnswerHead, bytes] | None = None
     """A backend server's own failure, to be passed on when nothing better comes."""
     first_event_s: float = 0.0
@@ -145,6 +157,16 @@
         return self.deadline_s - now_s
 
 
+@dataclass(frozen=True)
+class Moved:
+    """A run that goes on at another engine, from a copy of its memory."""
+
+    backend: Backend
+    """Engine that holds the copy."""
+    kv_copy: KvCopy
+    """The copy."""
+
+
 class Relay:
     """Answers requests of callers.
 
@@ -158,6 +180,8 @@
         """State of the gateway."""
         self.links = links
         """Links to other gateways."""
+        self.running: set[Run] = set()
+        """Requests at backend servers."""
         self.waiters: set[asyncio.Future[None]] = set()
         """Requests that wait for a place at a backend server."""
 
@@ -231,11 +255,15 @@
 
     async def _carry(self, run: Run) -> None:
         """Send a request until it is answered or given up."""
+        moved: Moved | None = None
         while True:
-            backend = await self._choose(run)
-            ending = await self._send(run, backend)
+            backend = moved.backend if moved else await self._choose(run)
+            ending = await self._send(run, backend, moved.kv_copy if moved else None)
             if ending is None:
                 return
+            moved = await self._moved(run)
+            if moved is not None:
+                continue
             step = self._next_step(run, ending)
             if step is not Step.TRY_ANOTHER:
                 await self._give_up(run, step)
@@ -319,7 +347,9 @@
             return Refusal(504 if run.time_left_s(now_s) <= 0 else 502, cause)
         return Refusal(503, cause, NO_BACKEND_RETRY_S)
 
-    async def _send(self, run: Run, backend: Backend) -> Ending | None:
+    async def _send(
+        self, run: Run, backend: Backend, kv_copy: KvCopy | None
+    ) -> Ending | None:
         """Send a request to one backend server; None when the caller is answered."""
         state = self.state
         now_s = boot_s()
@@ -340,8 +370,10 @@
             self._sending_ended(backend, attempt)
             raise
         exchange = BackendExchange(connection, state.dialect, attempt)
+        run.backend = backend
+        self.running.add(run)
         try:
-            return await self._exchange(run, backend, exchange)
+            return await self._exchange(run, backend, exchange, kv_copy)
         except (AnswerBroken, GoneSilent, TimeoutError) as error:
             return self._broken(run, backend, error)
         finally:
@@ -349,6 +381,8 @@
                 state.pool.give_back(connection, exchange.keep_alive_s, boot_s())
             else:
                 connection.close()
+            run.backend = None
+            self.running.discard(run)
             self._sending_ended(backend, attempt)
 
     def _sending_ended(self, backend: Backend, attempt: str) -> None:
@@ -359,6 +393,9 @@
         run.may_have_run = True
         run.cause = f"{backend.id}: {error or 'its time ended'}"
         fleet, now_s = self.state.fleet, boot_s()
+        if run.moving is not None or backend.leaving:
+            # It was told to stop the run, or ends as announced.
+            return Ending.BROKEN
         if isinstance(error, AnswerBroken):
             fleet.on_failure(backend, now_s)
             if run.route.kind is not RequestKind.STREAM:
@@ -369,7 +406,11 @@
         return Ending.BROKEN
 
     async def _exchange(
-        self, run: Run, backend: Backend, exchange: BackendExchange
+        self,
+        run: Run,
+        backend: Backend,
+        exchange: BackendExchange,
+        kv_copy: KvCopy | None,
     ) -> Ending | None:
         request, state = run.request, self.state
         forwarding = Forwarding(
@@ -378,6 +419,7 @@
             run.account.name if run.account else "",
             run.progress.last_id,
             _engine_priority(run),
+            kv_copy,
         )
         headers = state.dialect.encode_forwarding(request, forwarding, backend.address)
         exchange.send(request.method, request.target, headers, run.exchange.body)
@@ -435,7 +477,7 @@
                 is_first = False
                 self._on_first_piece(run, backend)
             data = piece
-            if run.resumable:
+            if run.request.prompt is not None:
                 try:
                     events = splitter.feed(piece)
                     data = b"".join(e.data for e in events if run.progress.accept(e))
@@ -482,6 +524,50 @@
         finally:
             waiting.cancel()
 
+    def evacuate(self, now_s: float) -> None:
+        """Move runs off engines that are about to end."""
+        for run in self.running:
+            if run.moving is None and _has_to_move(run, now_s):
+                run.moving = asyncio.create_task(self._move(run))
+
+    async def _move(self, run: Run) -> Moved | None:
+        """Stop a run at its engine and copy its memory to another one."""
+        source = run.backend
+        assert source is not None
+        target = placement.choose(
+            self.state.fleet,
+            run.service,
+            run.request.prompt,
+            run.tried,
+            self.state.settings.zone,
+            boot_s(),
+        )
+        if target is None:
+            return None
+        attempt = run.request.attempt_id
+        path, body = self.state.dialect.encode_move(attempt, target.backend.address)
+        answered = await call(source.address, path, [], body, MOVE_TIMEOUT_S)
+        moved = answered.bind(
+            lambda a: self.state.dialect.decode_moved(a.status, a.body, source.address)
+        )
+        outcome = str(moved.error) if moved.is_error() else "moved"
+        log.info(
+            "moved",
+            request=attempt,
+            source=source.id,
+            target=target.backend.id,
+            events=run.progress.count,
+            outcome=outcome,
+        )
+        return None if moved.is_error() else Moved(target.backend, moved.ok)
+
+    async def _moved(self, run: Run) -> Moved | None:
+        """Return where a run goes on after its engine stopped it."""
+        if run.moving is None:
+            return None
+        moving, run.moving = run.moving, None
+        return await moving
+
     def _has_other(self, run: Run) -> bool:
         fleet = self.state.fleet
         return bool(fleet.candidates(run.service, run.tried, boot_s()))
@@ -524,6 +610,16 @@
         )
 
 
+def _has_to_move(run: Run, now_s: float) -> bool:
+    """Tell whether a stream would be cut by the end of its engine."""
+    backend = run.backend
+    if backend is None or not backend.leaving or not run.progress.count:
+        return False
+    if run.request.prompt is None or backend.gone_at_ms is None:
+        return False
+    return now_s >= backend.gone_at_ms / 1000 - MOVE_BEFORE_S
+
+
 def _silence_s(run: Run) -> float:
     return max(SILENCE_LEAST_S, SILENCE_OBJECTIVES * run.route.objective_s)
 
--- a/src/tanagerturn/gateway/server.py
+++ b/src/tanagerturn/gateway/server.py
@@ -156,6 +156,7 @@
             await self._refuse(CallerFault(error.error_status_hint, str(error)))
         finally:
             self.wire.close()
+            self.server.connections.discard(self)
 
     async def _serve_one(self) -> bool:
         request = await self._next_head()
@@ -268,6 +269,8 @@
         """Requests that are being handled."""
         self.is_draining = False
         """Answers end their connections."""
+        self.connections: set[HttpConnection] = set()
+        """Open connections."""
         self.tasks: set[asyncio.Task[None]] = set()
         """Tasks of open connections."""
         self.listener: asyncio.Server | None = None
@@ -292,12 +295,17 @@
         self.is_draining = True
 
     def close(self) -> None:
-        """Stop accepting."""
+        """Stop accepting, and close connections without a request."""
         if self.listener is not None:
             self.listener.close()
+        for connection in list(self.connections):
+            if connection.handling is None and not connection.wire.has_unread:
+                connection.wire.close()
 
     def _accept(self, wire: Wire) -> None:
-        task = asyncio.create_task(HttpConnection(wire, self).run())
+        connection = HttpConnection(wire, self)
+        self.connections.add(connection)
+        task = asyncio.create_task(connection.run())
         self.tasks.add(task)
         task.add_done_callback(self._ended)
 
--- a/src/tanagerturn/platform/dialect.py
+++ b/src/tanagerturn/platform/dialect.py
@@ -18,6 +18,7 @@
         ControlCall,
         Forwarding,
         InboundRequest,
+        KvCopy,
         RawHeaders,
     )
 
@@ -55,6 +56,16 @@
         """Return the headers of a gateway's own failure."""
         return requests.encode_refusal(retry_after_s)
 
+    def encode_move(self, attempt_id: str, target_address: str) -> tuple[str, bytes]:
+        """Return path and body of a call that stops a run and copies its memory."""
+        return requests.encode_move(attempt_id, target_address)
+
+    def decode_moved(
+        self, status: int, body: bytes, source_address: str
+    ) -> Result[KvCopy, StepError]:
+        """Decode the answer to such a call."""
+        return requests.decode_moved(status, body, source_address)
+
     def decode_control(self, method: str, target: str, body: bytes) -> ControlCall:
         """Decode a call of an engine or an operator."""
         return control_calls.decode_control(method, target, body, self.heartbeat_ms)
--- a/src/tanagerturn/platform/requests.py
+++ b/src/tanagerturn/platform/requests.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
+import orjson
 from expression import Error, Ok, Result
 
 from tanagerturn.coordination.errors import RefusedError, StepError
@@ -12,6 +13,7 @@
     AttemptId,
     BackendReply,
     InboundRequest,
+    KvCopy,
     LoadHint,
     Prompt,
     PromptPart,
@@ -126,12 +128,35 @@
         headers.append((b"X-Tenant", forwarding.client_account.encode()))
     if forwarding.last_event_id is not None:
         headers.append((b"Last-Event-Id", str(forwarding.last_event_id).encode()))
+    if forwarding.kv_copy is not None:
+        copy = forwarding.kv_copy
+        headers.append((b"Kv-From", f"{copy.source_address}/{copy.handle}".encode()))
     if forwarding.engine_priority is not None:
         priority = str(forwarding.engine_priority).encode()
         headers.append((b"X-Request-Priority", priority))
     return headers
 
 
+def encode_move(attempt_id: str, target_address: str) -> tuple[str, bytes]:
+    """Return path and body of a call that stops a run and copies its memory."""
+    # "last" means the last copy: the run stops first.
+    body = {"id": attempt_id, "target": target_address, "last": True}
+    return "/v1/kv-move", orjson.dumps(body)
+
+
+def decode_moved(
+    status: int, body: bytes, source_address: str
+) -> Result[KvCopy, StepError]:
+    """Decode the answer to such a call."""
+    if status != 200:
+        return Error(RefusedError("move run", source_address, f"status {status}"))
+    try:
+        handle = orjson.loads(body)["handle"]
+    except (orjson.JSONDecodeError, KeyError, TypeError) as error:
+        return Error(RefusedError("move run", source_address, repr(error)))
+    return Ok(KvCopy(source_address, str(handle)))
+
+
 def decode_reply(status: int, headers: RawHeaders) -> BackendReply:
     """Decode the head of a backend server's answer."""
     fields = _fields(headers)
--- a/src/tanagerturn/serving/limits/owned.py
+++ b/src/tanagerturn/serving/limits/owned.py
@@ -28,7 +28,7 @@
 """Part of a burst that a new owner starts with; the one before it may have given
 the rest out."""
 
-DEBT_SHARE: Final = 0.2
+DEBT_SHARE: Final = 0.45
 """Part of the tolerated excess that an account may go into debt: refusing a
 request that is within the limit by another count of time costs a caller more."""
 
@@ -37,7 +37,7 @@
 """Requests that take less than this part of a second's units are small: purchases
 and lookups beside generations."""
 
-SMALL_DEBT_SHARE: Final = 0.35
+SMALL_DEBT_SHARE: Final = 0.6
 """The same debt for small requests, so that an account's large generations do not
 keep its purchases out; all small ones together are about a hundredth of the units."""
 
