Append to the log with plain writes; set damaged files aside

A plain write and a sync do the same everywhere. A member whose files are damaged all the same now sets them aside and joins as a new one, as after a lost disk, and a stalled disk holds up no caller: files are opened beside the event loop. Ruled out: torn files of a power loss, none had happened.

--- a/src/tanagerturn/coordination/storage/files.py
+++ b/src/tanagerturn/coordination/storage/files.py
@@ -5,7 +5,7 @@
 import fcntl
 import os
 from pathlib import Path
-from typing import TYPE_CHECKING, Final, Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from tanagerturn.coordination.errors import StorageError
 
@@ -13,10 +13,6 @@
     from collections.abc import Callable
 
 
-SYNCED_APPEND: Final = os.RWF_DSYNC | os.RWF_APPEND
-"""Flags of a write at the end that lasts when it returns."""
-
-
 class DiskFullError(StorageError):
     """The disk is full; nothing of the write stays."""
 
@@ -114,15 +110,9 @@
         os.fdatasync(self.descriptor)
 
     def write_synced(self, data: bytes) -> None:
-        """Add bytes and make them last.
-
-        One call: each call gives the interpreter's lock away and has to wait
-        for it again.
-        """
-        view = memoryview(data)
-        while view:
-            written = os.pwritev(self.descriptor, [view], 0, SYNCED_APPEND)
-            view = view[written:]
+        """Add bytes and make them last."""
+        self.write(data)
+        self.sync()
 
     def truncate(self, size: int) -> None:
         """Cut the file."""
--- a/src/tanagerturn/gateway/duties.py
+++ b/src/tanagerturn/gateway/duties.py
@@ -106,12 +106,14 @@
     async def run(self) -> None:
         """Act while the lease is held, until the process ends."""
         settings = self.state.settings
-        if settings.duties is None or self.member is None:
+        if settings.duties is None or settings.data_folder is None:
             return
         started = f"{int(boot_s() * 1000):x}-{self.state.random.getrandbits(32):x}"
         self.holder = holder_id(ProcessId(settings.host), started)
         while True:
             await asyncio.sleep(TICK_S)
+            if self.member is None:
+                continue
             try:
                 await self._step()
             except Exception as error:
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.clocks import boot_s, wall_ms
+from tanagerturn.coordination.errors import StepError
 from tanagerturn.gateway.configurations import Configurations
 from tanagerturn.gateway.control import Control
 from tanagerturn.gateway.duties import Duties
@@ -16,7 +17,7 @@
 from tanagerturn.gateway.links import Links
 from tanagerturn.gateway.logs import part_log
 from tanagerturn.gateway.member import TICK_S as MEMBER_TICK_S
-from tanagerturn.gateway.member import StateMember
+from tanagerturn.gateway.member import StateMember, open_member
 from tanagerturn.gateway.mesh import TICK_S, Mesh
 from tanagerturn.gateway.relay import Relay
 from tanagerturn.gateway.replicated import ReplicatedStore
@@ -42,6 +43,9 @@
 REGISTRY_PULL_S: Final = 0.5
 """Time between two fetches of another gateway's backend servers."""
 
+OPEN_AGAIN_S: Final = 0.5
+"""Time between two tries to open the data folder."""
+
 DRAIN_LEAST_S: Final = 3.0
 """Time for which a stopping gateway still takes connections: the balancer asks
 once a second and takes it out after two misses."""
@@ -101,8 +105,6 @@
             self._on_version,
         )
         """Datagrams to other gateways."""
-        if settings.data_folder is not None:
-            self.member = StateMember(settings, self.links, loop, self._on_batch)
         self.store = ReplicatedStore(self.links, self.member, self._digests)
         """Calls to the state group."""
         self.relay = Relay(self.state, self.links)
@@ -147,6 +149,7 @@
             self.loop.create_task(self._every(MEMBER_TICK_S, self._tick_member)),
             self.loop.create_task(self._every(REPAIR_S, self._tick_group)),
             self.loop.create_task(self.duties.run()),
+            self.loop.create_task(self._open_member()),
             self.loop.create_task(self._confirm()),
         ]
         await self.ended.wait()
@@ -333,6 +336,26 @@
     def _on_batch(self, batch: pb.WatchBatch) -> None:
         self.configurations.on_batch(batch)
 
+    async def _open_member(self) -> None:
+        """Open the member of the state group; a stalled disk holds nothing up."""
+        if self.settings.data_folder is None:
+            return
+        while self.member is None:
+            try:
+                member = await self.loop.run_in_executor(
+                    None,
+                    open_member,
+                    self.settings,
+                    self.links,
+                    self.loop,
+                    self._on_batch,
+                )
+            except (StepError, OSError) as error:
+                log.warning("member_not_opened", reason=str(error))
+                await asyncio.sleep(OPEN_AGAIN_S)
+            else:
+                self.member = self.store.member = self.duties.member = member
+
     async def _confirm(self) -> None:
         """Learn the newest configuration from the state group, as soon as it can."""
         while not self.is_confirmed:
--- a/src/tanagerturn/gateway/links.py
+++ b/src/tanagerturn/gateway/links.py
@@ -111,6 +111,8 @@
             return self.wire
         if self.opening is None or self.opening.done():
             self.opening = asyncio.create_task(self._open())
+            # Callers that gave up waiting leave nobody to take its error.
+            self.opening.add_done_callback(_take_error)
         return await asyncio.shield(self.opening)
 
     async def _open(self) -> Wire:
@@ -206,6 +208,11 @@
         wire.write(encode(answer))
 
 
+def _take_error(task: asyncio.Task[Wire]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        log.debug("link_not_opened", reason=str(task.exception()))
+
+
 def encode(frame: gpb.Frame) -> bytes:
     """Return a frame behind its length."""
     body = frame.SerializeToString()
--- a/src/tanagerturn/gateway/member.py
+++ b/src/tanagerturn/gateway/member.py
@@ -17,7 +17,7 @@
 from tanagerturn.coordination.log.core import Core
 from tanagerturn.coordination.log.membership import voters
 from tanagerturn.coordination.log.ready import Options
-from tanagerturn.coordination.storage.files import DiskFiles
+from tanagerturn.coordination.storage.files import DamageError, DiskFiles
 from tanagerturn.coordination.storage.folder import open_folder
 from tanagerturn.gateway.logs import part_log
 from tanagerturn.schema import coordination_pb2 as pb
@@ -43,6 +43,9 @@
 CLUSTER: Final = ClusterId("gateways")
 GROUP: Final = GroupId("gateways")
 
+STATE_FOLDER: Final = "state"
+DAMAGED_FOLDER: Final = "damaged"
+
 HEARTBEAT_S: Final = 0.15
 """Time between a leader's heartbeats."""
 
@@ -168,7 +171,7 @@
         """Called with committed writes."""
         self.transport = MemberTransport(links, loop)
         """Way of messages."""
-        files = DiskFiles(settings.data_folder / "state")
+        files = DiskFiles(settings.data_folder / STATE_FOLDER)
         self.folder = open_folder(files, CLUSTER, MemberId(settings.host))
         """The open data folder."""
         self.id = MemberId(f"{settings.host}-{self.folder.incarnation}")
@@ -181,6 +184,8 @@
         """The present watch."""
         self.repairing: asyncio.Task[None] | None = None
         """A member change that is under way."""
+        self.is_starting = False
+        """The files are being read."""
         if self.folder.is_founded((GROUP,)):
             self._start(pb.Membership())
 
@@ -218,7 +223,7 @@
         """Found the group with this member alone; others are added after."""
         if self.actor is None:
             log.info("group_founded", member=self.id)
-            self._start(pb.Membership(members=[self.description]))
+            self._begin(pb.Membership(members=[self.description]))
 
     def deliver(self, messages: Sequence[pb.LogMessage]) -> None:
         """Take in messages of other members."""
@@ -226,8 +231,8 @@
             if not any(message.receiver == self.id for message in messages):
                 return
             log.info("added_to_group", member=self.id)
-            self._start(pb.Membership())
-        assert self.actor is not None
+            self._begin(pb.Membership())
+            return
         self.actor.tell(m.Deliver(messages))
 
     def tick(self) -> None:
@@ -296,6 +301,12 @@
             outcome=outcome,
         )
 
+    def _begin(self, membership: pb.Membership) -> None:
+        """Start without waiting for the disk; messages come again meanwhile."""
+        if not self.is_starting:
+            self.is_starting = True
+            self.loop.run_in_executor(None, self._start, membership)
+
     def _start(self, membership: pb.Membership) -> None:
         storage = self.folder.group(GROUP)
         if not storage.is_founded and membership.members:
@@ -329,6 +340,31 @@
             self.actor.tell(message)
 
 
+def open_member(
+    settings: GatewaySettings,
+    links: Links,
+    loop: asyncio.AbstractEventLoop,
+    on_batch: Callable[[pb.WatchBatch], None],
+) -> StateMember:
+    """Open the member of a gateway; damaged files are set aside.
+
+    What was set aside counts as a lost disk: the member joins anew, under another
+    id, and gets the state from the others.
+
+    Raises:
+        StepError: The data folder can't be used now.
+    """
+    assert settings.data_folder is not None
+    try:
+        return StateMember(settings, links, loop, on_batch)
+    except DamageError as error:
+        folder = settings.data_folder / STATE_FOLDER
+        aside = settings.data_folder / f"{DAMAGED_FOLDER}-{wall_ms()}"
+        log.error("state_set_aside", reason=str(error), kept=str(aside))
+        folder.rename(aside)
+    return StateMember(settings, links, loop, on_batch)
+
+
 def without_replaced(health: GroupHealth, digests: Sequence[gpb.Digest]) -> GroupHealth:
     """Return the health with voters counted lost whose host has another disk."""
     disks = {d.member.address: d.member.id for d in digests if d.member.id}
--- a/src/tanagerturn/state/group.py
+++ b/src/tanagerturn/state/group.py
@@ -98,10 +98,11 @@
             self.taken = 0
             self._carry_out()
 
-    def on_failure(self, *_: object) -> None:
+    def on_failure(self, *failure: object) -> None:
         """End the process: a group that has failed must not go on."""
         group = self.host.core.options.group
-        self.on_fatal(StorageError("run group", group, "unexpected error"))
+        reason = f"unexpected error: {failure[1]!r}" if failure else "unexpected error"
+        self.on_fatal(StorageError("run group", group, reason))
 
     def on_deliver(self, message: m.Deliver) -> None:
         """Take in messages of other members."""
