--- a/src/tanagerturn/gateway/links.py
+++ b/src/tanagerturn/gateway/links.py
@@ -156,6 +156,8 @@
         """Handles a frame of another gateway."""
         self.links: dict[str, Link] = {}
         """Outgoing links by address."""
+        self.listener: asyncio.Server | None = None
+        """The listener; None before the start."""
         self.tasks: set[asyncio.Task[None]] = set()
         """Readers of incoming links and handlers of calls."""
 
@@ -166,10 +168,19 @@
             OSError: The address can't be used.
         """
         ip, _, port = address.rpartition(":")
-        await asyncio.get_running_loop().create_server(
+        self.listener = await asyncio.get_running_loop().create_server(
             lambda: Wire(self._accept), ip, int(port)
         )
 
+    def close(self) -> None:
+        """Close the listener and all links."""
+        if self.listener is not None:
+            self.listener.close()
+        for link in self.links.values():
+            link.close()
+        for task in self.tasks:
+            task.cancel()
+
     def to(self, address: str) -> Link:
         """Return the link to a gateway."""
         link = self.links.get(address)
--- a/src/tanagerturn/gateway/mesh.py
+++ b/src/tanagerturn/gateway/mesh.py
@@ -211,6 +211,12 @@
         """Tell others that this gateway ends."""
         self._send_probes(self.core.leave())
 
+    def close(self) -> None:
+        """Close the sockets."""
+        for endpoint in (self.probes, self.datagrams):
+            if endpoint.transport is not None:
+                endpoint.transport.close()
+
     def digest_interval_s(self) -> float:
         """Return the time between two digests."""
         return max(DIGEST_S, len(self.peers) / DIGEST_HOSTS_PER_S)
--- /dev/null
+++ b/tests/gateway/cluster/steps/cluster_steps.py
@@ -0,0 +1,193 @@
+"""Steps of cluster.feature: one scenario is one event loop."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given, then, when
+
+from support.gateway_cluster import Cluster
+from tanagerturn.coordination.errors import RefusedError
+from tanagerturn.gateway.messages import Announce, Withdraw
+from tanagerturn.schema import serving_pb2
+
+
+@given("{disks:d} gateways with a disk and {plain:d} without")
+def gateways(context, disks, plain):
+    context.loop = asyncio.new_event_loop()
+    context.cluster = Cluster(disks, plain)
+
+    def close():
+        context.loop.run_until_complete(context.cluster.close())
+        context.loop.close()
+
+    context.closers.append(close)
+    context.loop.run_until_complete(context.cluster.start_all())
+
+
+def run(context, coroutine):
+    return context.loop.run_until_complete(coroutine)
+
+
+def until_in_force(context, version, timeout_s):
+    cluster = context.cluster
+    run(context, cluster.until(lambda: set(cluster.versions()) == {version}, timeout_s))
+
+
+@when('version {version:d} is accepted at "{host}"')
+def accepted(context, version, host):
+    result = run(context, context.cluster.put(host, version))
+    assert result.is_ok(), result
+
+
+@when('version {version:d} is sent to "{host}"')
+def sent(context, version, host):
+    context.result = run(context, context.cluster.put(host, version))
+
+
+@then('it is in force at all of them within 2 s and read back at "{host}"')
+def in_force(context, host):
+    until_in_force(context, 5, 2.0)
+    assert run(context, context.cluster.read(host)) == 5
+
+
+@then("it is acknowledged and version 5 stays in force")
+def stays(context):
+    assert context.result.is_ok(), context.result
+    assert set(context.cluster.versions()) == {5}
+
+
+@when('versions 7 and 8 are sent at once to "{one}" and "{other}"')
+def race(context, one, other):
+    async def both():
+        cluster = context.cluster
+        return await asyncio.gather(cluster.put(one, 7), cluster.put(other, 8))
+
+    results = run(context, both())
+    assert all(result.is_ok() for result in results), results
+
+
+@then('version 8 is in force at all of them within 2 s and read back at "{host}"')
+def newest_in_force(context, host):
+    until_in_force(context, 8, 2.0)
+    assert run(context, context.cluster.read(host)) == 8
+
+
+@when('an invalid version 9 is sent to "{host}"')
+def invalid(context, host):
+    configurations = context.cluster.gateways[host].configurations
+    context.result = run(context, configurations.put(b'{"version": 9, "routes": [{}]}'))
+
+
+@then("it is refused and no version is in force")
+def refused(context):
+    assert isinstance(context.result.error, RefusedError), context.result
+    assert set(context.cluster.versions()) == {0}
+
+
+@when("version 5 is accepted at the leader, whose disk is lost at once")
+def leader_lost(context):
+    cluster = context.cluster
+
+    async def lose():
+        leader = next(
+            g
+            for g in cluster.members()
+            if g.member.leader_address == g.settings.link_address
+        )
+        host = leader.settings.host
+        context.lost = leader.member.id
+        result = await cluster.put(host, 5)
+        assert result.is_ok(), result
+        await cluster.kill(host, wipe=True)
+        await cluster.start(int(host[1:]), first=False)
+
+    run(context, lose())
+
+
+@then('version 5 is read back at "{host}" within 8 s')
+def read_back(context, host):
+    cluster = context.cluster
+
+    async def read():
+        async with asyncio.timeout(8.0):
+            while await cluster.read(host) != 5:
+                await asyncio.sleep(0.1)
+
+    run(context, read())
+
+
+@then("the group has 3 voters again, none of them with the lost disk")
+def voters_again(context):
+    def is_repaired():
+        for gateway in context.cluster.members():
+            member = gateway.member
+            if member is None or not member.is_complete:
+                continue
+            ids = {each.id for each in member.core.log.membership.members}
+            if context.lost not in ids:
+                return True
+        return False
+
+    run(context, context.cluster.until(is_repaired, 8.0))
+
+
+@when('"{host}" starts again')
+def starts_again(context, host):
+    async def again():
+        await context.cluster.kill(host)
+        await context.cluster.start(int(host[1:]), first=False)
+
+    run(context, again())
+
+
+@then("it has version 5 within 3 s")
+def has_version(context):
+    until_in_force(context, 5, 3.0)
+
+
+def announcement():
+    return serving_pb2.Announcement(
+        id="i-1",
+        address="127.0.0.1:9",
+        incarnation="b1",
+        sequence=1,
+        services=["desk"],
+        availability_zone="z1",
+        slots=6,
+        heartbeat_ms=1200,
+        born_ms=1,
+    )
+
+
+def able(context):
+    found = []
+    for gateway in context.cluster.gateways.values():
+        fleet = gateway.state.fleet
+        backend = fleet.view.backends.get("i-1")
+        found.append(backend is not None and not fleet.view.is_leaving(backend))
+    return found
+
+
+@when('a backend server announces itself to "{host}"')
+def announces(context, host):
+    control = context.cluster.gateways[host].control
+    status, _ = run(context, control.answer(Announce(announcement())))
+    assert status == 200
+
+
+@then("all of them know it within 1 s")
+def all_know(context):
+    run(context, context.cluster.until(lambda: all(able(context)), 1.0))
+
+
+@when('it withdraws at "{host}"')
+def withdraws(context, host):
+    control = context.cluster.gateways[host].control
+    status, _ = run(context, control.answer(Withdraw("i-1", 1)))
+    assert status == 200
+
+
+@then("none of them sends it requests after 1 s")
+def none_sends(context):
+    run(context, context.cluster.until(lambda: not any(able(context)), 1.0))
