--- a/tests/gateway/cluster/steps/cluster_steps.py
+++ b/tests/gateway/cluster/steps/cluster_steps.py
@@ -85,6 +85,10 @@
     assert set(context.cluster.versions()) == {0}
 
 
+def leads(gateway):
+    return gateway.member.leader_address == gateway.settings.link_address
+
+
 @when("version 5 is accepted at the leader, whose disk is lost at once")
 def leader_lost(context):
     cluster = context.cluster
