--- a/src/tanagerturn/gateway/placement.py
+++ b/src/tanagerturn/gateway/placement.py
@@ -31,6 +31,8 @@
     """The best backend server."""
     is_full: bool
     """It has no place: the request should wait."""
+    first_event_s: float = 0.0
+    """Expected time to the first event of a generation."""
 
 
 def choose(
@@ -88,7 +90,8 @@
     backend = next(backend for backend in backends if backend.id == chosen.id)
     need = prompt.prompt_tokens + output
     no_room = view.running > 0 and view.kv_tokens + need > view.room_tokens
-    return Choice(backend, view.running >= view.slots or no_room)
+    is_full = view.running >= view.slots or no_room
+    return Choice(backend, is_full, chosen.first_event_ms / 1000)
 
 
 def _view(
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -16,6 +16,7 @@
 from tanagerturn.gateway.failures import Ending, Sendings, Step, next_step
 from tanagerturn.gateway.logs import part_log
 from tanagerturn.gateway.messages import Forwarding
+from tanagerturn.serving.admission.expected import SentAway, admit
 from tanagerturn.serving.limits.spread import Exceeded
 
 if TYPE_CHECKING:
@@ -25,6 +26,7 @@
     from tanagerturn.gateway.configuration import Account, Route, ServiceName
     from tanagerturn.gateway.links import Links
     from tanagerturn.gateway.messages import InboundRequest, KvCopy, RawHeaders
+    from tanagerturn.gateway.placement import Choice
     from tanagerturn.gateway.server import Exchange
     from tanagerturn.gateway.state import GatewayState
     from tanagerturn.serving.backends.backend import Backend
@@ -54,6 +56,9 @@
 """Largest share by which a time to come back is lengthened at random, so that
 callers that were refused together do not return together."""
 
+RETURNED_SHARE: Final = 0.95
+"""A caller with less patience than this part of its route's time was here before."""
+
 PAUSE_LEAST_S: Final = 1.0
 """Silence within a stream after which it may go on elsewhere, at least."""
 
@@ -139,6 +144,8 @@
     """Move to another engine that is under way."""
     failure: tuple[AnswerHead, bytes] | None = None
     """A backend server's own failure, to be passed on when nothing better comes."""
+    expected_s: float = 0.0
+    """Expected time to the first event when it was sent last."""
     first_event_s: float = 0.0
     """Time to the first event that was passed on."""
 
@@ -327,10 +334,33 @@
             if choice is None:
                 cause = run.cause or f"no backend server of {run.service}"
                 raise self._no_place(run, cause, now_s)
+            self._send_away_if_late(run, choice, now_s)
             if not choice.is_full:
+                run.expected_s = choice.first_event_s
                 return choice.backend
             await self._wait_for_place(run, now_s)
 
+    def _send_away_if_late(self, run: Run, choice: Choice, now_s: float) -> None:
+        """Refuse a generation that was not sent yet and would be late."""
+        if run.request.prompt is None or run.sent:
+            return
+        patience_s = run.request.patience_s
+        returned = patience_s is not None and (
+            patience_s < RETURNED_SHARE * run.route.timeout_s
+        )
+        admitted = admit(
+            choice.first_event_s,
+            now_s - run.exchange.arrived_s,
+            run.route.objective_s,
+            _rank(run),
+            run.time_left_s(now_s),
+            has_returned=returned,
+        )
+        if isinstance(admitted, SentAway):
+            run.expected_s = choice.first_event_s
+            cause = f"it would be late at {choice.backend.id}"
+            raise Refusal(503, cause, admitted.retry_after_s)
+
     async def _wait_for_place(self, run: Run, now_s: float) -> None:
         waiter = asyncio.get_running_loop().create_future()
         self.waiters.add(waiter)
@@ -603,6 +633,7 @@
             backends=sorted(run.tried),
             sent=run.sent,
             events=run.progress.count,
+            expected_s=round(run.expected_s, 4),
             first_event_s=round(run.first_event_s, 4),
             taken_s=round(boot_s() - run.exchange.arrived_s, 4),
             cause=run.cause,
@@ -631,10 +662,14 @@
 def _engine_priority(run: Run) -> int | None:
     if run.request.prompt is None:
         return None
-    rank = run.route.priority
+    return min(LAST_ENGINE_PRIORITY, max(0, _rank(run)))
+
+
+def _rank(run: Run) -> int:
+    """Return the rank of a request; a client account's goes before its route's."""
     if run.account is not None and run.account.priority is not None:
-        rank = run.account.priority
-    return min(LAST_ENGINE_PRIORITY, max(0, rank))
+        return run.account.priority
+    return run.route.priority
 
 
 def _stream_headers(headers: RawHeaders) -> RawHeaders:
--- a/src/tanagerturn/platform/control_calls.py
+++ b/src/tanagerturn/platform/control_calls.py
@@ -26,9 +26,6 @@
 INSTANCES: Final = "/v1/instances/"
 CONFIG: Final = "/v1/config"
 
-LEAVES_DEFAULT_MS: Final = 2_000
-"""Time that a draining engine serves on at least, when it does not tell."""
-
 ROLES: Final = {
     "both": serving_pb2.BOTH,
     "prefill": serving_pb2.PREFILL,
@@ -37,7 +34,7 @@
 
 
 def decode_control(
-    method: str, target: str, body: bytes, heartbeat_ms: int
+    method: str, target: str, body: bytes, heartbeat_ms: int, drain_ms: int
 ) -> ControlCall:
     """Decode a call at the listener for engines and operators.
 
@@ -46,6 +43,7 @@
         target: Path and query.
         body: Whole body.
         heartbeat_ms: Time between two announcements of an engine.
+        drain_ms: Time that a draining engine serves on, when it does not tell.
     """
     path = target.partition("?")[0]
     if path == CONFIG:
@@ -56,22 +54,24 @@
         return MalformedCall(404, path)
     backend_id = unquote(path.removeprefix(INSTANCES))
     if method == "PUT":
-        return _announce(backend_id, body, heartbeat_ms)
+        return _announce(backend_id, body, heartbeat_ms, drain_ms)
     if method == "DELETE":
         return Withdraw(BackendId(backend_id), _born_ms(body))
     return MalformedCall(405, method)
 
 
-def _announce(backend_id: str, body: bytes, heartbeat_ms: int) -> ControlCall:
+def _announce(
+    backend_id: str, body: bytes, heartbeat_ms: int, drain_ms: int
+) -> ControlCall:
     try:
         told = orjson.loads(body)
-        return Announce(_announcement(backend_id, told, heartbeat_ms))
+        return Announce(_announcement(backend_id, told, heartbeat_ms, drain_ms))
     except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
         return MalformedCall(400, f"announcement of {backend_id}: {error!r}")
 
 
 def _announcement(
-    backend_id: str, told: dict[str, Any], heartbeat_ms: int
+    backend_id: str, told: dict[str, Any], heartbeat_ms: int, drain_ms: int
 ) -> serving_pb2.Announcement:
     state = told["state"]
     if state not in ("ready", "draining"):
@@ -97,7 +97,7 @@
         warmup_left_ms=_whole(told.get("warmup_left_ms", 0)),
     )
     if announcement.leaving:
-        announcement.leaving_in_ms = _whole(told.get("leaves_ms", LEAVES_DEFAULT_MS))
+        announcement.leaving_in_ms = _whole(told.get("leaves_ms", drain_ms))
     for model in told.get("models") or ():
         announcement.models.add(
             model=model["name"],
--- a/src/tanagerturn/platform/dialect.py
+++ b/src/tanagerturn/platform/dialect.py
@@ -28,13 +28,16 @@
 
     Args:
         heartbeat_ms: Time between two announcements of an engine.
+        drain_ms: Time that a draining engine serves on, when it does not tell.
     """
 
     readiness_path = "/v1/readyz"
 
-    def __init__(self, heartbeat_ms: int) -> None:
+    def __init__(self, heartbeat_ms: int, drain_ms: int = 2000) -> None:
         self.heartbeat_ms = heartbeat_ms
         """Time between two announcements of an engine."""
+        self.drain_ms = drain_ms
+        """Time that a draining engine serves on, when it does not tell."""
 
     def decode_request(
         self, method: str, target: str, headers: RawHeaders
@@ -68,7 +71,9 @@
 
     def decode_control(self, method: str, target: str, body: bytes) -> ControlCall:
         """Decode a call of an engine or an operator."""
-        return control_calls.decode_control(method, target, body, self.heartbeat_ms)
+        return control_calls.decode_control(
+            method, target, body, self.heartbeat_ms, self.drain_ms
+        )
 
     def decode_configuration(self, document: bytes) -> Result[Configuration, StepError]:
         """Check a manifest and decode it."""
--- a/src/tanagerturn/platform/main.py
+++ b/src/tanagerturn/platform/main.py
@@ -20,7 +20,7 @@
         set_up_logs(settings.host)
         # What was imported lives as long as the process.
         gc.freeze()
-        dialect = PlatformDialect(settings.heartbeat_ms)
+        dialect = PlatformDialect(settings.heartbeat_ms, int(settings.drain_s * 1000))
         asyncio.run(run_gateway(settings, dialect, read_settings))
     except (StepError, OSError) as error:
         part_log("main").error("not_started", reason=str(error))
--- a/src/tanagerturn/serving/capacity/counts.py
+++ b/src/tanagerturn/serving/capacity/counts.py
@@ -25,23 +25,30 @@
 """Tokens a second that callers may ask of one engine: it reads 38 to 62 in a
 millisecond, half of them are cached, and running requests take turns with it."""
 
-SPARE_ENGINES: Final = 1
-"""Engines beyond the need, for a burst that comes within the boot time."""
+SPARE_ENGINES: Final = 2
+"""Reclaimable engines beyond the need: a zone of them may be taken at once, and
+a burst may come within the boot time."""
+
+SPARE_ON_DEMAND: Final = 1
+"""On-demand engines beyond the need where none can be reclaimed."""
 
 BASE_ENGINES: Final = 1
 """Engines that can't be reclaimed while reclaimable ones are to be had."""
 
-FEWER_AFTER_S: Final = 10.0
+FEWER_AFTER_S: Final = 6.0
 """Time for which fewer must be enough before one is given back."""
 
-LEAST_ENGINES: Final = 3
+LEAST_ENGINES: Final = 4
 """Engines for callers that come after a silence; a deployment starts like that."""
 
-DEMAND_TIME_S: Final = 5.0
-"""Time constant of the demand that engines are ordered for; what is shorter than
-a boot is met by the spare ones."""
+RISE_TIME_S: Final = 1.5
+"""Time constant with which engines are ordered for more demand."""
+
+FALL_TIME_S: Final = 12.0
+"""Time constant with which less demand is believed; a lull of some seconds between
+bursts is shorter than a boot and a return."""
 
-GIVE_BACK_AFTER_S: Final = 2.5
+GIVE_BACK_AFTER_S: Final = 3.0
 """Time for which enough reclaimable ones must be ready before on-demand ones are
 given back; a reclaim often follows soon after a start."""
 
@@ -147,11 +154,15 @@
                 spots[offer.zone] += max(0, lacking)
             counts = {CountKey(z, Market.RECLAIMABLE): n for z, n in spots.items()}
         on_demand = self._on_demand(need, counts, ready, now_s)
-        order = sorted(offers, key=lambda o: _keep_rank(o, ready))
+        expected = {
+            key: self._expected(key, ready, now_s)
+            for key in (CountKey(o.zone, Market.ON_DEMAND) for o in offers)
+        }
+        order = sorted(offers, key=lambda o: _keep_rank(o, expected))
         for offer in order:
             key = CountKey(offer.zone, Market.ON_DEMAND)
-            # Those that run are kept before others are ordered.
-            counts[key] = min(on_demand, ready.get(key, 0))
+            # Those that run or boot are kept before others are ordered.
+            counts[key] = min(on_demand, self._expected(key, ready, now_s))
             on_demand -= counts[key]
         for offer in order:
             key = CountKey(offer.zone, Market.ON_DEMAND)
@@ -170,7 +181,7 @@
     ) -> int:
         """Return the on-demand backend servers to hold."""
         if not spots:
-            return need + SPARE_ENGINES
+            return need + SPARE_ON_DEMAND
         wanted = need - BASE_ENGINES
         running = sum(min(n, ready.get(key, 0)) for key, n in spots.items())
         coming = sum(self._expected(key, ready, now_s) for key in spots)
@@ -179,7 +190,12 @@
             self.enough_since_s = None
         elif self.enough_since_s is None:
             self.enough_since_s = now_s
-        held = sum(n for key, n in ready.items() if key.market is Market.ON_DEMAND)
+        kinds = {*ready, *self.accepted}
+        held = sum(
+            self._expected(key, ready, now_s)
+            for key in kinds
+            if key.market is Market.ON_DEMAND
+        )
         steady = self.enough_since_s
         if steady is not None and now_s - steady >= GIVE_BACK_AFTER_S:
             return substitutes
@@ -198,7 +214,8 @@
     def _smooth(self, tokens_per_s: float, now_s: float) -> float:
         """Return the demand over the time that an engine takes to boot and more."""
         passed_s = max(0.0, now_s - self.smoothed_at_s)
-        weight = 1.0 - math.exp(-passed_s / DEMAND_TIME_S)
+        time_s = RISE_TIME_S if tokens_per_s > self.smoothed else FALL_TIME_S
+        weight = 1.0 - math.exp(-passed_s / time_s)
         self.smoothed += weight * (tokens_per_s - self.smoothed)
         self.smoothed_at_s = now_s
         return self.smoothed
