--- a/src/tanagerturn/coordination/membership/core.py
+++ b/src/tanagerturn/coordination/membership/core.py
@@ -381,10 +381,13 @@
         self.next_seed_ms = now_ms + round(wait_ms)
         present = {m.info.address for m in self.table.present()}
         seeds = [s for s in self.config.seeds if s not in present]
-        if seeds:
+        if seeds and self.table.present_count > 1:
+            seeds = [self.random.choice(seeds)]
+        # A process that knows nobody asks all: some of them may be down.
+        for seed in seeds:
             ping = mpb.Ping(sequence=self._next_sequence())
             packet = mpb.Packet(ping=ping)
-            self.sender.send(self.random.choice(seeds), packet, [self.me])
+            self.sender.send(seed, packet, [self.me])
         dead = [m for m in self.table.members.values() if m.health == mpb.DEAD]
         # All processes together try each dead one a few times an interval.
         if self.random.random() * self.table.present_count < 3 * len(dead):
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -23,6 +23,11 @@
 from tanagerturn.gateway.replicated import ReplicatedStore
 from tanagerturn.gateway.server import HttpServer
 from tanagerturn.gateway.state import make_state
+from tanagerturn.gateway.warm_start import (
+    aged_backends,
+    read_warm_start,
+    write_warm_start,
+)
 from tanagerturn.schema import gateway_pb2 as gpb
 
 if TYPE_CHECKING:
@@ -63,6 +68,9 @@
 """Time after which a gateway with a configuration is ready although it could not
 confirm that it is the newest."""
 
+REMEMBER_S: Final = 1.0
+"""Time between two writes of what the next start needs."""
+
 RELOAD_S: Final = 2.0
 """Time between two looks at the settings file."""
 
@@ -138,6 +146,8 @@
         """Listener for metrics."""
         self.founding = Founding()
         """Founding of the state group."""
+        self.remembering: asyncio.Future[None] | None = None
+        """Write of what the next start needs that is under way."""
         self.seed_ips = settings.seed_ips
         """Seeds in force."""
         self.is_confirmed = False
@@ -150,6 +160,7 @@
         """Serve until a signal ends the process."""
         sys.setswitchinterval(SWITCH_INTERVAL_S)
         settings = self.settings
+        self.recall()
         await self.mesh.listen()
         await self.links.listen(settings.link_address)
         await self.operators.listen(settings.control_address)
@@ -166,6 +177,7 @@
             self.loop.create_task(self._every(REPAIR_S, self._tick_group)),
             # The file may change without a signal.
             self.loop.create_task(self._every(RELOAD_S, self.on_reload)),
+            self.loop.create_task(self._every(REMEMBER_S, self.remember)),
             self.loop.create_task(self.duties.run()),
             self.loop.create_task(self._open_member()),
             self.loop.create_task(self._confirm()),
@@ -194,6 +206,33 @@
         self.mesh.send_digest(boot_s())
         self.loop.create_task(self._drain())
 
+    def recall(self) -> None:
+        """Take over what was remembered before a restart."""
+        if self.settings.data_folder is None:
+            return
+        warm = read_warm_start(self.settings.data_folder)
+        self.mesh.set_seeds([*self.seed_ips, *warm.gateway_ips])
+        if warm.configuration.version:
+            self.configurations.adopt_stored(warm.configuration)
+        self.state.fleet.on_news(aged_backends(warm, wall_ms()), boot_s())
+
+    def remember(self) -> None:
+        """Write what the next start needs, beside the event loop."""
+        folder = self.settings.data_folder
+        is_busy = self.remembering is not None and not self.remembering.done()
+        if folder is None or is_busy or not self.state.configuration.version:
+            return
+        now_s = boot_s()
+        warm = gpb.WarmStart(
+            written_at_ms=wall_ms(),
+            configuration=self.configurations.stored,
+            backends=self.state.fleet.news(now_s),
+            gateway_ips=[_ip_of(d.link_address) for d in self.mesh.present(now_s)],
+        )
+        writing = self.loop.run_in_executor(None, write_warm_start, folder, warm)
+        writing.add_done_callback(_log_not_remembered)
+        self.remembering = writing
+
     def on_reload(self) -> None:
         """Take over settings that may change while the process runs: the seeds."""
         try:
@@ -421,6 +460,15 @@
         self.ended.set()
 
 
+def _ip_of(address: str) -> str:
+    return address.rpartition(":")[0]
+
+
+def _log_not_remembered(writing: asyncio.Future[None]) -> None:
+    if not writing.cancelled() and writing.exception() is not None:
+        log.info("not_remembered", reason=str(writing.exception()))
+
+
 async def run_gateway(
     settings: GatewaySettings,
     dialect: Dialect,
--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -61,6 +61,8 @@
     "usage_not_committed": "The counts of a report were not committed.",
     "order_not_answered": "An order for backend servers had no answer.",
     # The process
+    "not_remembered": "The disk did not take what the next start needs.",
+    "warm_start_unreadable": "What was remembered before the start is damaged.",
     "started": "The process listens.",
     "not_started": "The process can't start.",
     "stopping": "The process was told to stop.",
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -412,7 +412,7 @@
             )
         except OSError as error:
             run.unreached += 1
-            run.cause = f"{backend.id} not reached: {error or 'timeout'}"
+            run.cause = f"{backend.id} not reached: {str(error) or 'timeout'}"
             state.fleet.on_unreached(backend.id, boot_s())
             self._sending_ended(backend, attempt)
             return Ending.NOT_SENT
@@ -441,7 +441,7 @@
 
     def _broken(self, run: Run, backend: Backend, error: Exception) -> Ending:
         run.may_have_run = True
-        run.cause = f"{backend.id}: {error or 'its time ended'}"
+        run.cause = f"{backend.id}: {str(error) or 'the time of the request ended'}"
         fleet, now_s = self.state.fleet, boot_s()
         if run.moving is not None or backend.leaving:
             # It was told to stop the run, or ends as announced.
--- a/tests/gateway/cluster/cluster.feature
+++ b/tests/gateway/cluster/cluster.feature
@@ -27,6 +27,13 @@
     And "g6" starts again
     Then it has version 5 within 3 s
 
+  Scenario: All gateways are killed at once and serve again before a leader is known
+    Given 4 gateways with a disk and 2 without
+    When version 5 is accepted at "g1"
+    And a backend server announces itself to "g6"
+    And all are killed after 2 s and start again without a majority
+    Then version 5 and the backend server are known at all of them within 2 s
+
   Scenario: Backend servers told to one gateway are known at all, leaving ones too
     Given 4 gateways with a disk and 2 without
     When a backend server announces itself to "g6"
--- a/tests/gateway/cluster/steps/cluster_steps.py
+++ b/tests/gateway/cluster/steps/cluster_steps.py
@@ -195,3 +195,26 @@
 @then("none of them sends it requests after 1 s")
 def none_sends(context):
     run(context, context.cluster.until(lambda: not any(able(context)), 1.0))
+
+
+@when("all are killed after 2 s and start again without a majority")
+def all_killed(context):
+    async def again():
+        cluster = context.cluster
+        await asyncio.sleep(2.0)
+        for host in list(cluster.gateways):
+            await cluster.kill(host)
+        for number in (1, 5, 6):
+            await cluster.start(number, first=False)
+
+    run(context, again())
+
+
+@then("version 5 and the backend server are known at all of them within 2 s")
+def known_again(context):
+    cluster = context.cluster
+
+    def is_known():
+        return set(cluster.versions()) == {5} and all(able(context))
+
+    run(context, cluster.until(is_known, 2.0))
--- a/tests/gateway/decisions/decisions.feature
+++ b/tests/gateway/decisions/decisions.feature
@@ -65,6 +65,11 @@
     When another gateway tells of 5 requests at one of them
     Then 5 requests run there, and none after 4 s
 
+  Scenario: What a gateway remembers is read back whole, or not at all
+    Given a data folder with a remembered configuration and 3 backend servers
+    Then they are read back, and the backend servers as long as they are recent
+    And a file that is cut or changed anywhere is read as nothing
+
   Scenario: Log lines stay within their budget, failures first
     Given a log budget that chatter has used up
     Then failures are still logged, and lines that were dropped are counted
--- a/tests/gateway/decisions/steps/decisions_steps.py
+++ b/tests/gateway/decisions/steps/decisions_steps.py
@@ -4,7 +4,10 @@
 
 import itertools
 import os
+import shutil
+import tempfile
 import time
+from pathlib import Path
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -21,6 +24,11 @@
 from tanagerturn.gateway.member import spare_members, without_replaced
 from tanagerturn.gateway.usage import UsageCounts
 from tanagerturn.gateway.wall_time import WallTime
+from tanagerturn.gateway.warm_start import (
+    aged_backends,
+    read_warm_start,
+    write_warm_start,
+)
 from tanagerturn.schema import coordination_pb2 as pb
 from tanagerturn.schema import gateway_pb2 as gpb
 from tanagerturn.schema import serving_pb2
@@ -330,3 +338,44 @@
 def did_not_wait(context):
     assert context.took_s < 1.0, context.took_s
     assert context.writer.budget.dropped > 0
+
+
+@given("a data folder with a remembered configuration and 3 backend servers")
+def remembered(context):
+    context.folder = Path(tempfile.mkdtemp())
+    context.closers.append(lambda: shutil.rmtree(context.folder))
+    context.warm = gpb.WarmStart(
+        written_at_ms=1000,
+        configuration=gpb.StoredConfiguration(version=7, document=b"d"),
+        backends=gpb.BackendNews(
+            announcements=[announcement(n) for n in (1, 2, 3)],
+            heard_ago_ms=[0, 100, 7500],
+        ),
+    )
+    write_warm_start(context.folder, context.warm)
+
+
+@then("they are read back, and the backend servers as long as they are recent")
+def read_back(context):
+    warm = read_warm_start(context.folder)
+    assert warm == context.warm
+    ids = [each.id for each in aged_backends(warm, 2000).announcements]
+    assert ids == ["i-1", "i-2"], ids
+    assert list(aged_backends(warm, 2000).heard_ago_ms) == [1000, 1100]
+    assert not aged_backends(warm, 20_000).announcements
+    assert not aged_backends(warm, 0).announcements
+
+
+@then("a file that is cut or changed anywhere is read as nothing")
+def damaged(context):
+    path = context.folder / "warm-start"
+    whole = path.read_bytes()
+
+    @for_all(st.integers(0, len(whole) - 1), st.booleans())
+    def check(place, cut):
+        changed = bytes([whole[place] ^ 1])
+        data = whole[:place] if cut else whole[:place] + changed + whole[place + 1 :]
+        path.write_bytes(data)
+        assert read_warm_start(context.folder) == gpb.WarmStart()
+
+    check()
--- a/tests/gateway/relay/relay.feature
+++ b/tests/gateway/relay/relay.feature
@@ -110,6 +110,7 @@
     Given a backend server that stays silent
     When a caller posts to "/buy/1"
     Then the caller gets 504 after 1.3 to 1.8 s
+    And the log names the backend server and says that the time ended
 
   Scenario: An account over its limit is told when to come back
     Given a backend server that goes on after the last event up to 2
--- a/tests/gateway/relay/steps/relay_steps.py
+++ b/tests/gateway/relay/steps/relay_steps.py
@@ -7,6 +7,7 @@
 
 import orjson
 from behave import given, then, when
+from loguru import logger
 
 from support.gateway_world import PROMPT_HEADERS, STAMP, Call, Engine, World
 from tanagerturn.clocks import boot_s
@@ -24,6 +25,15 @@
 
 def play(context, action):
     """Run a world with the engines of the scenario; `action` uses it."""
+    context.logged = []
+    sink = logger.add(lambda m: context.logged.append(m.record), level=0)
+    try:
+        return run_world(context, action)
+    finally:
+        logger.remove(sink)
+
+
+def run_world(context, action):
 
     async def run():
         world = World(*context.engines)
@@ -346,6 +356,12 @@
     assert float(context.answer.headers["retry-after"]) > 0
 
 
+@then("the log names the backend server and says that the time ended")
+def log_tells(context):
+    causes = [r["extra"].get("cause", "") for r in context.logged]
+    assert "i-1: the time of the request ended" in causes, causes
+
+
 @then("the caller gets {status:d} after {least:g} to {most:g} s")
 def gets_after(context, status, least, most):
     assert context.answer.status == status, context.answer
