--- a/src/tanagerturn/gateway/capacity.py
+++ b/src/tanagerturn/gateway/capacity.py
@@ -25,6 +25,10 @@
 """Time after its start in which a gateway orders nothing: it may not have heard of
 all backend servers yet."""
 
+PRIOR_SHARE: Final = 0.35
+"""Part of all limits that callers are expected to ask at first; operators set limits
+at about twice the usual traffic."""
+
 REFUSED_STATUS: Final = 409
 
 log = part_log("capacity")
@@ -96,6 +100,7 @@
             scaling.reclaimable_price > 0,
             ready,
             now_s,
+            prior_demand(self.state),
         )
         # More is ordered before anything is given back.
         for key, count in sorted(
@@ -124,6 +129,12 @@
             )
 
 
+def prior_demand(state: GatewayState) -> float:
+    """Return the tokens a second to expect before callers come."""
+    rates = [a.rate_per_s for a in state.configuration.accounts if a.counts_tokens]
+    return PRIOR_SHARE * sum(rates)
+
+
 def ready_counts(state: GatewayState, service: str, now_s: float) -> Counter[CountKey]:
     """Return the backend servers that are alive and do not leave."""
     counts: Counter[CountKey] = Counter()
--- a/src/tanagerturn/serving/capacity/counts.py
+++ b/src/tanagerturn/serving/capacity/counts.py
@@ -97,6 +97,8 @@
         """Refused orders, and when they are tried again."""
         self.accepted: dict[CountKey, tuple[int, float]] = {}
         """Last accepted number by zone and market, and when it was ordered."""
+        self.was_asked = False
+        """Callers have asked for something."""
         self.smoothed = 0.0
         """Smoothed demand in tokens a second."""
         self.smoothed_at_s = 0.0
@@ -124,6 +126,7 @@
         has_reclaimable: bool,
         ready: Mapping[CountKey, int],
         now_s: float,
+        prior_per_s: float = 0.0,
     ) -> dict[CountKey, int]:
         """Return the numbers to hold.
 
@@ -133,7 +136,12 @@
             has_reclaimable: Reclaimable ones are on offer.
             ready: Backend servers that are ready and do not leave.
             now_s: Present time.
+            prior_per_s: Demand to expect while nothing was asked yet.
         """
+        self.was_asked |= tokens_per_s > 0
+        if not self.was_asked:
+            self.smoothed, self.smoothed_at_s = prior_per_s, now_s
+            tokens_per_s = prior_per_s
         smoothed = self._smooth(tokens_per_s, now_s)
         need = self._steady(needed_engines(smoothed), now_s)
         spots: dict[CountKey, int] = {}
--- a/tests/serving/capacity/counts.feature
+++ b/tests/serving/capacity/counts.feature
@@ -39,6 +39,11 @@
     Given 9 gateways that are asked 10000 tokens a second each for 10 s
     Then 85000 to 95000 tokens a second are asked, and less than 100 after 20 s
 
+  Scenario: Before callers come, the limits tell what to expect
+    Given a cloud with 4 zones, 5 on-demand engines and reclaimable ones at 0.22
+    When nothing is asked for 12 s and limits promise 120000 tokens a second
+    Then 7 or more engines are ready
+
   Scenario: Without reclaimable engines on-demand ones meet the demand
     Given a cloud with 4 zones, 5 on-demand engines and none reclaimable
     When 70000 tokens a second are asked for 20 s
--- a/tests/serving/capacity/steps/counts_steps.py
+++ b/tests/serving/capacity/steps/counts_steps.py
@@ -30,6 +30,7 @@
         self.dry_until_s = 0.0
         self.least_ready = 99
         self.called_off = 0
+        self.prior_per_s = 0.0
 
     def order(self, key, count):
         """Take an order, or refuse it."""
@@ -55,7 +56,12 @@
                 self.ready[boot[0]] += 1
             ready = Counter({k: n for k, n in self.ready.items() if n})
             plan = self.planner.plan(
-                tokens_per_s, OFFERS, self.has_reclaimable, ready, self.now_s
+                tokens_per_s,
+                OFFERS,
+                self.has_reclaimable,
+                ready,
+                self.now_s,
+                self.prior_per_s,
             )
             for key, count in plan.items():
                 accepted = self.planner.accepted.get(key)
@@ -182,3 +188,14 @@
 def adds_up(context):
     assert 85_000 <= context.gateway.total(9.95) <= 95_000
     assert context.gateway.total(30.0) < 100
+
+
+@when("nothing is asked for 12 s and limits promise {tokens:d} tokens a second")
+def promised(context, tokens):
+    context.cloud.prior_per_s = tokens
+    context.cloud.run(0, 12)
+
+
+@then("{count:d} or more engines are ready")
+def or_more(context, count):
+    assert context.cloud.total() >= count, context.cloud.ready
