--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -45,8 +45,8 @@
 SILENCE_OBJECTIVES: Final = 3.0
 """The same silence as a multiple of the route's objective."""
 
-NO_CONFIGURATION_RETRY_S: Final = 0.5
-"""A gateway learns the configuration from its peers within this time."""
+NO_CONFIGURATION_RETRY_S: Final = 0.2
+"""A gateway learns the configuration from its peers within about a digest."""
 
 NO_BACKEND_RETRY_S: Final = 0.4
 """Backend servers that are lost are replaced or reached again after some tenths
