Split the relay, the gateway's digests and the member's parts into modules of their own

No behaviour changes: intake, sending, outcomes and run leave relay.py; digests.py leaves gateway.py; settings and types that nothing used are gone.

--- a/src/tanagerturn/coordination/membership/core.py
+++ b/src/tanagerturn/coordination/membership/core.py
@@ -382,8 +382,7 @@
         present = {m.info.address for m in self.table.present()}
         seeds = [s for s in self.config.seeds if s not in present]
         if seeds and self.table.present_count > 1:
-            seeds = [self.random.choice(seeds)]
-        # A process that knows nobody asks all: some of them may be down.
+            seeds = [self.random.choice(seeds)]  # who knows nobody asks all
         for seed in seeds:
             ping = mpb.Ping(sequence=self._next_sequence())
             packet = mpb.Packet(ping=ping)
--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -321,11 +321,11 @@
         Those that were heard of lately and reached go first; silent ones, blocked
         ones and ejected ones are used only while there is no other.
         """
-        shut = frozenset(excluded)
+        left_out = frozenset(excluded)
         able = [
             b
             for b in self.view.pool(service)
-            if b.id not in shut and not self.view.is_leaving(b)
+            if b.id not in left_out and not self.view.is_leaving(b)
         ]
         fresh = [b for b in able if b.alive(to_ms(now_s))] or able
         open_ = [b for b in fresh if now_s >= self.state(b.id).blocked_until_s]
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -11,8 +11,8 @@
 from tanagerturn.coordination.errors import StepError
 from tanagerturn.gateway.configurations import Configurations
 from tanagerturn.gateway.control import Control
+from tanagerturn.gateway.digests import DigestExchange
 from tanagerturn.gateway.duties import Duties
-from tanagerturn.gateway.fleet import Work, backend_hash
 from tanagerturn.gateway.founding import Founding
 from tanagerturn.gateway.links import Links
 from tanagerturn.gateway.logs import part_log
@@ -25,6 +25,7 @@
 from tanagerturn.gateway.state import make_state
 from tanagerturn.gateway.warm_start import (
     aged_backends,
+    make_warm_start,
     read_warm_start,
     write_warm_start,
 )
@@ -39,15 +40,9 @@
     from tanagerturn.gateway.settings import GatewaySettings
     from tanagerturn.schema import coordination_pb2 as pb
 
-HEARD_S: Final = 2.0
-"""Backend servers that were heard of within this time are told in digests."""
-
 REPAIR_S: Final = 0.15
 """Time between looks at the members of the state group."""
 
-REGISTRY_PULL_S: Final = 0.5
-"""Time between two fetches of another gateway's backend servers."""
-
 OPEN_AGAIN_S: Final = 0.5
 """Time between two tries to open the data folder."""
 
@@ -74,9 +69,6 @@
 RELOAD_S: Final = 2.0
 """Time between two looks at the settings file."""
 
-WINDOWS_TOLD: Final = 4
-"""Report windows in a digest: reports are made of those that ended lately."""
-
 METRICS_TYPE: Final = [(b"Content-Type", b"text/plain; version=0.0.4")]
 
 log = part_log("gateway")
@@ -113,19 +105,23 @@
         """Links to other gateways."""
         self.member: StateMember | None = None
         """Member of the state group, on hosts with a disk."""
+        self.relay = Relay(self.state, self.links)
+        """Requests of callers."""
+        self.digests = DigestExchange(
+            self.state, self.links, loop, self.on_told, self.relay.wake
+        )
+        """What gateways tell each other."""
         self.mesh = Mesh(
             settings,
             self.state.random,
-            self._fill_digest,
-            self._on_digest,
-            self._on_news,
+            self.digests.fill,
+            self.digests.on_digest,
+            self.digests.on_news,
             self._on_version,
         )
         """Datagrams to other gateways."""
         self.store = ReplicatedStore(self.links, self.member, self._digests)
         """Calls to the state group."""
-        self.relay = Relay(self.state, self.links)
-        """Requests of callers."""
         self.configurations = Configurations(
             self.state, self.store, self.links, self.mesh, self.relay.wake
         )
@@ -152,7 +148,6 @@
         """Seeds in force."""
         self.is_confirmed = False
         """The configuration was confirmed by the state group since the start."""
-        self.registry_pulled_s = 0.0
         self.ended = asyncio.Event()
         """Set when the process may end."""
 
@@ -223,12 +218,9 @@
         if folder is None or is_busy or not self.state.configuration.version:
             return
         now_s = boot_s()
-        warm = gpb.WarmStart(
-            written_at_ms=wall_ms(),
-            configuration=self.configurations.stored,
-            backends=self.state.fleet.news(now_s),
-            gateway_ips=[_ip_of(d.link_address) for d in self.mesh.present(now_s)],
-        )
+        addresses = [digest.link_address for digest in self.mesh.present(now_s)]
+        news = self.state.fleet.news(now_s)
+        warm = make_warm_start(self.configurations.stored, news, addresses, wall_ms())
         writing = self.loop.run_in_executor(None, write_warm_start, folder, warm)
         writing.add_done_callback(_log_not_remembered)
         self.remembering = writing
@@ -254,10 +246,8 @@
     async def on_metrics(self, exchange: Exchange) -> None:
         """Answer with all metrics."""
         metrics = self.state.metrics
-        metrics.update(self.state, len(self.relay.running), len(self.relay.waiters))
-        now_s = boot_s()
-        offset_s = self.state.wall_time.read(now_s) - wall_ms() / 1000
-        metrics.clock_offset_s.set(offset_s)
+        running, waiting = len(self.relay.sender.running), len(self.relay.waiters)
+        metrics.update(self.state, running, waiting, boot_s(), wall_ms() / 1000)
         await exchange.respond(200, METRICS_TYPE, metrics.text())
 
     async def on_frame(self, frame: gpb.Frame, peer: str) -> gpb.Frame | None:
@@ -317,7 +307,7 @@
         if not settings.is_first_start or not is_first_seed or self.founding.is_over:
             return
         own = gpb.Digest(host=settings.host)
-        self._fill_digest(own, now_s)
+        self.digests.fill(own, now_s)
         chosen = self.founding.choose([own, *digests], settings.state_members, now_s)
         if chosen is None:
             return
@@ -331,89 +321,13 @@
             return set()
         return set(self.member.transport.addresses.values())
 
-    def _fill_digest(self, digest: gpb.Digest, now_s: float) -> None:
-        state = self.state
-        wall_s = state.wall_time.read(now_s)
-        digest.sent_at_ms = int(wall_s * 1000)
-        digest.configuration_version = state.configuration.version
-        digest.registry_hash = state.fleet.registry_hash(now_s)
-        digest.draining = state.is_draining
-        for backend_id, heard_s in state.fleet.heard_s.items():
-            if now_s - heard_s < HEARD_S:
-                digest.heard.append(backend_hash(backend_id))
-        for backend_id, known in state.fleet.states.items():
-            work = known.own_work()
-            if work.running:
-                digest.work.add(
-                    backend=backend_hash(backend_id),
-                    running=work.running,
-                    prompt_tokens=work.prompt_tokens,
-                    kv_tokens=work.kv_tokens,
-                )
-        digest.asked_tokens_per_s = state.asked.own(now_s)
-        digest.sent_parts.extend(state.fleet.take_sent_parts())
-        for name, demand_per_s in state.limits.spread.demands(now_s):
-            digest.accounts.add(client_account=name, demand_per_s=demand_per_s)
-        first = state.usage.window_at(wall_s) - WINDOWS_TOLD
-        for number, counts in state.usage.own.items():
-            if number > first:
-                window = digest.windows.add(number=number)
-                for name, count in counts.items():
-                    window.counts.add(client_account=name, count=count)
-        member = self.member
-        if member is not None:
-            digest.member.CopyFrom(member.description)
-            digest.founded = member.is_founded
-            if member.core is not None:
-                digest.term = member.core.term
-                digest.leader_address = member.leader_address
-
-    def _on_digest(self, digest: gpb.Digest, now_s: float) -> None:
-        state = self.state
-        state.wall_time.on_heard(digest.host, digest.sent_at_ms / 1000, now_s)
-        state.fleet.on_heard(digest.heard, now_s)
-        work = [
-            (each.backend, Work(each.running, each.prompt_tokens, each.kv_tokens))
-            for each in digest.work
-        ]
-        state.fleet.on_work(digest.host, work, now_s)
-        state.asked.on_told(digest.host, digest.asked_tokens_per_s, now_s)
-        state.fleet.on_sent_parts(digest.sent_parts)
-        demands = [(each.client_account, each.demand_per_s) for each in digest.accounts]
-        state.limits.spread.on_demand(digest.host, demands, now_s)
-        start = f"{digest.host}@{digest.started_ms}"
-        for window in digest.windows:
-            counts = {each.client_account: each.count for each in window.counts}
-            state.usage.on_told(start, window.number, counts)
-        self.configurations.on_told(digest.configuration_version, digest.link_address)
-        if self.member is not None and digest.member.id:
-            # A member that was just added does not know the others otherwise.
-            self.member.transport.learn([digest.member])
-        self._compare_registries(digest, now_s)
-
-    def _compare_registries(self, digest: gpb.Digest, now_s: float) -> None:
-        if digest.registry_hash == self.state.fleet.registry_hash(now_s):
-            return
-        if now_s - self.registry_pulled_s < REGISTRY_PULL_S:
-            return
-        self.registry_pulled_s = now_s
-        self.loop.create_task(self._pull_registry(digest.link_address))
-
-    async def _pull_registry(self, address: str) -> None:
-        link = self.links.to(address)
-        answered = await link.call(gpb.Frame(ask_news=gpb.NewsCall()), REGISTRY_PULL_S)
-        if answered.is_error():
-            log.info("registry_not_fetched", peer=address, reason=str(answered.error))
-            return
-        self._on_news(answered.ok.news, boot_s())
-
-    def _on_news(self, news: gpb.BackendNews, now_s: float) -> None:
-        if self.state.fleet.on_news(news, now_s):
-            self.relay.wake()
+    def on_told(self, version: int, link_address: str) -> None:
+        """Note that another gateway has a configuration."""
+        self.configurations.on_told(version, link_address)
 
     def _on_version(self, version: int, ip: str) -> None:
         address = f"{ip}:{self.settings.link_port}"
-        self.configurations.on_told(version, address)
+        self.on_told(version, address)
 
     def _on_batch(self, batch: pb.WatchBatch) -> None:
         self.configurations.on_batch(batch)
@@ -437,6 +351,7 @@
                 await asyncio.sleep(OPEN_AGAIN_S)
             else:
                 self.member = self.store.member = self.duties.member = member
+                self.digests.member = member
 
     async def _confirm(self) -> None:
         """Learn the newest configuration from the state group, as soon as it can."""
@@ -460,10 +375,6 @@
         self.ended.set()
 
 
-def _ip_of(address: str) -> str:
-    return address.rpartition(":")[0]
-
-
 def _log_not_remembered(writing: asyncio.Future[None]) -> None:
     if not writing.cancelled() and writing.exception() is not None:
         log.info("not_remembered", reason=str(writing.exception()))
--- a/src/tanagerturn/gateway/member.py
+++ b/src/tanagerturn/gateway/member.py
@@ -18,12 +18,16 @@
 from tanagerturn.coordination.log.ready import Options
 from tanagerturn.coordination.storage.files import DamageError, DiskFiles
 from tanagerturn.coordination.storage.folder import open_folder
+from tanagerturn.gateway._member_parts import (
+    LoopWatcher,
+    MemberClocks,
+    MemberTransport,
+)
 from tanagerturn.gateway.logs import part_log
 from tanagerturn.schema import coordination_pb2 as pb
 from tanagerturn.schema import gateway_pb2 as gpb
 from tanagerturn.state import messages as m
 from tanagerturn.state._repair import GroupHealth, next_change
-from tanagerturn.state._watches import Watcher
 from tanagerturn.state.group import ReplicationGroup
 from tanagerturn.state.metrics import GroupMetrics
 from tanagerturn.state.writer import SnapshotWriter
@@ -66,85 +70,6 @@
 log = part_log("member")
 
 
-class MemberClocks:
-    """Clocks of the member; suspension of the host counts as time."""
-
-    def monotonic_s(self) -> float:
-        """Return the boot clock in seconds."""
-        return boot_s()
-
-    def wall_ms(self) -> int:
-        """Return the wall clock in milliseconds."""
-        return wall_ms()
-
-
-class MemberTransport:
-    """Hands messages of the member's thread to the links of the event loop.
-
-    Args:
-        links: Links to other gateways.
-        loop: The event loop.
-    """
-
-    def __init__(self, links: Links, loop: asyncio.AbstractEventLoop) -> None:
-        self.links = links
-        """Links to other gateways."""
-        self.loop = loop
-        """The event loop."""
-        self.addresses: dict[str, str] = {}
-        """Link address by member."""
-
-    def learn(self, members: Sequence[pb.Member]) -> None:
-        """Take over the addresses of a membership."""
-        for member in members:
-            self.addresses[member.id] = member.address
-
-    def send(self, messages: Sequence[pb.LogMessage]) -> None:
-        """Send messages; those to unknown members are dropped."""
-        by_address: dict[str, list[pb.LogMessage]] = {}
-        for message in messages:
-            address = self.addresses.get(message.receiver)
-            if address is not None:
-                by_address.setdefault(address, []).append(message)
-        for address, batch in by_address.items():
-            frame = gpb.Frame(log=pb.LogMessages(messages=batch))
-            self.loop.call_soon_threadsafe(self._tell, address, frame)
-
-    def _tell(self, address: str, frame: gpb.Frame) -> None:
-        self.links.to(address).tell(frame)
-
-
-class LoopWatcher(Watcher):
-    """A watch whose batches go to the event loop.
-
-    Args:
-        prefix: Prefix of the watched keys.
-        loop: The event loop.
-        on_batch: Called on the loop with each batch.
-    """
-
-    def __init__(
-        self,
-        prefix: str,
-        loop: asyncio.AbstractEventLoop,
-        on_batch: Callable[[pb.WatchBatch], None],
-    ) -> None:
-        super().__init__(prefix, 0)
-        self.loop = loop
-        """The event loop."""
-        self.on_batch = on_batch
-        """Called with each batch."""
-
-    def offer(self, batch: pb.WatchBatch) -> None:
-        """Hand a batch on."""
-        self.revision = batch.revision
-        self.loop.call_soon_threadsafe(self.on_batch, batch)
-
-    def end(self) -> None:
-        """Note that the member does not know what is new; a new watch is added."""
-        self.is_ended = True
-
-
 class StateMember:
     """The member of one gateway.
 
--- a/src/tanagerturn/gateway/messages.py
+++ b/src/tanagerturn/gateway/messages.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import Enum
 from typing import TYPE_CHECKING, NewType
 
 if TYPE_CHECKING:
@@ -135,12 +134,6 @@
     """It closes the connection after this answer."""
 
 
-class ReadFault(Enum):
-    """Why a configuration can't be read now."""
-
-    UNKNOWN = "the newest configuration is not known"
-
-
 @dataclass(frozen=True)
 class Announce:
     """A backend server tells of itself."""
--- a/src/tanagerturn/gateway/metrics.py
+++ b/src/tanagerturn/gateway/metrics.py
@@ -44,8 +44,24 @@
     clock_offset_s: Gauge
     """Corrected wall clock less the host's."""
 
-    def update(self, state: GatewayState, running: int, waiting: int) -> None:
-        """Set the gauges from the gateway's state."""
+    def update(
+        self,
+        state: GatewayState,
+        running: int,
+        waiting: int,
+        now_s: float,
+        wall_s: float,
+    ) -> None:
+        """Set the gauges from the gateway's state.
+
+        Args:
+            state: State of the gateway.
+            running: Requests at backend servers.
+            waiting: Requests that wait for a place.
+            now_s: Boot clock.
+            wall_s: The host's wall clock.
+        """
+        self.clock_offset_s.set(state.wall_time.read(now_s) - wall_s)
         self.configuration_version.set(state.configuration.version)
         self.gateways.set(state.gateways)
         self.backends.set(len(state.fleet.view.backends))
--- a/src/tanagerturn/gateway/settings.py
+++ b/src/tanagerturn/gateway/settings.py
@@ -15,16 +15,12 @@
 
     address: str
     """IP number and port of the cloud API."""
-    calls_per_s: float
-    """Calls a second that it accepts from all gateways."""
     reports_usage: bool
     """Usage is to be reported."""
     orders_backends: bool
     """Backend servers may be ordered."""
     lease_s: float
     """Time in which the holder may not change back and forth."""
-    thaw_s: float
-    """Time in which a call of a holder that was suspended may still arrive."""
 
 
 @dataclass(frozen=True)
@@ -63,8 +59,6 @@
     """State members that may be lost at the same time."""
     heartbeat_ms: int
     """Time between two announcements of a backend server."""
-    memory_mb: int
-    """Memory that the process may use."""
     drain_s: float
     """Time after which a backend server that leaves gets no requests."""
     grace_s: float
--- a/src/tanagerturn/gateway/warm_start.py
+++ b/src/tanagerturn/gateway/warm_start.py
@@ -19,6 +19,7 @@
 from tanagerturn.schema import gateway_pb2 as gpb
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from pathlib import Path
 
 FILE: Final = "warm-start"
@@ -32,6 +33,28 @@
 log = part_log("warm_start")
 
 
+def make_warm_start(
+    configuration: gpb.StoredConfiguration,
+    backends: gpb.BackendNews,
+    link_addresses: Iterable[str],
+    wall_ms: int,
+) -> gpb.WarmStart:
+    """Return what to remember.
+
+    Args:
+        configuration: Configuration in force.
+        backends: Backend servers that are alive.
+        link_addresses: Where other gateways are.
+        wall_ms: Present wall clock.
+    """
+    return gpb.WarmStart(
+        written_at_ms=wall_ms,
+        configuration=configuration,
+        backends=backends,
+        gateway_ips=[address.rpartition(":")[0] for address in link_addresses],
+    )
+
+
 def write_warm_start(folder: Path, warm: gpb.WarmStart) -> None:
     """Keep what to remember; a crash leaves the old or the new file.
 
--- a/src/tanagerturn/platform/settings.py
+++ b/src/tanagerturn/platform/settings.py
@@ -33,7 +33,6 @@
     "report_window_s": "5",
     "usage_late_s": "10",
     "lease_ms": "3000",
-    "thaw_ms": "300",
 }
 """Bounds of a deployment that does not state them: the strictest known."""
 
@@ -110,7 +109,6 @@
         data_folder=Path(fields["data_dir"]) if has_disk else None,
         losses_borne=max(1, int(fields.get("fault_tolerance.machines") or 1)),
         heartbeat_ms=int(float(fields.get("heartbeat_ms") or 1000)),
-        memory_mb=int(float(fields.get("limits.memory_mb") or 300)),
         drain_s=bound("drain_ms") / 1000,
         grace_s=bound("grace_s"),
         retry_ratio=bound("retry_budget_ratio"),
@@ -120,22 +118,18 @@
         report_window_s=bound("report_window_s"),
         # A report is "late" this long after its window's end.
         report_due_s=bound("usage_late_s"),
-        duties=_decode_duties(fields, bound("lease_ms"), bound("thaw_ms")),
+        duties=_decode_duties(fields, bound("lease_ms")),
     )
 
 
-def _decode_duties(
-    fields: Mapping[str, str], lease_ms: float, thaw_ms: float
-) -> DutySettings | None:
+def _decode_duties(fields: Mapping[str, str], lease_ms: float) -> DutySettings | None:
     address = fields.get("cloud.address", "")
     duties = fields.get("cloud.duties", "").split(",")
     if not address or not any(duties):
         return None
     return DutySettings(
         address=address,
-        calls_per_s=float(fields.get("cloud.duty_per_s") or 1),
         reports_usage="usage_report" in duties,
         orders_backends="autoscale" in duties,
         lease_s=lease_ms / 1000,
-        thaw_s=thaw_ms / 1000,
     )
