--- a/src/tanagerturn/reference.py
+++ b/src/tanagerturn/reference.py
@@ -89,6 +89,7 @@
         "Made by `bin/reference`.",
         "",
         f"Each line is one JSON object with {common}, and the event's own fields.",
+        "Lines of the coordination library hold a sentence in place of an event.",
         "",
         "| Event | Meaning |",
         "| --- | --- |",
