Do not fail a stream whose end crosses its move; do not shun a slow engine

Found by reading: a move that was decided as its stream ended raised an error in place of an answer, and an engine that sent events until a request's time ended got no requests for a while. Both tests failed first.

--- a/src/tanagerturn/gateway/outcomes.py
+++ b/src/tanagerturn/gateway/outcomes.py
@@ -54,7 +54,8 @@
     """Log and count the end of a request."""
     taken_s = boot_s() - run.exchange.arrived_s
     metrics = state.metrics
-    metrics.outcomes.labels(outcome, run.exchange.status).inc()
+    status = fields.get("status", run.exchange.status)
+    metrics.outcomes.labels(outcome, status).inc()
     if outcome == "answered":
         metrics.answer_s.observe(taken_s)
         if run.first_event_s:
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -200,13 +200,12 @@
     def evacuate(self, now_s: float) -> None:
         """Move runs off engines that are about to end."""
         for run in self.sender.running:
-            if run.moving is None and has_to_move(run, now_s):
-                run.moving = asyncio.create_task(self._move(run))
+            source = run.backend
+            if run.moving is None and source and has_to_move(run, now_s):
+                run.moving = asyncio.create_task(self._move(run, source))
 
-    async def _move(self, run: Run) -> Moved | None:
+    async def _move(self, run: Run, source: Backend) -> Moved | None:
         """Stop a run at its engine and copy its memory to another one."""
-        source = run.backend
-        assert source is not None
         target = placement.choose(
             self.state.fleet,
             run.service,
--- a/src/tanagerturn/gateway/sending.py
+++ b/src/tanagerturn/gateway/sending.py
@@ -117,6 +117,9 @@
             fleet.on_failure(backend, now_s)
             if run.route.kind is not RequestKind.STREAM:
                 count_begin(self.state, run)
+        elif run.progress.count and not isinstance(error, GoneSilent):
+            # It is slow, not silent: events came until the time ended.
+            return Ending.BROKEN
         else:
             fleet.on_unreached(backend.id, now_s)
         self.state.pool.drop(backend.id)
--- a/tests/gateway/relay/relay.feature
+++ b/tests/gateway/relay/relay.feature
@@ -101,6 +101,18 @@
     Then the caller gets events 1 to 6 and the end
     And the copy of the first engine was used
 
+  Scenario: A stream that ends just as its move begins is not failed by the move
+    Given an engine that stops a stream when it is told to move it
+    And an engine that takes the stream over from a copy
+    When a stream ends between the decision to move it and the move
+    Then the move has an outcome and no error
+
+  Scenario: An engine that sent events until the time ended is not shunned
+    Given a backend server that streams an event every 0.2 s without an end
+    When a caller posts a prompt to "/draft/1"
+    Then the caller gets a cut answer
+    And the backend server still gets requests
+
   Scenario: A caller who leaves is gone at the backend server at once
     Given a backend server that stays silent
     When a caller leaves "/buy/1" after 0.1 s
--- a/tests/gateway/relay/steps/relay_steps.py
+++ b/tests/gateway/relay/steps/relay_steps.py
@@ -459,3 +459,47 @@
     others = [answer for answer in context.answers if answer.status != 200]
     assert least <= len(good) <= most, len(good)
     assert all(a.status == 429 and float(a.headers["retry-after"]) > 0 for a in others)
+
+
+@when("a stream ends between the decision to move it and the move")
+def ends_before_move(context):
+    async def action(world):
+        asking = asyncio.create_task(world.ask("/draft/1", headers=PROMPT_HEADERS))
+        await asyncio.sleep(0.1)
+        world.announce(world.engines[0], leaving=True, leaving_in_ms=500)
+        (run,) = world.relay.sender.running
+        world.relay.evacuate(boot_s())
+        run.backend = None
+        context.moved = await run.moving
+        asking.cancel()
+
+    play(context, action)
+
+
+@then("the move has an outcome and no error")
+def has_outcome(context):
+    assert context.moved is not None
+    assert context.moved.backend.id == "i-2"
+
+
+@given("a backend server that streams an event every 0.2 s without an end")
+def endless(context):
+    async def script(call: Call):
+        await call.begin_stream()
+        for number in range(1, 100):
+            await call.event(number)
+            await asyncio.sleep(0.2)
+
+    engine(context, script)
+
+
+@then("the caller gets a cut answer")
+def cut_answer(context):
+    assert context.answer.status == 200
+    assert not context.answer.is_whole
+
+
+@then("the backend server still gets requests")
+def still_used(context):
+    fleet = context.world.state.fleet
+    assert fleet.state("i-1").blocked_until_s == 0.0
