--- a/src/tanagerturn/settings/deployment.py
+++ b/src/tanagerturn/settings/deployment.py
@@ -99,7 +99,12 @@
         faults[str(fault)] = fault
     for name, text in files.items():
         try:
-            nodes[name] = parse_document(text, name)
+            node = parse_document(text, name)
+            if not isinstance(node.value, dict):
+                raise SettingsError(
+                    [Fault(node.place, "", node.describe(), "a mapping")]
+                )
+            nodes[name] = node
         except SettingsError as error:
             faults.update({str(fault): fault for fault in error.faults})
     return nodes
--- a/tests/settings/settings.feature
+++ b/tests/settings/settings.feature
@@ -20,6 +20,16 @@
   Scenario: Twenty broken deployments are each refused at the place of the fault
     Then each broken deployment is refused where it is broken
 
+  Scenario Outline: A file whose top is no mapping is refused with file and line
+    When the file "<file>" of a deployment holds <text>
+    Then it is refused at "<file>" for want of a mapping
+
+    Examples:
+      | file      | text    |
+      | base      | - 1     |
+      | base      | word    |
+      | site/one  | [1, 2]  |
+
   Scenario: All faults are reported at once
     When a deployment with three faults is read
     Then three faults are reported
--- a/tests/settings/steps/settings_steps.py
+++ b/tests/settings/steps/settings_steps.py
@@ -177,3 +177,21 @@
     assert "studio-marin" in text
     assert "scrypt:" not in text
     assert "scrypt:" in str(settings_of_site)
+
+
+@when('the file "{file}" of a deployment holds {text}')
+def file_holds(context, file, text):
+    files = {"base": "", "site/one": "", file: f"{text}\n"}
+    try:
+        merge_sites(files)
+    except SettingsError as error:
+        context.faults = error.faults
+    else:
+        raise AssertionError("it was taken")
+
+
+@then('it is refused at "{file}" for want of a mapping')
+def refused_at(context, file):
+    (fault,) = context.faults
+    assert (fault.place.file, fault.place.line) == (file, 1), fault
+    assert fault.allowed == "a mapping", fault
