--- a/tests/coordination/storage/steps/storage_steps.py
+++ b/tests/coordination/storage/steps/storage_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import tempfile
+from pathlib import Path
 from random import Random
 from unittest import mock
 
@@ -13,7 +15,11 @@
 from support.fake_disk import FakeDisk, Inode, SimulatedCrash
 from tanagerturn.coordination.errors import StorageError
 from tanagerturn.coordination.storage import segments, snapshots
-from tanagerturn.coordination.storage.files import DamageError, DiskFullError
+from tanagerturn.coordination.storage.files import (
+    DamageError,
+    DiskAppendFile,
+    DiskFullError,
+)
 from tanagerturn.coordination.storage.folder import open_folder
 from tanagerturn.coordination.storage.group import GroupStorage
 from tanagerturn.coordination.store import Store
@@ -274,3 +280,36 @@
         storage.snapshots.save(meta, Store().image().records())
     context.opened = refusal(lambda: recovered(disk))
     assert not isinstance(context.opened, DamageError)
+
+
+@given("a log file on disk with a header")
+def real_file(context):
+    folder = tempfile.TemporaryDirectory()
+    context.closers.append(folder.cleanup)
+    context.path = Path(folder.name) / "log"
+    context.path.write_bytes(b"header")
+    context.file = DiskAppendFile(context.path)
+    context.closers.append(context.file.close)
+
+
+@given("a system that writes at the given offset whatever the flags say")
+def no_flags(context):
+    def write_at(descriptor, buffers, offset, flags=0):
+        with context.path.open("r+b") as file:
+            file.seek(offset)
+            return file.write(b"".join(buffers))
+
+    patch = mock.patch("os.pwritev", write_at)
+    patch.start()
+    context.closers.append(patch.stop)
+
+
+@when("3 synced batches are added")
+def synced_batches(context):
+    for batch in (b"-one", b"-two", b"-three"):
+        context.file.write_synced(batch)
+
+
+@then("the file holds the header and the batches in order")
+def in_order(context):
+    assert context.path.read_bytes() == b"header-one-two-three"
--- a/tests/coordination/storage/storage.feature
+++ b/tests/coordination/storage/storage.feature
@@ -55,3 +55,9 @@
       | file     |
       | log      |
       | snapshot |
+
+  Scenario: Batches are added at the end, also where a system ignores write flags
+    Given a log file on disk with a header
+    And a system that writes at the given offset whatever the flags say
+    When 3 synced batches are added
+    Then the file holds the header and the batches in order
--- a/tests/gateway/cluster/cluster.feature
+++ b/tests/gateway/cluster/cluster.feature
@@ -40,3 +40,9 @@
     Then all of them know it within 1 s
     When it withdraws at "g2"
     Then none of them sends it requests after 1 s
+
+  Scenario: A caller that stops waiting for the state group harms nothing
+    Given 4 gateways with a disk and 2 without
+    When 20 proposals at the leader are cancelled before they are committed
+    And version 5 is accepted at "g1"
+    Then it is in force at all of them within 2 s and read back at "g5"
--- a/tests/gateway/cluster/steps/cluster_steps.py
+++ b/tests/gateway/cluster/steps/cluster_steps.py
@@ -9,6 +9,7 @@
 from support.gateway_cluster import Cluster
 from tanagerturn.coordination.errors import RefusedError
 from tanagerturn.gateway.messages import Announce, Withdraw
+from tanagerturn.schema import coordination_pb2 as pb
 from tanagerturn.schema import serving_pb2
 
 
@@ -89,16 +90,29 @@
     return gateway.member.leader_address == gateway.settings.link_address
 
 
+@when("20 proposals at the leader are cancelled before they are committed")
+def cancelled(context):
+    member = next(g.member for g in context.cluster.members() if leads(g))
+    put = pb.Put(key="test/cancelled", value=b"x")
+    command = pb.Command(transaction=pb.Transaction(puts=[put]))
+
+    async def cancel():
+        for _ in range(20):
+            task = asyncio.create_task(member.propose(command))
+            await asyncio.sleep(0)
+            task.cancel()
+        # All are committed, and their answers come in vain.
+        assert (await member.propose(command)).is_ok()
+
+    run(context, cancel())
+
+
 @when("version 5 is accepted at the leader, whose disk is lost at once")
 def leader_lost(context):
     cluster = context.cluster
 
     async def lose():
-        leader = next(
-            g
-            for g in cluster.members()
-            if g.member.leader_address == g.settings.link_address
-        )
+        leader = next(g for g in cluster.members() if leads(g))
         host = leader.settings.host
         context.lost = leader.member.id
         result = await cluster.put(host, 5)
--- /dev/null
+++ b/tests/gateway/programs/steps/programs_steps.py
@@ -0,0 +1,85 @@
+"""Steps of programs.feature."""
+
+from __future__ import annotations
+
+import shutil
+import signal
+import tempfile
+from dataclasses import replace
+from pathlib import Path
+
+import orjson
+import urllib3
+from behave import given, then, when
+
+from support.gateway_programs import CONTROL_PORT, STOP_S, make_programs, until
+from support.gateway_world import manifest
+
+RELOAD_S = 1.0
+"""Time in which a signal takes effect; below the 2 s of the timed reload."""
+
+OTHER_SEED = "127.0.0.9"
+
+
+@given("3 gateway processes that accept a configuration")
+def three_processes(context):
+    folder = Path(tempfile.mkdtemp())
+    context.closers.append(lambda: shutil.rmtree(folder, ignore_errors=True))
+    context.http = urllib3.PoolManager(retries=False)
+    for program in make_programs(folder, 3, 0):
+        program.start()
+        context.closers.append(program.kill)
+        context.program = program
+
+    def accepts():
+        url = f"http://{context.program.ip}:{CONTROL_PORT}/v1/config"
+        try:
+            answer = context.http.request("PUT", url, body=orjson.dumps(manifest()))
+        except urllib3.exceptions.HTTPError:
+            return False
+        return answer.status == 200
+
+    until(accepts, "a configuration is accepted")
+    until(lambda: context.program.is_ready(context.http), "ready")
+
+
+@when("its settings file names other seeds and it gets SIGHUP")
+def other_seeds(context):
+    replace(context.program, seeds=[OTHER_SEED]).write_settings()
+    context.program.signal(signal.SIGHUP)
+
+
+@then("it logs the other seeds and serves on")
+def took_over(context):
+    def is_logged():
+        lines = context.program.events("settings_reloaded")
+        return [line for line in lines if line["seeds"] == OTHER_SEED]
+
+    until(is_logged, "the seeds are taken over", RELOAD_S)
+    assert context.program.is_ready(context.http)
+
+
+@when("its settings file is cut short and it gets SIGHUP")
+def cut_short(context):
+    path = context.program.settings_path
+    path.write_bytes(path.read_bytes()[:40])
+    context.program.signal(signal.SIGHUP)
+
+
+@then("it logs why it keeps its settings and serves on")
+def kept(context):
+    def is_logged():
+        return context.program.events("settings_not_reloaded")
+
+    until(is_logged, "the fault is logged", RELOAD_S)
+    assert context.program.is_ready(context.http)
+
+
+@when("it gets SIGTERM")
+def terminated(context):
+    context.program.signal(signal.SIGTERM)
+
+
+@then("it ends by itself with exit code 0")
+def ended(context):
+    assert context.program.popen.wait(STOP_S) == 0
