Measure what a gateway adds to a request and to an event

Time from arrival to the first sending and the longest time from a backend server's bytes to the caller are logged with each answer and shown as histograms.

--- a/src/tanagerturn/gateway/http1.py
+++ b/src/tanagerturn/gateway/http1.py
@@ -6,6 +6,8 @@
 import socket
 from typing import TYPE_CHECKING, Final
 
+from tanagerturn.clocks import boot_s
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -55,6 +57,8 @@
         """Why the connection broke; None when the peer closed it in order."""
         self.peer = ""
         """IP number and port of the peer."""
+        self.received_s = 0.0
+        """Boot clock when the oldest bytes of the last read came."""
         self._received = bytearray()
         self._reader: asyncio.Future[None] | None = None
         self._writer: asyncio.Future[None] | None = None
@@ -73,6 +77,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Keep received bytes until they are read."""
+        if not self._received:
+            self.received_s = boot_s()
         self._received += data
         if len(self._received) > READ_AHEAD_LIMIT_BYTES and self.transport is not None:
             self.transport.pause_reading()
@@ -139,10 +145,6 @@
             self.transport.resume_reading()
         return data
 
-    def unread(self, data: bytes) -> None:
-        """Put bytes back in front of what was received."""
-        self._received[:0] = data
-
     def write(self, data: bytes) -> None:
         """Send bytes; nothing when the connection is gone."""
         if data and self.transport is not None and not self.transport.is_closing():
--- a/src/tanagerturn/gateway/metrics.py
+++ b/src/tanagerturn/gateway/metrics.py
@@ -14,6 +14,10 @@
 SECONDS: Final = (0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0)
 """Bounds of latency histograms, around the objectives of plain services and drafts."""
 
+ADDED_SECONDS: Final = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0)
+"""Bounds of histograms of what a gateway adds: 10 ms to a request and 20 ms to an
+event are allowed."""
+
 
 @dataclass(frozen=True)
 class GatewayMetrics:
@@ -27,6 +31,10 @@
     """Time to the first event of streams."""
     answer_s: Histogram
     """Time to whole answers."""
+    held_s: Histogram
+    """Time from the arrival of requests to their first sending."""
+    passed_on_s: Histogram
+    """Longest time from bytes of a backend server to their sending to the caller."""
     pause_s: Histogram
     """Longest pause of each stream."""
     configuration_version: Gauge
@@ -78,8 +86,10 @@
     """Return the metrics of one gateway in a registry of their own."""
     registry = CollectorRegistry()
 
-    def histogram(name: str, text: str) -> Histogram:
-        return Histogram(name, text, buckets=SECONDS, registry=registry)
+    def histogram(
+        name: str, text: str, buckets: tuple[float, ...] = SECONDS
+    ) -> Histogram:
+        return Histogram(name, text, buckets=buckets, registry=registry)
 
     def gauge(name: str, text: str) -> Gauge:
         return Gauge(name, text, registry=registry)
@@ -98,6 +108,17 @@
         answer_s=histogram(
             "tanager_gateway_answer_seconds", "Time to whole answers, streams included."
         ),
+        held_s=histogram(
+            "tanager_gateway_held_seconds",
+            "Time from the arrival of requests to their first sending.",
+            ADDED_SECONDS,
+        ),
+        passed_on_s=histogram(
+            "tanager_gateway_passed_on_seconds",
+            "Longest time of each answer from bytes of a backend server to their "
+            "sending to the caller.",
+            ADDED_SECONDS,
+        ),
         pause_s=histogram(
             "tanager_gateway_pause_seconds", "Longest pause within each stream."
         ),
--- a/src/tanagerturn/gateway/outcomes.py
+++ b/src/tanagerturn/gateway/outcomes.py
@@ -58,6 +58,8 @@
     metrics.outcomes.labels(outcome, status).inc()
     if outcome == "answered":
         metrics.answer_s.observe(taken_s)
+        metrics.held_s.observe(run.held_s)
+        metrics.passed_on_s.observe(run.passed_on_s)
         if run.first_event_s:
             metrics.first_event_s.observe(run.first_event_s)
             metrics.pause_s.observe(run.longest_pause_s)
@@ -71,6 +73,8 @@
         sent=run.sent,
         events=run.progress.count,
         expected_s=round(run.expected_s, 4),
+        held_s=round(run.held_s, 4),
+        passed_on_s=round(run.passed_on_s, 4),
         first_event_s=round(run.first_event_s, 4),
         longest_pause_s=round(run.longest_pause_s, 4),
         taken_s=round(taken_s, 4),
--- a/src/tanagerturn/gateway/run.py
+++ b/src/tanagerturn/gateway/run.py
@@ -105,6 +105,10 @@
     """Expected time to the first event when it was sent last."""
     first_event_s: float = 0.0
     """Time to the first event that was passed on."""
+    held_s: float = 0.0
+    """Time from its arrival to its first sending."""
+    passed_on_s: float = 0.0
+    """Longest time from bytes of a backend server to their sending to the caller."""
     last_event_s: float = 0.0
     """Boot clock when the last events were passed on."""
     longest_pause_s: float = 0.0
--- a/src/tanagerturn/gateway/sending.py
+++ b/src/tanagerturn/gateway/sending.py
@@ -144,6 +144,8 @@
         headers = state.dialect.encode_forwarding(request, forwarding, backend.address)
         exchange.send(request.method, request.target, headers, run.exchange.body)
         run.sent += 1
+        if not run.held_s:
+            run.held_s = boot_s() - run.exchange.arrived_s
         async with asyncio.timeout(run.time_left_s(boot_s())):
             head = await self._unless_silent(run, exchange.head(), silence_s(run))
             reply = head.reply
@@ -168,6 +170,7 @@
         state.fleet.on_success(backend.id, boot_s())
         if run.exchange.status:
             raise AnswerBroken(f"a stream went on with status {reply.status}")
+        run.passed_on_s = boot_s() - exchange.connection.wire.received_s
         await run.exchange.respond(reply.status, head.headers, body)
         log_end(state, run, "answered")
         return None
@@ -205,6 +208,8 @@
                     raise AnswerBroken(str(error)) from error
             if data:
                 self._pass_on(run, head, data)
+                waited_s = boot_s() - exchange.connection.wire.received_s
+                run.passed_on_s = max(run.passed_on_s, waited_s)
                 await run.exchange.drain()
         if splitter.partial:
             raise AnswerBroken("the stream ended within an event")
--- a/tests/gateway/relay/relay.feature
+++ b/tests/gateway/relay/relay.feature
@@ -118,6 +118,11 @@
     When a caller leaves "/buy/1" after 0.1 s
     Then its connection to the backend server is closed within 0.3 s
 
+  Scenario: The log tells what the gateway added, apart from the work
+    Given a backend server that answers after 0.2 s
+    When a caller posts to "/buy/1"
+    Then the log tells less than 0.1 s held and passed on, and over 0.2 s taken
+
   Scenario: A request without an answer ends at its route's time
     Given a backend server that stays silent
     When a caller posts to "/buy/1"
--- a/tests/gateway/relay/steps/relay_steps.py
+++ b/tests/gateway/relay/steps/relay_steps.py
@@ -100,6 +100,15 @@
     engine(context, answering(200, body))
 
 
+@given("a backend server that answers after {wait_s:g} s")
+def answers_late(context, wait_s):
+    async def script(call: Call):
+        await asyncio.sleep(wait_s)
+        await call.answer(200, "ok")
+
+    engine(context, script)
+
+
 @given("a backend server that breaks off without an answer")
 def breaks(context):
     engine(context, break_off)
@@ -362,6 +371,17 @@
     assert "i-1: the time of the request ended" in causes, causes
 
 
+@then(
+    "the log tells less than {most:g} s held and passed on, and over {least:g} s taken"
+)
+def log_tells_added(context, most, least):
+    ends = [r["extra"] for r in context.logged if r["message"] == "answered"]
+    assert len(ends) == 1, context.logged
+    assert 0 < ends[0]["held_s"] < most, ends
+    assert 0 < ends[0]["passed_on_s"] < most, ends
+    assert ends[0]["taken_s"] > least, ends
+
+
 @then("the caller gets {status:d} after {least:g} to {most:g} s")
 def gets_after(context, status, least, most):
     assert context.answer.status == status, context.answer
