--- a/src/tanagerturn/platform/run.py
+++ b/src/tanagerturn/platform/run.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from pathlib import Path
 
+# SIGHUP would end the process until the event loop handles it.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 # The folder of this file would hide Python's own `platform` and `requests`.
 sys.path[0] = str(Path(__file__).resolve().parents[2])
 
--- a/tests/gateway/programs/programs.feature
+++ b/tests/gateway/programs/programs.feature
@@ -9,3 +9,8 @@
     Then it logs why it keeps its settings and serves on
     When it gets SIGTERM
     Then it ends by itself with exit code 0
+
+  Scenario: A process told to reload before it listens goes on
+    Given a gateway process that starts
+    When it gets SIGHUP before it listens
+    Then it listens all the same
--- a/tests/gateway/programs/steps/programs_steps.py
+++ b/tests/gateway/programs/steps/programs_steps.py
@@ -4,6 +4,7 @@
 
 import shutil
 import signal
+import socket
 import tempfile
 from dataclasses import replace
 from pathlib import Path
@@ -43,6 +44,41 @@
     until(lambda: context.program.is_ready(context.http), "ready")
 
 
+@given("a gateway process that starts")
+def starting(context):
+    folder = Path(tempfile.mkdtemp())
+    context.closers.append(lambda: shutil.rmtree(folder, ignore_errors=True))
+    context.program = make_programs(folder, 1, 0)[0]
+    context.program.start()
+    context.closers.append(context.program.kill)
+
+
+def survives_reload(program):
+    """Tell whether a process ignores or handles SIGHUP by now."""
+    status = Path(f"/proc/{program.popen.pid}/status").read_text(encoding="ascii")
+    masks = [line.split()[1] for line in status.splitlines() if line[:3] == "Sig"]
+    _, _, ignored, handled = (int(mask, 16) for mask in masks[-4:])
+    return (ignored | handled) >> (signal.SIGHUP - 1) & 1
+
+
+def listens(program):
+    with socket.socket() as sock:
+        return sock.connect_ex((program.ip, CONTROL_PORT)) == 0
+
+
+@when("it gets SIGHUP before it listens")
+def early_reload(context):
+    until(lambda: survives_reload(context.program), "SIGHUP does not end it")
+    assert not listens(context.program)
+    context.program.signal(signal.SIGHUP)
+
+
+@then("it listens all the same")
+def listens_all_the_same(context):
+    until(lambda: listens(context.program), "it listens")
+    assert context.program.alive()
+
+
 @when("its settings file names other seeds and it gets SIGHUP")
 def other_seeds(context):
     replace(context.program, seeds=[OTHER_SEED]).write_settings()
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real gateway processes under faults from outside."""
--- a/tests/support/gateway_programs.py
+++ b/tests/support/gateway_programs.py
@@ -7,7 +7,7 @@
 import subprocess
 import sys
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -47,8 +47,12 @@
     """Addresses of the seeds."""
     has_disk: bool = True
     """Whether it is a member of the state group."""
-    popen: subprocess.Popen[bytes] | None = field(default=None)
+    script: Path = SCRIPT
+    """Script that is run."""
+    popen: subprocess.Popen[bytes] | None = None
     """The process."""
+    starts: int = 0
+    """How often it was started."""
 
     @property
     def settings_path(self) -> Path:
@@ -79,10 +83,11 @@
     def start(self, *, first: bool = True) -> None:
         """Start the process; its log goes beside its settings file."""
         self.write_settings(first=first)
+        self.starts += 1
         environment = {**os.environ, SETTINGS_VARIABLE: str(self.settings_path)}
         with self.log_path.open("ab") as log:
             self.popen = subprocess.Popen(
-                [sys.executable, str(SCRIPT)],
+                [sys.executable, str(self.script)],
                 env=environment,
                 stdout=log,
                 stderr=subprocess.STDOUT,
--- a/tests/support/gateway_world.py
+++ b/tests/support/gateway_world.py
@@ -150,9 +150,11 @@
             "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         )
 
-    async def event(self, number: int, *, cut: bool = False) -> None:
+    async def event(
+        self, number: int, text: str = "word", *, cut: bool = False
+    ) -> None:
         """Send one event, or the first half of it."""
-        data = f"id: {number}\ndata: word{number}\n\n"
+        data = f"id: {number}\ndata: {text}{number}\n\n"
         data = data[: len(data) // 2] if cut else data
         await self.send(f"{len(data):x}\r\n{data}\r\n")
 
@@ -307,7 +309,10 @@
         headers[name.lower()] = value.strip()
     status = int(first.split(" ")[1])
     if "content-length" in headers:
-        body = await reader.read(int(headers["content-length"]))
+        try:
+            body = await reader.readexactly(int(headers["content-length"]))
+        except asyncio.IncompleteReadError as error:
+            return Answer(status, headers, error.partial, False)
         return Answer(status, headers, body, True)
     body = b""
     try:
