Open a link anew when it stays silent; learn how slow an engine is

Ruled out: the group itself (its other members agreed) and the kernel's user timeout (nothing was unacknowledged). Now a link asks for an answer when it has heard nothing for 0.5 s and is opened anew after 1 s of silence. Tests: the silent link, failing without the change, in three directions.

Pace: the time to first events against the expected one is learned for each engine, so that one which works several times as long gets less; it was never set before.

--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -15,6 +15,7 @@
 from tanagerturn.schema import gateway_pb2 as gpb
 from tanagerturn.serving.backends.messages import BackendId
 from tanagerturn.serving.backends.view import make_backend_view
+from tanagerturn.serving.routing.pace import Pace
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -72,6 +73,8 @@
     prompt_tokens: int
     """Prompt tokens that the engine has to read for it."""
     kv_tokens: int
+    expected_s: float = 0.0
+    """Time to its first event that was expected at pace 1."""
     is_read: bool = False
     """Its first event has come."""
 
@@ -95,7 +98,7 @@
     """Tokens of all these parts."""
     used_s: float = -1e9
     """When it last answered an own request."""
-    pace: float = 1.0
+    pace: Pace = field(default_factory=Pace)
     """Observed over expected time to the first event."""
 
     def own_work(self) -> Work:
@@ -224,9 +227,22 @@
                 state.others.pop(gateway, None)
 
     def on_sent(
-        self, backend: Backend, attempt: str, prompt: Prompt | None, now_s: float
+        self,
+        backend: Backend,
+        attempt: str,
+        prompt: Prompt | None,
+        now_s: float,
+        expected_s: float = 0.0,
     ) -> None:
-        """Count a request that is being sent."""
+        """Count a request that is being sent.
+
+        Args:
+            backend: Where it goes.
+            attempt: Its id.
+            prompt: Its prompt; None for plain requests.
+            now_s: Present boot clock.
+            expected_s: Time to its first event expected at pace 1; 0 if unknown.
+        """
         state = self.state(backend.id)
         if prompt is None:
             state.sent[attempt] = Sent(now_s, 0, 0)
@@ -234,7 +250,8 @@
         cached = state.cached_tokens(prompt.parts)
         uncached = max(0, prompt.prompt_tokens - cached)
         output = prompt.expected_output_tokens or prompt.most_output_tokens
-        state.sent[attempt] = Sent(now_s, uncached, prompt.prompt_tokens + output)
+        kv_tokens = prompt.prompt_tokens + output
+        state.sent[attempt] = Sent(now_s, uncached, kv_tokens, expected_s)
         room = int(KEPT_SHARE * self.room_tokens(backend))
         last = len(prompt.parts) - 1
         for place, part in enumerate(prompt.parts):
@@ -262,11 +279,13 @@
                 room = int(KEPT_SHARE * self.room_tokens(backend))
                 self.state(backend_id).note_part(each.part, each.tokens, room)
 
-    def on_first_event(self, backend_id: BackendId, attempt: str) -> None:
+    def on_first_event(self, backend_id: BackendId, attempt: str, now_s: float) -> None:
         """Note that the prompt of an own request was read."""
-        sent = self.state(backend_id).sent.get(attempt)
+        state = self.state(backend_id)
+        sent = state.sent.get(attempt)
         if sent is not None:
             sent.is_read = True
+            state.pace.on_first_event(now_s - sent.sent_s, sent.expected_s, now_s)
 
     def on_ended(self, backend_id: BackendId, attempt: str) -> None:
         """Take an own request off."""
--- a/src/tanagerturn/gateway/links.py
+++ b/src/tanagerturn/gateway/links.py
@@ -9,8 +9,10 @@
 from expression import Error, Ok, Result
 from google.protobuf.message import DecodeError
 
+from tanagerturn.clocks import boot_s
 from tanagerturn.coordination.errors import StepError, UnavailableError
 from tanagerturn.gateway.http1 import Wire, connect
+from tanagerturn.gateway.link_silence import LinkSilence
 from tanagerturn.gateway.logs import part_log
 from tanagerturn.schema import gateway_pb2 as gpb
 
@@ -49,6 +51,8 @@
         """IP number and port of the other gateway."""
         self.wire: Wire | None = None
         """The open connection."""
+        self.silence = LinkSilence(0.0)
+        """What the open connection owes."""
         self.calls: dict[int, asyncio.Future[gpb.Frame]] = {}
         """Calls that wait for their answer."""
         self.next_call = 1
@@ -62,12 +66,12 @@
 
     def tell(self, frame: gpb.Frame) -> None:
         """Send a frame without an answer; it may get lost."""
-        wire = self.wire
-        if wire is None or not wire.is_usable:
+        wire = self._usable()
+        if wire is None:
             self._keep(asyncio.create_task(self._open_and_tell(frame)))
             return
         if wire.unsent_bytes < UNSENT_LIMIT_BYTES:
-            wire.write(encode(frame))
+            self._send(wire, frame)
 
     async def call(
         self, frame: gpb.Frame, timeout_s: float
@@ -81,7 +85,7 @@
                 wire = await self._opened()
                 frame.call = number
                 self.calls[number] = answer
-                wire.write(encode(frame))
+                self._send(wire, frame)
                 return Ok(await answer)
         except OSError as error:
             reason = str(error) or "no answer in time"
@@ -104,11 +108,35 @@
         except OSError as error:
             log.debug("link_not_opened", peer=self.address, reason=str(error))
             return
-        wire.write(encode(frame))
+        self._send(wire, frame)
+
+    def _send(self, wire: Wire, frame: gpb.Frame) -> None:
+        """Send a frame, and ask for an answer if none came for a while."""
+        now_s = boot_s()
+        data = encode(frame)
+        self.silence.on_sent(len(data), asks=bool(frame.call), now_s=now_s)
+        if self.silence.needs_probe(now_s):
+            probe = encode(gpb.Frame(call=self.next_call, probe=gpb.Probe()))
+            self.next_call += 1
+            self.silence.on_sent(len(probe), asks=True, now_s=now_s)
+            data += probe
+        wire.write(data)
+
+    def _usable(self) -> Wire | None:
+        """Return the open connection, unless it is gone or silent."""
+        wire = self.wire
+        if wire is None or not wire.is_usable:
+            return None
+        if self.silence.is_silent(boot_s()):
+            log.info("link_silent", peer=self.address, bytes=self.silence.sent_bytes)
+            wire.abort()
+            return None
+        return wire
 
     async def _opened(self) -> Wire:
-        if self.wire is not None and self.wire.is_usable:
-            return self.wire
+        wire = self._usable()
+        if wire is not None:
+            return wire
         if self.opening is None or self.opening.done():
             self.opening = asyncio.create_task(self._open())
             # Callers that gave up waiting leave nobody to take its error.
@@ -126,18 +154,24 @@
             self.failed_at_s = loop.time()
             raise
         self.wire = wire
+        self.silence = LinkSilence(boot_s())
         self._keep(asyncio.create_task(self._read(wire)))
         return wire
 
     async def _read(self, wire: Wire) -> None:
         try:
             async for frame in frames(wire):
+                if wire is self.wire:
+                    self.silence.on_frame(boot_s())
                 answer = self.calls.pop(frame.call, None)
                 if answer is not None and not answer.done():
                     answer.set_result(frame)
         except (ConnectionError, DecodeError, ValueError) as error:
             log.info("link_broke", peer=self.address, reason=str(error))
         wire.abort()
+        if wire is not self.wire:
+            # Another connection carries the calls by now.
+            return
         for answer in self.calls.values():
             if not answer.done():
                 answer.set_exception(ConnectionResetError("the link broke"))
@@ -212,7 +246,10 @@
         wire.abort()
 
     async def _answer(self, wire: Wire, frame: gpb.Frame) -> None:
-        answer = await self.handler(frame, wire.peer)
+        if frame.WhichOneof("kind") == "probe":
+            answer: gpb.Frame | None = gpb.Frame(done=gpb.Done())
+        else:
+            answer = await self.handler(frame, wire.peer)
         if answer is None:
             answer = gpb.Frame(failure=gpb.Failure(reason="unknown call"))
         answer.call = frame.call
--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -38,6 +38,7 @@
     # Other gateways and the state group
     "gateway_changed": "Another gateway is alive, suspect, dead or has left.",
     "link_broke": "An open link to another gateway broke.",
+    "link_silent": "A link sent no answer though it is open; it is opened anew.",
     "link_not_opened": "A link to another gateway could not be opened.",
     "incoming_link_broke": "A link of another gateway broke.",
     "datagram_refused": "A host refused a datagram.",
--- a/src/tanagerturn/gateway/placement.py
+++ b/src/tanagerturn/gateway/placement.py
@@ -35,6 +35,8 @@
     """Expected time to the first event of a generation."""
     own_s: float = 0.0
     """Part of it in which the engine reads the prompt."""
+    pace: float = 1.0
+    """Observed over expected time to first events there."""
 
 
 def choose(
@@ -92,7 +94,8 @@
     need = prompt.prompt_tokens + output
     no_room = view.running > 0 and view.kv_tokens + need > view.room_tokens
     is_full = view.running >= view.slots or no_room
-    return Choice(backend, is_full, chosen.first_event_ms / 1000, chosen.own_ms / 1000)
+    first_event_s, own_s = chosen.first_event_ms / 1000, chosen.own_ms / 1000
+    return Choice(backend, is_full, first_event_s, own_s, view.pace)
 
 
 def _view(
@@ -110,5 +113,5 @@
         room_tokens=fleet.room_tokens(backend),
         cached_tokens=state.cached_tokens(prompt.parts),
         warmup_left_ms=backend.announcement.warmup_left_ms,
-        pace=state.pace,
+        pace=state.pace.value(now_s),
     )
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -159,7 +159,7 @@
                 raise self._no_place(run, cause, now_s)
             self._send_away_if_late(run, choice, now_s)
             if not choice.is_full:
-                run.expected_s = choice.first_event_s
+                run.expected_s, run.pace = choice.first_event_s, choice.pace
                 return choice.backend
             await self._wait_for_place(run, now_s)
 
--- a/src/tanagerturn/gateway/run.py
+++ b/src/tanagerturn/gateway/run.py
@@ -103,6 +103,8 @@
     """A backend server's own failure, to be passed on when nothing better comes."""
     expected_s: float = 0.0
     """Expected time to the first event when it was sent last."""
+    pace: float = 1.0
+    """Observed over expected time to first events there, part of `expected_s`."""
     first_event_s: float = 0.0
     """Time to the first event that was passed on."""
     held_s: float = 0.0
--- a/src/tanagerturn/gateway/sending.py
+++ b/src/tanagerturn/gateway/sending.py
@@ -60,12 +60,15 @@
         run.tried.add(backend.id)
         known = state.fleet.state(backend.id)
         work = known.work(now_s)
-        state.fleet.on_sent(backend, attempt, run.request.prompt, now_s)
+        state.fleet.on_sent(
+            backend, attempt, run.request.prompt, now_s, run.expected_s / run.pace
+        )
         log.info(
             "sent",
             request=attempt,
             backend=backend.id,
             expected_s=round(run.expected_s, 4),
+            pace=round(run.pace, 2),
             running=work.running,
             prompt_tokens=work.prompt_tokens,
             heard_ago_s=round(now_s - backend.heard_ms / 1000, 3),
@@ -222,7 +225,7 @@
     def _on_first_piece(self, run: Run, backend: Backend) -> None:
         count_begin(self.state, run)
         run.may_have_run = True
-        self.state.fleet.on_first_event(backend.id, run.request.attempt_id)
+        self.state.fleet.on_first_event(backend.id, run.request.attempt_id, boot_s())
 
     def _pass_on(self, run: Run, head: AnswerHead, data: bytes) -> None:
         now_s = boot_s()
--- /dev/null
+++ b/tests/gateway/links/steps/links_steps.py
@@ -0,0 +1,124 @@
+"""Steps of links.feature."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given, then, when
+
+from soak.proxy import Proxy, Trouble
+from tanagerturn.gateway.link_silence import LinkSilence
+from tanagerturn.gateway.links import Links
+from tanagerturn.schema import gateway_pb2 as gpb
+
+BEAT_S = 0.075
+"""Time between two frames, as between a leader's heartbeats."""
+
+
+@given("a link through a proxy to a gateway that answers")
+def link(context):
+    context.loop = asyncio.new_event_loop()
+    context.closers.append(context.loop.close)
+    context.arrived = []
+
+    async def handle(frame, peer):
+        context.arrived.append(frame.failure.reason)
+        return gpb.Frame(done=gpb.Done()) if frame.call else None
+
+    async def start():
+        context.other = Links(handle)
+        await context.other.listen("127.0.0.1:0")
+        port = context.other.listener.sockets[0].getsockname()[1]
+        context.proxy = Proxy("127.0.0.1:0", f"127.0.0.1:{port}")
+        await context.proxy.start()
+        context.link = Links(handle).to(context.proxy.listen)
+        assert (await call(context)).is_ok()
+
+    def close():
+        context.link.close()
+        context.proxy.close()
+        context.other.close()
+        tasks = asyncio.all_tasks(context.loop)
+        for task in tasks:
+            task.cancel()
+        context.loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+
+    context.loop.run_until_complete(start())
+    context.closers.append(close)
+
+
+def call(context, timeout_s=0.5):
+    return context.link.call(gpb.Frame(ask_news=gpb.NewsCall()), timeout_s)
+
+
+def frame(text):
+    return gpb.Frame(failure=gpb.Failure(reason=text))
+
+
+@when("the proxy has {trouble} for {time_s:g} s and passes on new connections after it")
+def harm(context, trouble, time_s):
+    async def run():
+        context.proxy.trouble = Trouble[trouble]
+        end_s = context.loop.time() + time_s
+        while context.loop.time() < end_s:
+            context.link.tell(frame("lost"))
+            await call(context, BEAT_S)
+        context.proxy.trouble = Trouble.NONE
+
+    context.loop.run_until_complete(run())
+
+
+@when("frames without an answer are sent for {time_s:g} s")
+def tell(context, time_s):
+    async def run():
+        end_s = context.loop.time() + time_s
+        while context.loop.time() < end_s:
+            context.link.tell(frame("later"))
+            await asyncio.sleep(BEAT_S)
+        context.link.tell(frame("last"))
+        await asyncio.sleep(0.2)
+
+    context.loop.run_until_complete(run())
+
+
+@then("the last of them arrive")
+def arrived(context):
+    assert context.arrived[-1] == "last", context.arrived[-3:]
+
+
+@then("a call is answered within 0.5 s")
+def answered(context):
+    assert context.loop.run_until_complete(call(context)).is_ok()
+
+
+@when("it is idle for {time_s:g} s between two calls")
+def idle(context, time_s):
+    context.wire = context.link.wire
+    context.loop.run_until_complete(asyncio.sleep(time_s))
+    assert context.loop.run_until_complete(call(context)).is_ok()
+
+
+@then("it is the same connection")
+def same(context):
+    assert context.link.wire is context.wire
+
+
+@given("a connection on which {size:d} bytes were sent at {now_s:g} s")
+def sent(context, size, now_s):
+    context.silence = LinkSilence(now_s)
+    context.silence.on_sent(size, asks=True, now_s=now_s)
+
+
+@when("a frame comes at {now_s:g} s")
+def comes(context, now_s):
+    context.silence.on_frame(now_s)
+
+
+@then("it is not silent at {now_s:g} s")
+def not_silent(context, now_s):
+    assert not context.silence.is_silent(now_s)
+
+
+@then("it is silent at {now_s:g} s")
+def silent(context, now_s):
+    assert context.silence.is_silent(now_s)
--- /dev/null
+++ b/tests/serving/routing/steps/pace_steps.py
@@ -0,0 +1,91 @@
+"""Steps of pace.feature: the load of one slow engine, simulated."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+
+from tanagerturn.serving.routing.pace import Pace
+from tanagerturn.serving.routing.parts import EngineView, place
+
+TOKENS = 2_000
+FIRST_S = 0.17
+"""Time to the first event of an idle engine for such a prompt."""
+
+STREAM_S = 1.0
+"""Length of a stream."""
+
+
+class SlowEngines:
+    """Engines whose first events take their time, and what was sent to each."""
+
+    def __init__(self, count, slow, multiple, from_s, to_s):
+        self.paces = {f"e{number}": Pace() for number in range(1, count + 1)}
+        self.slow, self.multiple = slow, multiple
+        self.from_s, self.to_s = from_s, to_s
+        self.running = {name: [] for name in self.paces}
+        self.seen = []
+        """First events to come: time, engine, seen and expected."""
+        self.sent = []
+        """Time and engine of each prompt."""
+        self.worst = 1.0
+        """Largest pace of the slow engine."""
+
+    def send(self, now_s, subject):
+        """Send one prompt where the first event is expected first."""
+        for event in [e for e in self.seen if e[0] <= now_s]:
+            self.seen.remove(event)
+            at_s, name, seen_s, expected_s = event
+            self.paces[name].on_first_event(seen_s, expected_s, at_s)
+        views = []
+        for name, ends in self.running.items():
+            ends[:] = [end_s for end_s in ends if end_s > now_s]
+            pace = self.paces[name].value(now_s)
+            views.append(EngineView(name, True, 64, len(ends), 0, 0, 10**9, 0, 0, pace))
+        self.worst = max(self.worst, self.paces[self.slow].value(now_s))
+        chosen = place(views, TOKENS, 50, subject)
+        view = next(v for v in views if v.id == chosen.id)
+        expected_s = chosen.first_event_ms / 1000 / view.pace
+        is_slow = chosen.id == self.slow and self.from_s <= now_s < self.to_s
+        times = self.multiple if is_slow else 1.0
+        first_s = expected_s * times
+        self.seen.append((now_s + first_s, chosen.id, first_s, expected_s))
+        self.running[chosen.id].append(now_s + first_s + STREAM_S * times)
+        self.sent.append((now_s, chosen.id))
+
+
+@given(
+    '{count:d} engines, of which "{slow}" works {multiple:g} times as long '
+    "from {from_s:g} s to {to_s:g} s"
+)
+def slow_engines(context, count, slow, multiple, from_s, to_s):
+    context.engines = SlowEngines(count, slow, multiple, from_s, to_s)
+
+
+@when(
+    "prompts come {rate:d} times a second for {length_s:g} s, "
+    "each with a subject of its own"
+)
+def prompts(context, rate, length_s):
+    for number in range(int(rate * length_s)):
+        context.engines.send(number / rate, f"subject {number}")
+
+
+def share(engines, name, from_s, to_s):
+    chosen = [n for at_s, n in engines.sent if from_s <= at_s < to_s]
+    return chosen.count(name) / len(chosen)
+
+
+@then('from {from_s:g} s to {to_s:g} s "{name}" gets less than a tenth of them')
+def shunned(context, from_s, to_s, name):
+    assert share(context.engines, name, from_s, to_s) < 0.1
+
+
+@then('from {from_s:g} s on "{name}" gets more than a fifth of them')
+def back(context, from_s, name):
+    assert share(context.engines, name, from_s, 1e9) > 0.2
+
+
+@then('"{name}" is expected at pace 1 all the time')
+def at_pace(context, name):
+    assert context.engines.slow == name
+    assert context.engines.worst == 1.0
