Ask reclaimed engines when they end, and move their streams in time

Ruled out: the moves themselves (those begun took some tens of milliseconds) and late heartbeats (the notice came at once).

--- a/src/tanagerturn/gateway/calls.py
+++ b/src/tanagerturn/gateway/calls.py
@@ -28,9 +28,14 @@
 
 
 async def call(
-    address: str, path: str, headers: RawHeaders, body: bytes, timeout_s: float
+    address: str,
+    path: str,
+    headers: RawHeaders,
+    body: bytes,
+    timeout_s: float,
+    method: str = "POST",
 ) -> Result[CallAnswer, StepError]:
-    """Post a JSON body on a connection of its own.
+    """Send a JSON body, or a question, on a connection of its own.
 
     Args:
         address: IP number and port.
@@ -38,20 +43,26 @@
         headers: Headers besides the usual ones.
         body: JSON.
         timeout_s: Longest time to wait for the whole answer.
+        method: HTTP method.
 
     Returns:
         The answer; an `UnavailableError` when the call may have been carried out.
     """
     try:
         async with asyncio.timeout(timeout_s):
-            return Ok(await _call(address, path, headers, body, timeout_s))
+            return Ok(await _call(address, path, headers, body, timeout_s, method))
     except (OSError, h11.RemoteProtocolError) as error:
         reason = str(error) or "no answer in time"
         return Error(UnavailableError(f"call {path}", address, reason))
 
 
 async def _call(
-    address: str, path: str, headers: RawHeaders, body: bytes, timeout_s: float
+    address: str,
+    path: str,
+    headers: RawHeaders,
+    body: bytes,
+    timeout_s: float,
+    method: str,
 ) -> CallAnswer:
     wire = await connect(address, timeout_s)
     http = h11.Connection(h11.CLIENT)
@@ -61,10 +72,10 @@
         (b"Content-Length", str(len(body)).encode()),
         (b"Connection", b"close"),
     ]
-    request = h11.Request(method="POST", target=path, headers=[*usual, *headers])
+    request = h11.Request(method=method, target=path, headers=[*usual, *headers])
     try:
         head = http.send(request) or b""
-        data = http.send(h11.Data(data=body)) or b""
+        data = http.send(h11.Data(data=body)) or b"" if body else b""
         http.send(h11.EndOfMessage())
         wire.write(head + data)
         status, parts = 0, []
--- a/src/tanagerturn/gateway/control.py
+++ b/src/tanagerturn/gateway/control.py
@@ -17,9 +17,11 @@
     Withdraw,
 )
 from tanagerturn.schema import gateway_pb2 as gpb
+from tanagerturn.serving.backends.messages import BackendId
 
 if TYPE_CHECKING:
     from tanagerturn.gateway.configurations import Configurations
+    from tanagerturn.gateway.departures import Departures
     from tanagerturn.gateway.mesh import Mesh
     from tanagerturn.gateway.messages import RawHeaders
     from tanagerturn.gateway.server import Exchange
@@ -40,6 +42,7 @@
         state: State of the gateway.
         mesh: Datagrams to other gateways.
         configurations: The way of configurations.
+        departures: Learns when backend servers end.
         started_s: Boot clock at the start of the process.
     """
 
@@ -48,6 +51,7 @@
         state: GatewayState,
         mesh: Mesh,
         configurations: Configurations,
+        departures: Departures,
         started_s: float,
     ) -> None:
         self.state = state
@@ -56,6 +60,8 @@
         """Datagrams to other gateways."""
         self.configurations = configurations
         """The way of configurations."""
+        self.departures = departures
+        """Learns when backend servers end."""
         self.started_s = started_s
         """Boot clock at the start of the process."""
 
@@ -91,6 +97,8 @@
                 leaving_in_ms=announcement.leaving_in_ms,
             )
             self.mesh.tell_news(gpb.BackendNews(announcements=[announcement]))
+            if announcement.leaving:
+                self.departures.on_leaving(BackendId(announcement.id))
         return 200, b"{}"
 
     @answer.register
@@ -103,6 +111,7 @@
         if news is not None:
             log.info("backend_withdrawn", backend=call.backend_id)
             self.mesh.tell_news(gpb.BackendNews(announcements=[news]))
+            self.departures.on_leaving(call.backend_id)
         elif now_s - self.started_s < YOUNG_S:
             return 503, b"{}"
         return 200, b"{}"
--- a/src/tanagerturn/gateway/dialect.py
+++ b/src/tanagerturn/gateway/dialect.py
@@ -13,6 +13,7 @@
     from tanagerturn.gateway.configuration import Configuration, ServiceName
     from tanagerturn.gateway.messages import (
         BackendReply,
+        BackendReport,
         ControlCall,
         Forwarding,
         InboundRequest,
@@ -27,6 +28,9 @@
     readiness_path: str
     """Path at which the balancer asks whether this gateway takes connections."""
 
+    report_path: str
+    """Path at which a backend server tells of itself."""
+
     def decode_request(
         self, method: str, target: str, headers: RawHeaders
     ) -> Result[InboundRequest, StepError]:
@@ -47,6 +51,12 @@
         """Return the headers of a gateway's own failure."""
         ...
 
+    def decode_report(
+        self, status: int, body: bytes, address: str
+    ) -> Result[BackendReport, StepError]:
+        """Decode what a backend server tells of itself."""
+        ...
+
     def encode_move(self, attempt_id: str, target_address: str) -> tuple[str, bytes]:
         """Return path and body of a call that stops a run and copies its memory."""
         ...
--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -208,6 +208,13 @@
         self.on_announcement(leaving, now_s, heard=False)
         return leaving
 
+    def on_departure(self, departure: gpb.Departure, now_s: float) -> None:
+        """Take the time at which a backend server ends, as it told."""
+        backend = self.view.backends.get(BackendId(departure.backend))
+        if backend is None or backend.announcement.born_ms != departure.born_ms:
+            return
+        backend.on_departure(to_ms(now_s) + departure.leaving_in_ms)
+
     def on_heard(self, hashes: Iterable[int], now_s: float) -> None:
         """Note that another gateway heard from backend servers itself."""
         for number in hashes:
@@ -382,6 +389,8 @@
         for announcement, ago_ms in zip(news.announcements, ages_ms, strict=True):
             heard_s = now_s - ago_ms / 1000
             changed |= self.on_announcement(announcement, heard_s, heard=False)
+        for departure in news.departures:
+            self.on_departure(departure, now_s)
         return changed
 
 
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -11,6 +11,7 @@
 from tanagerturn.coordination.errors import StepError
 from tanagerturn.gateway.configurations import Configurations
 from tanagerturn.gateway.control import Control
+from tanagerturn.gateway.departures import Departures
 from tanagerturn.gateway.digests import DigestExchange
 from tanagerturn.gateway.duties import Duties
 from tanagerturn.gateway.founding import Founding
@@ -127,7 +128,11 @@
         )
         """The way of configurations."""
         self.control = Control(
-            self.state, self.mesh, self.configurations, self.started_s
+            self.state,
+            self.mesh,
+            self.configurations,
+            Departures(self.state, self.mesh.tell_news),
+            self.started_s,
         )
         """Backend servers and operators."""
         self.duties = Duties(self.state, self.store, self.member, self._digests)
--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -24,6 +24,8 @@
     # Backend servers
     "backend_announced": "A backend server is new, leaves or has another address.",
     "backend_withdrawn": "A backend server said that it ends.",
+    "departure_told": "A backend server told when it ends.",
+    "departure_unknown": "A backend server that leaves did not tell when it ends.",
     "call_refused": "A call of a backend server or operator can't be read.",
     "backends_ordered": "Backend servers were ordered or given back.",
     "registry_not_fetched": "Another gateway's backend servers could not be read.",
--- a/src/tanagerturn/gateway/messages.py
+++ b/src/tanagerturn/gateway/messages.py
@@ -75,6 +75,14 @@
     """Headers that go on to the backend server."""
 
 
+@dataclass(frozen=True)
+class BackendReport:
+    """What a backend server tells of itself when it is asked."""
+
+    leaving_in_ms: int | None
+    """Time until it ends; None while that is not known."""
+
+
 @dataclass(frozen=True)
 class KvCopy:
     """Memory of a run that was stopped, copied to another engine."""
--- a/src/tanagerturn/platform/dialect.py
+++ b/src/tanagerturn/platform/dialect.py
@@ -15,6 +15,7 @@
     from tanagerturn.gateway.configuration import Configuration, ServiceName
     from tanagerturn.gateway.messages import (
         BackendReply,
+        BackendReport,
         ControlCall,
         Forwarding,
         InboundRequest,
@@ -32,6 +33,7 @@
     """
 
     readiness_path = "/v1/readyz"
+    report_path = "/v1/report"
 
     def __init__(self, heartbeat_ms: int, drain_ms: int = 2000) -> None:
         self.heartbeat_ms = heartbeat_ms
@@ -59,6 +61,12 @@
         """Return the headers of a gateway's own failure."""
         return requests.encode_refusal(retry_after_s)
 
+    def decode_report(
+        self, status: int, body: bytes, address: str
+    ) -> Result[BackendReport, StepError]:
+        """Decode what an engine tells of itself."""
+        return requests.decode_report(status, body, address)
+
     def encode_move(self, attempt_id: str, target_address: str) -> tuple[str, bytes]:
         """Return path and body of a call that stops a run and copies its memory."""
         return requests.encode_move(attempt_id, target_address)
--- a/src/tanagerturn/platform/requests.py
+++ b/src/tanagerturn/platform/requests.py
@@ -12,6 +12,7 @@
 from tanagerturn.gateway.messages import (
     AttemptId,
     BackendReply,
+    BackendReport,
     InboundRequest,
     KvCopy,
     LoadHint,
@@ -157,6 +158,21 @@
     return Ok(KvCopy(source_address, str(handle)))
 
 
+def decode_report(
+    status: int, body: bytes, address: str
+) -> Result[BackendReport, StepError]:
+    """Decode what an engine tells of itself."""
+    if status != 200:
+        return Error(RefusedError("read report", address, f"status {status}"))
+    try:
+        # The time left until the engine ends; announcements do not tell it.
+        leaves_ms = orjson.loads(body).get("leaves_ms")
+        known = None if leaves_ms is None else max(0, int(leaves_ms))
+        return Ok(BackendReport(known))
+    except (orjson.JSONDecodeError, AttributeError, TypeError, ValueError) as error:
+        return Error(RefusedError("read report", address, repr(error)))
+
+
 def decode_reply(status: int, headers: RawHeaders) -> BackendReply:
     """Decode the head of a backend server's answer."""
     fields = _fields(headers)
--- a/src/tanagerturn/serving/backends/backend.py
+++ b/src/tanagerturn/serving/backends/backend.py
@@ -39,6 +39,8 @@
         """It said that it leaves; that is never taken back."""
         self.gone_at_ms: int | None = None
         """When it stops at the latest, if it is leaving."""
+        self.departure_is_told = False
+        """It told this time itself, apart from the usual one of its kind."""
         self.load_read_at_ms = -1
         """The backend server's clock at its last load report."""
         self.others = 0
@@ -117,8 +119,18 @@
                 return True
         return False
 
+    def on_departure(self, gone_at_ms: int) -> None:
+        """Take the time at which it ends, as it told; the earliest one stays."""
+        self.leaving = True
+        if self.departure_is_told and self.gone_at_ms is not None:
+            gone_at_ms = min(gone_at_ms, self.gone_at_ms)
+        self.gone_at_ms = gone_at_ms
+        self.departure_is_told = True
+
     def _leave(self, leaving_in_ms: int, now_ms: int) -> None:
         self.leaving = True
+        if self.departure_is_told:
+            return
         gone_at_ms = now_ms + leaving_in_ms
         if self.gone_at_ms is None or gone_at_ms < self.gone_at_ms:
             self.gone_at_ms = gone_at_ms
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -48,8 +48,7 @@
 
     def reset(self) -> None:
         """Reset all connections."""
-        for writer in list(self.writers):
-            writer.transport.abort()
+        abort(self.writers)
 
     def close(self) -> None:
         """Stop listening and reset all connections."""
@@ -69,42 +68,44 @@
             return
         both = {writer, server_writer}
         self.writers |= both
-        directions = [
-            asyncio.ensure_future(coroutine)
-            for coroutine in (
-                self._pass(reader, server_writer, Trouble.CUT_TO_SERVER),
-                self._pass(server_reader, writer, Trouble.CUT_TO_CLIENT),
-            )
-        ]
         try:
-            # One side that breaks ends both.
-            await asyncio.wait(directions, return_when=asyncio.FIRST_EXCEPTION)
+            await asyncio.gather(
+                self._pass(reader, server_writer, Trouble.CUT_TO_SERVER, both),
+                self._pass(server_reader, writer, Trouble.CUT_TO_CLIENT, both),
+            )
         except asyncio.CancelledError:
             # The run is over.
             return
         finally:
             self.writers -= both
-            for each in both:
-                each.transport.abort()
-            for direction in directions:
-                direction.cancel()
-            await asyncio.gather(*directions, return_exceptions=True)
+            abort(both)
 
     async def _pass(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         cut: Trouble,
+        both: set[asyncio.StreamWriter],
     ) -> None:
         """Pass one direction on until it ends; what is cut stays lost."""
         is_whole = True
-        while piece := await reader.read(PIECE_BYTES):
-            if self.trouble is Trouble.DELAYED:
-                await asyncio.sleep(DELAY_S)
-            # TCP has no holes: what follows lost bytes is lost, too.
-            is_whole = is_whole and self.trouble not in (cut, Trouble.SILENT)
-            if is_whole:
-                writer.write(piece)
-                await writer.drain()
-        if is_whole and self.trouble is not Trouble.SILENT:
-            writer.write_eof()
+        try:
+            while piece := await reader.read(PIECE_BYTES):
+                if self.trouble is Trouble.DELAYED:
+                    await asyncio.sleep(DELAY_S)
+                # TCP has no holes: what follows lost bytes is lost, too.
+                is_whole = is_whole and self.trouble not in (cut, Trouble.SILENT)
+                if is_whole:
+                    writer.write(piece)
+                    await writer.drain()
+            if is_whole and self.trouble is not Trouble.SILENT:
+                writer.write_eof()
+        except OSError:
+            # A connection that breaks on one side breaks on the other.
+            abort(both)
+
+
+def abort(writers: set[asyncio.StreamWriter]) -> None:
+    """Reset connections."""
+    for writer in writers:
+        writer.transport.abort()
--- a/tests/support/gateway_world.py
+++ b/tests/support/gateway_world.py
@@ -136,7 +136,7 @@
         """Send a whole answer."""
         lines = [
             f"HTTP/1.1 {status} X",
-            f"X-Request-Id: {self.headers['x-request-id']}",
+            f"X-Request-Id: {self.headers.get('x-request-id', '')}",
         ]
         lines += [STAMP] if stamp else []
         lines += [*headers, f"Content-Length: {len(body)}"]
