Give out in each window what is tolerated beyond a limit; charge only what runs

Ruled out: parts too small for a request, since one gateway counts each account. Now half of the excess raises the rate, 0.12 may be owed, and what never ran is given back, over links too.

--- a/src/tanagerturn/gateway/intake.py
+++ b/src/tanagerturn/gateway/intake.py
@@ -62,7 +62,7 @@
             account = configuration.account_for(request.key)
             if account is None:
                 raise Refusal(401, f"unknown key in {configuration.version}")
-        await self._charge(request, account)
+        units = await self._charge(request, account)
         prompt = request.prompt
         if prompt is not None and not waited_before_s(request, route):
             tokens = prompt.prompt_tokens + prompt.most_output_tokens
@@ -81,11 +81,19 @@
             account,
             exchange.arrived_s + patience_s - PATIENCE_MARGIN_S,
             StreamProgress(request.last_event_id),
+            charged_units=units,
         )
 
-    async def _charge(self, request: InboundRequest, account: Account | None) -> None:
+    def give_back(self, run: Run) -> None:
+        """Give its client account back what a request was charged in vain."""
+        if run.account is not None and run.charged_units:
+            units, run.charged_units = run.charged_units, 0.0
+            self.state.limits.give_back(run.account.name, units, self.links)
+
+    async def _charge(self, request: InboundRequest, account: Account | None) -> float:
+        """Charge a request to its client account and return the units."""
         if account is None:
-            return
+            return 0.0
         units = 1.0
         if account.counts_tokens:
             units = account.plain_cost
@@ -95,3 +103,4 @@
         taken = await self.state.limits.take(account.name, units, self.links)
         if isinstance(taken, Exceeded):
             raise Refusal(429, f"over the limit of {account.name}", taken.retry_after_s)
+        return units
--- a/src/tanagerturn/gateway/limits.py
+++ b/src/tanagerturn/gateway/limits.py
@@ -13,6 +13,7 @@
     Exceeded,
     SpreadLimits,
     SpreadTerms,
+    Tolerance,
 )
 
 if TYPE_CHECKING:
@@ -35,15 +36,15 @@
 
     Args:
         host: This gateway.
-        tolerated: Units beyond a limit that do no harm.
+        tolerance: What accounts may get beyond their limits.
     """
 
-    def __init__(self, host: str, tolerated: float) -> None:
+    def __init__(self, host: str, tolerance: Tolerance) -> None:
         self.host = host
         """This gateway."""
-        self.owned = OwnedLimits(tolerated)
+        self.owned = OwnedLimits(tolerance)
         """Accounts that this gateway owns."""
-        self.spread = SpreadLimits(tolerated)
+        self.spread = SpreadLimits(tolerance)
         """Parts of all limits, for when an owner does not answer."""
         self.gateways: dict[str, str] = {}
         """Link addresses of the other gateways that are present."""
@@ -96,6 +97,25 @@
         taken = answered.ok.taken
         return Admitted() if taken.admitted else Exceeded(taken.retry_after_s)
 
+    def give_back(self, account: str, units: float, links: Links) -> None:
+        """Take back what a request was charged that never ran."""
+        if account not in self.owned.terms:
+            return
+        now_s = boot_s()
+        self.spread.give_back(account, units, now_s)
+        address = self._owner(account)
+        if not address:
+            self.owned.give_back(account, units, now_s)
+            return
+        frame = gpb.Frame(
+            give_back=gpb.GiveBackUnits(client_account=account, units=units)
+        )
+        links.to(address).tell(frame)
+
+    def on_given_back(self, given: gpb.GiveBackUnits, now_s: float) -> None:
+        """Take what another gateway gives back."""
+        self.owned.give_back(given.client_account, given.units, now_s)
+
     def serve(self, call: gpb.TakeCall, now_s: float) -> gpb.Frame:
         """Answer a call of another gateway."""
         taken = self.owned.take(call.client_account, call.units, now_s)
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -69,6 +69,8 @@
             run = await self.intake.begin(exchange)
             await self._carry(run)
         except Refusal as refusal:
+            if run is not None and not run.may_have_run:
+                self.intake.give_back(run)
             await refuse(self.state, exchange, run, refusal)
         except asyncio.CancelledError:
             if run is not None:
--- a/src/tanagerturn/gateway/run.py
+++ b/src/tanagerturn/gateway/run.py
@@ -107,6 +107,8 @@
     """Observed over expected time to first events there, part of `expected_s`."""
     first_event_s: float = 0.0
     """Time to the first event that was passed on."""
+    charged_units: float = 0.0
+    """Units that its client account was charged."""
     held_s: float = 0.0
     """Time from its arrival to its first sending."""
     passed_on_s: float = 0.0
--- a/src/tanagerturn/gateway/settings.py
+++ b/src/tanagerturn/gateway/settings.py
@@ -8,6 +8,8 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from tanagerturn.serving.limits.spread import Tolerance
+
 
 @dataclass(frozen=True)
 class DutySettings:
@@ -69,8 +71,8 @@
     """Window of the retry budget."""
     retry_allowance: float
     """Repeats beyond the ratio in a window, over all gateways."""
-    limit_tolerated: float
-    """Units beyond a client account's limit that do no harm."""
+    limit_tolerance: Tolerance
+    """What client accounts may get beyond their limits without harm."""
     report_window_s: float
     """Length of a usage report's window."""
     report_due_s: float
--- a/src/tanagerturn/gateway/state.py
+++ b/src/tanagerturn/gateway/state.py
@@ -128,7 +128,7 @@
     return GatewayState(
         settings=settings,
         dialect=dialect,
-        limits=AccountLimits(settings.host, settings.limit_tolerated),
+        limits=AccountLimits(settings.host, settings.limit_tolerance),
         wall_time=WallTime(now_s, wall_s),
         usage=UsageCounts(settings.report_window_s),
     )
--- a/src/tanagerturn/platform/settings.py
+++ b/src/tanagerturn/platform/settings.py
@@ -8,6 +8,7 @@
 
 from tanagerturn.coordination.errors import RefusedError
 from tanagerturn.gateway.settings import DutySettings, GatewaySettings
+from tanagerturn.serving.limits.spread import Tolerance
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -30,6 +31,8 @@
     "retry_window_s": "10",
     "retry_allowance": "10",
     "quota_allowance": "0",
+    "quota_overage": "0",
+    "quota_window_s": "8",
     "report_window_s": "5",
     "usage_late_s": "10",
     "lease_ms": "3000",
@@ -114,7 +117,9 @@
         retry_ratio=bound("retry_budget_ratio"),
         retry_window_s=bound("retry_window_s"),
         retry_allowance=bound("retry_allowance"),
-        limit_tolerated=bound("quota_allowance"),
+        limit_tolerance=Tolerance(
+            bound("quota_allowance"), bound("quota_overage"), bound("quota_window_s")
+        ),
         report_window_s=bound("report_window_s"),
         # A report is "late" this long after its window's end.
         report_due_s=bound("usage_late_s"),
--- a/src/tanagerturn/serving/limits/buckets.py
+++ b/src/tanagerturn/serving/limits/buckets.py
@@ -39,9 +39,9 @@
         return max(0.0, missing / self.rate_per_s)
 
     def take(self, units: float, now_s: float) -> None:
-        """Take units, into debt if need be."""
+        """Take units, into debt if need be; less than 0 gives units back."""
         self._fill(now_s)
-        self.units -= units
+        self.units = min(self.burst, self.units - units)
 
     def _fill(self, now_s: float) -> None:
         added = max(0.0, now_s - self.filled_s) * self.rate_per_s
--- a/src/tanagerturn/serving/limits/owned.py
+++ b/src/tanagerturn/serving/limits/owned.py
@@ -19,6 +19,7 @@
     Admitted,
     Exceeded,
     SpreadTerms,
+    Tolerance,
 )
 
 if TYPE_CHECKING:
@@ -28,16 +29,20 @@
 """Part of a burst that a new owner starts with; the one before it may have given
 the rest out."""
 
-DEBT_SHARE: Final = 0.45
+SUSTAINED_SHARE: Final = 0.5
+"""Part of the tolerated excess of a window by which the rate is raised: a request
+that does no harm is not refused. The rest is left for a change of owners, when the
+new one gives out what the old one may have given out just before."""
+
+DEBT_SHARE: Final = 0.12
 """Part of the tolerated excess that an account may go into debt: refusing a
 request that is within the limit by another count of time costs a caller more."""
 
-
 SMALL_SHARE: Final = 0.01
 """Requests that take less than this part of a second's units are small: purchases
 and lookups beside generations."""
 
-SMALL_DEBT_SHARE: Final = 0.6
+SMALL_DEBT_SHARE: Final = 0.2
 """The same debt for small requests, so that an account's large generations do not
 keep its purchases out; all small ones together are about a hundredth of the units."""
 
@@ -46,12 +51,12 @@
     """Buckets of the accounts that this gateway owns.
 
     Args:
-        tolerated: Units beyond a limit that do no harm.
+        tolerance: What accounts may get beyond their limits.
     """
 
-    def __init__(self, tolerated: float) -> None:
-        self.tolerated = tolerated
-        """Units beyond a limit that do no harm."""
+    def __init__(self, tolerance: Tolerance) -> None:
+        self.tolerance = tolerance
+        """What accounts may get beyond their limits."""
         self.terms: Mapping[str, SpreadTerms] = {}
         """Limits in force."""
         self.visible_share = 1.0
@@ -91,17 +96,25 @@
             self.buckets[name] = bucket
             self._set_rate(name, now_s)
         is_small = units <= SMALL_SHARE * terms.rate_per_s
-        debt = (SMALL_DEBT_SHARE if is_small else DEBT_SHARE) * self.tolerated
+        debt_share = SMALL_DEBT_SHARE if is_small else DEBT_SHARE
+        debt = debt_share * self.tolerance.beyond(terms)
         wait_s = bucket.wait_s(min(units, terms.burst) - debt, now_s)
         if wait_s > 0:
             return Exceeded(max(RETRY_LEAST_S, wait_s))
         bucket.take(units, now_s)
         return Admitted()
 
+    def give_back(self, name: str, units: float, now_s: float) -> None:
+        """Take back what a request was charged that never ran."""
+        bucket = self.buckets.get(name)
+        if bucket is not None:
+            bucket.take(-units, now_s)
+
     def _set_rate(self, name: str, now_s: float) -> None:
-        terms = self.terms[name]
-        share = self.visible_share
-        self.buckets[name].set_rate(terms.rate_per_s * share, terms.burst, now_s)
+        terms, tolerance = self.terms[name], self.tolerance
+        sustained = SUSTAINED_SHARE * tolerance.beyond(terms) / tolerance.window_s
+        rate_per_s = (terms.rate_per_s + sustained) * self.visible_share
+        self.buckets[name].set_rate(rate_per_s, terms.burst, now_s)
 
 
 def owner_of(account: str, gateways: Iterable[str]) -> str:
--- a/src/tanagerturn/serving/limits/spread.py
+++ b/src/tanagerturn/serving/limits/spread.py
@@ -44,6 +44,23 @@
     """Units that may be used at once."""
 
 
+@dataclass(frozen=True)
+class Tolerance:
+    """What an account may get beyond its limit in any window, without harm."""
+
+    units: float
+    """Units in each window."""
+    share: float
+    """Part of what the limit allows in a window, besides."""
+    window_s: float
+    """Length of the windows."""
+
+    def beyond(self, terms: SpreadTerms) -> float:
+        """Return the units beyond a limit that any window may hold."""
+        allowed = terms.rate_per_s * self.window_s + terms.burst
+        return self.units + self.share * allowed
+
+
 @dataclass(frozen=True)
 class Admitted:
     """The request is within the limit and was charged."""
@@ -89,12 +106,12 @@
     """The parts of all client accounts' limits at one gateway.
 
     Args:
-        tolerated: Units beyond the limits that do no harm, over all gateways.
+        tolerance: What accounts may get beyond their limits, over all gateways.
     """
 
-    def __init__(self, tolerated: float) -> None:
-        self.tolerated = tolerated
-        """Units beyond the limits that do no harm."""
+    def __init__(self, tolerance: Tolerance) -> None:
+        self.tolerance = tolerance
+        """What accounts may get beyond their limits, over all gateways."""
         self.gateways = 1
         """Gateways that take part, this one included."""
         self.accounts: dict[str, AccountSpread] = {}
@@ -128,13 +145,19 @@
         account.age(now_s)
         account.demand_per_s += units / DEMAND_AGE_S
         self._divide(account, now_s)
-        slack = SLACK_SHARE * self.tolerated / self.gateways
+        slack = SLACK_SHARE * self.tolerance.units / self.gateways
         wait_s = account.bucket.wait_s(max(0.0, units - slack), now_s)
         if wait_s > 0:
             return Exceeded(max(RETRY_LEAST_S, wait_s))
         account.bucket.take(units, now_s)
         return Admitted()
 
+    def give_back(self, name: str, units: float, now_s: float) -> None:
+        """Take back what a request was charged that never ran."""
+        account = self.accounts.get(name)
+        if account is not None:
+            account.bucket.take(-units, now_s)
+
     def demands(self, now_s: float) -> list[tuple[str, float]]:
         """Return the demand of own callers by client account."""
         told = []
--- a/tests/gateway/relay/relay.feature
+++ b/tests/gateway/relay/relay.feature
@@ -134,6 +134,11 @@
     When 60 prompts of 120 tokens come one after the other
     Then half a burst, and what the rate adds, is answered, and others get 429
 
+  Scenario: Requests that never ran are not charged to their account
+    Given a backend server that rejects requests unrun
+    When 60 prompts of 120 tokens come one after the other
+    Then each of them gets 503 and none 429
+
   Scenario: A draft that would be late is sent away at once, then it is taken
     Given a backend server that goes on after the last event up to 2
     When it has 60000 prompt tokens before it and a caller posts a prompt
