Hash the registry ten times a second at most, not at each digest

Cause (profile of digests as 93 gateways send them): of 333 us a digest 220 us were the hash of 105 backend servers and 50 us the median of clocks; 120 digests a second cost 3.8 % of a core, above the 3.1 % for all control.

--- a/src/tanagerturn/gateway/digests.py
+++ b/src/tanagerturn/gateway/digests.py
@@ -23,6 +23,10 @@
 REGISTRY_PULL_S: Final = 0.5
 """Time between two fetches of another gateway's backend servers."""
 
+HASH_KEEP_S: Final = 0.1
+"""Time for which the hash of what is known here is kept: it costs 0.2 ms with 100
+backend servers, and 120 digests come in a second."""
+
 WINDOWS_TOLD: Final = 4
 """Report windows in a digest: reports are made of those that ended lately."""
 
@@ -61,6 +65,9 @@
         self.member: StateMember | None = None
         """Member of the state group, on hosts with a disk."""
         self.registry_pulled_s = 0.0
+        self.registry_hash = 0
+        """Hash of the backend servers known here, and when it was made."""
+        self.registry_hashed_s = -1e9
         self.pulling: asyncio.Task[None] | None = None
         """Fetch of another gateway's backend servers that is under way."""
 
@@ -127,13 +134,23 @@
         self._compare_registries(digest, now_s)
 
     def _compare_registries(self, digest: gpb.Digest, now_s: float) -> None:
-        if digest.registry_hash == self.state.fleet.registry_hash(now_s):
+        if now_s - self.registry_hashed_s > HASH_KEEP_S:
+            self._hash_registry(now_s)
+        if digest.registry_hash == self.registry_hash:
             return
         if now_s - self.registry_pulled_s < REGISTRY_PULL_S:
             return
+        # What was hashed may have changed since.
+        self._hash_registry(now_s)
+        if digest.registry_hash == self.registry_hash:
+            return
         self.registry_pulled_s = now_s
         self.pulling = self.loop.create_task(self._pull_registry(digest.link_address))
 
+    def _hash_registry(self, now_s: float) -> None:
+        self.registry_hash = self.state.fleet.registry_hash(now_s)
+        self.registry_hashed_s = now_s
+
     async def _pull_registry(self, address: str) -> None:
         link = self.links.to(address)
         answered = await link.call(gpb.Frame(ask_news=gpb.NewsCall()), REGISTRY_PULL_S)
--- a/src/tanagerturn/gateway/wall_time.py
+++ b/src/tanagerturn/gateway/wall_time.py
@@ -39,6 +39,9 @@
     def on_heard(self, gateway: str, wall_s: float, now_s: float) -> None:
         """Take the corrected wall clock of another gateway."""
         self.heard[gateway] = (wall_s - now_s, now_s)
+        if abs(wall_s - now_s - self.offset_s) <= SLEW_S:
+            # The median moves far only when clocks that differ are heard.
+            return
         recent = [
             offset_s
             for offset_s, at_s in self.heard.values()
