--- a/src/tanagerturn/gateway/capacity.py
+++ b/src/tanagerturn/gateway/capacity.py
@@ -21,9 +21,9 @@
 """Time after which an accepted order is repeated while its backend servers are
 missing: longer than a boot; they may have been taken since."""
 
-SETTLE_S: Final = 3.0
+SETTLE_S: Final = 2.0
 """Time after its start in which a gateway orders nothing: it may not have heard of
-all backend servers yet."""
+all backend servers yet, which announce themselves every second."""
 
 PRIOR_SHARE: Final = 0.35
 """Part of all limits that callers are expected to ask at first; operators set limits
--- a/src/tanagerturn/serving/capacity/counts.py
+++ b/src/tanagerturn/serving/capacity/counts.py
@@ -52,6 +52,9 @@
 """Time for which enough reclaimable ones must be ready before on-demand ones are
 given back; a reclaim often follows soon after a start."""
 
+IDLE_GIVE_BACK_AFTER_S: Final = 0.4
+"""The same time while no caller has come: nothing would be lost by a reclaim."""
+
 BOOT_FACTOR: Final = 1.6
 """Multiple of the boot time after which an ordered backend server is not expected
 any more."""
@@ -224,7 +227,8 @@
             if key.market is Market.ON_DEMAND
         )
         steady = self.enough_since_s
-        if steady is not None and now_s - steady >= GIVE_BACK_AFTER_S:
+        least_s = GIVE_BACK_AFTER_S if self.was_asked else IDLE_GIVE_BACK_AFTER_S
+        if steady is not None and now_s - steady >= least_s:
             return substitutes
         return max(substitutes, held)
 
--- a/tests/serving/capacity/counts.feature
+++ b/tests/serving/capacity/counts.feature
@@ -44,6 +44,11 @@
     When nothing is asked for 12 s and limits promise 120000 tokens a second
     Then 7 or more engines are ready
 
+  Scenario: While no caller has come, on-demand engines go as soon as others are ready
+    Given a cloud with 4 zones, 5 on-demand engines and reclaimable ones at 0.22
+    When nothing is asked for 5 s and limits promise 60000 tokens a second
+    Then 1 on-demand and 4 to 6 reclaimable engines are ready, in all zones
+
   Scenario: Without reclaimable engines on-demand ones meet the demand
     Given a cloud with 4 zones, 5 on-demand engines and none reclaimable
     When 70000 tokens a second are asked for 20 s
--- a/tests/serving/capacity/steps/counts_steps.py
+++ b/tests/serving/capacity/steps/counts_steps.py
@@ -190,10 +190,10 @@
     assert context.gateway.total(30.0) < 100
 
 
-@when("nothing is asked for 12 s and limits promise {tokens:d} tokens a second")
-def promised(context, tokens):
+@when("nothing is asked for {time_s:d} s and limits promise {tokens:d} tokens a second")
+def promised(context, time_s, tokens):
     context.cloud.prior_per_s = tokens
-    context.cloud.run(0, 12)
+    context.cloud.run(0, time_s)
 
 
 @then("{count:d} or more engines are ready")
