Let a starting gateway ask its seeds for configuration and backend servers

Ruled out: the hosts with a disk, which served from their warm start at once. The test failed first.

--- a/src/tanagerturn/gateway/configurations.py
+++ b/src/tanagerturn/gateway/configurations.py
@@ -192,6 +192,17 @@
         entry = pb.KeyValue(key=CURRENT_KEY, value=self.stored.SerializeToString())
         return gpb.Frame(answer=gpb.ReadAnswer(entry=entry))
 
+    async def fetch(self, address: str) -> bool:
+        """Fetch what another gateway has in force; return whether it is newer."""
+        read = gpb.ReadCall(key=CURRENT_KEY, stale_allowed=True)
+        answered = await self.links.to(address).call(
+            gpb.Frame(read=read), PULL_TIMEOUT_S
+        )
+        if answered.is_error() or answered.ok.WhichOneof("kind") != "answer":
+            return False
+        value = answered.ok.answer.entry.value
+        return self.adopt_stored(gpb.StoredConfiguration.FromString(value))
+
     async def _pull(self) -> None:
         """Fetch the newest version that others tell of."""
         while True:
@@ -201,15 +212,7 @@
                 return
             able = [a for a, version in self.sources.items() if version > have]
             address = self.state.random.choice(able)
-            read = gpb.ReadCall(key=CURRENT_KEY, stale_allowed=True)
-            answered = await self.links.to(address).call(
-                gpb.Frame(read=read), PULL_TIMEOUT_S
-            )
-            taken = False
-            if answered.is_ok() and answered.ok.WhichOneof("kind") == "answer":
-                value = answered.ok.answer.entry.value
-                taken = self.adopt_stored(gpb.StoredConfiguration.FromString(value))
-            if not taken:
+            if not await self.fetch(address):
                 # It is asked again once it tells its version again.
                 self.sources.pop(address, None)
                 log.info("configuration_not_fetched", peer=address, have=have)
--- a/src/tanagerturn/gateway/digests.py
+++ b/src/tanagerturn/gateway/digests.py
@@ -145,13 +145,14 @@
         if digest.registry_hash == self.registry_hash:
             return
         self.registry_pulled_s = now_s
-        self.pulling = self.loop.create_task(self._pull_registry(digest.link_address))
+        self.pulling = self.loop.create_task(self.pull_registry(digest.link_address))
 
     def _hash_registry(self, now_s: float) -> None:
         self.registry_hash = self.state.fleet.registry_hash(now_s)
         self.registry_hashed_s = now_s
 
-    async def _pull_registry(self, address: str) -> None:
+    async def pull_registry(self, address: str) -> None:
+        """Fetch another gateway's backend servers."""
         link = self.links.to(address)
         answered = await link.call(gpb.Frame(ask_news=gpb.NewsCall()), REGISTRY_PULL_S)
         if answered.is_error():
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -60,6 +60,13 @@
 SWITCH_INTERVAL_S: Final = 0.001
 """Longest turn of a thread while another one waits."""
 
+ASK_SEEDS_S: Final = 0.05
+"""Time between the first two rounds of questions to seeds; it doubles with each, as
+seeds that start at the same moment listen a few tenths of a second later."""
+
+ASK_SEEDS_MOST_S: Final = 0.4
+"""Longest of these times: before the first configuration nobody can answer."""
+
 READY_WITHOUT_GROUP_S: Final = 3.0
 """Time after which a gateway with a configuration is ready although it could not
 confirm that it is the newest."""
@@ -181,6 +188,7 @@
             self.loop.create_task(self.duties.run()),
             self.loop.create_task(self._open_member()),
             self.loop.create_task(self._confirm()),
+            *(self.loop.create_task(self._ask_seed(a)) for a in self._seed_links()),
         ]
         await self.ended.wait()
         for task in tasks:
@@ -216,6 +224,19 @@
             self.configurations.adopt_stored(warm.configuration)
         self.state.fleet.on_news(aged_backends(warm, wall_ms()), boot_s())
 
+    async def _ask_seed(self, address: str) -> None:
+        """Ask a seed for what a start needs, until it tells it or others have.
+
+        Gateways without a disk would wait until others have found them anew.
+        """
+        pause_s = ASK_SEEDS_S
+        while not self.state.configuration.version:
+            if await self.configurations.fetch(address):
+                await self.digests.pull_registry(address)
+                return
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, ASK_SEEDS_MOST_S)
+
     def remember(self) -> None:
         """Write what the next start needs, beside the event loop."""
         folder = self.settings.data_folder
@@ -323,6 +344,10 @@
         else:
             self.links.to(chosen.link_address).tell(gpb.Frame(found=gpb.FoundCall()))
 
+    def _seed_links(self) -> list[str]:
+        others = [ip for ip in self.seed_ips if ip != self.settings.ip]
+        return [f"{ip}:{self.settings.link_port}" for ip in others]
+
     def _member_addresses(self) -> set[str]:
         if self.member is None:
             return set()
--- a/tests/gateway/cluster/cluster.feature
+++ b/tests/gateway/cluster/cluster.feature
@@ -27,6 +27,13 @@
     And "g6" starts again
     Then it has version 5 within 3 s
 
+  Scenario: A gateway without a disk can serve as soon as a seed tells it how
+    Given 4 gateways with a disk and 2 without
+    When version 5 is accepted at "g1"
+    And a backend server announces itself to "g2"
+    And "g6" starts again and others find it only after 5 s
+    Then it has version 5 and the backend server within 0.5 s
+
   Scenario: All gateways are killed at once and serve again before a leader is known
     Given 4 gateways with a disk and 2 without
     When version 5 is accepted at "g1"
--- a/tests/gateway/cluster/steps/cluster_steps.py
+++ b/tests/gateway/cluster/steps/cluster_steps.py
@@ -159,6 +159,32 @@
     run(context, again())
 
 
+@when('"{host}" starts again and others find it only after 5 s')
+def starts_unfound(context, host):
+    cluster = context.cluster
+
+    async def again():
+        await cluster.kill(host)
+        gateway = await cluster.start(int(host[1:]), first=False)
+        # Datagrams of others, which tell what they have, are lost.
+        gateway.mesh.on_version = lambda version, ip: None
+        gateway.mesh.on_digest = lambda digest, now_s: None
+        gateway.mesh.on_news = lambda news, now_s: None
+
+    run(context, again())
+
+
+@then("it has version 5 and the backend server within 0.5 s")
+def has_both(context):
+    gateway = context.cluster.gateways["g6"]
+
+    def knows():
+        is_in_force = gateway.state.configuration.version == 5
+        return is_in_force and "i-1" in gateway.state.fleet.view.backends
+
+    run(context, context.cluster.until(knows, 0.5))
+
+
 @then("it has version 5 within 3 s")
 def has_version(context):
     until_in_force(context, 5, 3.0)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
 import click
@@ -14,6 +15,8 @@
 @click.option("--seconds", default=30.0, help="Length of the faults of each seed.")
 def main(seeds: str, seconds: float) -> None:
     """Play seeds one after the other; logs of those that break a promise stay."""
+    # The gateways are ended with the run, however it ends.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     first, _, last = seeds.partition("-")
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
