--- a/src/tanagerturn/serving/capacity/counts.py
+++ b/src/tanagerturn/serving/capacity/counts.py
@@ -55,6 +55,10 @@
 IDLE_GIVE_BACK_AFTER_S: Final = 0.4
 """The same time while no caller has come: nothing would be lost by a reclaim."""
 
+GIVE_BACK_PAUSE_S: Final = 1.0
+"""Time between two on-demand engines that are given back while callers are here: the
+parts that each one held are read again elsewhere, and not all at once."""
+
 BOOT_FACTOR: Final = 1.6
 """Multiple of the boot time after which an ordered backend server is not expected
 any more."""
@@ -214,23 +218,40 @@
             return need + SPARE_ON_DEMAND
         wanted = need - BASE_ENGINES
         running = sum(min(n, ready.get(key, 0)) for key, n in spots.items())
-        coming = sum(self._expected(key, ready, now_s) for key in spots)
+        coming = sum(self._coming(k, n, ready, now_s) for k, n in spots.items())
         substitutes = BASE_ENGINES + max(0, wanted - coming)
-        if running < wanted:
-            self.enough_since_s = None
-        elif self.enough_since_s is None:
-            self.enough_since_s = now_s
         kinds = {*ready, *self.accepted}
         held = sum(
             self._expected(key, ready, now_s)
             for key in kinds
             if key.market is Market.ON_DEMAND
         )
+        # On-demand ones may take the room of reclaimable ones in their zone.
+        surplus = running + held - need - SPARE_ENGINES
+        enough = substitutes if running >= wanted else max(substitutes, held - surplus)
+        if enough >= held:
+            self.enough_since_s = None
+        elif self.enough_since_s is None:
+            self.enough_since_s = now_s
         steady = self.enough_since_s
         least_s = GIVE_BACK_AFTER_S if self.was_asked else IDLE_GIVE_BACK_AFTER_S
-        if steady is not None and now_s - steady >= least_s:
-            return substitutes
-        return max(substitutes, held)
+        if steady is None or now_s - steady < least_s:
+            return max(substitutes, held)
+        if not self.was_asked:
+            return enough
+        self.enough_since_s = now_s - least_s + GIVE_BACK_PAUSE_S
+        return held - 1
+
+    def _coming(
+        self, key: CountKey, count: int, ready: Mapping[CountKey, int], now_s: float
+    ) -> int:
+        """Return the reclaimable ones that run, boot, or are ordered with this plan.
+
+        On-demand ones would boot no sooner than those that are not refused.
+        """
+        if now_s < self.refused_until_s.get(key, 0.0):
+            return self._expected(key, ready, now_s)
+        return max(count, self._expected(key, ready, now_s))
 
     def _expected(
         self, key: CountKey, ready: Mapping[CountKey, int], now_s: float
--- a/tests/serving/capacity/counts.feature
+++ b/tests/serving/capacity/counts.feature
@@ -49,6 +49,20 @@
     When nothing is asked for 5 s and limits promise 60000 tokens a second
     Then 1 on-demand and 4 to 6 reclaimable engines are ready, in all zones
 
+  Scenario: No on-demand engine is ordered while reclaimable ones can be had
+    Given a cloud with 4 zones, 5 on-demand engines and reclaimable ones at 0.22
+    When nothing is asked for 16 s and limits promise 160000 tokens a second
+    Then at no time more than 5 on-demand engines were ready
+    And 1 on-demand and 9 to 10 reclaimable engines are ready, in all zones
+
+  Scenario: On-demand engines are given back one after the other under load
+    Given a cloud with 4 zones, 5 on-demand engines and reclaimable ones at 0.22
+    When 90000 tokens a second are asked for 20 s
+    And all zones are taken and nothing reclaimable is to be had for 15 s
+    And 90000 tokens a second are asked for 40 s
+    Then no two on-demand engines were given back within 0.9 s
+    And after 20 s more 1 on-demand engine is left
+
   Scenario: Without reclaimable engines on-demand ones meet the demand
     Given a cloud with 4 zones, 5 on-demand engines and none reclaimable
     When 70000 tokens a second are asked for 20 s
--- a/tests/serving/capacity/steps/counts_steps.py
+++ b/tests/serving/capacity/steps/counts_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import Counter
 
 from behave import given, then, when
@@ -29,6 +30,9 @@
         self.now_s = 0.0
         self.dry_until_s = 0.0
         self.least_ready = 99
+        self.most_on_demand = 0
+        self.given_back = []
+        """Times at which ready on-demand engines were given back."""
         self.called_off = 0
         self.prior_per_s = 0.0
 
@@ -43,6 +47,8 @@
         self.planner.on_accepted(key, count, self.now_s)
         self.called_off += max(0, have - max(count, self.ready[key]))
         self.boots += [(key, self.now_s + BOOT_S)] * (count - have)
+        if count < self.ready[key] and key.market is Market.ON_DEMAND:
+            self.given_back += [self.now_s] * (self.ready[key] - count)
         if count < have:
             self.ready[key] = min(self.ready[key], count)
 
@@ -68,6 +74,8 @@
                 if accepted is None or accepted[0] != count or count != ready[key]:
                     self.order(key, count)
             self.least_ready = min(self.least_ready, self.total())
+            on_demand = sum(self.of(Market.ON_DEMAND).values())
+            self.most_on_demand = max(self.most_on_demand, on_demand)
 
     def total(self):
         """Count ready engines."""
@@ -94,14 +102,29 @@
     context.cloud.run(tokens, seconds)
 
 
-@then("1 on-demand and 4 to 6 reclaimable engines are ready, in all zones")
-def replaced(context):
+@then(
+    "1 on-demand and {least:d} to {most:d} reclaimable engines are ready, in all zones"
+)
+def replaced(context, least, most):
     reclaimable = context.cloud.of(Market.RECLAIMABLE)
     assert sum(context.cloud.of(Market.ON_DEMAND).values()) == 1
-    assert 4 <= sum(reclaimable.values()) <= 6, reclaimable
+    assert least <= sum(reclaimable.values()) <= most, reclaimable
     assert len(reclaimable) == 4
 
 
+@then("at no time more than {count:d} on-demand engines were ready")
+def never_more(context, count):
+    assert context.cloud.most_on_demand <= count, context.cloud.most_on_demand
+
+
+@then("no two on-demand engines were given back within {pause_s:g} s")
+def one_by_one(context, pause_s):
+    times = [at_s for at_s in context.cloud.given_back if at_s > 20.0]
+    assert len(times) > 1, context.cloud.given_back
+    gaps = [b - a for a, b in itertools.pairwise(times)]
+    assert min(gaps) >= pause_s, times
+
+
 @when("all zones are taken and nothing reclaimable is to be had for 15 s")
 def all_taken(context):
     cloud = context.cloud
