--- a/src/tanagerturn/gateway/digests.py
+++ b/src/tanagerturn/gateway/digests.py
@@ -5,7 +5,8 @@
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.clocks import boot_s
-from tanagerturn.gateway.fleet import Work, backend_hash
+from tanagerturn.gateway.backend_state import Work
+from tanagerturn.gateway.fleet import backend_hash
 from tanagerturn.gateway.logs import part_log
 from tanagerturn.schema import gateway_pb2 as gpb
 
--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -6,21 +6,19 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 import xxhash
 
+from tanagerturn.gateway.backend_state import BackendState, Sent, Work, part_hash
 from tanagerturn.schema import gateway_pb2 as gpb
 from tanagerturn.serving.backends.messages import BackendId
 from tanagerturn.serving.backends.view import make_backend_view
-from tanagerturn.serving.routing.pace import Pace
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable
 
-    from tanagerturn.gateway.messages import LoadHint, Prompt, PromptPart, PromptPartId
+    from tanagerturn.gateway.messages import LoadHint, Prompt
     from tanagerturn.schema import serving_pb2
     from tanagerturn.serving.backends.backend import Backend
     from tanagerturn.serving.backends.view import BackendView
@@ -32,9 +30,6 @@
 UNREACHED_MOST_S: Final = 3.0
 """Longest of these times; a crashed backend server is back after some seconds."""
 
-WORK_AGE_S: Final = 3.0
-"""Digests older than this say nothing about the work of their sender."""
-
 SILENT_KEEP_S: Final = 8.0
 """Time after its last sign of life for which a backend server is still used when
 no other one is at hand; one cut off from control may still serve."""
@@ -50,102 +45,6 @@
 running requests."""
 
 
-@dataclass(frozen=True)
-class Work:
-    """Work at one backend server."""
-
-    running: int = 0
-    """Requests in flight."""
-    prompt_tokens: int = 0
-    """Prompt tokens sent and not known to be read yet."""
-    kv_tokens: int = 0
-    """Tokens of memory that the requests in flight are expected to take."""
-
-
-NO_WORK: Final = Work()
-
-
-@dataclass
-class Sent:
-    """One own request in flight."""
-
-    sent_s: float
-    prompt_tokens: int
-    """Prompt tokens that the engine has to read for it."""
-    kv_tokens: int
-    expected_s: float = 0.0
-    """Time to its first event that was expected at pace 1."""
-    is_read: bool = False
-    """Its first event has come."""
-
-
-@dataclass
-class BackendState:
-    """What own requests and other gateways tell of one backend server."""
-
-    sent: dict[str, Sent] = field(default_factory=dict)
-    """Own requests in flight by attempt id."""
-    others: dict[str, tuple[Work, float]] = field(default_factory=dict)
-    """Work of other gateways, and when their digest came."""
-    unreached: int = 0
-    """Failures to reach it in a row."""
-    blocked_until_s: float = 0.0
-    """It gets no requests before this time."""
-    parts: OrderedDict[int, int] = field(default_factory=OrderedDict)
-    """Prompt parts that it was sent, by hash, with their tokens; the last used at
-    the end."""
-    parts_tokens: int = 0
-    """Tokens of all these parts."""
-    used_s: float = -1e9
-    """When it last answered an own request."""
-    pace: Pace = field(default_factory=Pace)
-    """Observed over expected time to the first event."""
-
-    def own_work(self) -> Work:
-        """Return the work of own requests."""
-        running = len(self.sent)
-        if not running:
-            return NO_WORK
-        prompt = sum(s.prompt_tokens for s in self.sent.values() if not s.is_read)
-        return Work(running, prompt, sum(s.kv_tokens for s in self.sent.values()))
-
-    def work(self, now_s: float) -> Work:
-        """Return the work of all gateways."""
-        own = self.own_work()
-        running, prompt, kv = own.running, own.prompt_tokens, own.kv_tokens
-        for work, at_s in self.others.values():
-            if now_s - at_s < WORK_AGE_S:
-                running += work.running
-                prompt += work.prompt_tokens
-                kv += work.kv_tokens
-        return Work(running, prompt, kv)
-
-    def cached_tokens(self, parts: Sequence[PromptPart]) -> int:
-        """Return the leading prompt tokens that it is expected to hold."""
-        held = 0
-        for part in parts:
-            if part_hash(part.id) not in self.parts:
-                break
-            held += part.tokens
-        return held
-
-    def note_part(self, part: int, tokens: int, room_tokens: int) -> bool:
-        """Note that it was sent a prompt part; the least recently used yield.
-
-        Returns:
-            Whether it is not known to have held the part.
-        """
-        is_new = part not in self.parts
-        if is_new:
-            self.parts_tokens += tokens
-        self.parts[part] = tokens
-        self.parts.move_to_end(part)
-        while self.parts_tokens > room_tokens and self.parts:
-            _, dropped = self.parts.popitem(last=False)
-            self.parts_tokens -= dropped
-        return is_new
-
-
 class Fleet:
     """All backend servers, as one gateway knows them."""
 
@@ -399,11 +298,6 @@
     return int(now_s * 1000)
 
 
-def part_hash(part_id: PromptPartId) -> int:
-    """Return the number that stands for a prompt part in digests."""
-    return xxhash.xxh32_intdigest(part_id.encode())
-
-
 def backend_hash(backend_id: BackendId) -> int:
     """Return the number that stands for a backend server in digests."""
     return xxhash.xxh64_intdigest(backend_id.encode())
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -23,13 +23,8 @@
 from tanagerturn.gateway.relay import Relay
 from tanagerturn.gateway.replicated import ReplicatedStore
 from tanagerturn.gateway.server import HttpServer
+from tanagerturn.gateway.starting import REMEMBER_S, Starting
 from tanagerturn.gateway.state import make_state
-from tanagerturn.gateway.warm_start import (
-    aged_backends,
-    make_warm_start,
-    read_warm_start,
-    write_warm_start,
-)
 from tanagerturn.schema import gateway_pb2 as gpb
 
 if TYPE_CHECKING:
@@ -60,20 +55,10 @@
 SWITCH_INTERVAL_S: Final = 0.001
 """Longest turn of a thread while another one waits."""
 
-ASK_SEEDS_S: Final = 0.05
-"""Time between the first two rounds of questions to seeds; it doubles with each, as
-seeds that start at the same moment listen a few tenths of a second later."""
-
-ASK_SEEDS_MOST_S: Final = 0.4
-"""Longest of these times: before the first configuration nobody can answer."""
-
 READY_WITHOUT_GROUP_S: Final = 3.0
 """Time after which a gateway with a configuration is ready although it could not
 confirm that it is the newest."""
 
-REMEMBER_S: Final = 1.0
-"""Time between two writes of what the next start needs."""
-
 RELOAD_S: Final = 2.0
 """Time between two looks at the settings file."""
 
@@ -154,8 +139,10 @@
         """Listener for metrics."""
         self.founding = Founding()
         """Founding of the state group."""
-        self.remembering: asyncio.Future[None] | None = None
-        """Write of what the next start needs that is under way."""
+        self.starting = Starting(
+            self.state, self.configurations, self.mesh, self.digests, loop
+        )
+        """What a start needs."""
         self.seed_ips = settings.seed_ips
         """Seeds in force."""
         self.is_confirmed = False
@@ -167,7 +154,7 @@
         """Serve until a signal ends the process."""
         sys.setswitchinterval(SWITCH_INTERVAL_S)
         settings = self.settings
-        self.recall()
+        self.starting.recall(self.seed_ips)
         await self.mesh.listen()
         await self.links.listen(settings.link_address)
         await self.operators.listen(settings.control_address)
@@ -184,11 +171,11 @@
             self.loop.create_task(self._every(REPAIR_S, self._tick_group)),
             # The file may change without a signal.
             self.loop.create_task(self._every(RELOAD_S, self.on_reload)),
-            self.loop.create_task(self._every(REMEMBER_S, self.remember)),
+            self.loop.create_task(self._every(REMEMBER_S, self.starting.remember)),
             self.loop.create_task(self.duties.run()),
             self.loop.create_task(self._open_member()),
             self.loop.create_task(self._confirm()),
-            *(self.loop.create_task(self._ask_seed(a)) for a in self._seed_links()),
+            self.loop.create_task(self.starting.ask_seeds(self.seed_ips)),
         ]
         await self.ended.wait()
         for task in tasks:
@@ -214,43 +201,6 @@
         self.mesh.send_digest(boot_s())
         self.loop.create_task(self._drain())
 
-    def recall(self) -> None:
-        """Take over what was remembered before a restart."""
-        if self.settings.data_folder is None:
-            return
-        warm = read_warm_start(self.settings.data_folder)
-        self.mesh.set_seeds([*self.seed_ips, *warm.gateway_ips])
-        if warm.configuration.version:
-            self.configurations.adopt_stored(warm.configuration)
-        self.state.fleet.on_news(aged_backends(warm, wall_ms()), boot_s())
-
-    async def _ask_seed(self, address: str) -> None:
-        """Ask a seed for what a start needs, until it tells it or others have.
-
-        Gateways without a disk would wait until others have found them anew.
-        """
-        pause_s = ASK_SEEDS_S
-        while not self.state.configuration.version:
-            if await self.configurations.fetch(address):
-                await self.digests.pull_registry(address)
-                return
-            await asyncio.sleep(pause_s)
-            pause_s = min(2 * pause_s, ASK_SEEDS_MOST_S)
-
-    def remember(self) -> None:
-        """Write what the next start needs, beside the event loop."""
-        folder = self.settings.data_folder
-        is_busy = self.remembering is not None and not self.remembering.done()
-        if folder is None or is_busy or not self.state.configuration.version:
-            return
-        now_s = boot_s()
-        addresses = [digest.link_address for digest in self.mesh.present(now_s)]
-        news = self.state.fleet.news(now_s)
-        warm = make_warm_start(self.configurations.stored, news, addresses, wall_ms())
-        writing = self.loop.run_in_executor(None, write_warm_start, folder, warm)
-        writing.add_done_callback(_log_not_remembered)
-        self.remembering = writing
-
     def on_reload(self) -> None:
         """Take over settings that may change while the process runs: the seeds."""
         try:
@@ -344,10 +294,6 @@
         else:
             self.links.to(chosen.link_address).tell(gpb.Frame(found=gpb.FoundCall()))
 
-    def _seed_links(self) -> list[str]:
-        others = [ip for ip in self.seed_ips if ip != self.settings.ip]
-        return [f"{ip}:{self.settings.link_port}" for ip in others]
-
     def _member_addresses(self) -> set[str]:
         if self.member is None:
             return set()
@@ -407,11 +353,6 @@
         self.ended.set()
 
 
-def _log_not_remembered(writing: asyncio.Future[None]) -> None:
-    if not writing.cancelled() and writing.exception() is not None:
-        log.info("not_remembered", reason=str(writing.exception()))
-
-
 async def run_gateway(
     settings: GatewaySettings,
     dialect: Dialect,
--- a/tests/gateway/decisions/steps/decisions_steps.py
+++ b/tests/gateway/decisions/steps/decisions_steps.py
@@ -15,10 +15,11 @@
 from hypothesis import strategies as st
 
 from tanagerturn.coordination.log.membership import Action
+from tanagerturn.gateway.backend_state import Work
 from tanagerturn.gateway.configuration import RequestKind
 from tanagerturn.gateway.events import EventSplitter
 from tanagerturn.gateway.failures import Ending, Sendings, Step, next_step
-from tanagerturn.gateway.fleet import Fleet, Work, backend_hash
+from tanagerturn.gateway.fleet import Fleet, backend_hash
 from tanagerturn.gateway.founding import Founding
 from tanagerturn.gateway.logs import LINES_BURST, LineBudget, LineWriter
 from tanagerturn.gateway.member import spare_members, without_replaced
--- a/tests/gateway/relay/steps/relay_steps.py
+++ b/tests/gateway/relay/steps/relay_steps.py
@@ -11,8 +11,9 @@
 
 from support.gateway_world import PROMPT_HEADERS, STAMP, Call, Engine, World
 from tanagerturn.clocks import boot_s
+from tanagerturn.gateway.backend_state import Work
 from tanagerturn.gateway.configuration import empty_configuration
-from tanagerturn.gateway.fleet import Work, backend_hash
+from tanagerturn.gateway.fleet import backend_hash
 
 
 def engine(context, *scripts):
