--- a/src/tanagerturn/operator/explain.py
+++ b/src/tanagerturn/operator/explain.py
@@ -17,7 +17,14 @@
 Line = dict[str, Any]
 
 ENDS: Final = frozenset(
-    ("answered", "failed_by_backend", "refused", "broken_off", "caller_left")
+    (
+        "answered",
+        "broken_off",
+        "caller_left",
+        "failed_by_backend",
+        "refused",
+        "refused_at_once",
+    )
 )
 """Events that end a request."""
 
@@ -41,6 +48,7 @@
     "answered": "The caller got its answer; look at expected_s against first_event_s.",
     "failed_by_backend": "Look at the backend server's own log for the request id.",
     "refused": "Look at the cause; for a full or late engine at `backends_ordered`.",
+    "refused_at_once": "Look at the client account's limit and keys, and the routes.",
     "broken_off": "Look at the backend server: did it end, and was it told before?",
     "caller_left": "Look at how long the caller waited, and whether events came.",
     "": "No end is logged: the process may have been killed; look at `started`.",
@@ -86,6 +94,9 @@
     end = next((line for line in own if line["event"] in ENDS), None)
     near = _near(ordered, own, own[-1]["at"])
     told += ["", _cause(end)]
+    timing = _timing(own, end) if end else ""
+    if timing:
+        told.append(timing)
     if near:
         told += ["", "Changes shortly before, by each process's own clock:"]
         told += [_described(line, own[0]["at"]) for line in near]
@@ -128,6 +139,41 @@
     return f"Cause: {meaning}{status} Reason: {reason}."
 
 
+def _timing(own: list[Line], end: Line) -> str:
+    """Return which part of a request's time was longest, as far as it was measured."""
+    taken_s = end.get("taken_s")
+    if taken_s is None:
+        return ""
+    held_s, expected_s = end.get("held_s", 0.0), end.get("expected_s", 0.0)
+    sent = [line for line in own if line["event"] == "sent"]
+    if not sent:
+        return f"Time: not sent; the first event was expected after {expected_s:.2f} s."
+    if end["event"] != "answered":
+        waited_s = end["at"] - sent[-1]["at"]
+        return (
+            f"Time: {taken_s:.2f} s in all, {waited_s:.2f} s of it after the last of "
+            f"{len(sent)} sendings, to {sent[-1].get('backend')}, where the first "
+            f"event was expected after {expected_s:.2f} s."
+        )
+    first_s = end.get("first_event_s") or taken_s
+    parts = {
+        "it waited here before it was sent": held_s,
+        "the backend server was expected to need so long": expected_s,
+        "the backend server needed longer than expected": first_s - held_s - expected_s,
+        "the caller waited within the stream": end.get("longest_pause_s", 0.0),
+        "the answer was held on its way to the caller": end.get("passed_on_s", 0.0),
+    }
+    if len(sent) > 1:
+        parts[f"{len(sent) - 1} earlier sendings failed"] = (
+            sent[-1]["at"] - sent[0]["at"]
+        )
+    part, time_s = max(parts.items(), key=lambda each: each[1])
+    return (
+        f"Time: {taken_s:.2f} s in all, the first event after {first_s:.2f} s. "
+        f"Longest part: {part}, {time_s:.2f} s."
+    )
+
+
 def _described(line: Line, start_s: float) -> str:
     shown = {
         name: value
--- a/tests/operator/explain/steps/explain_steps.py
+++ b/tests/operator/explain/steps/explain_steps.py
@@ -30,6 +30,60 @@
     context.log_text = "\n".join(LINES)
 
 
+@given(
+    "logs of an answer with {held:g} s held, {expected:g} s expected, {first:g} s first"
+)
+def late(context, held, expected, first):
+    times = {"held_s": held, "expected_s": expected, "first_event_s": first}
+    context.log_text = "\n".join(
+        [
+            line(100.0, "sent", request="r1", backend="i-1", expected_s=expected),
+            line(
+                102.0,
+                "answered",
+                request="r1",
+                backends=["i-1"],
+                taken_s=2.0,
+                longest_pause_s=0.6,
+                passed_on_s=0.001,
+                **times,
+            ),
+        ]
+    )
+
+
+@then('the longest part of its time is "{told}"')
+def longest_part(context, told):
+    assert f"Longest part: {told}, " in context.result.output, context.result.output
+
+
+@given("logs of a request that was refused unsent, with {expected:g} s expected")
+def refused_unsent(context, expected):
+    context.log_text = line(
+        100.0, "refused", request="r1", status=503, taken_s=0.002, expected_s=expected
+    )
+
+
+@then("it tells that it was not sent and that {expected:g} s were expected")
+def not_sent(context, expected):
+    text = context.result.output
+    assert f"not sent; the first event was expected after {expected:.2f} s" in text
+
+
+@given("logs of a request that was refused at once")
+def refused_at_once(context):
+    context.log_text = line(
+        100.0, "refused_at_once", request="r1", status=429, cause="over the limit of a"
+    )
+
+
+@then("the refusal's cause is named, and no end is missing")
+def refusal_named(context):
+    text = context.result.output
+    assert "Status 429. Reason: over the limit of a." in text, text
+    assert "No end is logged" not in text
+
+
 @given("logs with text before each line and damaged lines")
 def prefixed(context):
     damaged = ["no json", "{half", '{"other": 1}']
