--- a/src/tanagerturn/serving/capacity/counts.py
+++ b/src/tanagerturn/serving/capacity/counts.py
@@ -66,6 +66,9 @@
 REFUSED_S: Final = 2.0
 """Time for which a refused zone and market is not asked again."""
 
+ASK_MARGIN_S: Final = 1.0
+"""Time within which it is asked again then."""
+
 
 class CountKey(NamedTuple):
     """What an order names besides its service."""
@@ -219,7 +222,8 @@
         wanted = need - BASE_ENGINES
         running = sum(min(n, ready.get(key, 0)) for key, n in spots.items())
         coming = sum(self._coming(k, n, ready, now_s) for k, n in spots.items())
-        substitutes = BASE_ENGINES + max(0, wanted - coming)
+        at_risk = self._at_risk(spots, ready, now_s)
+        substitutes = BASE_ENGINES + max(0, wanted + at_risk - coming)
         kinds = {*ready, *self.accepted}
         held = sum(
             self._expected(key, ready, now_s)
@@ -242,6 +246,18 @@
         self.enough_since_s = now_s - least_s + GIVE_BACK_PAUSE_S
         return held - 1
 
+    def _at_risk(
+        self, spots: Mapping[CountKey, int], ready: Mapping[CountKey, int], now_s: float
+    ) -> int:
+        """Return the most reclaimable ones in a zone while none can be had anew.
+
+        They may be taken next, and what replaces them takes a boot.
+        """
+        asked_s = [self.refused_until_s.get(key, 0.0) + ASK_MARGIN_S for key in spots]
+        if now_s >= max(asked_s):
+            return 0
+        return max(ready.get(key, 0) for key in spots)
+
     def _coming(
         self, key: CountKey, count: int, ready: Mapping[CountKey, int], now_s: float
     ) -> int:
--- a/tests/serving/capacity/counts.feature
+++ b/tests/serving/capacity/counts.feature
@@ -63,6 +63,14 @@
     Then no two on-demand engines were given back within 0.9 s
     And after 20 s more 1 on-demand engine is left
 
+  Scenario: While nothing reclaimable is to be had, the next zone's loss is borne
+    Given a cloud with 4 zones, 5 on-demand engines and reclaimable ones at 0.22
+    When 90000 tokens a second are asked for 20 s
+    And one zone is taken and nothing reclaimable is to be had for 15 s
+    And 90000 tokens a second are asked for 6 s
+    And another zone is taken
+    Then 5 engines are ready at once
+
   Scenario: Without reclaimable engines on-demand ones meet the demand
     Given a cloud with 4 zones, 5 on-demand engines and none reclaimable
     When 70000 tokens a second are asked for 20 s
--- a/tests/serving/capacity/steps/counts_steps.py
+++ b/tests/serving/capacity/steps/counts_steps.py
@@ -154,6 +154,28 @@
         cloud.ready[CountKey(zone, Market.RECLAIMABLE)] = 0
 
 
+@when("one zone is taken and nothing reclaimable is to be had for 15 s")
+def one_taken(context):
+    context.cloud.dry_until_s = context.cloud.now_s + 15.0
+    take_largest(context.cloud)
+
+
+@when("another zone is taken")
+def another_taken(context):
+    take_largest(context.cloud)
+
+
+def take_largest(cloud):
+    held = cloud.of(Market.RECLAIMABLE)
+    zone = max(held, key=held.get)
+    cloud.ready[CountKey(zone, Market.RECLAIMABLE)] = 0
+
+
+@then("{count:d} engines are ready at once")
+def ready_at_once(context, count):
+    assert context.cloud.total() >= count, context.cloud.ready
+
+
 @then("within 6 s {count:d} engines are ready again")
 def ready_again(context, count):
     context.cloud.run(context.tokens, 6.0)
