--- a/src/tanagerturn/gateway/failures.py
+++ b/src/tanagerturn/gateway/failures.py
@@ -62,11 +62,12 @@
         budget: Another sending is within the retry budget.
     """
     in_time = sendings.time_left_s > LEAST_TIME_S
-    if ending is Ending.NOT_SENT and in_time and sendings.unreached < REACH_TRIES:
-        return Step.TRY_ANOTHER
-    may_send = in_time and budget and sendings.sent < sendings.most_backends
     repeatable = sendings.kind is RequestKind.IDEMPOTENT or sendings.resumable
-    if may_send and (repeatable or not sendings.may_have_run):
+    # Also where this sending reached nobody, an earlier one may have run.
+    may_go_on = in_time and (repeatable or not sendings.may_have_run)
+    if ending is Ending.NOT_SENT and may_go_on and sendings.unreached < REACH_TRIES:
+        return Step.TRY_ANOTHER
+    if may_go_on and budget and sendings.sent < sendings.most_backends:
         return Step.TRY_ANOTHER
     if not sendings.may_have_run:
         return Step.REFUSE
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -8,7 +8,14 @@
 from tanagerturn.clocks import boot_s
 from tanagerturn.gateway import placement
 from tanagerturn.gateway.calls import call
-from tanagerturn.gateway.failures import Ending, Sendings, Step, next_step
+from tanagerturn.gateway.failures import (
+    LEAST_TIME_S,
+    REACH_TRIES,
+    Ending,
+    Sendings,
+    Step,
+    next_step,
+)
 from tanagerturn.gateway.intake import Intake
 from tanagerturn.gateway.logs import part_log
 from tanagerturn.gateway.outcomes import log_end, refuse
@@ -93,6 +100,8 @@
             )
             if ending is None:
                 return
+            if self._may_reach_again(run, moved, ending):
+                continue
             moved = await self._moved(run)
             if moved is not None:
                 continue
@@ -108,6 +117,15 @@
                 sent=run.sent,
             )
 
+    def _may_reach_again(self, run: Run, moved: Moved | None, ending: Ending) -> bool:
+        """Tell whether the engine that holds a copy is to be tried once more.
+
+        Nowhere else may a run go on that can't be repeated.
+        """
+        is_unused = moved is not None and ending is Ending.NOT_SENT
+        in_time = run.time_left_s(boot_s()) > LEAST_TIME_S
+        return is_unused and in_time and run.unreached < REACH_TRIES
+
     def _next_step(self, run: Run, ending: Ending) -> Step:
         now_s = boot_s()
         sendings = Sendings(
--- a/tests/gateway/decisions/decisions.feature
+++ b/tests/gateway/decisions/decisions.feature
@@ -18,6 +18,18 @@
       | IDEMPOTENT     | 2    | 2    | BROKEN   | FAIL        | FAIL        |
       | STREAM         | 1    | 2    | BROKEN   | FAIL        | FAIL        |
 
+  Scenario Outline: A backend server that is not reached after one that may have run it
+    Given a <kind> request of which an earlier sending may have run
+    When the next sending reached no backend server
+    Then the next step is <step>
+
+    Examples:
+      | kind                 | step        |
+      | NOT_REPEATABLE       | FAIL        |
+      | STREAM               | FAIL        |
+      | STREAM and resumable | TRY_ANOTHER |
+      | IDEMPOTENT           | TRY_ANOTHER |
+
   Scenario: A request whose time is over goes nowhere else
     Then without time left nothing is tried again, for all kinds and endings
 
--- a/tests/gateway/decisions/steps/decisions_steps.py
+++ b/tests/gateway/decisions/steps/decisions_steps.py
@@ -62,6 +62,22 @@
     assert step_of(context, budget=False) is Step[without]
 
 
+@given("a {kind} request of which an earlier sending may have run")
+def may_have_run(context, kind):
+    name, _, resumable = kind.partition(" and ")
+    context.sendings = Sendings(RequestKind[name], bool(resumable), 2, 1, 1, True, 1.0)
+
+
+@when("the next sending reached no backend server")
+def reached_none(context):
+    context.step = next_step(context.sendings, Ending.NOT_SENT, budget=True)
+
+
+@then("the next step is {step}")
+def step_is(context, step):
+    assert context.step is Step[step], context.step
+
+
 @then("without time left nothing is tried again, for all kinds and endings")
 def no_time(context):
     for kind in RequestKind:
--- a/tests/gateway/relay/relay.feature
+++ b/tests/gateway/relay/relay.feature
@@ -101,6 +101,19 @@
     Then the caller gets events 1 to 6 and the end
     And the copy of the first engine was used
 
+  Scenario Outline: The engine that holds a moved stream's copy is reached <when>
+    Given an engine that stops a stream when it is told to move it
+    And an engine that takes the stream over from a copy
+    And an engine that would begin it anew
+    When a caller posts a prompt to "/draft/1", the first engine leaves, and the second is reached <when>
+    Then the caller gets <events>
+    And the third engine gets nothing
+
+    Examples:
+      | when             | events                     |
+      | at the third try | events 1 to 6 and the end  |
+      | never            | events 1 to 3, cut         |
+
   Scenario: A stream that ends just as its move begins is not failed by the move
     Given an engine that stops a stream when it is told to move it
     And an engine that takes the stream over from a copy
--- a/tests/gateway/relay/steps/relay_steps.py
+++ b/tests/gateway/relay/steps/relay_steps.py
@@ -240,6 +240,58 @@
     engine(context, script)
 
 
+@given("an engine that would begin it anew")
+def begins_anew(context):
+    engine(context, streaming(1, 6))
+
+
+@when(
+    'a caller posts a prompt to "{path}", the first engine leaves, '
+    "and the second is reached {when}"
+)
+def posts_and_reaches(context, path, when):
+    tries = {"at the third try": 2, "never": 99}[when]
+
+    async def action(world):
+        take, failed = world.state.pool.take, []
+
+        async def take_late(backend_id, *rest):
+            if backend_id == "i-2" and len(failed) < tries:
+                failed.append(backend_id)
+                raise OSError("not reached")
+            return await take(backend_id, *rest)
+
+        world.state.pool.take = take_late
+        first, second, third = world.engines
+        for made in (second, third):
+            world.state.fleet.view.forget(made.id)
+        asking = asyncio.create_task(world.ask(path, headers=PROMPT_HEADERS))
+        await asyncio.sleep(0.1)
+        world.announce(second)
+        world.announce(first, leaving=True, leaving_in_ms=500)
+        world.relay.evacuate(boot_s())
+        world.announce(third)
+        return await asking
+
+    context.answer = play(context, action)
+
+
+@then("the caller gets events 1 to 3, cut")
+def gets_cut_events(context):
+    numbers = [
+        int(line[4:])
+        for line in context.answer.body.split(b"\n")
+        if line[:4] == b"id: "
+    ]
+    assert numbers == [1, 2, 3], context.answer
+    assert not context.answer.is_whole
+
+
+@then("the third engine gets nothing")
+def third_gets_nothing(context):
+    assert not context.engines[2].calls, context.engines[2].calls
+
+
 @given("a gateway without a configuration")
 def no_configuration(context):
     context.is_empty = True
