--- a/src/tanagerturn/gateway/digests.py
+++ b/src/tanagerturn/gateway/digests.py
@@ -28,8 +28,15 @@
 """Time for which the hash of what is known here is kept: it costs 0.2 ms with 100
 backend servers, and 120 digests come in a second."""
 
-WINDOWS_TOLD: Final = 4
-"""Report windows in a digest: reports are made of those that ended lately."""
+WINDOWS_TOLD: Final = 2
+"""Report windows in each digest: the present one, and the one that ended last, of
+which a report is made."""
+
+OLDER_WINDOWS_TOLD: Final = 4
+"""The same with older ones, for a holder that has just started."""
+
+OLDER_EVERY: Final = 4
+"""Digests of which one tells older windows; they are half of a digest's bytes."""
 
 log = part_log("digests")
 
@@ -95,7 +102,9 @@
         digest.sent_parts.extend(state.fleet.take_sent_parts())
         for name, demand_per_s in state.limits.spread.demands(now_s):
             digest.accounts.add(client_account=name, demand_per_s=demand_per_s)
-        first = state.usage.window_at(wall_s) - WINDOWS_TOLD
+        tells_older = digest.sequence % OLDER_EVERY == 0
+        told = OLDER_WINDOWS_TOLD if tells_older else WINDOWS_TOLD
+        first = state.usage.window_at(wall_s) - told
         for number, counts in state.usage.own.items():
             if number > first:
                 window = digest.windows.add(number=number)
--- a/tests/gateway/digests/steps/digests_steps.py
+++ b/tests/gateway/digests/steps/digests_steps.py
@@ -106,6 +106,31 @@
     return gpb.Datagram(digest=made).SerializeToString()
 
 
+@given("a gateway that counted requests in {count:d} windows in a row")
+def counted(context, count):
+    gateway(context, 1, 9)
+    state = context.state
+    wall_s = state.wall_time.read(boot_s())
+    for number in range(count):
+        state.usage.on_begun("a", wall_s - number * state.usage.window_s)
+
+
+@then(
+    "its digests tell {first:d}, {second:d}, {third:d} and {fourth:d} windows, "
+    "the present one always"
+)
+def told_windows(context, first, second, third, fourth):
+    state = context.state
+    numbers = []
+    for sequence in (1, 2, 3, 4):
+        made = gpb.Digest(host="g", sequence=sequence)
+        context.exchange.fill(made, boot_s())
+        numbers.append([window.number for window in made.windows])
+    assert [len(each) for each in numbers] == [first, second, third, fourth], numbers
+    present = state.usage.window_at(state.wall_time.read(boot_s()))
+    assert all(present in each for each in numbers), numbers
+
+
 @when("the 120 digests of a second come")
 def second(context):
     context.took_s = []
