Let one piece serve where the change had written it again

Reading the whole change once more; behaviour stays. The head of a refused request is decoded once, not twice. Left out: the digests that duties never read, and a mark of connections that nothing read.

--- a/src/tanagerturn/clocks.py
+++ b/src/tanagerturn/clocks.py
@@ -18,3 +18,8 @@
 def boot_s() -> float:
     """Return the clock since the host's boot in seconds; it counts suspension."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def to_ms(seconds: float) -> int:
+    """Return a time in whole milliseconds."""
+    return int(seconds * 1000)
--- a/src/tanagerturn/gateway/_member_parts.py
+++ b/src/tanagerturn/gateway/_member_parts.py
@@ -4,10 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from tanagerturn.clocks import boot_s, wall_ms
+from tanagerturn.clocks import boot_s
 from tanagerturn.schema import coordination_pb2 as pb
 from tanagerturn.schema import gateway_pb2 as gpb
 from tanagerturn.state._watches import Watcher
+from tanagerturn.state.clocks import Clocks
 
 if TYPE_CHECKING:
     import asyncio
@@ -16,17 +17,13 @@
     from tanagerturn.gateway.links import Links
 
 
-class MemberClocks:
+class MemberClocks(Clocks):
     """Clocks of the member; suspension of the host counts as time."""
 
     def monotonic_s(self) -> float:
         """Return the boot clock in seconds."""
         return boot_s()
 
-    def wall_ms(self) -> int:
-        """Return the wall clock in milliseconds."""
-        return wall_ms()
-
 
 class MemberTransport:
     """Hands messages of the member's thread to the links of the event loop.
--- a/src/tanagerturn/gateway/capacity.py
+++ b/src/tanagerturn/gateway/capacity.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from tanagerturn.clocks import to_ms
 from tanagerturn.gateway.logs import part_log
 from tanagerturn.serving.backends.messages import AvailabilityZone
 from tanagerturn.serving.capacity.counts import CountKey, CountPlanner, ZoneOffer
@@ -139,7 +140,7 @@
     """Return the backend servers that are alive and do not leave."""
     counts: Counter[CountKey] = Counter()
     for backend in state.fleet.view.pool(service):
-        if backend.leaving or not backend.alive(int(now_s * 1000)):
+        if backend.leaving or not backend.alive(to_ms(now_s)):
             continue
         market = Market.RECLAIMABLE if backend.reclaimable else Market.ON_DEMAND
         counts[CountKey(backend.zone, market)] += 1
--- a/src/tanagerturn/gateway/control.py
+++ b/src/tanagerturn/gateway/control.py
@@ -5,7 +5,7 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Final
 
-from tanagerturn.clocks import boot_s
+from tanagerturn.clocks import boot_s, to_ms
 from tanagerturn.coordination.errors import RefusedError
 from tanagerturn.gateway.logs import part_log
 from tanagerturn.gateway.messages import (
@@ -104,7 +104,7 @@
     @answer.register
     async def _(self, call: Withdraw) -> tuple[int, bytes]:
         now_s = boot_s()
-        leaving_in_ms = int(self.state.settings.drain_s * 1000)
+        leaving_in_ms = to_ms(self.state.settings.drain_s)
         news = self.state.fleet.on_withdrawal(
             call.backend_id, call.born_ms, leaving_in_ms, now_s
         )
--- a/src/tanagerturn/gateway/duties.py
+++ b/src/tanagerturn/gateway/duties.py
@@ -12,7 +12,7 @@
 
 import orjson
 
-from tanagerturn.clocks import boot_s
+from tanagerturn.clocks import boot_s, to_ms
 from tanagerturn.coordination.ids import ProcessId
 from tanagerturn.coordination.leases import (
     LeaseCore,
@@ -28,8 +28,6 @@
 from tanagerturn.serving.capacity.messages import Market
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
-
     from expression import Result
 
     from tanagerturn.coordination.errors import StepError
@@ -37,7 +35,6 @@
     from tanagerturn.gateway.member import StateMember
     from tanagerturn.gateway.replicated import ReplicatedStore
     from tanagerturn.gateway.state import GatewayState
-    from tanagerturn.schema import gateway_pb2 as gpb
     from tanagerturn.serving.capacity.counts import CountKey
 
 LEASE_NAME: Final = "cloud-duties"
@@ -75,7 +72,6 @@
         state: State of the gateway.
         store: The state group.
         member: The gateway's member; gateways without one do not compete.
-        digests: Returns the last digests of other gateways.
     """
 
     def __init__(
@@ -83,7 +79,6 @@
         state: GatewayState,
         store: ReplicatedStore,
         member: StateMember | None,
-        digests: Callable[[], Sequence[gpb.Digest]],
     ) -> None:
         self.state = state
         """State of the gateway."""
@@ -91,8 +86,6 @@
         """The state group."""
         self.member = member
         """The gateway's member."""
-        self.digests = digests
-        """Returns the last digests of other gateways."""
         self.lease = LeaseCore(LeaseTerms(LEASE_MS))
         """What is known about the lease."""
         self.holder = ""
@@ -108,7 +101,7 @@
         settings = self.state.settings
         if settings.duties is None or settings.data_folder is None:
             return
-        started = f"{int(boot_s() * 1000):x}-{self.state.random.getrandbits(32):x}"
+        started = f"{to_ms(boot_s()):x}-{self.state.random.getrandbits(32):x}"
         self.holder = holder_id(ProcessId(settings.host), started)
         while True:
             await asyncio.sleep(TICK_S)
@@ -122,7 +115,7 @@
 
     def may_act(self, now_s: float) -> bool:
         """Whether this gateway may call the cloud API now."""
-        now_ms = int(now_s * 1000)
+        now_ms = to_ms(now_s)
         longest_ms = int(CALL_TIMEOUT_S * 1000)
         lease = self.lease
         duties = self.state.settings.duties
@@ -130,7 +123,7 @@
             return False
         if lease.fencing_number == FIRST_NUMBER:
             return True
-        wait_ms = max(int(duties.lease_s * 1000), LEASE_MS)
+        wait_ms = max(to_ms(duties.lease_s), LEASE_MS)
         terms = LeaseTerms(wait_ms)
         return now_ms >= safe_to_order_at(lease.granted_at_ms, terms, longest_ms)
 
@@ -139,7 +132,7 @@
             await self._release()
             return
         await self._keep_lease()
-        is_holder = self.lease.held(int(boot_s() * 1000))
+        is_holder = self.lease.held(to_ms(boot_s()))
         if is_holder != self.was_holder:
             self.was_holder = is_holder
             event = "duties_taken" if is_holder else "duties_lost"
@@ -152,28 +145,28 @@
             await self.capacity.step(boot_s())
 
     async def _keep_lease(self) -> None:
-        step = self.lease.next_step(int(boot_s() * 1000))
+        step = self.lease.next_step(to_ms(boot_s()))
         if step is LeaseStep.ACQUIRE:
             acquire = pb.LeaseAcquire(
                 name=LEASE_NAME, holder=self.holder, duration_ms=LEASE_MS
             )
             result = await self._propose(pb.Command(lease_acquire=acquire))
             if result.is_ok():
-                self.lease.on_acquired(result.ok, int(boot_s() * 1000))
-        if self.lease.next_step(int(boot_s() * 1000)) is LeaseStep.RENEW:
-            sent_ms = int(boot_s() * 1000)
+                self.lease.on_acquired(result.ok, to_ms(boot_s()))
+        if self.lease.next_step(to_ms(boot_s())) is LeaseStep.RENEW:
+            sent_ms = to_ms(boot_s())
             renew = pb.LeaseRenew(
                 name=LEASE_NAME, fencing_number=self.lease.fencing_number
             )
             result = await self._propose(pb.Command(lease_renew=renew))
             if result.is_ok():
-                self.lease.on_renewed(result.ok, sent_ms, int(boot_s() * 1000))
+                self.lease.on_renewed(result.ok, sent_ms, to_ms(boot_s()))
 
     async def _release(self) -> None:
         if not self.lease.granted:
             return
         number = self.lease.fencing_number
-        self.lease.on_lost(int(boot_s() * 1000))
+        self.lease.on_lost(to_ms(boot_s()))
         release = pb.LeaseRelease(name=LEASE_NAME, fencing_number=number)
         await self._propose(pb.Command(lease_release=release))
 
@@ -182,7 +175,7 @@
     ) -> Result[pb.CommandResult, StepError]:
         result = await self.store.propose(command, PROPOSE_TIMEOUT_S)
         if result.is_error():
-            self.lease.on_no_answer(int(boot_s() * 1000))
+            self.lease.on_no_answer(to_ms(boot_s()))
             log.debug("lease_not_answered", reason=str(result.error))
         return result
 
--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -10,6 +10,7 @@
 
 import xxhash
 
+from tanagerturn.clocks import to_ms
 from tanagerturn.gateway.backend_state import BackendState, Sent, Work, part_hash
 from tanagerturn.schema import gateway_pb2 as gpb
 from tanagerturn.serving.backends.messages import BackendId
@@ -293,11 +294,6 @@
         return changed
 
 
-def to_ms(now_s: float) -> int:
-    """Return a time in whole milliseconds."""
-    return int(now_s * 1000)
-
-
 def backend_hash(backend_id: BackendId) -> int:
     """Return the number that stands for a backend server in digests."""
     return xxhash.xxh64_intdigest(backend_id.encode())
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -128,7 +128,7 @@
             self.started_s,
         )
         """Backend servers and operators."""
-        self.duties = Duties(self.state, self.store, self.member, self._digests)
+        self.duties = Duties(self.state, self.store, self.member)
         """Calls to the cloud API."""
         self.callers = HttpServer(self.relay.handle, self._limits)
         """Listener for callers."""
--- a/src/tanagerturn/gateway/intake.py
+++ b/src/tanagerturn/gateway/intake.py
@@ -52,6 +52,7 @@
         if decoded.is_error():
             raise Refusal(400, str(decoded.error))
         request = decoded.ok
+        exchange.attempt_id = request.attempt_id
         if configuration.version == NO_VERSION:
             raise Refusal(503, "no configuration is known", NO_CONFIGURATION_RETRY_S)
         route = configuration.route_for(request.host, request.path)
--- a/src/tanagerturn/gateway/limits.py
+++ b/src/tanagerturn/gateway/limits.py
@@ -105,7 +105,7 @@
         if account not in self.owned.terms:
             return
         now_s = boot_s()
-        self.spread.give_back(account, units, now_s)
+        self.spread.correct(account, -units, now_s)
         address = self._owner(account)
         if not address:
             self.owned.correct(account, -units, now_s)
--- a/src/tanagerturn/gateway/logs.py
+++ b/src/tanagerturn/gateway/logs.py
@@ -14,6 +14,8 @@
 import orjson
 from loguru import logger
 
+from tanagerturn.serving.limits.buckets import TokenBucket
+
 if TYPE_CHECKING:
     from loguru import Message
 
@@ -35,23 +37,18 @@
     """
 
     def __init__(self, now_s: float) -> None:
-        self.lines = LINES_BURST
+        self.bucket = TokenBucket(LINES_PER_S, LINES_BURST, now_s)
         """Lines at hand."""
-        self.filled_s = now_s
-        """Time up to which lines were added."""
         self.dropped = 0
         """Lines dropped since the last that was written."""
 
     def allows(self, is_urgent: bool, now_s: float) -> bool:
         """Take one line out of the budget, if there is one."""
-        gained = max(0.0, now_s - self.filled_s) * LINES_PER_S
-        self.lines = min(LINES_BURST, self.lines + gained)
-        self.filled_s = now_s
         floor = 1.0 if is_urgent else 1.0 + RESERVED_SHARE * LINES_BURST
-        if self.lines < floor:
+        if self.bucket.wait_s(floor, now_s) > 0:
             self.dropped += 1
             return False
-        self.lines -= 1.0
+        self.bucket.take(1.0, now_s)
         return True
 
 
--- a/src/tanagerturn/gateway/mesh.py
+++ b/src/tanagerturn/gateway/mesh.py
@@ -8,7 +8,7 @@
 
 from google.protobuf.message import DecodeError
 
-from tanagerturn.clocks import boot_s, wall_ms
+from tanagerturn.clocks import boot_s, to_ms, wall_ms
 from tanagerturn.coordination.ids import ProcessId
 from tanagerturn.coordination.membership.codec import seal, unseal
 from tanagerturn.coordination.membership.config import MembershipConfig
@@ -190,7 +190,7 @@
 
     def tick(self, now_s: float) -> None:
         """Do what is due."""
-        self._send_probes(self.core.tick(int(now_s * 1000)))
+        self._send_probes(self.core.tick(to_ms(now_s)))
         self._tell_changes()
         if now_s >= self.digest_at_s:
             self.digest_at_s = now_s + self.digest_interval_s()
@@ -272,7 +272,7 @@
 
     def known(self, now_s: float) -> int:
         """Return the number of gateways, this one and recently lost ones included."""
-        now_ms = int(now_s * 1000)
+        now_ms = to_ms(now_s)
         return sum(_is_told(m, now_ms) for m in self.core.table.members.values())
 
     def _broadcast(self, data: bytes, now_s: float) -> None:
@@ -287,7 +287,7 @@
 
     def _ips(self, now_s: float) -> list[str]:
         """Return the IPs of all other gateways that are told of changes."""
-        now_ms = int(now_s * 1000)
+        now_ms = to_ms(now_s)
         return [
             member.info.address.rpartition(":")[0]
             for member in self.core.table.members.values()
@@ -304,7 +304,7 @@
         if packet.is_error():
             log.warning("probe_dropped", peer=address, reason=packet.error)
             return
-        answers = self.core.receive(packet.ok, address, int(boot_s() * 1000))
+        answers = self.core.receive(packet.ok, address, to_ms(boot_s()))
         self._send_probes(answers)
         self._tell_changes()
 
--- a/src/tanagerturn/gateway/outcomes.py
+++ b/src/tanagerturn/gateway/outcomes.py
@@ -35,7 +35,7 @@
         metrics.outcomes.labels("refused_at_once", refusal.status).inc()
         log.info(
             "refused_at_once",
-            request=exchange.request_id(state.dialect),
+            request=exchange.attempt_id,
             status=refusal.status,
             cause=refusal.cause,
         )
--- a/src/tanagerturn/gateway/pool.py
+++ b/src/tanagerturn/gateway/pool.py
@@ -39,8 +39,6 @@
     """The connection."""
     idle_until_s: float = 0.0
     """Time until which it may be used again."""
-    is_reused: bool = False
-    """It has carried a request before."""
 
     def close(self) -> None:
         """Close it; a backend server then drops what it runs for it."""
@@ -68,7 +66,6 @@
         while kept:
             connection = kept.pop()
             if connection.address == address and _is_fit(connection, now_s):
-                connection.is_reused = True
                 return connection
             connection.close()
         self.opened += 1
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -166,14 +166,7 @@
             now_s = boot_s()
             if run.time_left_s(now_s) <= 0:
                 raise self._no_place(run, "its time ended while it waited", now_s)
-            choice = placement.choose(
-                self.state.fleet,
-                run.service,
-                run.request.prompt,
-                run.tried,
-                self.state.settings.zone,
-                now_s,
-            )
+            choice = self._best(run, now_s)
             if choice is None:
                 cause = run.cause or f"no backend server of {run.service}"
                 raise self._no_place(run, cause, now_s)
@@ -183,6 +176,18 @@
                 return choice.backend
             await self._wait_for_place(run, now_s)
 
+    def _best(self, run: Run, now_s: float) -> Choice | None:
+        """Return where a run would go now, other than where it was."""
+        state = self.state
+        return placement.choose(
+            state.fleet,
+            run.service,
+            run.request.prompt,
+            run.tried,
+            state.settings.zone,
+            now_s,
+        )
+
     def _send_away_if_late(self, run: Run, choice: Choice, now_s: float) -> None:
         """Refuse a generation that was not sent yet and would be late."""
         if run.request.prompt is None or run.sent:
@@ -226,14 +231,7 @@
 
     async def _move(self, run: Run, source: Backend) -> Moved | None:
         """Stop a run at its engine and copy its memory to another one."""
-        target = placement.choose(
-            self.state.fleet,
-            run.service,
-            run.request.prompt,
-            run.tried,
-            self.state.settings.zone,
-            boot_s(),
-        )
+        target = self._best(run, boot_s())
         if target is None:
             return None
         attempt = run.request.attempt_id
--- a/src/tanagerturn/gateway/server.py
+++ b/src/tanagerturn/gateway/server.py
@@ -15,7 +15,6 @@
     from collections.abc import Callable, Coroutine
 
     from tanagerturn.gateway.configuration import IngressLimits
-    from tanagerturn.gateway.dialect import Dialect
     from tanagerturn.gateway.messages import RawHeaders
 
     Handler = Callable[["Exchange"], Coroutine[object, object, None]]
@@ -77,11 +76,8 @@
         """Boot clock when the head was complete."""
         self.status = 0
         """Status of the answer; 0 before it has begun."""
-
-    def request_id(self, dialect: Dialect) -> str:
-        """Return the id that the caller gave, as far as its head can be decoded."""
-        decoded = dialect.decode_request(self.method, self.target, self.headers)
-        return decoded.ok.attempt_id if decoded.is_ok() else ""
+        self.attempt_id = ""
+        """Id that the caller gave; empty until its head is decoded."""
 
     async def respond(self, status: int, headers: RawHeaders, body: bytes) -> None:
         """Send a whole answer."""
--- a/src/tanagerturn/platform/main.py
+++ b/src/tanagerturn/platform/main.py
@@ -6,6 +6,7 @@
 import gc
 import sys
 
+from tanagerturn.clocks import to_ms
 from tanagerturn.coordination.errors import StepError
 from tanagerturn.gateway.gateway import run_gateway
 from tanagerturn.gateway.logs import part_log, set_up_logs
@@ -20,7 +21,7 @@
         set_up_logs(settings.host)
         # What was imported lives as long as the process.
         gc.freeze()
-        dialect = PlatformDialect(settings.heartbeat_ms, int(settings.drain_s * 1000))
+        dialect = PlatformDialect(settings.heartbeat_ms, to_ms(settings.drain_s))
         asyncio.run(run_gateway(settings, dialect, read_settings))
     except (StepError, OSError) as error:
         part_log("main").error("not_started", reason=str(error))
--- a/src/tanagerturn/platform/requests.py
+++ b/src/tanagerturn/platform/requests.py
@@ -7,6 +7,7 @@
 import orjson
 from expression import Error, Ok, Result
 
+from tanagerturn.clocks import to_ms
 from tanagerturn.coordination.errors import RefusedError, StepError
 from tanagerturn.gateway.http1 import end_to_end
 from tanagerturn.gateway.messages import (
@@ -117,7 +118,7 @@
     request: InboundRequest, forwarding: Forwarding, address: str
 ) -> RawHeaders:
     """Return the headers with which a request goes to a backend server."""
-    deadline_ms = max(1, int(forwarding.time_left_s * 1000))
+    deadline_ms = max(1, to_ms(forwarding.time_left_s))
     headers = [
         *request.forwarded,
         (b"X-Deadline-Ms", str(deadline_ms).encode()),
--- a/src/tanagerturn/serving/limits/spread.py
+++ b/src/tanagerturn/serving/limits/spread.py
@@ -152,11 +152,11 @@
         account.bucket.take(units, now_s)
         return Admitted()
 
-    def give_back(self, name: str, units: float, now_s: float) -> None:
-        """Take back what a request was charged that never ran."""
+    def correct(self, name: str, units: float, now_s: float) -> None:
+        """Count units that were let in elsewhere; less than 0 gives units back."""
         account = self.accounts.get(name)
         if account is not None:
-            account.bucket.take(-units, now_s)
+            account.bucket.take(units, now_s)
 
     def demands(self, now_s: float) -> list[tuple[str, float]]:
         """Return the demand of own callers by client account."""
--- a/src/tanagerturn/state/clocks.py
+++ b/src/tanagerturn/state/clocks.py
@@ -4,6 +4,8 @@
 
 import time
 
+from tanagerturn import clocks
+
 
 class Clocks:
     """The clocks of this host."""
@@ -14,4 +16,4 @@
 
     def wall_ms(self) -> int:
         """Return the wall clock in milliseconds."""
-        return int(time.time() * 1000)
+        return clocks.wall_ms()
--- a/tests/gateway/duties/steps/duties_steps.py
+++ b/tests/gateway/duties/steps/duties_steps.py
@@ -38,7 +38,7 @@
     """Return a gateway's duties whose calls to the cloud are recorded."""
     settings = replace(gateway_settings(), host=host, duties=CLOUD)
     state = make_state(settings, PlatformDialect(1000), boot_s(), 1_700_000_000.0)
-    duties = Duties(state, context.shared, None, lambda: [])
+    duties = Duties(state, context.shared, None)
     duties.holder = f"{host}#1"
 
     async def call(path, body):
--- a/tests/gateway/programs/steps/programs_steps.py
+++ b/tests/gateway/programs/steps/programs_steps.py
@@ -13,8 +13,9 @@
 import urllib3
 from behave import given, then, when
 
-from support.gateway_programs import CONTROL_PORT, STOP_S, make_programs, until
+from support.gateway_programs import CONTROL_PORT, STOP_S, make_programs
 from support.gateway_world import manifest
+from support.processes import wait_for
 
 RELOAD_S = 1.0
 """Time in which a signal takes effect; below the 2 s of the timed reload."""
@@ -40,8 +41,8 @@
             return False
         return answer.status == 200
 
-    until(accepts, "a configuration is accepted")
-    until(lambda: context.program.is_ready(context.http), "ready")
+    wait_for(accepts, "a configuration is accepted")
+    wait_for(lambda: context.program.is_ready(context.http), "ready")
 
 
 @given("a gateway process that starts")
@@ -68,14 +69,14 @@
 
 @when("it gets SIGHUP before it listens")
 def early_reload(context):
-    until(lambda: survives_reload(context.program), "SIGHUP does not end it")
+    wait_for(lambda: survives_reload(context.program), "SIGHUP does not end it")
     assert not listens(context.program)
     context.program.signal(signal.SIGHUP)
 
 
 @then("it listens all the same")
 def listens_all_the_same(context):
-    until(lambda: listens(context.program), "it listens")
+    wait_for(lambda: listens(context.program), "it listens")
     assert context.program.alive()
 
 
@@ -91,7 +92,7 @@
         lines = context.program.events("settings_reloaded")
         return [line for line in lines if line["seeds"] == OTHER_SEED]
 
-    until(is_logged, "the seeds are taken over", RELOAD_S)
+    wait_for(is_logged, "the seeds are taken over", RELOAD_S)
     assert context.program.is_ready(context.http)
 
 
@@ -107,7 +108,7 @@
     def is_logged():
         return context.program.events("settings_not_reloaded")
 
-    until(is_logged, "the fault is logged", RELOAD_S)
+    wait_for(is_logged, "the fault is logged", RELOAD_S)
     assert context.program.is_ready(context.http)
 
 
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -10,7 +10,7 @@
 from soak.ledger import EVENTS
 from soak.proxy import Proxy
 from support.gateway_programs import CONTROL_PORT
-from support.gateway_world import Call, Engine
+from support.gateway_world import Call, Engine, read_answer
 
 if TYPE_CHECKING:
     from random import Random
@@ -156,19 +156,23 @@
     timeout_s: float = CALL_TIMEOUT_S,
 ) -> tuple[int, bytes]:
     """Call a gateway's control listener; status 0 when it does not answer."""
-    head = f"{method} {path} HTTP/1.1\r\nHost: control\r\nConnection: close\r\n"
+    return await call(program.ip, CONTROL_PORT, method, path, body, timeout_s)
+
+
+async def call(
+    ip: str, port: int, method: str, path: str, body: bytes, timeout_s: float
+) -> tuple[int, bytes]:
+    """Make one call on a connection of its own; status 0 without an answer."""
+    head = f"{method} {path} HTTP/1.1\r\nHost: soak\r\nConnection: close\r\n"
     head += f"Content-Length: {len(body)}\r\n\r\n"
     try:
         async with asyncio.timeout(timeout_s):
-            reader, writer = await asyncio.open_connection(program.ip, CONTROL_PORT)
+            reader, writer = await asyncio.open_connection(ip, port)
             try:
                 writer.write(head.encode() + body)
-                answer = await reader.read()
+                answer = await read_answer(reader)
             finally:
                 writer.transport.abort()
     except (OSError, TimeoutError):
         return 0, b""
-    status, _, rest = answer.partition(b"\r\n")
-    if not status.startswith(b"HTTP/1.1 "):
-        return 0, b""
-    return int(status.split(b" ")[1]), rest.partition(b"\r\n\r\n")[2]
+    return answer.status, answer.body
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -19,7 +19,7 @@
 from soak.ledger import Ledger
 from soak.plan import Fault, Step
 from soak.proxy import Proxy, Trouble
-from soak.servers import Server, call_control
+from soak.servers import CALL_TIMEOUT_S, Server, call, call_control
 from support.gateway_programs import INTERNAL_PORTS, READINESS_PORT, make_programs
 from support.gateway_world import manifest, route
 
@@ -357,15 +357,10 @@
 
 async def is_ready(program) -> bool:
     """Tell whether a gateway says that callers may be sent to it."""
-    try:
-        async with asyncio.timeout(1.0):
-            reader, writer = await asyncio.open_connection(program.ip, READINESS_PORT)
-            writer.write(b"GET /v1/readyz HTTP/1.1\r\nHost: r\r\n\r\n")
-            status = await reader.readline()
-            writer.transport.abort()
-    except (OSError, TimeoutError):
-        return False
-    return status.startswith(b"HTTP/1.1 200")
+    status, _ = await call(
+        program.ip, READINESS_PORT, "GET", "/v1/readyz", b"", CALL_TIMEOUT_S
+    )
+    return status == 200
 
 
 def log_files(data: Path) -> list[Path]:
--- a/tests/support/gateway_programs.py
+++ b/tests/support/gateway_programs.py
@@ -6,7 +6,6 @@
 import random
 import subprocess
 import sys
-import time
 from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -14,11 +13,12 @@
 import orjson
 import urllib3
 
+from support.processes import ChildProcess
 from tanagerturn import platform
 from tanagerturn.platform.settings import SETTINGS_VARIABLE
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Sequence
 
 SCRIPT = Path(platform.__file__).with_name("run.py")
 CALLERS_PORT = 8221
@@ -26,15 +26,12 @@
 CONTROL_PORT = 8229
 INTERNAL_PORTS = (7600, 7615)
 
-FORM_S = 30.0
-"""Longest time for processes to start and form a group on a busy machine."""
-
 STOP_S = 20.0
 """Longest time of a planned stop: `grace_s` and a margin for a busy machine."""
 
 
 @dataclass
-class GatewayProgram:
+class GatewayProgram(ChildProcess):
     """One gateway process."""
 
     name: str
@@ -49,8 +46,6 @@
     """Whether it is a member of the state group."""
     script: Path = SCRIPT
     """Script that is run."""
-    popen: subprocess.Popen[bytes] | None = None
-    """The process."""
     starts: int = 0
     """How often it was started."""
 
@@ -120,16 +115,6 @@
         """Send the process a signal."""
         self.popen.send_signal(number)
 
-    def alive(self) -> bool:
-        """Tell whether the process runs."""
-        return self.popen is not None and self.popen.poll() is None
-
-    def kill(self) -> None:
-        """Kill the process at once."""
-        if self.alive():
-            self.popen.kill()
-            self.popen.wait(STOP_S)
-
 
 def make_programs(folder: Path, disks: int, plain: int) -> list[GatewayProgram]:
     """Return gateways h1, h2, ... of which the first ones have a disk."""
@@ -139,13 +124,3 @@
         GatewayProgram(f"h{n}", f"{net}.{n}", folder, seeds, n <= disks)
         for n in range(1, disks + plain + 1)
     ]
-
-
-def until(
-    condition: Callable[[], object], what: str, timeout_s: float = FORM_S
-) -> None:
-    """Wait for a condition."""
-    end_s = time.monotonic() + timeout_s
-    while not condition():
-        assert time.monotonic() < end_s, f"not within {timeout_s} s: {what}"
-        time.sleep(0.05)
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -28,9 +28,27 @@
 STOP_TIMEOUT_S = 30.0
 
 
+@dataclass(kw_only=True)
+class ChildProcess:
+    """A process that a test starts."""
+
+    popen: subprocess.Popen[bytes] | None = None
+    """The process; None before its start."""
+
+    def alive(self) -> bool:
+        """Tell whether the process runs."""
+        return self.popen is not None and self.popen.poll() is None
+
+    def kill(self) -> None:
+        """Kill the process at once, if it runs."""
+        if self.alive():
+            self.popen.kill()
+            self.popen.wait(STOP_TIMEOUT_S)
+
+
 @dataclass
-class Program:
-    """One running process."""
+class Program(ChildProcess):
+    """One of the programs with a settings file of ours."""
 
     name: str
     """Name of the process."""
@@ -44,8 +62,6 @@
     """Address of its callers' listener, for entry processes."""
     announcements: str = ""
     """Address of its announcement listener, for entry processes."""
-    popen: subprocess.Popen[bytes] | None = None
-    """The process."""
 
     def start(self) -> None:
         """Start the process; its log goes beside its settings file."""
@@ -56,20 +72,11 @@
         )
         log.close()
 
-    def kill(self) -> None:
-        """Kill the process at once."""
-        self.popen.kill()
-        self.popen.wait(STOP_TIMEOUT_S)
-
     def stop(self) -> int:
         """Stop the process gracefully and return its exit code."""
         self.popen.send_signal(signal.SIGTERM)
         return self.popen.wait(STOP_TIMEOUT_S)
 
-    def alive(self) -> bool:
-        """Tell whether the process runs."""
-        return self.popen is not None and self.popen.poll() is None
-
 
 @dataclass
 class Cluster:
@@ -111,8 +118,7 @@
     def close(self) -> None:
         """Kill what still runs."""
         for program in self.programs:
-            if program.alive():
-                program.kill()
+            program.kill()
 
 
 def make_cluster(plan: DeploymentPlan) -> Cluster:
