--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -280,6 +280,7 @@
         self.mesh.tick(now_s)
         peers = {d.host: d.link_address for d in self.mesh.recent_digests(now_s)}
         self.state.set_gateways(peers, self.mesh.gateway_count(now_s), now_s)
+        self.state.limits.report(self.state.metrics.limit_units, now_s)
         self.state.fleet.expire(now_s)
         self.relay.start_migrations(now_s)
         self.state.pool.expire(set(self.state.fleet.view.backends), now_s)
--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -82,6 +82,19 @@
         "The owner of a client account's limit did not respond; this gateway decides "
         "by its share of the limit."
     ),
+    "limit_share_used": (
+        "This gateway decided by its share of a limit whose owner did not respond; "
+        "`share` is that share and `reporting_peers` the number of gateways whose "
+        "demand is known."
+    ),
+    "limit_charged": (
+        "The units of a client account that this gateway checked in the last second, "
+        "by charge; two gateways that log `admitted` for the same account at the same "
+        "time both act as the owner of its limit."
+    ),
+    "limit_owner_changed": (
+        "This gateway no longer owns the limit of a client account."
+    ),
     "group_founded": "This member initializes the state group.",
     "added_to_group": "This member was added to the state group.",
     "member_change": (
--- a/src/tanagerturn/gateway/metrics.py
+++ b/src/tanagerturn/gateway/metrics.py
@@ -55,6 +55,9 @@
     """Number of connections to backend servers opened since the process start."""
     clock_offset_s: Gauge
     """Corrected wall-clock time minus the host's wall-clock time in seconds."""
+    limit_units: Counter
+    """Units of requests that were checked against limits of client accounts here, by
+    charge."""
 
     def update(
         self,
@@ -141,4 +144,12 @@
             "tanager_gateway_clock_offset_seconds",
             "Corrected wall clock less the host's clock.",
         ),
+        limit_units=Counter(
+            "tanager_gateway_limit_units",
+            "Units checked against limits of client accounts here, by charge: as the "
+            "owner (admitted, refused, corrected, refunded) or by the share of a "
+            "gateway without the owner's response (share_admitted, share_refused).",
+            ("charge",),
+            registry=registry,
+        ),
     )
--- a/tests/gateway/limits/limits.feature
+++ b/tests/gateway/limits/limits.feature
@@ -11,3 +11,8 @@
     Given an account owned by another gateway, which is slow to respond
     When one gateway admits requests by its share of the limit until it refuses
     Then the owner admits fewer requests by that number
+
+  Scenario: Units that an owner charges are counted by charge
+    Given an account owned by another gateway, whose burst is used up
+    When a request that never ran is refunded at this gateway
+    Then the owner reports 500 admitted, 100 refused and 100 refunded units
--- a/tests/gateway/limits/steps/limits_steps.py
+++ b/tests/gateway/limits/steps/limits_steps.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 from expression import Error, Ok
+from prometheus_client import CollectorRegistry, Counter
 
 from tanagerturn.clocks import boot_s
 from tanagerturn.coordination.errors import UnavailableError
@@ -56,6 +57,7 @@
     for each in limits:
         each.set_terms(TERMS, boot_s())
     context.local_limits, other = limits
+    context.owner_limits = other
     context.local_limits.set_gateways({owner: "other:1"}, 1.0, boot_s())
     context.links = DirectLinks(other)
     while isinstance(charge_request(context), Admitted):
@@ -124,3 +126,20 @@
     # about the first request and did not respond; no correction is sent for that
     # request, so the owner may not have counted it.
     assert owner_count <= max(0, 5 - (context.admitted_count - 1)), owner_count
+
+
+@then(
+    "the owner reports {admitted:d} admitted, {refused:d} refused and "
+    "{refunded:d} refunded units"
+)
+def owner_reports(context, admitted, refused, refunded):
+    registry = CollectorRegistry()
+    counter = Counter("units", "Units.", ("charge",), registry=registry)
+    for _ in range(2):
+        # The second report is empty: the units were already counted.
+        context.owner_limits.report(counter, boot_s())
+    reported = [
+        registry.get_sample_value("units_total", {"charge": charge})
+        for charge in ("admitted", "refused", "refunded")
+    ]
+    assert reported == [admitted, refused, refunded], reported
