--- a/tests/gateway/limits/limits.feature
+++ b/tests/gateway/limits/limits.feature
@@ -16,3 +16,35 @@
     Given an account owned by another gateway, whose burst is used up
     When a request that never ran is refunded at this gateway
     Then the owner reports 500 admitted, 100 refused and 100 refunded units
+
+  # Guards against shares of a limit that add up to more than the limit: each gateway
+  # whose call to the owner failed took most of the limit for itself.
+  Scenario Outline: Gateways whose calls to the owner fail stay within the limit together
+    Given 93 gateways, of whose frames <late> are up to <delay> s late
+    When requests arrive at all gateways at 3.3 times the limit for 12 s
+    Then the admitted units of no window of 8 s exceed the limit and the tolerated excess
+    And at least <used> of the limit was used
+
+    Examples: late frames
+      | late | delay | used |
+      | 0.0  | 0.0   | 0.95 |
+      | 0.2  | 0.3   | 0.5  |
+      | 1.0  | 1.0   | 0.0  |
+
+  # Guards against the same while the owner is stopped and its peers have not yet noticed.
+  Scenario: Gateways whose owner is stopped for 4 s stay within the limit together
+    Given 93 gateways, the owner of the limit being stopped from 2 to 6 s
+    When requests arrive at all gateways at 3.3 times the limit for 12 s
+    Then the admitted units of no window of 8 s exceed the limit and the tolerated excess
+
+  # Guards against several owners of one limit, each of which grants all of it.
+  Scenario Outline: Gateways that see different peers stay within the limit together
+    Given 93 gateways that each do not see <unseen> of their peers, others each 0.8 s
+    When requests arrive at all gateways at 3.3 times the limit for 12 s
+    Then the admitted units of no window of 8 s exceed the limit and the tolerated excess
+
+    Examples: differing views
+      | unseen |
+      | 0.02   |
+      | 0.2    |
+      | 0.5    |
--- a/tests/gateway/limits/steps/limits_steps.py
+++ b/tests/gateway/limits/steps/limits_steps.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok
 from prometheus_client import CollectorRegistry, Counter
 
+from support.limit_cluster import LIMIT, TOLERANCE, Faults, LimitCluster
 from tanagerturn.clocks import boot_s
 from tanagerturn.coordination.errors import UnavailableError
 from tanagerturn.gateway.limits import AccountLimits
@@ -143,3 +144,53 @@
         for charge in ("admitted", "refused", "refunded")
     ]
     assert reported == [admitted, refused, refunded], reported
+
+
+def make_cluster(count, **faults):
+    return LimitCluster(count, Faults(**faults), seed=1)
+
+
+@given("{count:d} gateways, of whose frames {late:g} are up to {delay_s:g} s late")
+def late_gateways(context, count, late, delay_s):
+    context.cluster = make_cluster(count, late_fraction=late, max_delay_s=delay_s)
+
+
+@given(
+    "{count:d} gateways, the owner of the limit being stopped from {start_s:g} to "
+    "{end_s:g} s"
+)
+def stopped_owner(context, count, start_s, end_s):
+    context.cluster = make_cluster(count, stopped_s=(start_s, end_s))
+
+
+@given(
+    "{count:d} gateways that each do not see {unseen:g} of their peers, "
+    "others each 0.8 s"
+)
+def differing_views(context, count, unseen):
+    context.cluster = make_cluster(count, unseen_fraction=unseen)
+
+
+@when(
+    "requests arrive at all gateways at {times:g} times the limit for {duration_s:g} s"
+)
+def requests_arrive(context, times, duration_s):
+    context.cluster.run(times, duration_s)
+    context.duration_s = duration_s
+
+
+@then(
+    "the admitted units of no window of 8 s exceed the limit and the tolerated excess"
+)
+def within_tolerance(context):
+    allowed = LIMIT.rate_per_s * TOLERANCE.window_s + LIMIT.burst
+    allowed += TOLERANCE.excess_units(LIMIT)
+    highest = context.cluster.highest_window_units()
+    print(f"\nhighest number of units in a window: {highest:.0f} of {allowed:.0f}")
+    assert highest <= allowed, (highest, allowed)
+
+
+@then("at least {share:g} of the limit was used")
+def limit_was_used(context, share):
+    total = sum(units for _, units in context.cluster.admitted)
+    assert total >= share * LIMIT.rate_per_s * context.duration_s, total
