Divide the retry allowance by all known gateways, not by the present ones

Change: the allowance is divided by the number of gateways that any peer knows, recently lost ones included, and is 0 until nearly all of them have been heard from; the share of a gateway's own requests is unchanged.

--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -146,7 +146,7 @@
         if action is not NextAction.TRY_ANOTHER or not run.sent_count:
             return action
         window = self.state.retry_window(run.service)
-        if window.take(self.state.gateway_count, now_s):
+        if window.take(self.state.budget_gateways, now_s):
             return action
         return next_action(attempts, outcome, budget=False)
 
--- a/src/tanagerturn/gateway/state.py
+++ b/src/tanagerturn/gateway/state.py
@@ -26,7 +26,8 @@
 
 MIN_MET_SHARE: Final = 0.9
 """Share of the known gateways from which a gateway has to have heard before it owns
-limits: with fewer, it often selects another owner than its peers do."""
+limits or uses its part of a budget: with fewer, it often selects another owner than its
+peers do."""
 
 log = component_log("configuration")
 
@@ -61,9 +62,9 @@
     """Retry budgets by service name."""
     gateway_count: int = 1
     """Number of present gateways, this one included."""
-    known_gateway_count: int = 1
-    """Number of gateways that this one or any peer knows, this one and recently lost
-    ones included."""
+    budget_gateways: int = 1
+    """Number of gateways that share budgets, this one and recently lost ones included;
+    0 until this gateway has heard from nearly all that any peer knows."""
     is_draining: bool = False
     """The process is shutting down after a signal."""
 
@@ -120,12 +121,13 @@
         """
         self.gateway_count = 1 + len(peer_addresses)
         known_count = max(known_count, self.gateway_count)
-        self.known_gateway_count = known_count
+        has_met_all = met_count >= MIN_MET_SHARE * known_count
+        self.budget_gateways = known_count if has_met_all else 0
         self.limits.set_gateways(
             peer_addresses,
             self.gateway_count / known_count,
             now_s,
-            has_met_all=met_count >= MIN_MET_SHARE * known_count,
+            has_met_all=has_met_all,
         )
 
     def retry_window(self, service: str) -> RetryWindow:
--- a/src/tanagerturn/serving/retries/window.py
+++ b/src/tanagerturn/serving/retries/window.py
@@ -47,14 +47,14 @@
         """Use one retry; return False if the budget of this gateway is exhausted.
 
         Args:
-            gateways: Number of gateways that share the allowance.
+            gateways: Number of gateways that share the allowance, recently lost ones
+                included; 0 if it is unknown, then there is no allowance.
             now_s: Monotonic time in seconds.
         """
         self._remove_expired(now_s)
         limits = self.limits
-        allowed = limits.allowance / max(1, gateways) + limits.ratio * len(
-            self.requests
-        )
+        allowance = limits.allowance / gateways if gateways else 0.0
+        allowed = allowance + limits.ratio * len(self.requests)
         if len(self.retries) + 1 > SAFETY_FACTOR * allowed:
             return False
         self.retries.append(now_s)
--- a/tests/gateway/limits/limits.feature
+++ b/tests/gateway/limits/limits.feature
@@ -59,3 +59,15 @@
     Given a gateway that has heard from 1 of 3 gateways and selects itself as owner
     Then it admits no request of the account and says that the owner does not respond
     And it admits requests of the account after it has heard from all gateways
+
+  # Guards against a retry budget that each gateway divides by the peers that it knows.
+  Scenario Outline: Gateways that know few of their peers stay within a retry budget
+    Given 93 gateways that know <known> gateways, have met <met> and see 3 peers
+    When each of them retries as often as it may
+    Then all of them together make at most 60 retries
+
+    Examples:
+      | known | met |
+      | 4     | 1   |
+      | 93    | 4   |
+      | 93    | 93  |
--- a/tests/gateway/limits/steps/limits_steps.py
+++ b/tests/gateway/limits/steps/limits_steps.py
@@ -8,10 +8,13 @@
 from expression import Error, Ok
 from prometheus_client import CollectorRegistry, Counter
 
+from support.gateway_world import gateway_settings
 from support.limit_cluster import LIMIT, TOLERANCE, Faults, LimitCluster
 from tanagerturn.clocks import boot_s
 from tanagerturn.coordination.errors import UnavailableError
 from tanagerturn.gateway.limits import AccountLimits, Unverified
+from tanagerturn.gateway.state import make_state
+from tanagerturn.platform.dialect import PlatformDialect
 from tanagerturn.serving.limits.owned import owner_of
 from tanagerturn.serving.limits.terms import (
     AccountLimit,
@@ -241,3 +244,29 @@
 def share_admitted(context, share):
     admitted = sum(units for _, units in context.cluster.admitted)
     assert admitted >= share * context.cluster.requested_units, admitted
+
+
+@given(
+    "{count:d} gateways that know {known:d} gateways, have met {met:d} and see 3 peers"
+)
+def gateways_with_budget(context, count, known, met):
+    context.states = []
+    for _ in range(count):
+        state = make_state(gateway_settings(), PlatformDialect(1000), 0.0, 0.0)
+        peers = {f"g{n}": f"10.0.0.{n}:7600" for n in range(2, 5)}
+        state.set_gateways(peers, known, met, 0.0)
+        context.states.append(state)
+
+
+@when("each of them retries as often as it may")
+def retry_often(context):
+    context.retry_count = 0
+    for state in context.states:
+        window = state.retry_window("desk")
+        while window.take(state.budget_gateways, 1.0):
+            context.retry_count += 1
+
+
+@then("all of them together make at most {count:d} retries")
+def retries_within_budget(context, count):
+    assert context.retry_count <= count, context.retry_count
