Determine the present gateways only when the view of them changes

The owner of limits needs the present and known gateways; determining them on each tick took 1.86 of 9.5 s of a profile of 40 idle gateways. Now a change of the member table, a peer's first digest, or a changed count or draining state in a digest triggers it, and once a second lost gateways expire.

--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -63,6 +63,10 @@
 RELOAD_INTERVAL_S: Final = 2.0
 """Interval in seconds at which the settings file is reread."""
 
+VIEW_INTERVAL_S: Final = 1.0
+"""Longest interval in seconds at which the present and known gateways are determined
+although no change was seen."""
+
 METRICS_TYPE: Final = [(b"Content-Type", b"text/plain; version=0.0.4")]
 
 log = component_log("gateway")
@@ -153,6 +157,9 @@
         """Whether the state group has confirmed the configuration since the start."""
         self.may_exit = asyncio.Event()
         """Set when the process may exit."""
+        self.next_view_s = 0.0
+        """Boot-clock time in seconds at which the present and known gateways are
+        determined again even if no change was seen: lost ones expire."""
         # Until it has met its peers, this gateway must not own limits.
         self._update_gateways(self.started_s)
 
@@ -280,13 +287,15 @@
     def _tick(self) -> None:
         now_s = boot_s()
         self.mesh.tick(now_s)
-        self._update_gateways(now_s)
+        if self.mesh.take_view_change() or now_s >= self.next_view_s:
+            self._update_gateways(now_s)
         self.state.limits.report(self.state.metrics.limit_units, now_s)
         self.state.fleet.expire(now_s)
         self.relay.start_migrations(now_s)
         self.state.pool.expire(set(self.state.fleet.view.backends), now_s)
 
     def _update_gateways(self, now_s: float) -> None:
+        self.next_view_s = now_s + VIEW_INTERVAL_S
         self.state.set_gateways(
             self.mesh.present_gateways(),
             self.mesh.known_count(now_s),
--- a/src/tanagerturn/gateway/mesh.py
+++ b/src/tanagerturn/gateway/mesh.py
@@ -179,6 +179,9 @@
         """Boot-clock time in seconds at which the next digest is due."""
         self.last_digest = gpb.Digest()
         """The last digest of this gateway; empty before the first one."""
+        self.has_view_changed = True
+        """Whether the present or known gateways may have changed since the owner last
+        took this flag."""
         self.pending_ips: list[str] = []
         """IP addresses of gateways that the last digest has not been sent to yet."""
 
@@ -292,6 +295,11 @@
         now_ms = to_ms(now_s)
         return sum(_is_recipient(m, now_ms) for m in self.core.table.members.values())
 
+    def take_view_change(self) -> bool:
+        """Return whether the present or known gateways may have changed; clear it."""
+        has_changed, self.has_view_changed = self.has_view_changed, False
+        return has_changed
+
     def present_gateways(self) -> dict[str, str]:
         """Return the link address of each present peer by host, without draining ones.
 
@@ -390,11 +398,14 @@
             was_lost = now_s - previous_peer.received_s > PEER_MAX_AGE_S
             if not was_lost or digest.started_ms == previous_peer.digest.started_ms:
                 return
+        if previous_peer is None or _view_of(digest) != _view_of(previous_peer.digest):
+            self.has_view_changed = True
         self.peers[digest.host] = Peer(digest, now_s)
         self.on_digest(digest, now_s)
 
     def _log_changes(self) -> None:
         for event in self.core.take_events():
+            self.has_view_changed = True
             health = mpb.Health.Name(event.health).lower()
             log.info("gateway_changed", peer=event.process, health=health)
         self.core.take_peer_settings()
@@ -404,6 +415,11 @@
     return digest.started_ms, digest.sequence
 
 
+def _view_of(digest: gpb.Digest) -> tuple[int, bool]:
+    """Return the fields of a digest that affect which gateways are known or present."""
+    return digest.known_gateways, digest.draining
+
+
 def _is_recipient(member: Member, now_ms: int) -> bool:
     if member.health == mpb.LEFT or not member.info.address:
         return False
