--- a/src/tanagerturn/gateway/mesh.py
+++ b/src/tanagerturn/gateway/mesh.py
@@ -179,6 +179,9 @@
         """Boot-clock time in seconds at which the next digest is due."""
         self.last_digest = gpb.Digest()
         """The last digest of this gateway; empty before the first one."""
+        self.has_view_changed = True
+        """Whether the present or known gateways may have changed since the owner last
+        took this flag."""
         self.pending_ips: list[str] = []
         """IP addresses of gateways that the last digest has not been sent to yet."""
 
@@ -222,6 +225,7 @@
             started_ms=self.started_ms,
             sequence=self.sequence,
             link_address=self.settings.link_address,
+            known_gateways=self.gateway_count(now_s),
         )
         self.fill_digest(self.last_digest, now_s)
         # Peers that did not get the previous digest come first. The order of the other
@@ -291,6 +295,48 @@
         now_ms = to_ms(now_s)
         return sum(_is_recipient(m, now_ms) for m in self.core.table.members.values())
 
+    def take_view_change(self) -> bool:
+        """Return whether the present or known gateways may have changed; clear it."""
+        has_changed, self.has_view_changed = self.has_view_changed, False
+        return has_changed
+
+    def present_gateways(self) -> dict[str, str]:
+        """Return the link address of each present peer by host, without draining ones.
+
+        Failure detection decides which peers are present, because its view spreads to
+        all gateways; digests may be lost on the way to some of them.
+        """
+        excluded = {h for h, peer in self.peers.items() if peer.digest.draining}
+        excluded.add(self.settings.host)
+        return {
+            str(member.process): member.info.relay_address
+            for member in self.core.table.present_members()
+            if member.process not in excluded and member.info.relay_address
+        }
+
+    def known_count(self, now_s: float) -> int:
+        """Return the number of gateways that this one or any recent digest knows.
+
+        A gateway that has just started learns from the digests of its first peers how
+        many there are.
+        """
+        reported = [d.known_gateways for d in self.recent_digests(now_s)]
+        seed_count = len({*self.settings.seed_ips, self.settings.ip})
+        return max(self.gateway_count(now_s), seed_count, *reported, 1)
+
+    def met_count(self, now_s: float) -> int:
+        """Return the number of known gateways that ever sent a digest, with this one.
+
+        Recently lost gateways count as met.
+        """
+        now_ms = to_ms(now_s)
+        members = self.core.table.members.values()
+        return 1 + sum(
+            member.process in self.peers
+            for member in members
+            if member is not self.core.local_member and _is_recipient(member, now_ms)
+        )
+
     def _broadcast(self, data: bytes, now_s: float) -> None:
         self._send_all(data, self._recipient_ips(now_s))
 
@@ -352,11 +398,14 @@
             was_lost = now_s - previous_peer.received_s > PEER_MAX_AGE_S
             if not was_lost or digest.started_ms == previous_peer.digest.started_ms:
                 return
+        if previous_peer is None or _view_of(digest) != _view_of(previous_peer.digest):
+            self.has_view_changed = True
         self.peers[digest.host] = Peer(digest, now_s)
         self.on_digest(digest, now_s)
 
     def _log_changes(self) -> None:
         for event in self.core.take_events():
+            self.has_view_changed = True
             health = mpb.Health.Name(event.health).lower()
             log.info("gateway_changed", peer=event.process, health=health)
         self.core.take_peer_settings()
@@ -366,6 +415,11 @@
     return digest.started_ms, digest.sequence
 
 
+def _view_of(digest: gpb.Digest) -> tuple[int, bool]:
+    """Return the fields of a digest that affect which gateways are known or present."""
+    return digest.known_gateways, digest.draining
+
+
 def _is_recipient(member: Member, now_ms: int) -> bool:
     if member.health == mpb.LEFT or not member.info.address:
         return False
