--- a/src/tanagerturn/gateway/metrics.py
+++ b/src/tanagerturn/gateway/metrics.py
@@ -101,14 +101,39 @@
     def gauge(name: str, text: str) -> Gauge:
         return Gauge(name, text, registry=registry)
 
+    # Gauges and counters come first: a scrape that is cut loses the histograms, whose
+    # buckets are most of its bytes.
     return GatewayMetrics(
         registry=registry,
+        configuration_version=gauge(
+            "tanager_gateway_configuration_version", "Configuration in force."
+        ),
+        gateways=gauge("tanager_gateway_gateways", "Gateways present, itself too."),
+        backends=gauge("tanager_gateway_backends", "Backend servers known."),
+        running=gauge("tanager_gateway_running", "Requests at backend servers."),
+        waiting=gauge("tanager_gateway_waiting", "Requests that wait for a place."),
+        connections=gauge(
+            "tanager_gateway_connections_opened",
+            "Connections to backend servers opened since the start.",
+        ),
+        clock_offset_s=gauge(
+            "tanager_gateway_clock_offset_seconds",
+            "Corrected wall clock less the host's clock.",
+        ),
         outcomes=Counter(
             "tanager_gateway_requests",
             "Requests by outcome and status; status 0 for cut answers.",
             ("outcome", "status"),
             registry=registry,
         ),
+        limit_units=Counter(
+            "tanager_gateway_limit_units",
+            "Units checked against limits of client accounts here, by charge: as the "
+            "owner (admitted, refused, corrected, refunded) or without its response "
+            "(reserve_admitted, unverified).",
+            ("charge",),
+            registry=registry,
+        ),
         first_event_s=histogram(
             "tanager_gateway_first_event_seconds", "Time to the first event of streams."
         ),
@@ -129,27 +154,4 @@
         pause_s=histogram(
             "tanager_gateway_pause_seconds", "Longest pause within each stream."
         ),
-        configuration_version=gauge(
-            "tanager_gateway_configuration_version", "Configuration in force."
-        ),
-        gateways=gauge("tanager_gateway_gateways", "Gateways present, itself too."),
-        backends=gauge("tanager_gateway_backends", "Backend servers known."),
-        running=gauge("tanager_gateway_running", "Requests at backend servers."),
-        waiting=gauge("tanager_gateway_waiting", "Requests that wait for a place."),
-        connections=gauge(
-            "tanager_gateway_connections_opened",
-            "Connections to backend servers opened since the start.",
-        ),
-        clock_offset_s=gauge(
-            "tanager_gateway_clock_offset_seconds",
-            "Corrected wall clock less the host's clock.",
-        ),
-        limit_units=Counter(
-            "tanager_gateway_limit_units",
-            "Units checked against limits of client accounts here, by charge: as the "
-            "owner (admitted, refused, corrected, refunded) or without its response "
-            "(reserve_admitted, unverified).",
-            ("charge",),
-            registry=registry,
-        ),
     )
