Let an entry host be ready only once it knows the other entry hosts

Now it is ready once it has read its own key, which follows those of the hosts registered before. The new scenario fails on the code before ('it is not ready').

--- a/src/tanagerturn/entry/hosts.py
+++ b/src/tanagerturn/entry/hosts.py
@@ -51,15 +51,23 @@
     def __repr__(self) -> str:
         return f"EntryHosts({sorted(self.owners)})"
 
+    def are_known(self) -> bool:
+        """Return whether all hosts registered before this one have been read.
+
+        Keys are read in the order in which they were written, so that of this host
+        comes after theirs.
+        """
+        with self.lock:
+            return self.owners.get(self.key) == self.owner
+
     def register(self, fence: coordination_pb2.Fence) -> bool:
         """Write this host's key under its lease; return whether the key is stored.
 
         Args:
             fence: Fence of the owner lease; the write fails if it is not held.
         """
-        with self.lock:
-            if self.owners.get(self.key) == self.owner:
-                return True
+        if self.are_known():
+            return True
         transaction = coordination_pb2.Transaction(fences=[fence])
         transaction.puts.add(key=self.key, value=self.owner.encode())
         command = coordination_pb2.Command(transaction=transaction)
--- a/src/tanagerturn/entry/server.py
+++ b/src/tanagerturn/entry/server.py
@@ -135,9 +135,15 @@
         )
 
     def ready(self) -> bool:
-        """Return whether the load balancer may send requests here."""
+        """Return whether the load balancer may send requests here.
+
+        Not before the entry hosts are known, by whose number the limits are divided.
+        """
         return (
-            not self.stopped and self.resolved_settings.number > 0 and self.lease.held()
+            not self.stopped
+            and self.resolved_settings.number > 0
+            and self.hosts.are_known()
+            and self.lease.held()
         )
 
     def known_backend_servers(self) -> int:
--- a/tests/entry/shares/steps/shares_steps.py
+++ b/tests/entry/shares/steps/shares_steps.py
@@ -13,8 +13,9 @@
 from tanagerturn.coordination.local import LocalStateClient
 from tanagerturn.coordination.settings_history import SettingsHistory
 from tanagerturn.entry.server import start_entry
-from tanagerturn.schema import settings_pb2
+from tanagerturn.schema import coordination_pb2, settings_pb2
 from tanagerturn.security import hash_key
+from tanagerturn.shared.entry_keys import ENTRY_KEY_PREFIX
 
 WAIT_LIMIT_S = 40
 
@@ -138,3 +139,34 @@
         assert health["entry-0"] == health["entry-1"] == "alive", health
         assert health["control-1"] == "left", health
         assert node["settings"]["number"] == 1
+
+
+@when("the entry process has not yet read the keys of the entry hosts")
+def hosts_not_read(context):
+    (entry,) = context.entries
+    wait_for(entry.ready, lambda: entry.dump())
+    entry.hosts.owners.clear()
+
+
+@then("it is not ready")
+def entry_not_ready(context):
+    (entry,) = context.entries
+    assert not entry.ready()
+
+
+@when("it has read the keys of {count:d} entry hosts")
+def hosts_read(context, count):
+    (entry,) = context.entries
+    batch = coordination_pb2.WatchBatch(snapshot=True)
+    owners = {f"{ENTRY_KEY_PREFIX}{number}": "other" for number in range(count - 1)}
+    for key, owner in {**owners, entry.hosts.key: entry.owner}.items():
+        event = batch.events.add()
+        event.entry.key, event.entry.value = key, owner.encode()
+    entry.hosts._on_batch(batch)
+
+
+@then("it is ready and divides the limits by {count:d}")
+def entry_ready(context, count):
+    (entry,) = context.entries
+    assert entry.ready()
+    assert entry.components.gate.host_count == count
