Leave limits to peers while draining, and start anew after a suspension

A draining gateway now selects among its peers, and an owner whose ticks were 1 s apart starts in debt like a new one. A gateway that was lost before its first digest no longer counts as known, since it can never be met. Scenarios in gateway/limits and gateway/mesh.

--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -63,6 +63,10 @@
 RELOAD_INTERVAL_S: Final = 2.0
 """Interval in seconds at which the settings file is reread."""
 
+PAUSE_S: Final = 1.0
+"""Time in seconds between two ticks above which the process was suspended; peers notice
+a silent gateway after about two seconds."""
+
 VIEW_INTERVAL_S: Final = 1.0
 """Longest interval in seconds at which the present and known gateways are determined
 although no change was seen."""
@@ -157,6 +161,8 @@
         """Whether the state group has confirmed the configuration since the start."""
         self.may_exit = asyncio.Event()
         """Set when the process may exit."""
+        self.ticked_s = self.started_s
+        """Boot-clock time in seconds of the last tick."""
         self.next_view_s = 0.0
         """Boot-clock time in seconds at which the present and known gateways are
         determined again even if no change was seen: lost ones expire."""
@@ -218,6 +224,7 @@
         self.caller_server.drain()
         if self.member is not None:
             self.member.transfer_leadership()
+        self._update_gateways(boot_s())
         self.mesh.send_digest(boot_s())
         self.loop.create_task(self._drain())
 
@@ -287,6 +294,9 @@
     def _tick(self) -> None:
         now_s = boot_s()
         self.mesh.tick(now_s)
+        if now_s - self.ticked_s > PAUSE_S:
+            self.state.limits.on_pause(now_s)
+        self.ticked_s = now_s
         if self.mesh.take_view_change() or now_s >= self.next_view_s:
             self._update_gateways(now_s)
         self.state.limits.report(self.state.metrics.limit_units, now_s)
--- a/src/tanagerturn/gateway/limits.py
+++ b/src/tanagerturn/gateway/limits.py
@@ -79,6 +79,8 @@
         self.has_met_all = True
         """Whether this gateway has heard from nearly all gateways that any peer knows;
         otherwise it may select another owner than its peers, and owns nothing."""
+        self.is_draining = False
+        """Whether this gateway is about to stop, and leaves limits to its peers."""
         self.owners: dict[str, str] = {}
         """Link address of the owner of each account asked for, `NO_OWNER` for this
         gateway; cleared when the present gateways change."""
@@ -111,6 +113,7 @@
         now_s: float,
         *,
         has_met_all: bool = True,
+        is_draining: bool = False,
     ) -> None:
         """Set the present peer gateways, from which owners are selected.
 
@@ -120,16 +123,32 @@
             now_s: Current boot-clock time in seconds.
             has_met_all: Whether this gateway has heard from nearly all gateways that
                 any peer knows.
+            is_draining: Whether this gateway is about to stop; its peers do not select
+                it as owner any more.
         """
         known_count = round((1 + len(gateways)) / visible_share)
         self.owned.set_visible_share(visible_share, now_s)
         self.reserve.set_gateways(known_count if has_met_all else 0, now_s)
-        if gateways == self.gateways and has_met_all == self.has_met_all:
+        view = (gateways, has_met_all, is_draining)
+        if view == (self.gateways, self.has_met_all, self.is_draining):
             return
-        self.gateways, self.has_met_all = dict(gateways), has_met_all
+        self.gateways = dict(gateways)
+        self.has_met_all, self.is_draining = has_met_all, is_draining
         self.owners = {}
         self._select_owned(now_s)
 
+    def on_pause(self, now_s: float) -> None:
+        """Start anew as an owner after the process did not run for a while.
+
+        Peers may have selected another owner meanwhile, which granted the units that
+        the buckets of this one gained.
+
+        Args:
+            now_s: Current boot-clock time in seconds.
+        """
+        self.owned.set_owned((), now_s)
+        self._select_owned(now_s)
+
     async def charge(
         self, account: str, units: float, links: Links
     ) -> Admitted | Exceeded | Unverified:
@@ -315,7 +334,8 @@
         """Return the owner's link address; `NO_OWNER` if it is this gateway."""
         address = self.owners.get(account)
         if address is None:
-            owner = owner_of(account, [self.host, *self.gateways])
+            local = () if self.is_draining and self.gateways else (self.host,)
+            owner = owner_of(account, [*local, *self.gateways])
             address = self.owners[account] = self.gateways.get(owner, NO_OWNER)
         return address
 
--- a/src/tanagerturn/gateway/mesh.py
+++ b/src/tanagerturn/gateway/mesh.py
@@ -291,9 +291,17 @@
         ]
 
     def gateway_count(self, now_s: float) -> int:
-        """Return the number of gateways, including this one and recently lost ones."""
+        """Return the number of gateways, including this one and recently lost ones.
+
+        A lost gateway counts only if it ever sent a digest: one that stopped as soon as
+        it had joined can't be met any more.
+        """
         now_ms = to_ms(now_s)
-        return sum(_is_recipient(m, now_ms) for m in self.core.table.members.values())
+        return sum(
+            _is_recipient(member, now_ms)
+            and (member.is_present or member.process in self.peers)
+            for member in self.core.table.members.values()
+        )
 
     def take_view_change(self) -> bool:
         """Return whether the present or known gateways may have changed; clear it."""
--- a/src/tanagerturn/gateway/state.py
+++ b/src/tanagerturn/gateway/state.py
@@ -128,6 +128,7 @@
             self.gateway_count / known_count,
             now_s,
             has_met_all=has_met_all,
+            is_draining=self.is_draining,
         )
 
     def retry_window(self, service: str) -> RetryWindow:
--- a/tests/gateway/limits/limits.feature
+++ b/tests/gateway/limits/limits.feature
@@ -60,6 +60,20 @@
     Then it admits no request of the account and says that the owner does not respond
     And it admits requests of the account after it has heard from all gateways
 
+  # Guards against two owners while one drains: it would grant its own callers the rate
+  # that the next owner grants, too.
+  Scenario: A draining gateway leaves its limits to its peers
+    Given a gateway that owns the limit of an account and has a peer
+    When it starts to drain
+    Then it asks its peer to charge a request of the account
+    And it owns no limit
+
+  # Guards against units that an owner gains while it is suspended and another one grants.
+  Scenario: An owner that was suspended starts anew
+    Given a gateway that owns the limit of an account and has a peer
+    When it notices that it was suspended
+    Then it owns the limit, with no units left
+
   # Guards against a retry budget that each gateway divides by the peers that it knows.
   Scenario Outline: Gateways that know few of their peers stay within a retry budget
     Given 93 gateways that know <known> gateways, have met <met> and see 3 peers
--- a/tests/gateway/limits/steps/limits_steps.py
+++ b/tests/gateway/limits/steps/limits_steps.py
@@ -12,6 +12,7 @@
 from support.limit_cluster import LIMIT, TOLERANCE, Faults, LimitCluster
 from tanagerturn.clocks import boot_s
 from tanagerturn.coordination.errors import UnavailableError
+from tanagerturn.gateway.limit_charges import Charge
 from tanagerturn.gateway.limits import AccountLimits, Unverified
 from tanagerturn.gateway.state import make_state
 from tanagerturn.platform.dialect import PlatformDialect
@@ -270,3 +271,44 @@
 @then("all of them together make at most {count:d} retries")
 def retries_within_budget(context, count):
     assert context.retry_count <= count, context.retry_count
+
+
+@given("a gateway that owns the limit of an account and has a peer")
+def owner_with_peer(context):
+    gateway_without_peers(context)
+    context.local_limits.set_gateways({"g2": "other:1"}, 1.0, boot_s() - FILL_S)
+    context.links.is_slow = False
+    other = context.links.other
+    other.set_terms(context.local_limits.owned.limits_by_account, boot_s() - FILL_S)
+    assert context.account in context.local_limits.owned.buckets
+
+
+@when("it starts to drain")
+def starts_to_drain(context):
+    context.local_limits.set_gateways(
+        {"g2": "other:1"}, 1.0, boot_s(), is_draining=True
+    )
+
+
+@then("it asks its peer to charge a request of the account")
+def asks_peer(context):
+    charge = context.local_limits.charge(context.account, UNITS, context.links)
+    assert isinstance(asyncio.run(charge), Admitted)
+    charges = context.links.other.sums.units[context.account]
+    assert charges == {Charge.ADMITTED: UNITS}, charges
+
+
+@then("it owns no limit")
+def owns_no_limit(context):
+    assert not context.local_limits.owned.buckets
+
+
+@when("it notices that it was suspended")
+def notices_pause(context):
+    context.local_limits.on_pause(boot_s())
+
+
+@then("it owns the limit, with no units left")
+def owns_without_units(context):
+    bucket = context.local_limits.owned.buckets[context.account]
+    assert bucket.units <= 0, bucket
--- a/tests/gateway/mesh/mesh.feature
+++ b/tests/gateway/mesh/mesh.feature
@@ -37,3 +37,11 @@
     And peer 1 is declared dead
     Then it knows 4 gateways and has met 3
     And its present peers are 3
+
+  # Guards against waiting for a gateway that stopped before it was ever heard from.
+  Scenario: A peer that is lost before its first digest does not count
+    Given a gateway with 3 peers that it has not heard from
+    When a digest of peer 1 reports 3 gateways
+    And a digest of peer 2 reports 3 gateways
+    And peer 3 is declared dead
+    Then it knows 3 gateways and has met 3
