--- a/src/tanagerturn/gateway/mesh.py
+++ b/src/tanagerturn/gateway/mesh.py
@@ -76,6 +76,10 @@
 PEER_MAX_AGE_S: Final = 4.0
 """Time in seconds after its last digest for which a gateway counts as present."""
 
+SEED_WAIT_S: Final = 5.0
+"""Time in seconds after the start for which seeds count as known gateways; a seed that
+was not found by then is not running."""
+
 log = component_log("mesh")
 
 
@@ -165,6 +169,8 @@
         self.started_ms = wall_ms()
         """Wall-clock time of the process start in milliseconds, which distinguishes the
         starts of the gateway on this host."""
+        self.started_s = boot_s()
+        """Boot-clock time of the process start in seconds."""
         self.sequence = 0
         """Sequence number of the last digest."""
         self.peers: dict[str, Peer] = {}
@@ -326,11 +332,12 @@
         """Return the number of gateways that this one or any recent digest knows.
 
         A gateway that has just started learns from the digests of its first peers how
-        many there are.
+        many there are; until then it counts the seeds.
         """
-        reported = [d.known_gateways for d in self.recent_digests(now_s)]
-        seed_count = len({*self.settings.seed_ips, self.settings.ip})
-        return max(self.gateway_count(now_s), seed_count, *reported, 1)
+        counts = [d.known_gateways for d in self.recent_digests(now_s)]
+        if now_s - self.started_s < SEED_WAIT_S:
+            counts.append(len({*self.settings.seed_ips, self.settings.ip}))
+        return max(self.gateway_count(now_s), *counts, 1)
 
     def met_count(self, now_s: float) -> int:
         """Return the number of known gateways that ever sent a digest, with this one.
--- a/tests/gateway/mesh/mesh.feature
+++ b/tests/gateway/mesh/mesh.feature
@@ -45,3 +45,8 @@
     And a digest of peer 2 reports 3 gateways
     And peer 3 is declared dead
     Then it knows 3 gateways and has met 3
+
+  Scenario: A gateway counts its seeds until it has had time to find them
+    Given a gateway with 0 peers that it has not heard from, and 3 seeds
+    Then it knows 3 gateways and has met 1
+    And 5.1 s after its start it knows 1 gateways
--- a/tests/gateway/mesh/steps/mesh_steps.py
+++ b/tests/gateway/mesh/steps/mesh_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
 from random import Random
 
 from behave import given, then, when
@@ -150,6 +151,19 @@
         member.info.relay_address = f"{member.process}:7603"
 
 
+@given("a gateway with {count:d} peers that it has not heard from, and {seeds:d} seeds")
+def gateway_with_seeds(context, count, seeds):
+    gateway_with_unheard_peers(context, count)
+    seed_ips = ("127.0.0.1", *(f"10.9.0.{n}" for n in range(1, seeds)))
+    context.mesh.settings = replace(context.mesh.settings, seed_ips=seed_ips)
+
+
+@then("{after_s:g} s after its start it knows {known:d} gateways")
+def knows_after(context, after_s, known):
+    mesh = context.mesh
+    assert mesh.known_count(mesh.started_s + after_s) == known
+
+
 def receive_digest(context, number, **fields):
     digest = gpb.Digest(host=f"other-{number - 1}", sequence=1, **fields)
     data = gpb.Datagram(digest=digest).SerializeToString()
