Let an owner without an account's limit reject calls instead of granting them

An owner that does not know the limit now rejects the call, and the peer falls back to its reserve. The new scenario got 'admitted: true' before.

--- a/src/tanagerturn/gateway/limits.py
+++ b/src/tanagerturn/gateway/limits.py
@@ -203,6 +203,11 @@
         A call for an account with another owner is passed on once.
         """
         account = call.client_account
+        if account not in self.owned.limits_by_account:
+            # The account may be unlimited here only because this gateway has not
+            # received the configuration that the peer has.
+            reason = f"no limit of the client account {account} is known"
+            return gpb.Frame(failure=gpb.Failure(reason=reason))
         if self._is_owner(account):
             return _taken_frame(self._charge_owned(account, call.units, now_s))
         address = self._owner_address(account)
--- a/tests/gateway/limits/limits.feature
+++ b/tests/gateway/limits/limits.feature
@@ -74,6 +74,12 @@
     When it notices that it was suspended
     Then it owns the limit, with no units left
 
+  # Guards against an owner that takes an account without a known limit for unlimited.
+  Scenario: An owner that has no configuration yet grants nothing to its peers
+    Given a gateway that owns the limit of an account and has a peer
+    When a peer asks it to charge a request of an account that it does not know
+    Then it responds that it does not know the limit
+
   # Guards against a retry budget that each gateway divides by the peers that it knows.
   Scenario Outline: Gateways that know few of their peers stay within a retry budget
     Given 93 gateways that know <known> gateways, have met <met> and see 3 peers
--- a/tests/gateway/limits/steps/limits_steps.py
+++ b/tests/gateway/limits/steps/limits_steps.py
@@ -16,6 +16,7 @@
 from tanagerturn.gateway.limits import AccountLimits, Unverified
 from tanagerturn.gateway.state import make_state
 from tanagerturn.platform.dialect import PlatformDialect
+from tanagerturn.schema import gateway_pb2 as gpb
 from tanagerturn.serving.limits.owned import owner_of
 from tanagerturn.serving.limits.terms import (
     AccountLimit,
@@ -312,3 +313,21 @@
 def owns_without_units(context):
     bucket = context.local_limits.owned.buckets[context.account]
     assert bucket.units <= 0, bucket
+
+
+@when("a peer asks it to charge a request of an account that it does not know")
+def peer_asks_for_unknown(context):
+    unknown = next(
+        name
+        for name in (f"bell{n}" for n in range(99))
+        if owner_of(name, ["g1", "g2"]) == "g1"
+    )
+    call = gpb.TakeCall(client_account=unknown, units=UNITS)
+    serve = context.local_limits.serve(call, context.links, boot_s())
+    context.response = asyncio.run(serve)
+
+
+@then("it responds that it does not know the limit")
+def limit_unknown(context):
+    assert context.response.WhichOneof("kind") == "failure", context.response
+    assert "no limit of the client account" in context.response.failure.reason
