--- a/src/tanagerturn/gateway/limits.py
+++ b/src/tanagerturn/gateway/limits.py
@@ -48,8 +48,8 @@
 BACKOFF_S: Final = 0.5
 """Time in seconds for which an owner that did not respond is not asked again."""
 
-NO_OWNER: Final = ""
-"""Stands for the link address of the owner if this gateway is the owner."""
+LOCAL: Final = ""
+"""Stands for this gateway where the link address of a gateway is expected."""
 
 log = component_log("limits")
 
@@ -82,7 +82,7 @@
         self.is_draining = False
         """Whether this gateway is about to stop, and leaves limits to its peers."""
         self.owners: dict[str, str] = {}
-        """Link address of the owner of each account asked for, `NO_OWNER` for this
+        """Link address of the owner of each account asked for, `LOCAL` for this
         gateway; cleared when the present gateways change."""
         self.direct_backoff_s: dict[str, float] = {}
         """Boot-clock time in seconds until which an owner that did not respond is
@@ -211,7 +211,7 @@
         if self._is_owner(account):
             return _taken_frame(self._charge_owned(account, call.units, now_s))
         address = self._owner_address(account)
-        if call.forwarded or address == NO_OWNER:
+        if call.forwarded or address == LOCAL:
             return gpb.Frame(failure=gpb.Failure(reason="not the owner of the limit"))
         passed_on = gpb.TakeCall(
             client_account=account, units=call.units, forwarded=True
@@ -238,14 +238,14 @@
     ) -> Admitted | Exceeded | None:
         """Ask the owner, then another gateway; return None without a response."""
         frame = gpb.Frame(take=gpb.TakeCall(client_account=account, units=units))
-        if address != NO_OWNER and boot_s() >= self.direct_backoff_s.get(address, 0.0):
+        if address != LOCAL and boot_s() >= self.direct_backoff_s.get(address, 0.0):
             answered = await links.link_to(address).call(frame, OWNER_TIMEOUT_S)
             if answered.is_ok() and answered.ok.WhichOneof("kind") == "taken":
                 return _taken(answered.ok.taken)
             self.direct_backoff_s[address] = boot_s() + BACKOFF_S
             self._log_failure(account, address, answered)
         helper = self._helper_address(account, address)
-        if helper == NO_OWNER:
+        if helper is None:
             return None
         frame = gpb.Frame(take=gpb.TakeCall(client_account=account, units=units))
         answered = await links.link_to(helper).call(frame, OWNER_TIMEOUT_S)
@@ -318,7 +318,7 @@
             self.sums.add(account, charge, abs(units))
             return
         address = self._owner_address(account)
-        if address == NO_OWNER:
+        if address == LOCAL:
             return
         correction = gpb.LimitCorrection(
             client_account=account, units=units, forwarded=is_forwarded
@@ -333,21 +333,21 @@
         self.owned.set_owned(owned, now_s)
 
     def _is_owner(self, account: str) -> bool:
-        return self.has_met_all and self._owner_address(account) == NO_OWNER
+        return self.has_met_all and self._owner_address(account) == LOCAL
 
     def _owner_address(self, account: str) -> str:
-        """Return the owner's link address; `NO_OWNER` if it is this gateway."""
+        """Return the owner's link address; `LOCAL` if it is this gateway."""
         address = self.owners.get(account)
         if address is None:
             local = () if self.is_draining and self.gateways else (self.host,)
             owner = owner_of(account, [*local, *self.gateways])
-            address = self.owners[account] = self.gateways.get(owner, NO_OWNER)
+            address = self.owners[account] = self.gateways.get(owner, LOCAL)
         return address
 
-    def _helper_address(self, account: str, owner_address: str) -> str:
-        """Return the gateway to ask instead of the owner; `NO_OWNER` if none."""
+    def _helper_address(self, account: str, owner_address: str) -> str | None:
+        """Return the link address of a gateway to ask instead of the owner, if any."""
         others = {h: a for h, a in self.gateways.items() if a != owner_address}
-        return others[owner_of(account, others)] if others else NO_OWNER
+        return others[owner_of(account, others)] if others else None
 
     def _log_failure(
         self, account: str, address: str, answered: Result[gpb.Frame, StepError]
