Count lost gateways as met, so that restarted gateways own limits again at once

A restarted gateway waited to hear from peers that were still away before it owned limits, and its peers' calls were rejected meanwhile ('not the owner of the limit', 8 times). Lost gateways are excluded by all, so they now count as met. Not changed: 503 while an owner is dead or cut off and its peers have not noticed yet, which is most of the refusals at 8 to 12 s.

--- a/src/tanagerturn/gateway/mesh.py
+++ b/src/tanagerturn/gateway/mesh.py
@@ -297,17 +297,9 @@
         ]
 
     def gateway_count(self, now_s: float) -> int:
-        """Return the number of gateways, including this one and recently lost ones.
-
-        A lost gateway counts only if it ever sent a digest: one that stopped as soon as
-        it had joined can't be met any more.
-        """
+        """Return the number of gateways, including this one and recently lost ones."""
         now_ms = to_ms(now_s)
-        return sum(
-            _is_recipient(member, now_ms)
-            and (member.is_present or member.process in self.peers)
-            for member in self.core.table.members.values()
-        )
+        return sum(_is_recipient(m, now_ms) for m in self.core.table.members.values())
 
     def take_view_change(self) -> bool:
         """Return whether the present or known gateways may have changed; clear it."""
@@ -340,15 +332,15 @@
         return max(self.gateway_count(now_s), *counts, 1)
 
     def met_count(self, now_s: float) -> int:
-        """Return the number of known gateways that ever sent a digest, with this one.
+        """Return the number of known gateways, without present ones never heard from.
 
-        Recently lost gateways count as met.
+        Lost ones count: their loss has spread to all gateways, so none selects them as
+        owners, and a gateway that starts while they are away cannot hear from them.
         """
         now_ms = to_ms(now_s)
-        members = self.core.table.members.values()
         return 1 + sum(
-            member.process in self.peers
-            for member in members
+            not member.is_present or member.process in self.peers
+            for member in self.core.table.members.values()
             if member is not self.core.local_member and _is_recipient(member, now_ms)
         )
 
