Log a fingerprint of requests that backend servers break off

On-call engineers could not tell whether broken attempts belong to the same request: each attempt has its own id. The fingerprint hashes client account, method, host, target and body, and is computed only when an attempt breaks. No decision uses it yet.

--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -19,9 +19,10 @@
         "A backend attempt failed; the request is retried at another backend server."
     ),
     "attempt_broke": (
-        "A backend server's response was missing, malformed or incomplete; `parts` are "
-        "the ids of the prompt's parts, and `writing_s` is the time since the first "
-        "data of the response, absent before it."
+        "A backend server's response was missing, malformed or incomplete; "
+        "`fingerprint` is equal for all attempts of a request at all gateways, `parts` "
+        "are the ids of the prompt's parts, and `writing_s` is the time since the "
+        "first data of the response, absent before it."
     ),
     "moved": (
         "A stream was migrated to another engine, or its migration failed; see "
--- a/src/tanagerturn/gateway/request_run.py
+++ b/src/tanagerturn/gateway/request_run.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.gateway.configuration import RequestKind
+from tanagerturn.gateway.fingerprints import fingerprint_of
 
 if TYPE_CHECKING:
     import asyncio
@@ -13,6 +15,7 @@
     from tanagerturn.gateway.backend_exchange import ResponseHead
     from tanagerturn.gateway.configuration import Account, Route, ServiceName
     from tanagerturn.gateway.event_stream import StreamProgress
+    from tanagerturn.gateway.fingerprints import Fingerprint
     from tanagerturn.gateway.messages import InboundRequest, KvCopy
     from tanagerturn.gateway.server import Exchange
     from tanagerturn.serving.backends.backend import Backend
@@ -140,6 +143,11 @@
     longest_pause_s: float = 0.0
     """Longest time in seconds between two forwarded parts of a stream."""
 
+    @cached_property
+    def fingerprint(self) -> Fingerprint:
+        """Hash that all attempts of the request have in common."""
+        return fingerprint_of(self.request, self.account, self.exchange.body)
+
     @property
     def is_resumable(self) -> bool:
         """Whether the stream may be resumed at another backend server."""
--- a/src/tanagerturn/gateway/sender.py
+++ b/src/tanagerturn/gateway/sender.py
@@ -175,6 +175,7 @@
             "attempt_broke",
             request=run.request.attempt_id,
             backend=backend.id,
+            fingerprint=run.fingerprint,
             parts=[part.id for part in prompt.parts] if prompt else [],
             writing_s=None if writing_s is None else round(writing_s, 3),
             events=run.progress.event_count,
--- a/tests/gateway/relay/relay.feature
+++ b/tests/gateway/relay/relay.feature
@@ -158,6 +158,11 @@
     When a caller posts a prompt to "/draft/1"
     Then the log names part "bb" and how long the engine had been writing
 
+  Scenario: The log shows which broken requests are attempts of the same one
+    Given a backend server that resets the connection without a response
+    When callers post bodies "a", "a" and "b" to "/buy/1", and "a" to "/buy/2"
+    Then the log has equal fingerprints of the first two requests only
+
   Scenario: A request without a response ends at its route's timeout
     Given a backend server that never responds
     When a caller posts to "/buy/1"
--- a/tests/gateway/relay/steps/relay_steps.py
+++ b/tests/gateway/relay/steps/relay_steps.py
@@ -322,6 +322,26 @@
     )
 
 
+@when('callers post bodies "a", "a" and "b" to "/buy/1", and "a" to "/buy/2"')
+def posts_repeatedly(context):
+    sent = (("/buy/1", b"a"), ("/buy/1", b"a"), ("/buy/1", b"b"), ("/buy/2", b"a"))
+
+    async def post_all(world):
+        for number, (path, body) in enumerate(sent):
+            headers = {"X-Request-Id": f"r{number}"}
+            await world.send_request(path, body=body, headers=headers)
+
+    run_logged(context, post_all)
+
+
+@then("the log has equal fingerprints of the first two requests only")
+def logged_fingerprints(context):
+    broken = [r["extra"] for r in context.logged if r["message"] == "attempt_broke"]
+    first, second, *others = [each["fingerprint"] for each in broken]
+    assert first == second, broken
+    assert len({first, *others}) == 3, broken
+
+
 @when('a caller posts to "{path}" with a KV cache copy, a KV hold and another account')
 def posts_forged(context, path):
     forged = {
