Log the software version of engines and the stream that a request resumes

On-call engineers could not see that a stream goes on at another software version: no line named the version of an engine, nor the attempt that began a stream. The announcement's version is decoded, one of another type is malformed, and `sent` names all three. No decision uses them yet.

--- a/src/tanagerturn/gateway/messages.py
+++ b/src/tanagerturn/gateway/messages.py
@@ -73,6 +73,9 @@
     """Id of the last event of the stream that the caller has; None at its beginning."""
     prompt: Prompt | None
     """Prompt of a generation; None for plain requests."""
+    resumed_attempt_id: AttemptId
+    """Id of the attempt that began the stream that this one resumes; empty if the
+    caller names none."""
     forwarded_headers: RawHeaders = field(default_factory=list, repr=False)
     """Headers to forward to the backend server."""
 
--- a/src/tanagerturn/platform/control_calls.py
+++ b/src/tanagerturn/platform/control_calls.py
@@ -89,6 +89,9 @@
     if state not in ("ready", "draining"):
         raise ValueError(f"state is {state!r}, expected 'ready' or 'draining'")
     service, address = fields["service"], fields["address"]
+    version = fields.get("version", "")
+    if not isinstance(version, str):
+        raise ValueError(f"version is {version!r}, expected a string")
     if not isinstance(service, str) or not service or not isinstance(address, str):
         raise ValueError(
             f"service is {service!r} and address is {address!r}, expected a non-empty "
@@ -111,6 +114,8 @@
         heartbeat_ms=heartbeat_ms,
         born_ms=born_ms,
         warmup_left_ms=_non_negative_int(fields.get("warmup_left_ms", 0)),
+        # The version of the engine's software; versions of models are in `models`.
+        software_version=version,
     )
     if announcement.leaving:
         announcement.leaving_in_ms = _non_negative_int(
--- a/src/tanagerturn/platform/requests.py
+++ b/src/tanagerturn/platform/requests.py
@@ -100,6 +100,7 @@
         key=key.strip() if scheme.lower() == "bearer" else "",
         last_event_id=int(last_event) if last_event else None,
         prompt=_decode_prompt(fields),
+        resumed_attempt_id=AttemptId(fields.get(b"resumes", "")),
         forwarded_headers=forwarded_headers,
     )
 
--- a/src/tanagerturn/serving/backends/backend.py
+++ b/src/tanagerturn/serving/backends/backend.py
@@ -5,7 +5,11 @@
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.schema import serving_pb2
-from tanagerturn.serving.backends.messages import AvailabilityZone, BackendId
+from tanagerturn.serving.backends.messages import (
+    AvailabilityZone,
+    BackendId,
+    SoftwareVersion,
+)
 from tanagerturn.serving.backends.rates import LearnedRates
 
 if TYPE_CHECKING:
@@ -74,6 +78,8 @@
         """IP address and port at which the backend server accepts requests."""
         self.zone = AvailabilityZone(announcement.availability_zone)
         """Availability zone of the backend server."""
+        self.software_version = SoftwareVersion(announcement.software_version)
+        """Version of its software; empty if it reports none."""
         self.slots = announcement.slots
         """Number of requests that the backend server accepts concurrently."""
         self.price_per_hour = announcement.price_per_hour
--- a/src/tanagerturn/serving/backends/messages.py
+++ b/src/tanagerturn/serving/backends/messages.py
@@ -10,6 +10,9 @@
 BackendId = NewType("BackendId", str)
 """Id that a backend server announces."""
 
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""Version of a backend server's software; a stream can't go on at another version."""
+
 AvailabilityZone = NewType("AvailabilityZone", str)
 """Id of an availability zone."""
 
--- a/tests/platform/platform.feature
+++ b/tests/platform/platform.feature
@@ -71,6 +71,11 @@
       | address  | null         |
       | sequence | "many"       |
       | slots    | true         |
+      | version  | 2            |
+
+  Scenario: An announcement names the version of the engine's software
+    Given an announcement with "version" set to "v1.1"
+    Then the software version is "v1.1"
 
   Scenario: Announcements of earlier starts are ignored
     Given an engine that restarted under the same id
--- a/tests/platform/steps/platform_steps.py
+++ b/tests/platform/steps/platform_steps.py
@@ -213,6 +213,7 @@
         (b"Host", b"Desk.Example:80"),
         (b"X-Request-Id", b"9c41"),
         (b"Last-Event-Id", b"12"),
+        (b"Resumes", b"8b30"),
         (b"X-Model", b"m"),
         (b"X-Token-Usage", b"1460,80"),
         (b"X-Prefix-Hash", b"5c1e07a2:800,91bd3f06:410"),
@@ -237,6 +238,7 @@
     assert request.target == "/draft/2f?a=b"
     assert (request.attempt_id, request.key) == ("9c41", "abc")
     assert (request.caller_timeout_s, request.last_event_id) == (12.0, 12)
+    assert request.resumed_attempt_id == "8b30"
     prompt = request.prompt
     assert (prompt.prompt_tokens, prompt.max_output_tokens) == (1460, 80)
     assert [part.tokens for part in prompt.parts] == [800, 410]
@@ -254,6 +256,7 @@
         b"x-prefix-hash",
         b"x-length-hint",
         b"x-kept",
+        b"resumes",
     }, names
 
 
@@ -271,6 +274,11 @@
     assert context.call.status == 400
 
 
+@then('the software version is "{version}"')
+def software_version_is(context, version):
+    assert context.call.announcement.software_version == version, context.call
+
+
 def announce(fleet, backend_id, **fields):
     body = orjson.dumps({**ANNOUNCEMENT, **fields})
     target = f"/v1/instances/{backend_id}"
