Add failing tests of streams that go on at another software version

Engines of two and three versions serve side by side behind six gateways, and each event names its version.

--- /dev/null
+++ b/tests/gateway/versions/steps/versions_steps.py
@@ -0,0 +1,194 @@
+"""Steps of versions.feature; each scenario has its own event loop."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given, then, when
+
+from support.engine_fleet import EVENT_INTERVAL_S
+from support.gateway_world import KEY
+from support.version_fleet import (
+    EVENT_COUNT,
+    ReplacedEngine,
+    VersionEngine,
+    VersionFleet,
+)
+
+RUN_S = EVENT_COUNT * EVENT_INTERVAL_S
+"""Time in seconds that a stream takes."""
+
+SAVE_S = 2.0
+"""Time in seconds after which hosts with a disk have saved where streams began."""
+
+
+def run(context, coroutine):
+    return context.loop.run_until_complete(coroutine)
+
+
+def start(context, gateways, versions, engine_type):
+    context.loop = asyncio.new_event_loop()
+    context.fleet = VersionFleet(gateways, versions.split(","), 1, engine_type)
+
+    def close():
+        context.loop.run_until_complete(context.fleet.close())
+        context.loop.close()
+
+    context.closers.append(close)
+    run(context, context.fleet.start())
+
+
+@given("{gateways:d} gateways and engines of versions {versions}")
+def fleet_started(context, gateways, versions):
+    start(context, gateways, versions, VersionEngine)
+
+
+@given(
+    "{gateways:d} gateways and engines of versions {versions}, released under new ids"
+)
+def fleet_released(context, gateways, versions):
+    start(context, gateways, versions, VersionEngine)
+
+
+@given(
+    "{gateways:d} gateways and engines of versions {versions}, released under the same "
+    "id and address"
+)
+def fleet_replaced(context, gateways, versions):
+    start(context, gateways, versions, ReplacedEngine)
+
+
+@when("{count:d} streams begin and {crashes:d} engines crash while they run")
+def engines_crash(context, count, crashes):
+    fleet = context.fleet
+
+    async def crash():
+        fleet.begin(count)
+        for engine in fleet.engines[:: len(fleet.engines) // crashes][:crashes]:
+            await asyncio.sleep(0.4 * RUN_S / crashes)
+            engine.crash()
+        await fleet.finish(6 * RUN_S)
+
+    run(context, crash())
+
+
+@when(
+    "{count:d} streams run and {killed} are killed, restart, and callers ask "
+    "{taken_up_at}"
+)
+def gateways_killed(context, count, killed, taken_up_at):
+    fleet = context.fleet
+
+    async def kill():
+        hosts = sorted(fleet.cluster.gateways)
+        number = {"one gateway": 1, "four gateways": 4, "all gateways": len(hosts)}
+        doomed = hosts[-number[killed] :]
+        one = doomed[0] if killed == "one gateway" else ""
+        take_up_host = one if taken_up_at == "the restarted gateway" else ""
+        fleet.begin(count, one, take_up_host)
+        await asyncio.sleep(SAVE_S)
+        for host in doomed:
+            await fleet.cluster.kill(host)
+        if taken_up_at == "other gateways":
+            await asyncio.sleep(1.0)
+        for host in doomed:
+            await fleet.cluster.start(int(host[1:]), is_first_start=False)
+        await fleet.finish(6 * RUN_S)
+
+    run(context, kill())
+
+
+@when(
+    "{count:d} streams run and half of the engines become v2 while a gateway is killed"
+)
+def release(context, count):
+    fleet = context.fleet
+
+    async def replace():
+        fleet.begin(count)
+        await asyncio.sleep(0.3 * RUN_S)
+        for engine in fleet.engines[::2]:
+            engine.software_version = "v2"
+            engine.crash()
+            await asyncio.sleep(0.3)
+        await fleet.cluster.kill("g6")
+        await fleet.cluster.start(6, is_first_start=False)
+        await fleet.finish(6 * RUN_S)
+
+    run(context, replace())
+
+
+@when("a stream of v1 is taken up after its engine has ended")
+def version_ends(context):
+    fleet = context.fleet
+    (v1,) = [e for e in fleet.engines if e.software_version == "v1"]
+
+    async def end():
+        fleet.begin(9)
+        await asyncio.sleep(0.3 * RUN_S)
+        v1.software_version = "v2"
+        v1.crash()
+        await fleet.finish(6 * RUN_S)
+
+    run(context, end())
+
+
+@then("each attempt to take it up gets 503 within 0.5 s, which names version v1")
+def clear_error(context):
+    streams = [s for s in context.fleet.streams if not s.is_whole]
+    assert streams
+    for stream in streams:
+        assert stream.versions == {"v1"}, stream.versions
+        refused = stream.answers[1:]
+        assert all(a.status == 503 and b"v1" in a.body for a in refused), refused
+        assert all(took_s <= 0.5 for took_s in stream.took_s[1:]), stream.took_s
+
+
+@when("a caller takes up a stream of an unknown attempt")
+def unknown_attempt(context):
+    fleet = context.fleet
+    headers = "Last-Event-Id: 5\r\nResumes: never-seen\r\n"
+    host = sorted(fleet.cluster.gateways)[0]
+    context.answer = run(
+        context,
+        fleet.request(host, "POST /notes/1", KEY, "5c1e:300,1:300", b"", headers),
+    )
+
+
+@then("it gets 503 with Retry-After and no event")
+def not_guessed(context):
+    assert context.answer.status == 503, context.answer
+    assert float(context.answer.headers["retry-after"]) > 0, context.answer
+    assert b"id: " not in context.answer.body, context.answer
+
+
+@then("no stream has events of two versions")
+def none_mixed(context):
+    streams = context.fleet.streams
+    assert streams
+    mixed = context.fleet.mixed()
+    taken_up = sum(s.was_taken_up for s in streams)
+    assert not mixed, f"{len(mixed)} of {len(streams)}, {taken_up} taken up"
+    for stream in streams:
+        ids = [number for number, _ in stream.events]
+        assert ids == list(range(1, len(ids) + 1)), ids
+
+
+@then("at least {share:g} of the streams that callers took up go on")
+def taken_up_go_on(context, share):
+    taken_up = [s for s in context.fleet.streams if s.was_taken_up]
+    went_on = sum(s.went_on for s in taken_up)
+    assert went_on >= share * len(taken_up), f"{went_on} of {len(taken_up)}"
+
+
+@then("at least {share:g} of all streams are whole")
+def share_whole(context, share):
+    streams = context.fleet.streams
+    whole = sum(s.is_whole for s in streams)
+    assert whole >= share * len(streams), f"{whole} of {len(streams)}"
+
+
+@then("at least {count:d} streams are whole")
+def streams_whole(context, count):
+    whole = sum(s.is_whole for s in context.fleet.streams)
+    assert whole >= count, f"{whole} of {len(context.fleet.streams)}"
--- a/tests/support/engine_fleet.py
+++ b/tests/support/engine_fleet.py
@@ -73,6 +73,8 @@
         """Limit in requests per second that its responses name; None for none."""
         self.arrivals_s: list[float] = []
         """Boot-clock time in seconds of each request."""
+        self.software_version = ""
+        """Version that it announces."""
         self.ends_at_next_request = False
         """Whether the engine crashes at its next request, whichever it is."""
 
@@ -87,6 +89,10 @@
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    def event_text(self, number: int) -> str:
+        """Return the data of an event."""
+        return f"word{number}"
+
     async def announce(self) -> None:
         """Announce the engine to one gateway, unless it is down."""
         if self.server is None:
@@ -102,6 +108,7 @@
             slots=64,
             heartbeat_ms=1000,
             born_ms=self.boots,
+            software_version=self.software_version,
         )
         gateway = self.fleet.random.choice(list(self.fleet.cluster.gateways.values()))
         await gateway.control.execute(Announce(announcement))
@@ -162,8 +169,9 @@
             f"{self._limit_header()}"
             "Transfer-Encoding: chunked\r\n\r\n".encode()
         )
-        for number in range(int(headers.get("last-event-id", "0")) + 1, EVENTS + 1):
-            data = f"id: {number}\ndata: word{number}\n\n"
+        last = self.fleet.event_count
+        for number in range(int(headers.get("last-event-id", "0")) + 1, last + 1):
+            data = f"id: {number}\ndata: {self.event_text(number)}\n\n"
             writer.write(f"{len(data):x}\r\n{data}\r\n".encode())
             await writer.drain()
             await asyncio.sleep(CRASH_DELAY_S if is_bad else EVENT_INTERVAL_S)
@@ -227,7 +235,11 @@
         self.cluster = Cluster(3, gateways - 3)
         self.fields = FIELDS
         """Fields of the manifest."""
-        self.engines = [FleetEngine(self, number) for number in range(engines)]
+        self.event_count = EVENTS
+        """Number of events of each stream."""
+        self.deadline_ms = 3000
+        """Time for which callers wait for a response, in milliseconds."""
+        self.engines = [self.make_engine(number) for number in range(engines)]
         self.crashes_s: list[float] = []
         """Boot-clock time in seconds of each crash."""
         self.bad_arrivals_s: list[float] = []
@@ -238,6 +250,10 @@
         self.request_count = 0
         self.attempt_count = 0
 
+    def make_engine(self, number: int) -> FleetEngine:
+        """Return an engine that has not started yet."""
+        return FleetEngine(self, number)
+
     def add_task(self, coroutine) -> None:
         """Run a coroutine until it ends or the scenario does."""
         task = asyncio.create_task(coroutine)
@@ -298,7 +314,13 @@
         return answer
 
     async def request(
-        self, host: str, call: str, key: str, prefix: str = "", body: bytes = b""
+        self,
+        host: str,
+        call: str,
+        key: str,
+        prefix: str = "",
+        body: bytes = b"",
+        headers: str = "",
     ) -> CallerResponse:
         """Send one request on a new connection and read its response.
 
@@ -308,6 +330,7 @@
             key: API key of the caller.
             prefix: Parts of the prompt; empty for a request without a prompt.
             body: Whole body.
+            headers: Further header lines, each with its end.
         """
         self.attempt_count += 1
         prompt = (
@@ -321,7 +344,8 @@
         reader, writer = await asyncio.open_connection(ip, int(port))
         head = (
             f"{call} HTTP/1.1\r\nHost: {HOST}\r\n"
-            f"X-Request-Id: r{self.attempt_count}\r\nX-Deadline-Ms: 3000\r\n"
+            f"X-Request-Id: r{self.attempt_count}\r\n"
+            f"X-Deadline-Ms: {self.deadline_ms}\r\n{headers}"
             f"Authorization: Bearer {key}\r\n{prompt}Content-Length: {len(body)}\r\n"
             "Connection: close\r\n\r\n"
         )
