--- a/tests/support/engine_fleet.py
+++ b/tests/support/engine_fleet.py
@@ -333,6 +333,7 @@
             headers: Further header lines, each with its end.
         """
         self.attempt_count += 1
+        attempt_id = f"r{self.attempt_count}"
         prompt = (
             f"X-Model: m\r\nX-Token-Usage: 900,24\r\nX-Prefix-Hash: {prefix}\r\n"
             if prefix
@@ -344,7 +345,7 @@
         reader, writer = await asyncio.open_connection(ip, int(port))
         head = (
             f"{call} HTTP/1.1\r\nHost: {HOST}\r\n"
-            f"X-Request-Id: r{self.attempt_count}\r\n"
+            f"X-Request-Id: {attempt_id}\r\n"
             f"X-Deadline-Ms: {self.deadline_ms}\r\n{headers}"
             f"Authorization: Bearer {key}\r\n{prompt}Content-Length: {len(body)}\r\n"
             "Connection: close\r\n\r\n"
