Let streams go on only at the software version that began them

Cause (hypothesis 1): no gateway knew the version of an engine, so retries, migrations and take-ups mixed versions as the engines were spread; hypothesis 2 is the part of it that restarts of gateways show. Hypothesis 3 is a way of its own: an engine that comes back under the same id and address.

Change: a stream is bound to the version of its first event. Gateways send the origins of streams to peers while a service has several versions, ask for them when a caller takes a stream up, and save them. Without a record nothing is guessed: 503 with a text, also if no engine of the version is left. An engine whose connection broke gets bound streams only after it has announced itself again.

Before: 6 to 30 of 40 streams mixed in tests/gateway/versions, 11 of 14 scenarios failed. A migration went to an engine of another version before (new scenario of tests/gateway/relay). tests/serving/streams: the decision, and holders left with 9, 93 and 380 gateways of which half are killed.

--- a/src/tanagerturn/gateway/backend_state.py
+++ b/src/tanagerturn/gateway/backend_state.py
@@ -69,6 +69,9 @@
     blocked_until_s: float = 0.0
     """Boot-clock time in seconds until which the backend server gets no requests; 0 if
     it is not blocked."""
+    doubted_since_s: float = -1e9
+    """Boot-clock time in seconds of the last broken or failed connection; until it
+    announces itself again, another start may have taken its place."""
     cached_parts: OrderedDict[int, int] = field(default_factory=OrderedDict)
     """Size in tokens of each prompt part that is expected in the KV cache because it
     was sent, by part hash; the most recently used part is last."""
--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -28,6 +28,7 @@
     from tanagerturn.gateway.messages import LoadHint, Prompt
     from tanagerturn.schema import serving_pb2
     from tanagerturn.serving.backends.backend import Backend
+    from tanagerturn.serving.backends.messages import SoftwareVersion
     from tanagerturn.serving.backends.view import BackendView
 
 UNREACHABLE_BACKOFF_S: Final = 0.4
@@ -265,8 +266,34 @@
             UNREACHABLE_BACKOFF_S * 2**state.consecutive_unreachable,
         )
         state.consecutive_unreachable = min(state.consecutive_unreachable + 1, 8)
+        state.doubted_since_s = now_s
         state.blocked_until_s = now_s + backoff_s
 
+    def on_broken(self, backend: Backend, now_s: float) -> None:
+        """Record a response that a backend server broke off; it counts as a failure."""
+        self.state(backend.id).doubted_since_s = now_s
+        self.on_failure(backend, now_s)
+
+    def unfit_ids(
+        self, service: str, software_version: SoftwareVersion, now_s: float
+    ) -> set[BackendId]:
+        """Return the backend servers at which a stream of a version must not go on.
+
+        Those that may have been replaced by another start are left out as well, unless
+        they are the only ones, and all are of this version.
+        """
+        pool = self.view.pool(service)
+        fit = [b for b in pool if b.software_version == software_version]
+        trusted = {
+            b.id
+            for b in fit
+            if b.is_alive(to_ms(now_s))
+            and b.last_heard_ms / 1000 > self.state(b.id).doubted_since_s
+        }
+        if not trusted and len(fit) == len(pool):
+            return set()
+        return {b.id for b in pool if b.id not in trusted}
+
     def on_load_hint(self, backend: Backend, hint: LoadHint) -> None:
         """Record the load that a backend server reported in a response."""
         backend.record_load(hint.running, hint.waiting)
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -9,6 +9,7 @@
 
 from tanagerturn.clocks import boot_s, wall_ms
 from tanagerturn.coordination.errors import StepError
+from tanagerturn.gateway import stream_origins
 from tanagerturn.gateway.configuration_distributor import ConfigurationDistributor
 from tanagerturn.gateway.control import Control
 from tanagerturn.gateway.departures import DepartureTracker
@@ -278,6 +279,13 @@
         elif kind == "correction":
             limits = self._limits(is_backend=frame.correction.backend_limit)
             limits.on_correction(frame.correction, self.links)
+        elif kind == "ask_stream_origin":
+            call, origins = frame.ask_stream_origin, self.state.stream_origins
+            return stream_origins.serve_call(origins, call, boot_s())
+        elif kind == "stream_origins":
+            stream_origins.apply_origins(
+                self.state.stream_origins, frame.stream_origins, boot_s()
+            )
         elif kind == "take":
             limits = self._limits(is_backend=frame.take.backend_limit)
             return await limits.serve(frame.take, self.links, boot_s())
@@ -319,6 +327,7 @@
         backend_limits.limits.report(metrics.backend_limit_requests, now_s)
         backend_limits.expire(self.state.fleet.view.backends.values(), now_s)
         self.state.fleet.expire(now_s)
+        self.state.note_versions(now_s)
         self._update_quarantine(now_s)
         self.relay.start_migrations(now_s)
         self.state.pool.expire(set(self.state.fleet.view.backends), now_s)
@@ -350,6 +359,13 @@
     def _send_due(self) -> None:
         now_s = boot_s()
         self.mesh.send_next_batch(now_s)
+        if self.state.stream_origins.unsent:
+            stream_origins.send_unsent(
+                self.state.stream_origins,
+                self.links,
+                self.state.limits.gateways,
+                now_s,
+            )
         quarantine, backend_limits = self.state.quarantine, self.state.backend_limits
         if quarantine.urgent:
             parts = quarantine.take_urgent()
--- a/src/tanagerturn/gateway/intake.py
+++ b/src/tanagerturn/gateway/intake.py
@@ -5,8 +5,13 @@
 import math
 from typing import TYPE_CHECKING, Final
 
-from tanagerturn.clocks import to_ms
-from tanagerturn.gateway.configuration import NO_VERSION, pick_target
+from tanagerturn.clocks import boot_s, to_ms
+from tanagerturn.gateway.configuration import (
+    NO_VERSION,
+    RequestKind,
+    ServiceName,
+    pick_target,
+)
 from tanagerturn.gateway.event_stream import StreamProgress
 from tanagerturn.gateway.fingerprints import fingerprint_of, fingerprint_text
 from tanagerturn.gateway.limits import Unverified
@@ -14,7 +19,10 @@
 from tanagerturn.gateway.quarantine import shared_parts
 from tanagerturn.gateway.repeats import trial_turn
 from tanagerturn.gateway.request_run import Refusal, RequestRun, earlier_wait_s
+from tanagerturn.gateway.stream_origins import apply_origins, ask_peers
+from tanagerturn.serving.backends.messages import SoftwareVersion
 from tanagerturn.serving.limits.terms import Exceeded
+from tanagerturn.serving.streams.origins import StreamOrigin
 
 if TYPE_CHECKING:
     from tanagerturn.gateway.configuration import Account, Route
@@ -39,6 +47,10 @@
 """Minimum time in seconds after which a caller may retry a quarantined request that is
 about to be tried."""
 
+UNKNOWN_ORIGIN_RETRY_S: Final = 0.5
+"""Time in seconds after which a caller may take a stream up again whose software
+version is not known; gateways that start learn it from their peers."""
+
 UNVERIFIED_RETRY_S: Final = (0.3, 0.8)
 """Shortest and longest time in seconds after which a caller may retry whose limit could
 not be checked; spread, so that the callers do not return together."""
@@ -93,6 +105,7 @@
                     f" {configuration.version}",
                 )
         is_trial = self._admit_trial(request, account, exchange, route)
+        origin = await self._find_origin(request, route)
         units = await self._charge(request, account)
         prompt = request.prompt
         if prompt is not None and not earlier_wait_s(request, route):
@@ -104,7 +117,11 @@
             else math.inf,
             route.timeout_s,
         )
-        service = pick_target(route, state.random.random())
+        service = (
+            ServiceName(origin.service)
+            if origin is not None
+            else pick_target(route, state.random.random())
+        )
         state.retry_window(service).on_request(exchange.arrived_s)
         return RequestRun(
             request,
@@ -116,8 +133,61 @@
             StreamProgress(request.last_event_id),
             charged_units=units,
             is_trial=is_trial,
+            origin=origin,
         )
 
+    async def _find_origin(
+        self, request: InboundRequest, route: Route
+    ) -> StreamOrigin | None:
+        """Return where a stream that the caller takes up began.
+
+        None for other requests.
+
+        Raises:
+            Refusal: It is not known, or the route has another service now.
+        """
+        if route.kind is not RequestKind.STREAM or request.last_event_id is None:
+            return None
+        origins = self.state.stream_origins
+        services = [t.service for t in route.targets if t.weight > 0]
+        attempt_id = request.resumed_attempt_id
+        origin = origins.find(attempt_id) if attempt_id else None
+        if origin is None:
+            origin = self._sole_origin(services, is_sure=bool(attempt_id))
+        if origin is None and attempt_id:
+            answers = await ask_peers(
+                origins, attempt_id, self.links, self.state.limits.gateways
+            )
+            for answer in answers:
+                apply_origins(origins, answer, boot_s())
+            origin = origins.find(attempt_id) or self._sole_origin(
+                services, is_sure=True
+            )
+        if origin is None:
+            cause = "it is not known at which software version the stream began"
+            raise Refusal(503, cause, UNKNOWN_ORIGIN_RETRY_S, detail=cause)
+        if origin.service not in services:
+            cause = f"the stream began at service {origin.service}, not routed to now"
+            raise Refusal(503, cause, UNKNOWN_ORIGIN_RETRY_S, detail=cause)
+        return origin
+
+    def _sole_origin(
+        self, services: list[ServiceName], *, is_sure: bool
+    ) -> StreamOrigin | None:
+        """Return the only origin that streams of a route can have; None if several.
+
+        Args:
+            services: Services of the route.
+            is_sure: All versions of the life of a stream have to be known.
+        """
+        origins, now_s = self.state.stream_origins, boot_s()
+        if len(services) != 1 or (is_sure and not origins.is_complete(now_s)):
+            return None
+        versions = origins.recent_versions(services[0], now_s)
+        if len(versions) > 1:
+            return None
+        return StreamOrigin(services[0], next(iter(versions), SoftwareVersion("")))
+
     def reject_quarantined(self, run: RequestRun, now_s: float) -> None:
         """Reject an admitted request that has been quarantined meanwhile.
 
--- a/src/tanagerturn/gateway/outcomes.py
+++ b/src/tanagerturn/gateway/outcomes.py
@@ -16,6 +16,8 @@
 """Largest fraction by which a Retry-After time is lengthened at random, so that callers
 refused together do not retry together."""
 
+PLAIN_TEXT: Final = (b"Content-Type", b"text/plain; charset=utf-8")
+
 log = component_log("relay")
 
 
@@ -46,7 +48,9 @@
             status=refusal.status,
             cause=refusal.cause,
         )
-    await exchange.respond(refusal.status, headers, b"")
+    if refusal.detail:
+        headers = [*headers, PLAIN_TEXT]
+    await exchange.respond(refusal.status, headers, refusal.detail.encode())
 
 
 def count_run_start(state: GatewayState, run: RequestRun) -> None:
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -42,6 +42,10 @@
 """Minimum time in seconds after which a refused caller may retry: lost backend servers
 are replaced or reachable again after some tenths of a second at the earliest."""
 
+NO_VERSION_RETRY_S: Final = 1.0
+"""Time in seconds after which a caller may take a stream up again of whose software
+version no backend server is left; a crashed one is back after some seconds."""
+
 CAPACITY_CHECK_INTERVAL_S: Final = 0.25
 """Time in seconds after which a waiting request checks for capacity although this
 gateway has freed none; other gateways also free capacity."""
@@ -199,11 +203,7 @@
             if choice is None and await self._wait_for_limits(run, now_s):
                 continue
             if choice is None:
-                cause = (
-                    run.cause
-                    or f"no eligible backend server of service {run.service} is left"
-                )
-                raise self._no_capacity(run, cause, now_s)
+                raise self._no_backend(run, now_s)
             self._reject_if_late(run, choice, now_s)
             if choice.is_full:
                 await self._wait_for_capacity(run, now_s)
@@ -221,7 +221,7 @@
             state.fleet,
             run.service,
             run.request.prompt,
-            run.tried_backend_ids | state.backend_limits.exhausted_ids(now_s),
+            state.excluded_backends(run, now_s),
             state.settings.zone,
             now_s,
         )
@@ -258,7 +258,8 @@
                 objective.
         """
         limited = self.state.backend_limits.exhausted_until_s
-        untried = self.state.fleet.candidates(run.service, run.tried_backend_ids, now_s)
+        excluded = self.state.unfit_backends(run, now_s)
+        untried = self.state.fleet.candidates(run.service, excluded, now_s)
         free_s = [limited[b.id] for b in untried if b.id in limited]
         if not free_s:
             return False
@@ -291,6 +292,25 @@
         finally:
             self.capacity_waiters.discard(waiter)
 
+    def _no_backend(self, run: RequestRun, now_s: float) -> Refusal:
+        """Return the refusal of a request that no backend server may get."""
+        fleet, origin = self.state.fleet, run.origin
+        if origin is not None:
+            version = origin.software_version
+            unfit = fleet.unfit_ids(run.service, version, now_s)
+            if not fleet.candidates(run.service, unfit, now_s):
+                cause = (
+                    f"the stream began at software version {version} of service"
+                    f" {run.service}, of which no backend server is left"
+                )
+                if run.may_have_run:
+                    return Refusal(502, cause)
+                return Refusal(503, cause, NO_VERSION_RETRY_S, detail=cause)
+        cause = (
+            run.cause or f"no eligible backend server of service {run.service} is left"
+        )
+        return self._no_capacity(run, cause, now_s)
+
     def _no_capacity(self, run: RequestRun, cause: str, now_s: float) -> Refusal:
         if run.may_have_run:
             return Refusal(504 if run.time_left_s(now_s) <= 0 else 502, cause)
--- a/src/tanagerturn/gateway/request_run.py
+++ b/src/tanagerturn/gateway/request_run.py
@@ -20,6 +20,7 @@
     from tanagerturn.serving.backends.backend import Backend
     from tanagerturn.serving.backends.messages import BackendId
     from tanagerturn.serving.quarantine.evidence import Fingerprint
+    from tanagerturn.serving.streams.origins import StreamOrigin
 
 MIN_FIRST_EVENT_TIMEOUT_S: Final = 0.25
 """Minimum time in seconds without a response from a backend server after which a
@@ -55,10 +56,15 @@
         cause: Reason for the error, as logged.
         retry_after_s: Time in seconds after which the caller may retry; None if it must
             not retry.
+        detail: Text for the caller; empty for none.
     """
 
     def __init__(
-        self, status: int, cause: str, retry_after_s: float | None = None
+        self,
+        status: int,
+        cause: str,
+        retry_after_s: float | None = None,
+        detail: str = "",
     ) -> None:
         super().__init__(cause)
         self.status = status
@@ -68,6 +74,8 @@
         self.retry_after_s = retry_after_s
         """Time in seconds after which the caller may retry; None if it must not
         retry."""
+        self.detail = detail
+        """Text for the caller; empty for none."""
 
 
 class BackendTimeout(Exception):
@@ -97,6 +105,9 @@
     included."""
     sent_count: int = 0
     """Number of backend servers that the request was sent to."""
+    origin: StreamOrigin | None = None
+    """Where the stream began, which may go on only at that software version; None
+    before its first event."""
     unreachable_count: int = 0
     """Number of attempts that failed because the backend server was unreachable."""
     may_have_run: bool = False
--- a/src/tanagerturn/gateway/sender.py
+++ b/src/tanagerturn/gateway/sender.py
@@ -28,6 +28,7 @@
 )
 from tanagerturn.gateway.retry_policy import AttemptOutcome
 from tanagerturn.serving.quarantine.quarantine import WELL_AFTER_S
+from tanagerturn.serving.streams.origins import StreamOrigin
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -193,7 +194,7 @@
             return AttemptOutcome.BROKEN
         if isinstance(error, ResponseError):
             self.crash_detector.on_broken(backend, run, writing_s, now_s)
-            fleet.on_failure(backend, now_s)
+            fleet.on_broken(backend, now_s)
             if run.route.kind is not RequestKind.STREAM:
                 count_run_start(self.state, run)
         elif run.progress.event_count and not isinstance(error, BackendTimeout):
@@ -364,9 +365,17 @@
             self._on_ran_well(run, now_s)
         if not run.exchange.status:
             run.first_event_s = now_s - run.exchange.arrived_s
+            self._on_stream_begun(run, now_s)
             run.exchange.start(head.reply.status, _stream_headers(head.headers))
         run.exchange.send(data)
 
+    def _on_stream_begun(self, run: RequestRun, now_s: float) -> None:
+        """Bind a stream to the software version that wrote its first event."""
+        if run.origin is not None or run.backend is None:
+            return
+        run.origin = StreamOrigin(run.service, run.backend.software_version)
+        self.state.stream_origins.on_began(run.request.attempt_id, run.origin, now_s)
+
     async def _with_timeout(
         self, run: RequestRun, awaitable: Awaitable[T], timeout_s: float
     ) -> T:
@@ -389,9 +398,7 @@
 
     def _has_alternative(self, run: RequestRun) -> bool:
         now_s = boot_s()
-        excluded = run.tried_backend_ids | self.state.backend_limits.exhausted_ids(
-            now_s
-        )
+        excluded = self.state.excluded_backends(run, now_s)
         return bool(self.state.fleet.candidates(run.service, excluded, now_s))
 
 
--- a/src/tanagerturn/gateway/startup.py
+++ b/src/tanagerturn/gateway/startup.py
@@ -17,8 +17,10 @@
     encode_suspect_requests,
     reported_requests,
 )
+from tanagerturn.gateway.stream_origins import apply_origins, encode_origins
 from tanagerturn.gateway.warm_start import (
     aged_backends,
+    aged_origins,
     aged_suspect_requests,
     aged_suspects,
     make_warm_start,
@@ -96,6 +98,9 @@
         apply_suspects(self.state.quarantine, suspects, boot_s())
         suspect_requests = aged_suspect_requests(warm_start, wall_ms())
         apply_suspect_requests(self.state.repeats, suspect_requests, boot_s())
+        origins = aged_origins(warm_start, wall_ms())
+        if origins is not None:
+            apply_origins(self.state.stream_origins, origins, boot_s())
 
     def remember(self) -> None:
         """Save the warm start in a thread, unless a write is in progress."""
@@ -109,13 +114,14 @@
         quarantine = self.state.quarantine
         parts = reported_parts(quarantine, now_s)
         suspects = encode_suspects(quarantine, parts, now_s)
-        repeats = self.state.repeats
+        repeats, origins = self.state.repeats, self.state.stream_origins
         requests = reported_requests(repeats, now_s)
         warm_start = make_warm_start(
             self.configurations.stored_configuration,
             news,
             suspects,
             encode_suspect_requests(repeats, requests, now_s),
+            encode_origins(origins, origins.records, now_s),
             addresses,
             wall_ms(),
         )
--- a/src/tanagerturn/gateway/state.py
+++ b/src/tanagerturn/gateway/state.py
@@ -6,9 +6,14 @@
 from random import Random
 from typing import TYPE_CHECKING, Final
 
+from tanagerturn.clocks import to_ms
 from tanagerturn.gateway.backend_limits import BackendLimits
-from tanagerturn.gateway.configuration import Configuration, empty_configuration
-from tanagerturn.gateway.fleet import Fleet
+from tanagerturn.gateway.configuration import (
+    Configuration,
+    RequestKind,
+    empty_configuration,
+)
+from tanagerturn.gateway.fleet import Fleet, service_of
 from tanagerturn.gateway.limits import AccountLimits
 from tanagerturn.gateway.logs import component_log
 from tanagerturn.gateway.metrics import GatewayMetrics, make_gateway_metrics
@@ -20,12 +25,19 @@
 from tanagerturn.serving.quarantine.quarantine import PartQuarantine
 from tanagerturn.serving.quarantine.repeats import RepeatQuarantine
 from tanagerturn.serving.retries.window import RetryLimits, RetryWindow
+from tanagerturn.serving.streams.origins import StreamOrigin, StreamOrigins
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from tanagerturn.gateway.dialect import Dialect
+    from tanagerturn.gateway.request_run import RequestRun
     from tanagerturn.gateway.settings import GatewaySettings
+    from tanagerturn.serving.backends.messages import BackendId
+
+LIFE_PER_TIMEOUT: Final = 1.5
+"""Time for which a stream may be taken up, as a multiple of the longest timeout of a
+route; callers spread the timeout over all their attempts."""
 
 MIN_MET_SHARE: Final = 0.9
 """Share of the known gateways from which a gateway has to have heard before it owns
@@ -47,6 +59,8 @@
     """Limits of client accounts."""
     backend_limits: BackendLimits
     """Limits that backend servers name."""
+    stream_origins: StreamOrigins
+    """Software versions at which streams began."""
     wall_clock: CorrectedWallClock
     """Wall clock, corrected by the clocks of peer gateways."""
     usage: UsageCounts
@@ -103,6 +117,10 @@
             for service in configuration.services.values()
             if service.engine is not None
         }
+        self.stream_origins.stream_life_s = LIFE_PER_TIMEOUT * max(
+            (r.timeout_s for r in configuration.routes if r.kind is RequestKind.STREAM),
+            default=0.0,
+        )
         log.info(
             "configuration_in_force",
             version=configuration.version,
@@ -141,6 +159,33 @@
                 is_draining=self.is_draining,
             )
 
+    def note_versions(self, now_s: float) -> None:
+        """Record the software versions of the known backend servers."""
+        for backend in self.fleet.view.backends.values():
+            if backend.is_alive(to_ms(now_s)):
+                origin = StreamOrigin(service_of(backend), backend.software_version)
+                self.stream_origins.on_seen(origin, now_s)
+        self.stream_origins.expire(now_s)
+
+    def excluded_backends(self, run: RequestRun, now_s: float) -> set[BackendId]:
+        """Return the backend servers that must not get the next attempt of a request.
+
+        These are the unfit ones and those whose own limit is exhausted.
+        """
+        return self.unfit_backends(run, now_s) | self.backend_limits.exhausted_ids(
+            now_s
+        )
+
+    def unfit_backends(self, run: RequestRun, now_s: float) -> set[BackendId]:
+        """Return the backend servers that were tried, and those of another version.
+
+        A stream that has begun may go on only at the software version that began it.
+        """
+        if run.origin is None:
+            return run.tried_backend_ids
+        version = run.origin.software_version
+        return run.tried_backend_ids | self.fleet.unfit_ids(run.service, version, now_s)
+
     def retry_window(self, service: str) -> RetryWindow:
         """Return the retry budget of a service; one is added if missing."""
         window = self.retry_windows.get(service)
@@ -169,6 +214,7 @@
         dialect=dialect,
         limits=AccountLimits(settings.host, settings.limit_tolerance),
         backend_limits=BackendLimits(settings.host),
+        stream_origins=StreamOrigins(now_s),
         wall_clock=CorrectedWallClock(now_s, wall_s),
         usage=UsageCounts(settings.report_window_s),
     )
--- a/src/tanagerturn/gateway/warm_start.py
+++ b/src/tanagerturn/gateway/warm_start.py
@@ -32,6 +32,10 @@
 """Time in milliseconds since a backend server was last heard from at which it is no
 longer restored; its address may belong to another backend server soon after."""
 
+ORIGINS_MAX_AGE_MS: Final = 30_000
+"""Time in milliseconds since the save after which the origins of streams are no longer
+restored; a peer may have seen other versions meanwhile."""
+
 MAX_AGE_MS: Final = 2**31
 """Upper bound of an age in milliseconds in a message, 24 days."""
 
@@ -43,6 +47,7 @@
     backends: gpb.BackendNews,
     suspects: gpb.SuspectParts,
     suspect_requests: gpb.SuspectRequests,
+    stream_origins: gpb.StreamOrigins,
     link_addresses: Iterable[str],
     wall_ms: int,
 ) -> gpb.WarmStart:
@@ -53,6 +58,7 @@
         backends: Last announcements of the live backend servers.
         suspects: Prompt parts that crashed engines.
         suspect_requests: Requests that crashed backend servers.
+        stream_origins: Where streams began, and recent software versions.
         link_addresses: Link addresses of the peer gateways.
         wall_ms: Current wall-clock time in milliseconds.
     """
@@ -62,6 +68,7 @@
         backends=backends,
         suspects=suspects,
         suspect_requests=suspect_requests,
+        stream_origins=stream_origins,
         gateway_ips=[address.rpartition(":")[0] for address in link_addresses],
     )
 
@@ -171,6 +178,29 @@
     return suspects
 
 
+def aged_origins(warm_start: gpb.WarmStart, wall_ms: int) -> gpb.StreamOrigins | None:
+    """Return where streams began before a restart, with the ages at present.
+
+    Versions that came and went while no gateway ran began no stream, so the saved ones
+    count as complete. None if the wall clock has moved backward since the save, or too
+    much time has passed.
+
+    Args:
+        warm_start: The saved state.
+        wall_ms: Current wall-clock time in milliseconds.
+    """
+    elapsed_ms = wall_ms - warm_start.written_at_ms
+    if not 0 <= elapsed_ms < ORIGINS_MAX_AGE_MS:
+        return None
+    origins = gpb.StreamOrigins()
+    origins.CopyFrom(warm_start.stream_origins)
+    origins.complete_for_ms += elapsed_ms
+    for origin in origins.origins:
+        if origin.HasField("seen_ago_ms"):
+            origin.seen_ago_ms += elapsed_ms
+    return origins
+
+
 def _age_crashes(crashes: Iterable[gpb.EngineCrash], elapsed_ms: int) -> None:
     for crash in crashes:
         crash.seen_ago_ms = min(MAX_AGE_MS, crash.seen_ago_ms + elapsed_ms)
--- /dev/null
+++ b/src/tanagerturn/serving/streams/origins.py
@@ -0,0 +1,152 @@
+"""At which software version each stream began; no I/O.
+
+What two versions of an engine's software write does not fit together, so a stream may
+go on only at the version that began it. Callers that take a stream up name the attempt
+that began it. While all engines of a service have one version, it is known without a
+record.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from tanagerturn.serving.backends.messages import SoftwareVersion
+
+MAX_RECORDS: Final = 100_000
+"""Maximum number of streams whose origin is kept."""
+
+
+@dataclass(frozen=True)
+class StreamOrigin:
+    """Service and software version of the engine that wrote a stream's first event."""
+
+    service: str
+    software_version: SoftwareVersion
+
+
+@dataclass
+class OriginRecord:
+    """Where one stream began."""
+
+    origin: StreamOrigin
+    recorded_s: float
+    """Monotonic time in seconds."""
+    is_local: bool
+    """Whether the stream began at this gateway."""
+
+
+class StreamOrigins:
+    """Origins of recent streams, and the versions that engines had recently.
+
+    Args:
+        now_s: Monotonic time in seconds, from which on all versions are seen.
+    """
+
+    def __init__(self, now_s: float) -> None:
+        self.records: OrderedDict[int, OriginRecord] = OrderedDict()
+        """Origin by the hash of the attempt that began the stream; the oldest first."""
+        self.seen_s: dict[StreamOrigin, float] = {}
+        """Monotonic time in seconds at which engines of each service and version were
+        last known."""
+        self.complete_since_s = now_s
+        """Monotonic time in seconds from which on `seen_s` has all versions."""
+        self.stream_life_s = 0.0
+        """Longest time in seconds from the first event of a stream to its last take-up,
+        by the configuration."""
+        self.unsent: list[int] = []
+        """Streams whose origin has to be sent to peers."""
+
+    def on_seen(self, origin: StreamOrigin, now_s: float) -> None:
+        """Record that engines of a version are known.
+
+        When another version of the service joins, the origins of the local streams
+        have to be sent to peers.
+        """
+        is_new = now_s - self.seen_s.get(origin, -1e9) >= self.stream_life_s
+        self.seen_s[origin] = max(now_s, self.seen_s.get(origin, now_s))
+        if is_new and len(self.recent_versions(origin.service, now_s)) > 1:
+            self.unsent = [
+                attempt
+                for attempt, record in self.records.items()
+                if record.is_local and record.origin.service == origin.service
+            ]
+
+    def on_began(self, attempt_id: str, origin: StreamOrigin, now_s: float) -> None:
+        """Record the first event of a stream at this gateway."""
+        attempt = attempt_hash(attempt_id)
+        self._record(attempt, OriginRecord(origin, now_s, is_local=True))
+        if self.sole_version(origin.service, now_s) is None:
+            self.unsent.append(attempt)
+
+    def on_reported(
+        self, origin: StreamOrigin, attempts: Iterable[int], now_s: float
+    ) -> None:
+        """Record the origins of streams that a peer reported."""
+        for attempt in attempts:
+            if attempt not in self.records:
+                self._record(attempt, OriginRecord(origin, now_s, is_local=False))
+
+    def on_reported_versions(
+        self, seen_s: dict[StreamOrigin, float], complete_since_s: float
+    ) -> None:
+        """Merge the versions that a peer has seen."""
+        for origin, at_s in seen_s.items():
+            self.seen_s[origin] = max(at_s, self.seen_s.get(origin, at_s))
+        self.complete_since_s = min(self.complete_since_s, complete_since_s)
+
+    def find(self, attempt_id: str) -> StreamOrigin | None:
+        """Return where a stream began; None if that is not known here."""
+        record = self.records.get(attempt_hash(attempt_id))
+        return record.origin if record else None
+
+    def recent_versions(self, service: str, now_s: float) -> set[SoftwareVersion]:
+        """Return the versions at which streams that may still run can have begun."""
+        return {
+            origin.software_version
+            for origin, at_s in self.seen_s.items()
+            if origin.service == service and now_s - at_s < self.stream_life_s
+        }
+
+    def sole_version(self, service: str, now_s: float) -> SoftwareVersion | None:
+        """Return the version of all streams of a service; None if that is not sure."""
+        versions = self.recent_versions(service, now_s)
+        if len(versions) != 1 or not self.is_complete(now_s):
+            return None
+        return next(iter(versions))
+
+    def is_complete(self, now_s: float) -> bool:
+        """Return whether all versions of the life of a stream are known."""
+        return now_s - self.complete_since_s >= self.stream_life_s
+
+    def expire(self, now_s: float) -> None:
+        """Drop streams and versions that are too old to be taken up."""
+        while self.records:
+            attempt, record = next(iter(self.records.items()))
+            if now_s - record.recorded_s < self.stream_life_s:
+                break
+            del self.records[attempt]
+        old = [o for o, s in self.seen_s.items() if now_s - s >= self.stream_life_s]
+        for origin in old:
+            del self.seen_s[origin]
+
+    def take_unsent(self) -> list[int]:
+        """Return the streams to send to peers, and clear them."""
+        unsent, self.unsent = self.unsent, []
+        return [attempt for attempt in unsent if attempt in self.records]
+
+    def _record(self, attempt: int, record: OriginRecord) -> None:
+        self.records[attempt] = record
+        if len(self.records) > MAX_RECORDS:
+            self.records.popitem(last=False)
+
+
+def attempt_hash(attempt_id: str) -> int:
+    """Return the hash that stands for an attempt of a caller, 64 bits."""
+    return xxhash.xxh64_intdigest(attempt_id.encode("utf-8", "surrogateescape"))
--- a/tests/gateway/relay/relay.feature
+++ b/tests/gateway/relay/relay.feature
@@ -131,6 +131,15 @@
       | at the third attempt | events 1 to 6 and the end     |
       | never                | events 1 to 3 without the end |
 
+  # Guards against a stream that is handed over to an engine of another software version.
+  Scenario: A stream migrates only to an engine of its software version
+    Given an engine that stops a stream when asked to migrate it
+    And an engine that would start the stream from the beginning
+    And an engine that resumes the stream from a copy of the KV cache
+    When a caller posts a prompt to "/draft/1" at version v1, which leaves beside v2 and v1
+    Then the caller gets events 1 to 6 and the end
+    And the second engine gets no request
+
   Scenario: The start of a migration does not fail a stream that ends meanwhile
     Given an engine that stops a stream when asked to migrate it
     And an engine that resumes the stream from a copy of the KV cache
--- a/tests/gateway/relay/steps/relay_steps.py
+++ b/tests/gateway/relay/steps/relay_steps.py
@@ -294,6 +294,33 @@
     context.answer = run_logged(context, action)
 
 
+@when(
+    'a caller posts a prompt to "{path}" at version v1, which leaves beside v2 and v1'
+)
+def posts_before_release(context, path):
+    async def action(world):
+        first, second, third = world.engines
+        for backend in world.engines:
+            world.state.fleet.view.forget(backend.id)
+        world.announce(first, software_version="v1")
+        request_task = asyncio.create_task(
+            world.send_request(path, headers=PROMPT_HEADERS)
+        )
+        await asyncio.sleep(0.1)
+        world.announce(second, software_version="v2")
+        world.announce(third, software_version="v1")
+        world.announce(first, software_version="v1", leaving=True, leaving_in_ms=500)
+        world.relay.start_migrations(boot_s())
+        return await request_task
+
+    context.answer = run_logged(context, action)
+
+
+@then("the second engine gets no request")
+def second_engine_gets_no_request(context):
+    assert not context.engines[1].calls, context.engines[1].calls
+
+
 @then("the caller gets events 1 to 3 without the end")
 def gets_cut_events(context):
     numbers = [
--- /dev/null
+++ b/tests/serving/streams/steps/origins_steps.py
@@ -0,0 +1,113 @@
+"""Steps of origins.feature."""
+
+from __future__ import annotations
+
+import random
+
+from behave import given, then, when
+
+from tanagerturn.gateway.stream_origins import (
+    apply_origins,
+    encode_origins,
+    holders,
+)
+from tanagerturn.serving.streams.origins import (
+    StreamOrigin,
+    StreamOrigins,
+    attempt_hash,
+)
+
+SERVICE = "desk"
+SEEN_INTERVAL_S = 0.5
+
+
+def see(context, versions, from_s, to_s):
+    now_s = from_s
+    while now_s <= to_s:
+        for version in versions:
+            context.origins.on_seen(StreamOrigin(SERVICE, version), now_s)
+        now_s += SEEN_INTERVAL_S
+
+
+@given('streams that live {life_s:g} s, and engines of "{version}" from 0 s on')
+def origins_known(context, life_s, version):
+    context.origins = StreamOrigins(0.0)
+    context.origins.stream_life_s = life_s
+    see(context, [version], 0.0, 30.0)
+    context.origins.take_unsent()
+
+
+@when('stream "{attempt}" begins at "{version}" at {now_s:g} s')
+def begins(context, attempt, version, now_s):
+    context.origins.on_began(attempt, StreamOrigin(SERVICE, version), now_s)
+
+
+@when('engines of "{version}" are seen at {now_s:g} s')
+def version_seen(context, version, now_s):
+    see(context, [version], now_s, now_s)
+
+
+@when('only engines of "{version}" are seen from {from_s:g} to {to_s:g} s')
+def only_version_seen(context, version, from_s, to_s):
+    see(context, [version], from_s, to_s)
+    context.origins.expire(to_s)
+
+
+def check_unsent(context, attempts):
+    expected = [attempt_hash(each) for each in attempts.split(",") if each]
+    assert context.origins.take_unsent() == expected, expected
+
+
+@then('at {now_s:g} s "{version}" is the sole version, and the streams to send are ""')
+def sole_version(context, now_s, version):
+    assert context.origins.sole_version(SERVICE, now_s) == version
+    check_unsent(context, "")
+
+
+@then(
+    "at {now_s:g} s no version is the sole one, and the streams to send are "
+    '"{attempts}"'
+)
+def no_sole_version(context, now_s, attempts):
+    versions = context.origins.recent_versions(SERVICE, now_s)
+    assert context.origins.sole_version(SERVICE, now_s) is None, versions
+    check_unsent(context, attempts)
+
+
+@when("a gateway starts at {now_s:g} s and hears from this one")
+def starts(context, now_s):
+    context.started = StreamOrigins(now_s)
+    context.started.stream_life_s = context.origins.stream_life_s
+    assert context.started.sole_version(SERVICE, now_s) is None
+    apply_origins(context.started, encode_origins(context.origins, (), now_s), now_s)
+
+
+@then('at {now_s:g} s "{version}" is the sole version there')
+def sole_version_there(context, now_s, version):
+    assert context.started.sole_version(SERVICE, now_s) == version
+
+
+@given("{count:d} gateways, each with a stream")
+def gateways_with_streams(context, count):
+    hosts = [f"g{number}" for number in range(count)]
+    context.held = {}
+    for host in hosts:
+        peers = {peer: peer for peer in hosts if peer != host}
+        context.held[host] = holders(attempt_hash(f"stream of {host}"), peers)
+
+
+@when("{killed:d} of them are killed at once")
+def killed_at_once(context, killed):
+    context.killed = set(random.Random(1).sample(sorted(context.held), killed))
+
+
+@then(
+    "at least {share:g} of the streams have a holder left, and none has over {most:d}"
+)
+def holders_left(context, share, most):
+    left = [
+        host not in context.killed or not context.killed >= set(held)
+        for host, held in context.held.items()
+    ]
+    assert sum(left) >= share * len(left), f"{sum(left)} of {len(left)}"
+    assert max(map(len, context.held.values())) <= most
--- a/tests/support/version_fleet.py
+++ b/tests/support/version_fleet.py
@@ -140,13 +140,10 @@
             sent_s = boot_s()
             try:
                 chosen = chosen or self.random.choice(list(self.cluster.gateways))
-                sent = asyncio.create_task(
-                    self.request(
-                        chosen, f"POST /notes/{number}", KEY, prefix, b"", headers
-                    )
-                )
                 first = first or f"r{self.attempt_count + 1}"
-                answer = await sent
+                answer = await self.request(
+                    chosen, f"POST /notes/{number}", KEY, prefix, b"", headers
+                )
             except (ConnectionError, KeyError, IndexError):
                 answer = CallerResponse(0, {}, b"", False)
             stream.answers.append(answer)
