Send no new requests to a backend server that states in a response that it leaves

Cause: the header Server-Leaving was not decoded, so only announcements could make a backend server a leaving one; until one arrived it got requests. Two scenarios of tests/gateway/relay failed before: the backend server got all requests (200), or was not known to leave (503).

--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -72,6 +72,9 @@
         self.reported_parts: list[tuple[gpb.SentPart, int]] = []
         """Sent prompt parts to report to peers, each with the number of digests that
         still have to report it."""
+        self.stated_departures: list[serving_pb2.Announcement] = []
+        """Announcements of backend servers that stated in a response that they leave,
+        until peers are informed."""
         self.change_count = 0
         """Number of announcements that were new or changed where requests may go."""
         self.kv_capacity_tokens: dict[str, int] = {}
@@ -134,6 +137,23 @@
         self.on_announcement(leaving, now_s, heard=False)
         return leaving
 
+    def on_leaving_stated(
+        self, backend: Backend, leaving_in_ms: int, now_s: float
+    ) -> None:
+        """Mark a backend server as leaving that stated it in a response.
+
+        Args:
+            backend: The backend server.
+            leaving_in_ms: Time in milliseconds until it is expected to stop.
+            now_s: Current boot-clock time in seconds.
+        """
+        if backend.leaving:
+            return
+        born_ms = backend.announcement.born_ms
+        leaving = self.on_withdrawal(backend.id, born_ms, leaving_in_ms, now_s)
+        if leaving is not None:
+            self.stated_departures.append(leaving)
+
     def on_departure(self, departure: gpb.Departure, now_s: float) -> None:
         """Record the departure time that a backend server itself reported."""
         backend = self.view.backends.get(BackendId(departure.backend))
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -29,6 +29,7 @@
 from tanagerturn.gateway.startup import SAVE_INTERVAL_S, Startup
 from tanagerturn.gateway.state import make_state
 from tanagerturn.schema import gateway_pb2 as gpb
+from tanagerturn.serving.backends.messages import BackendId
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -360,6 +361,13 @@
     def _send_due(self) -> None:
         now_s = boot_s()
         self.mesh.send_next_batch(now_s)
+        fleet = self.state.fleet
+        if fleet.stated_departures:
+            leaving, fleet.stated_departures = fleet.stated_departures, []
+            self.mesh.send_update(gpb.BackendNews(announcements=leaving))
+            for announcement in leaving:
+                log.info("backend_withdrawn", backend=announcement.id)
+                self.control.departures.on_leaving(BackendId(announcement.id))
         if self.state.stream_origins.unsent:
             stream_origins.send_unsent(
                 self.state.stream_origins,
--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -52,7 +52,9 @@
     "backend_announced": (
         "A backend server is new or leaving, or its address or offer changed."
     ),
-    "backend_withdrawn": "A backend server announced that it is about to stop.",
+    "backend_withdrawn": (
+        "A backend server announced, or stated in a response, that it is about to stop."
+    ),
     "departure_told": "A leaving backend server reported when it will stop.",
     "departure_unknown": "A leaving backend server did not report when it will stop.",
     "limit_named": (
--- a/src/tanagerturn/gateway/messages.py
+++ b/src/tanagerturn/gateway/messages.py
@@ -151,6 +151,8 @@
     limit_per_s: float | None
     """Requests per second that the backend server takes from all gateways together;
     None if it names no limit."""
+    is_leaving: bool
+    """The backend server states that it is about to stop."""
     closes_connection: bool
     """The backend server closes the connection after this response."""
 
--- a/src/tanagerturn/gateway/sender.py
+++ b/src/tanagerturn/gateway/sender.py
@@ -6,7 +6,7 @@
 import contextlib
 from typing import TYPE_CHECKING, Final, TypeVar
 
-from tanagerturn.clocks import boot_s
+from tanagerturn.clocks import boot_s, to_ms
 from tanagerturn.gateway.backend_exchange import (
     SKIPPED_BODY_LIMIT_BYTES,
     BackendExchange,
@@ -235,6 +235,10 @@
             state.backend_limits.on_response(
                 backend, reply.limit_per_s, sent_s, boot_s()
             )
+            if reply.is_leaving:
+                state.fleet.on_leaving_stated(
+                    backend, to_ms(state.settings.drain_s), boot_s()
+                )
             if reply.load is not None:
                 state.fleet.on_load_hint(backend, reply.load)
             if reply.states_not_run or reply.is_wrong_backend:
--- a/src/tanagerturn/platform/requests.py
+++ b/src/tanagerturn/platform/requests.py
@@ -253,6 +253,7 @@
         load=_decode_load(fields.get(b"x-instance-load", "")),
         keep_alive_s=_decode_keep_alive_s(fields.get(b"keep-alive", "")),
         limit_per_s=_decode_limit(fields.get(b"server-limit", "")),
+        is_leaving=fields.get(b"server-leaving", "") == "1",
         closes_connection="close" in connection,
     )
 
--- a/tests/gateway/relay/relay.feature
+++ b/tests/gateway/relay/relay.feature
@@ -157,6 +157,19 @@
     When a caller disconnects from "/buy/1" after 0.1 s
     Then the attempt at the backend server ends within 0.3 s
 
+  # Guards against a gateway that does not read that a backend server leaves.
+  Scenario Outline: A backend server that states in a <status> that it leaves gets no more
+    Given a backend server that responds <status> with header "Server-Leaving: 1"
+    And a backend server that responds 200 with "late"
+    When callers get "/look/1", "/look/2" and "/look/3" one after the other
+    Then the first backend server gets 1 request, and each caller gets 200
+    And peers have to learn that the first backend server leaves
+
+    Examples:
+      | status |
+      | 200    |
+      | 503    |
+
   Scenario: The log shows the delay added by the gateway
     Given a backend server that responds after 0.2 s
     When a caller posts to "/buy/1"
--- a/tests/gateway/relay/steps/relay_steps.py
+++ b/tests/gateway/relay/steps/relay_steps.py
@@ -395,6 +395,37 @@
     context.answer = run_logged(context, lambda w: w.send_request(path))
 
 
+@given('a backend server that responds {status:d} with header "{header}"')
+def responds_with_header(context, status, header):
+    headers = [header] + (["X-Not-Executed: full"] if status == 503 else [])
+    add_backend(context, responding(status, "ok", *headers))
+
+
+@when('callers get "/look/1", "/look/2" and "/look/3" one after the other')
+def gets_three(context):
+    async def get_all(world):
+        return [
+            await world.send_request(
+                f"/look/{n}", method="GET", headers={"X-Request-Id": f"r{n}"}
+            )
+            for n in (1, 2, 3)
+        ]
+
+    context.responses = run_logged(context, get_all)
+
+
+@then("the first backend server gets 1 request, and each caller gets 200")
+def first_gets_one(context):
+    assert len(context.engines[0].calls) == 1, context.engines[0].calls
+    assert [r.status for r in context.responses] == [200] * 3, context.responses
+
+
+@then("peers have to learn that the first backend server leaves")
+def peers_learn(context):
+    stated = context.world.state.fleet.stated_departures
+    assert [(a.id, a.leaving) for a in stated] == [("i-1", True)], stated
+
+
 @when('a caller gets "{path}"')
 def gets(context, path):
     if not hasattr(context, "requested"):
