Send no requests to a backend server that asked for a pause

Cause: Retry-After beside a 503 of a backend server was not decoded; after the backoff of 0.4 s the next requests reached it. Change: the gateway that received it sends no request to that backend server until the end of the pause. Others get the requests; when all pause, callers wait or get 503 with the time of the first that returns. Two scenarios of tests/gateway/relay failed before.

--- a/src/tanagerturn/gateway/backend_limits.py
+++ b/src/tanagerturn/gateway/backend_limits.py
@@ -17,7 +17,7 @@
 from tanagerturn.serving.limits.terms import Admitted, Exceeded, Tolerance
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from tanagerturn.gateway.links import Links
     from tanagerturn.serving.backends.backend import Backend
@@ -53,6 +53,10 @@
         """Boot-clock time in seconds until which a limited backend server gets no
         requests of this gateway."""
 
+        self.paused_until_s: dict[BackendId, float] = {}
+        """Boot-clock time in seconds until which a backend server that asked for a
+        pause gets no requests of this gateway."""
+
     def on_response(
         self, backend: Backend, rate_per_s: float | None, sent_s: float, now_s: float
     ) -> None:
@@ -102,7 +106,33 @@
 
     def exhausted_ids(self, now_s: float) -> set[BackendId]:
         """Return the backend servers that get no requests of this gateway now."""
-        return {b for b, until_s in self.exhausted_until_s.items() if now_s < until_s}
+        return {
+            b for b, until_s in self.unavailable_until_s().items() if now_s < until_s
+        }
+
+    def unavailable_until_s(self) -> Mapping[BackendId, float]:
+        """Return until when backend servers get no requests of this gateway.
+
+        Boot-clock times in seconds by id; some may be in the past.
+        """
+        if not self.paused_until_s:
+            return self.exhausted_until_s
+        merged = dict(self.paused_until_s)
+        for backend_id, until_s in self.exhausted_until_s.items():
+            merged[backend_id] = max(until_s, merged.get(backend_id, 0.0))
+        return merged
+
+    def on_pause_asked(self, backend: Backend, pause_s: float, now_s: float) -> None:
+        """Send no requests to a backend server that asked for a pause.
+
+        Args:
+            backend: The backend server.
+            pause_s: Length of the pause in seconds.
+            now_s: Current boot-clock time in seconds.
+        """
+        until_s = max(now_s + pause_s, self.paused_until_s.get(backend.id, 0.0))
+        self.paused_until_s[backend.id] = until_s
+        log.info("pause_asked", backend=backend.id, pause_s=round(pause_s, 3))
 
     async def acquire(self, backend: Backend, links: Links) -> bool:
         """Return whether a request may be sent to a backend server, and charge it.
@@ -130,11 +160,9 @@
     def expire(self, backends: Iterable[Backend], now_s: float) -> None:
         """Forget limits that ended, and those of backend servers that are gone."""
         if self.exhausted_until_s:
-            self.exhausted_until_s = {
-                b: until_s
-                for b, until_s in self.exhausted_until_s.items()
-                if now_s < until_s
-            }
+            self.exhausted_until_s = _unexpired(self.exhausted_until_s, now_s)
+        if self.paused_until_s:
+            self.paused_until_s = _unexpired(self.paused_until_s, now_s)
         if not self.named.statements:
             return
         if self.named.expire({limit_key(b) for b in backends}, now_s):
@@ -146,6 +174,12 @@
         self.exhausted_until_s = {}
 
 
+def _unexpired(
+    until_s: Mapping[BackendId, float], now_s: float
+) -> dict[BackendId, float]:
+    return {b: end_s for b, end_s in until_s.items() if now_s < end_s}
+
+
 def limit_key(backend: Backend) -> LimitKey:
     """Return the key of the limit of one start of a backend server."""
     return LimitKey(f"{backend.id}@{backend.announcement.born_ms}")
--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -61,6 +61,9 @@
         "A backend server's response names another request limit than is known here, "
         "in requests per second; absent if it names none."
     ),
+    "pause_asked": (
+        "A backend server rejected a request and wants no other one for `pause_s`."
+    ),
     "engine_crashed": (
         "A backend server broke requests off and refuses connections; `fingerprints` "
         "are those of the requests, and `parts` the shared parts of their prompts."
--- a/src/tanagerturn/gateway/messages.py
+++ b/src/tanagerturn/gateway/messages.py
@@ -151,6 +151,9 @@
     limit_per_s: float | None
     """Requests per second that the backend server takes from all gateways together;
     None if it names no limit."""
+    pause_s: float | None
+    """Time in seconds for which the backend server wants no requests; None if it asks
+    for no pause."""
     is_leaving: bool
     """The backend server states that it is about to stop."""
     closes_connection: bool
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -179,7 +179,7 @@
             log_end(self.state, run, "failed_by_backend")
             return
         if action is NextAction.REFUSE:
-            raise Refusal(503, run.cause, NO_BACKEND_RETRY_S)
+            raise Refusal(503, run.cause, self._retry_after_s(run, boot_s()))
         timed_out = run.time_left_s(boot_s()) <= 0
         raise Refusal(504 if timed_out else 502, run.cause)
 
@@ -257,7 +257,7 @@
             Refusal: No limited backend server takes the request within its latency
                 objective.
         """
-        limited = self.state.backend_limits.exhausted_until_s
+        limited = self.state.backend_limits.unavailable_until_s()
         excluded = self.state.unfit_backends(run, now_s)
         untried = self.state.fleet.candidates(run.service, excluded, now_s)
         free_s = [limited[b.id] for b in untried if b.id in limited]
@@ -267,13 +267,22 @@
         waited_s = now_s - run.exchange.arrived_s
         is_late = waited_s + retry_after_s > run.route.latency_objective_s
         if is_late or retry_after_s >= run.time_left_s(now_s):
-            cause = "the limits that backend servers named are exhausted"
+            cause = (
+                "the limits of backend servers are exhausted, or they asked for a pause"
+            )
             if run.may_have_run:
                 raise Refusal(502, cause)
             raise Refusal(503, cause, max(NO_BACKEND_RETRY_S, retry_after_s))
         await self._wait_for_capacity(run, now_s, max(0.0, retry_after_s))
         return True
 
+    def _retry_after_s(self, run: RequestRun, now_s: float) -> float:
+        """Return the time in seconds until a backend server may take a request."""
+        limited = self.state.backend_limits.unavailable_until_s()
+        backends = self.state.fleet.candidates(run.service, (), now_s)
+        free_s = [limited.get(backend.id, now_s) for backend in backends]
+        return max(NO_BACKEND_RETRY_S, min(free_s, default=now_s) - now_s)
+
     async def _wait_for_capacity(
         self,
         run: RequestRun,
@@ -314,7 +323,7 @@
     def _no_capacity(self, run: RequestRun, cause: str, now_s: float) -> Refusal:
         if run.may_have_run:
             return Refusal(504 if run.time_left_s(now_s) <= 0 else 502, cause)
-        return Refusal(503, cause, NO_BACKEND_RETRY_S)
+        return Refusal(503, cause, self._retry_after_s(run, now_s))
 
     def start_migrations(self, now_s: float) -> None:
         """Start to migrate streams off engines that are about to stop."""
--- a/src/tanagerturn/gateway/sender.py
+++ b/src/tanagerturn/gateway/sender.py
@@ -235,6 +235,8 @@
             state.backend_limits.on_response(
                 backend, reply.limit_per_s, sent_s, boot_s()
             )
+            if reply.pause_s is not None:
+                state.backend_limits.on_pause_asked(backend, reply.pause_s, boot_s())
             if reply.is_leaving:
                 state.fleet.on_leaving_stated(
                     backend, to_ms(state.settings.drain_s), boot_s()
--- a/src/tanagerturn/platform/requests.py
+++ b/src/tanagerturn/platform/requests.py
@@ -253,6 +253,7 @@
         load=_decode_load(fields.get(b"x-instance-load", "")),
         keep_alive_s=_decode_keep_alive_s(fields.get(b"keep-alive", "")),
         limit_per_s=_decode_limit(fields.get(b"server-limit", "")),
+        pause_s=_decode_pause_s(status, fields.get(b"retry-after", "")),
         is_leaving=fields.get(b"server-leaving", "") == "1",
         closes_connection="close" in connection,
     )
@@ -292,6 +293,19 @@
     return limit_per_s if 0 <= limit_per_s < math.inf else None
 
 
+def _decode_pause_s(status: int, value: str) -> float | None:
+    """Return the pause in seconds that a 503 response asks for; None if it is invalid.
+
+    A pause that is not positive is none, and neither is a date: backend servers state
+    seconds.
+    """
+    try:
+        pause_s = float(value) if status == 503 else 0.0
+    except ValueError:
+        return None
+    return pause_s if 0 < pause_s < math.inf else None
+
+
 def _decode_keep_alive_s(value: str) -> float | None:
     for part in value.split(","):
         name, _, number = part.strip().partition("=")
--- a/tests/gateway/relay/relay.feature
+++ b/tests/gateway/relay/relay.feature
@@ -170,6 +170,20 @@
       | 200    |
       | 503    |
 
+  # Guards against a gateway that sends on to a backend server that asked for a pause.
+  Scenario: A backend server that asks for a pause gets no request until its end
+    Given a backend server that responds 503 with header "Retry-After: 30"
+    When a caller gets "/look/1" now, and "/look/2" 0.6 s later
+    Then the first backend server gets 1 request
+    And each caller gets 503 within 0.2 s, to come back in 29 to 46 s
+
+  Scenario: During the pause of a backend server requests go to another one
+    Given a backend server that responds 503 with header "Retry-After: 0.9"
+    And a backend server that responds 200 with "late"
+    When a caller gets "/look/1" now, and "/look/2" 0.6 s later
+    Then the first backend server gets 1 request
+    And each caller gets 200
+
   Scenario: The log shows the delay added by the gateway
     Given a backend server that responds after 0.2 s
     When a caller posts to "/buy/1"
--- a/tests/gateway/relay/steps/relay_steps.py
+++ b/tests/gateway/relay/steps/relay_steps.py
@@ -420,6 +420,45 @@
     assert [r.status for r in context.responses] == [200] * 3, context.responses
 
 
+@when('a caller gets "/look/1" now, and "/look/2" {pause_s:g} s later')
+def gets_two(context, pause_s):
+    async def get_both(world):
+        responses = []
+        context.each_took_s = []
+        for number in (1, 2):
+            began_s = boot_s()
+            response = await world.send_request(
+                f"/look/{number}", method="GET", headers={"X-Request-Id": f"r{number}"}
+            )
+            responses.append(response)
+            context.each_took_s.append(boot_s() - began_s)
+            await asyncio.sleep(pause_s)
+        return responses
+
+    context.responses = run_logged(context, get_both)
+
+
+@then("the first backend server gets 1 request")
+def first_gets_one_request(context):
+    assert len(context.engines[0].calls) == 1, context.engines[0].calls
+
+
+@then("each caller gets 200")
+def each_gets_200(context):
+    assert {r.status for r in context.responses} == {200}, context.responses
+
+
+@then(
+    "each caller gets 503 within {most_s:g} s, to come back in {from_s:g} to {to_s:g} s"
+)
+def each_gets_503(context, most_s, from_s, to_s):
+    assert {r.status for r in context.responses} == {503}, context.responses
+    assert max(context.each_took_s) <= most_s, context.each_took_s
+    for response in context.responses:
+        retry_after_s = float(response.headers["retry-after"])
+        assert from_s <= retry_after_s <= to_s, response
+
+
 @then("peers have to learn that the first backend server leaves")
 def peers_learn(context):
     stated = context.world.state.fleet.stated_departures
