Send the origins of running streams when a peer names a second version first

A gateway that learned of a second software version from a peer's message, before it noted the announcement, did not send where its own running streams began, so a caller that took one up elsewhere after its kill got 503. A version that joined also dropped origins of other services that waited to be sent. Both ways of learning of a version use one method now, which adds to what waits.

--- a/src/tanagerturn/gateway/stream_origins.py
+++ b/src/tanagerturn/gateway/stream_origins.py
@@ -70,7 +70,8 @@
         origins.on_reported(origin, each.attempts, now_s)
         if each.HasField("seen_ago_ms"):
             seen_s[origin] = now_s - each.seen_ago_ms / 1000
-    origins.on_reported_versions(seen_s, now_s - message.complete_for_ms / 1000)
+    complete_since_s = now_s - message.complete_for_ms / 1000
+    origins.on_reported_versions(seen_s, complete_since_s, now_s)
 
 
 def holders(attempt: int, peers: Mapping[str, str]) -> list[str]:
--- a/src/tanagerturn/serving/streams/origins.py
+++ b/src/tanagerturn/serving/streams/origins.py
@@ -64,15 +64,19 @@
         """Streams whose origin has to be sent to peers."""
 
     def on_seen(self, origin: StreamOrigin, now_s: float) -> None:
-        """Record that engines of a version are known.
+        """Record that engines of a version are known."""
+        self._on_seen_at(origin, now_s, now_s)
+
+    def _on_seen_at(self, origin: StreamOrigin, at_s: float, now_s: float) -> None:
+        """Record when engines of a version were known, here or at a peer.
 
         When another version of the service joins, the origins of the local streams
         have to be sent to peers.
         """
         is_new = now_s - self.seen_s.get(origin, -1e9) >= self.stream_life_s
-        self.seen_s[origin] = max(now_s, self.seen_s.get(origin, now_s))
+        self.seen_s[origin] = max(at_s, self.seen_s.get(origin, at_s))
         if is_new and len(self.recent_versions(origin.service, now_s)) > 1:
-            self.unsent = [
+            self.unsent += [
                 attempt
                 for attempt, record in self.records.items()
                 if record.is_local and record.origin.service == origin.service
@@ -110,11 +114,14 @@
                 self._record(attempt, OriginRecord(origin, now_s, is_local=False))
 
     def on_reported_versions(
-        self, seen_s: dict[StreamOrigin, float], complete_since_s: float
+        self,
+        seen_s: dict[StreamOrigin, float],
+        complete_since_s: float,
+        now_s: float,
     ) -> None:
         """Merge the versions that a peer has seen."""
         for origin, at_s in seen_s.items():
-            self.seen_s[origin] = max(at_s, self.seen_s.get(origin, at_s))
+            self._on_seen_at(origin, at_s, now_s)
         self.complete_since_s = min(self.complete_since_s, complete_since_s)
 
     def on_missed(self, now_s: float) -> None:
@@ -159,7 +166,7 @@
     def take_unsent(self) -> list[int]:
         """Return the streams to send to peers, and clear them."""
         unsent, self.unsent = self.unsent, []
-        return [attempt for attempt in unsent if attempt in self.records]
+        return [each for each in dict.fromkeys(unsent) if each in self.records]
 
     def _record(self, attempt: int, record: OriginRecord) -> None:
         self.records[attempt] = record
--- a/tests/serving/streams/origins.feature
+++ b/tests/serving/streams/origins.feature
@@ -36,6 +36,14 @@
     Then at 40 s no version is the sole one, and the streams to send are ""
     And at 51 s "v1" is the sole version, and the streams to send are ""
 
+  # Guards against a second version that is known from a peer before its announcement.
+  Scenario: When a peer has seen a second version, the streams that run are sent too
+    Given streams that live 20 s, and engines of "v1" from 0 s on
+    When stream "a" begins at "v1" at 30 s
+    And a peer reports that engines of "v2" were seen at 31 s
+    And engines of "v2" are seen at 32 s
+    Then at 32 s no version is the sole one, and the streams to send are "a"
+
   Scenario: The old version is forgotten once no stream of it can run
     Given streams that live 20 s, and engines of "v1" from 0 s on
     When engines of "v2" are seen at 30 s
--- a/tests/serving/streams/steps/origins_steps.py
+++ b/tests/serving/streams/steps/origins_steps.py
@@ -58,6 +58,14 @@
     see(context, ["v1"], now_s, 51.0)
 
 
+@when('a peer reports that engines of "{version}" were seen at {now_s:g} s')
+def peer_reports(context, version, now_s):
+    peer = StreamOrigins(0.0)
+    peer.stream_life_s = context.origins.stream_life_s
+    peer.on_seen(StreamOrigin(SERVICE, version), now_s)
+    apply_origins(context.origins, encode_origins(peer, (), now_s), now_s)
+
+
 @when('engines of "{version}" are seen at {now_s:g} s')
 def version_seen(context, version, now_s):
     see(context, [version], now_s, now_s)
