Give each engine of the test fleets an address of its own

Cause: the engines listened on ports of 127.0.0.1 from the range of outgoing connections. While one was down after a crash, a connection of any test on the machine could take its port, and the engine never came back. Change: a loopback address for each engine.

--- a/tests/support/engine_fleet.py
+++ b/tests/support/engine_fleet.py
@@ -83,10 +83,19 @@
         """Id of the current boot."""
         return f"i-{self.number}-{self.boots}"
 
+    @property
+    def ip(self) -> str:
+        """IP address of the engine's own.
+
+        On 127.0.0.1 the port of a crashed engine may be taken by an outgoing
+        connection of any test before the engine is back.
+        """
+        return f"127.{self.fleet.cluster.subnet}.1.{self.number + 1}"
+
     async def start(self) -> None:
         """Listen at the address of the previous boot, or on a free port."""
         self.boots += 1
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.server = await asyncio.start_server(self.serve, self.ip, self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
     def event_text(self, number: int) -> str:
@@ -100,7 +109,7 @@
         self.sequence += 1
         announcement = serving_pb2.Announcement(
             id=self.id,
-            address=f"127.0.0.1:{self.port}",
+            address=f"{self.ip}:{self.port}",
             incarnation=f"b{self.boots}",
             sequence=self.sequence,
             services=["desk"],
