--- a/tests/entry/restarts/steps/restarts_steps.py
+++ b/tests/entry/restarts/steps/restarts_steps.py
@@ -43,6 +43,7 @@
     )
     context.cluster = make_cluster(plan)
     context.closers.append(context.cluster.close)
+    context.log_paths = context.cluster.log_paths
     for program in context.cluster.programs:
         program.start()
     client = connect(context.cluster.addresses)
--- a/tests/programs/steps/programs_steps.py
+++ b/tests/programs/steps/programs_steps.py
@@ -42,6 +42,7 @@
     )
     context.cluster = make_cluster(plan)
     context.closers.append(context.cluster.close)
+    context.log_paths = context.cluster.log_paths
     for program in context.cluster.programs:
         program.start()
     context.purchases = {}
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -65,9 +65,14 @@
     """IP address and port of the announcement listener; empty for other roles than
     entry."""
 
+    @property
+    def log_path(self) -> Path:
+        """Path of the file with the output of all its starts."""
+        return self.path.with_suffix(".log")
+
     def start(self) -> None:
         """Start the process; append its output to a .log file beside the settings."""
-        log = self.path.with_suffix(".log").open("ab")
+        log = self.log_path.open("ab")
         command = [sys.executable, "-c", f"from {self.module} import main; main()"]
         self.popen = subprocess.Popen(
             [*command, "--settings", str(self.path)], stdout=log, stderr=log
@@ -104,6 +109,11 @@
         """Return the state, control and entry processes."""
         return [*self.states, *self.controls, *self.entries]
 
+    @property
+    def log_paths(self) -> list[Path]:
+        """Return the log files of all processes, which exist once they started."""
+        return [program.log_path for program in self.programs]
+
     def dump(self, program: Program) -> dict:
         """Return the state dump of a process, decoded from JSON."""
         response = self.http.request("GET", f"http://{program.operations}/dump")
