--- a/tests/gateway/repeats/repeats.feature
+++ b/tests/gateway/repeats/repeats.feature
@@ -38,6 +38,18 @@
       | lookup           |
       | resumable stream |
 
+  # Guards against a retry that was decided before the crash of its own attempt was known.
+  Scenario Outline: A <kind> that crashes a second engine is not sent to a third
+    Given 4 gateways and 8 engines that crash under one <kind>
+    When the request comes once while all engines but one are down
+    And the engines are back
+    Then its next attempt reaches one engine
+
+    Examples: kinds of routes
+      | kind             |
+      | lookup           |
+      | resumable stream |
+
   Scenario Outline: A <kind> after <crashes> crashes is rejected by <hosts> after a restart
     Given 6 gateways and 8 engines that crash under one <kind>
     When sound requests arrive for 1 s
--- a/tests/gateway/repeats/steps/repeats_steps.py
+++ b/tests/gateway/repeats/steps/repeats_steps.py
@@ -108,6 +108,30 @@
     run(context, context.fleet.load_until_crashes(count, 20.0))
 
 
+@when("the request comes once while all engines but one are down")
+def comes_once(context):
+    fleet = context.fleet
+    run(context, fleet.load(0.0, SOUND_PER_S, 1.0))
+    for engine in fleet.engines[1:]:
+        engine.stop()
+    run(context, fleet.send(is_bad=True))
+    assert len(fleet.crashes_s) == 1, fleet.crashes_s
+
+
+@when("the engines are back")
+def engines_back(context):
+    fleet = context.fleet
+
+    async def start_all():
+        for engine in fleet.engines[1:]:
+            await engine.start()
+            await engine.announce()
+        await fleet.wait(RESTART_S)
+        await fleet.cluster.wait_until(fleet.knows_all_engines)
+
+    run(context, start_all())
+
+
 @then("its next attempt reaches one engine")
 def one_engine(context):
     fleet = context.fleet
--- a/tests/serving/quarantine/repeats.feature
+++ b/tests/serving/quarantine/repeats.feature
@@ -35,6 +35,39 @@
       | one crash beside it  | 1.5     | 63,123,243,483   |
       | two crashes beside it | 1.5,2.5 | 5,65,185,425 |
 
+  # Guards against a trial that ends two engines: the crashes of a quarantined request were
+  # explained by another one at the same crashes, so its broken trial was sent once more.
+  Scenario: A quarantined request is suspected although another one explains its crashes
+    Given request "a" crashed backend servers at 1,2,3 s
+    And request "b" crashed backend servers at 1,2,3 s
+    Then request "a" is suspected and quarantined
+    And request "b" is suspected and quarantined
+
+  # Guards against a sound request that comes again and stays rejected beside the cause.
+  Scenario: A trial that crashes alone releases the requests beside it
+    Given request "a" crashed backend servers at 1,2,3 s
+    And request "b" crashed backend servers at 1,2,3 s
+    And a trial of request "a" crashed a backend server at 5 s
+    Then request "a" is suspected and quarantined
+    And request "b" is neither
+    Given request "b" crashed backend servers at 7 s
+    Then request "b" is suspected and quarantined
+
+  Scenario: A trial that crashes beside another suspect releases neither
+    Given request "a" crashed backend servers at 1,2,3 s
+    And request "b" crashed backend servers at 1,2,3 s
+    And a trial of request "a" crashed a backend server at 5 s
+    And a trial of request "b" crashed a backend server at 5 s
+    Then request "a" is suspected and quarantined
+    And request "b" is suspected and quarantined
+
+  # Guards against a trial of a sound request that ends with the trial of the cause.
+  Scenario: Trials of two requests do not overlap
+    Given request "a" crashed backend servers at 1,2,3 s
+    And request "b" crashed backend servers at 1,2,3 s
+    Then at 5 s the next attempt of request "a" is let through
+    And none of request "b" is let through before 5.5 s
+
   Scenario: Evidence against many requests is bounded, and those at most crashes are kept
     Given request "a" crashed backend servers at 1,2,3 s
     And 5000 requests, each at a crash of its own
--- a/tests/serving/quarantine/steps/repeats_steps.py
+++ b/tests/serving/quarantine/steps/repeats_steps.py
@@ -61,6 +61,12 @@
         repeats_of(context).on_crash(crash, FINGERPRINTS[name], at_s, is_trial=False)
 
 
+@given('a trial of request "{name}" crashed a backend server at {at_s:g} s')
+def trial_crashed(context, name, at_s):
+    fingerprint = FINGERPRINTS[name]
+    repeats_of(context).on_crash(int(1000 * at_s), fingerprint, at_s, is_trial=True)
+
+
 @given('part "{part}" of request "a" was at crashes at {crashes} s')
 def crashed_with_part(context, part, crashes):
     crashed(context, "a", crashes)
@@ -85,6 +91,18 @@
     assert found == expected, (found, repeats.evidence)
 
 
+@then('at {at_s:g} s the next attempt of request "{name}" is let through')
+def is_tried_at(context, name, at_s):
+    assert context.repeats.try_again(FINGERPRINTS[name], 0, at_s)
+
+
+@then('none of request "{name}" is let through before {at_s:g} s')
+def is_not_tried_before(context, name, at_s):
+    repeats, fingerprint = context.repeats, FINGERPRINTS[name]
+    assert not repeats.try_again(fingerprint, 0, at_s - 0.1)
+    assert repeats.try_again(fingerprint, 0, at_s)
+
+
 @then('at {trials} s until {end_s:d} s request "a" is tried, if each trial crashes')
 def is_tried(context, trials, end_s):
     repeats, fingerprint = context.repeats, FINGERPRINTS["a"]
--- a/tests/support/engine_fleet.py
+++ b/tests/support/engine_fleet.py
@@ -206,14 +206,19 @@
         if self.server is None:
             return
         self.fleet.crashes_s.append(boot_s())
-        self.server.close()
-        self.server = None
+        self.stop()
+        self.fleet.add_task(self._restart())
+
+    def stop(self) -> None:
+        """Close the listener and all connections."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
         for writer in list(self.writers):
             writer.transport.abort()
-        self.fleet.add_task(self._restart())
 
     async def _restart(self) -> None:
-        await asyncio.sleep(RESTART_S)
+        await asyncio.sleep(self.fleet.restart_s)
         await self.start()
         await self.announce()
 
@@ -244,6 +249,8 @@
         self.cluster = Cluster(3, gateways - 3)
         self.fields = FIELDS
         """Fields of the manifest."""
+        self.restart_s = RESTART_S
+        """Time in seconds after which a crashed engine is back."""
         self.event_count = EVENTS
         """Number of events of each stream."""
         self.deadline_ms = 3000
@@ -277,16 +284,18 @@
         for engine in self.engines:
             await engine.start()
         self.add_task(self._announce_all())
-
-        def is_known() -> bool:
-            states = [g.state for g in self.cluster.gateways.values()]
-            return all(
-                s.configuration.version == 5
-                and len(s.fleet.view.backends) == len(self.engines)
-                for s in states
+        await self.cluster.wait_until(
+            lambda: (
+                set(self.cluster.versions_in_force()) == {5}
+                and self.knows_all_engines()
             )
+        )
 
-        await self.cluster.wait_until(is_known)
+    def knows_all_engines(self) -> bool:
+        """Return whether each gateway knows the present start of each engine."""
+        ids = {engine.id for engine in self.engines}
+        gateways = self.cluster.gateways.values()
+        return all(set(g.state.fleet.view.backends) == ids for g in gateways)
 
     async def _announce_all(self) -> None:
         while True:
@@ -399,8 +408,5 @@
         for task in list(self.tasks):
             task.cancel()
         for engine in self.engines:
-            if engine.server is not None:
-                engine.server.close()
-            for writer in list(engine.writers):
-                writer.transport.abort()
+            engine.stop()
         await self.cluster.close()
