Do not send the crashing lookup as a sound request in a test

Cause: the seventh sound request of a fleet could have the path /look/file/7, which is the crashing lookup's, and ended engines while only sound requests were expected.

--- a/tests/support/repeat_fleet.py
+++ b/tests/support/repeat_fleet.py
@@ -97,7 +97,7 @@
             Call(bad.method, f"{folder}/poll", b"", bad.key, prefix),
             Call(bad.method, bad.target, bad.body, OTHER_KEY, prefix),
             Call(bad.method, bad.target, b"body %d" % number, bad.key, prefix),
-            Call(bad.method, f"{folder}/{number}", bad.body, bad.key, prefix),
+            Call(bad.method, f"{folder}/sound{number}", bad.body, bad.key, prefix),
         ]
 
     async def send(self, *, is_bad: bool, host: str = "") -> CallerResponse:
