Keep trials of requests apart, and release those beside a proven cause

Callers saw: a sound request that came again beside one that crashes engines stayed rejected, and trials of the latter ended two engines. Cause: a quarantined request whose crashes another quarantined one explains did not count as suspected, so its broken trial was sent to a second engine; trials of two requests ran at the same time; a crashed trial released nobody. And a retry was decided before the crash of its own attempt had been noticed.

Change: a quarantined request is always suspected; trials of different requests are 0.5 s apart; a request whose trial crashes an engine alone explains its crashes, so those that were only at these are released until they are at another one; a retry of a request with evidence waits for the check of the engine that broke it off.

--- a/src/tanagerturn/gateway/quarantine.py
+++ b/src/tanagerturn/gateway/quarantine.py
@@ -72,7 +72,7 @@
         """Evidence against requests that come again."""
         self.broken: dict[CrashId, BrokenRequests] = {}
         """Requests broken off by engines that are being checked."""
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.checks: dict[CrashId, asyncio.Task[None]] = {}
         """Checks in progress."""
 
     def on_broken(
@@ -98,10 +98,19 @@
         if requests is None:
             requests = self.broken[crash] = BrokenRequests(now_s)
             task = asyncio.create_task(self._check(backend, crash))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self.checks[crash] = task
+            task.add_done_callback(lambda _: self.checks.pop(crash, None))
         requests.runs.append(run)
 
+    async def wait_for_check(self, backend: Backend) -> None:
+        """Wait for the check of a backend server, if one is in progress.
+
+        It takes at most `CHECK_TIMEOUT_S`.
+        """
+        check = self.checks.get(crash_id(backend))
+        if check is not None:
+            await asyncio.wait((check,))
+
     async def _check(self, backend: Backend, crash: CrashId) -> None:
         has_crashed = await _refuses_connections(backend.address)
         broken = self.broken.pop(crash)
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -119,6 +119,9 @@
             migration = await self._finished_migration(run)
             if migration is not None:
                 continue
+            if outcome is AttemptOutcome.BROKEN and self._has_evidence(run):
+                # Otherwise the crash of this attempt would not count in the decision.
+                await self.sender.crash_detector.wait_for_check(backend)
             action = self._next_action(run, outcome)
             if action is not NextAction.TRY_ANOTHER:
                 await self._finish_unanswered(run, action)
@@ -163,6 +166,14 @@
             return action
         return next_action(attempts, outcome, budget=False)
 
+    def _has_evidence(self, run: RequestRun) -> bool:
+        """Return whether a request, or a part of its prompt, was at a crash before."""
+        state = self.state
+        if state.repeats.evidence and run.fingerprint in state.repeats.evidence:
+            return True
+        parts = shared_parts(run.request.prompt)
+        return any(part in state.quarantine.evidence for part in parts)
+
     def _may_crash_engines(self, run: RequestRun) -> bool:
         state = self.state
         if state.repeats.evidence and state.repeats.is_suspect(run.fingerprint):
--- a/src/tanagerturn/gateway/repeats.py
+++ b/src/tanagerturn/gateway/repeats.py
@@ -58,14 +58,14 @@
 
 
 def reported_requests(repeats: RepeatQuarantine, now_s: float) -> list[Fingerprint]:
-    """Return the requests to report in a digest: quarantined and changed ones.
+    """Return the requests to report in a digest: at many crashes, or changed.
 
     Those at most crashes come first.
     """
     reported = [
         fingerprint
         for fingerprint, evidence in repeats.evidence.items()
-        if evidence.is_quarantined or now_s - evidence.changed_s < REPORT_DURATION_S
+        if evidence.has_many_crashes or now_s - evidence.changed_s < REPORT_DURATION_S
     ]
     return repeats.by_crashes(reported)[:MAX_REPORTED_REQUESTS]
 
--- a/src/tanagerturn/serving/quarantine/repeats.py
+++ b/src/tanagerturn/serving/quarantine/repeats.py
@@ -43,6 +43,11 @@
 MAX_TRIAL_PAUSE_S: Final = 300.0
 """Upper bound of the time between two trials in seconds."""
 
+TRIAL_GAP_S: Final = 0.5
+"""Time in seconds between trials of different requests. A trial that crashes a backend
+server should not take another one with it; one that runs well is over by then, and
+counts no more."""
+
 TRIAL_TURN_S: Final = 0.25
 """Time in seconds after which another gateway may let an attempt through too; the first
 one has informed its peers by then."""
@@ -85,8 +90,8 @@
     was none."""
 
     @property
-    def is_quarantined(self) -> bool:
-        """Whether attempts of the request are rejected."""
+    def has_many_crashes(self) -> bool:
+        """Whether attempts are rejected unless another request explains the crashes."""
         return len(self.crashes) >= QUARANTINE_CRASHES
 
 
@@ -103,23 +108,57 @@
         is left of; the latest known is last."""
         self.next_update_s = 0.0
         """Monotonic time in seconds at which old evidence is dropped next."""
+        self._explained: frozenset[CrashId] | None = frozenset()
+        """Crashes of convicted requests; None if the evidence has changed since."""
 
     def quarantined(self) -> frozenset[Fingerprint]:
         """Return the requests whose attempts are rejected."""
-        return frozenset(f for f, e in self.evidence.items() if e.is_quarantined)
+        return frozenset(f for f in self.evidence if self.is_quarantined(f))
 
     def quarantined_crashes(self) -> list[frozenset[CrashId]]:
         """Return the crashes of each quarantined request."""
         return [
-            frozenset(evidence.crashes)
-            for evidence in self.evidence.values()
-            if evidence.is_quarantined
+            frozenset(self.evidence[fingerprint].crashes)
+            for fingerprint in self.quarantined()
         ]
 
     def is_quarantined(self, fingerprint: Fingerprint) -> bool:
-        """Return whether attempts of a request are rejected."""
+        """Return whether attempts of a request are rejected.
+
+        One that was only at crashes of convicted requests is released. A further crash
+        is enough to reject it again.
+        """
         evidence = self.evidence.get(fingerprint)
-        return evidence is not None and evidence.is_quarantined
+        if evidence is None or not evidence.has_many_crashes:
+            return False
+        is_explained = evidence.crashes.keys() <= self._explained_crashes()
+        return not is_explained or self._is_convicted(fingerprint)
+
+    def _explained_crashes(self) -> frozenset[CrashId]:
+        if self._explained is None:
+            self._explained = frozenset(
+                crash
+                for fingerprint, evidence in self.evidence.items()
+                if self._is_convicted(fingerprint)
+                for crash in evidence.crashes
+            )
+        return self._explained
+
+    def _is_convicted(self, fingerprint: Fingerprint) -> bool:
+        """Return whether a trial of a request crashed a backend server on its own.
+
+        That is, a crash since the quarantine at which no other request was that is at
+        many crashes.
+        """
+        evidence = self.evidence[fingerprint]
+        if not evidence.crashed_trials or not evidence.has_many_crashes:
+            return False
+        by_time = sorted(evidence.crashes.items(), key=lambda item: item[1].seen_s)
+        later = {crash for crash, _ in by_time[QUARANTINE_CRASHES:]}
+        for other, other_evidence in self.evidence.items():
+            if other != fingerprint and other_evidence.has_many_crashes:
+                later -= other_evidence.crashes.keys()
+        return bool(later)
 
     def is_guilty(self, fingerprint: Fingerprint) -> bool:
         """Return whether a request is quarantined and no other cause is known."""
@@ -130,15 +169,18 @@
     def is_suspect(self, fingerprint: Fingerprint) -> bool:
         """Return whether a broken attempt must not be sent to another backend server.
 
-        Crashes that a quarantined request explains do not count.
+        Crashes that a quarantined request explains do not count, unless the request is
+        quarantined itself.
         """
+        if self.is_quarantined(fingerprint):
+            return True
         evidence = self.evidence.get(fingerprint)
         if evidence is None or len(evidence.crashes) < SUSPECT_CRASHES:
             return False
         explained = {
             crash
             for other, other_evidence in self.evidence.items()
-            if other != fingerprint and other_evidence.is_quarantined
+            if other != fingerprint and self.is_quarantined(other)
             for crash in other_evidence.crashes
         }
         return len(evidence.crashes.keys() - explained) >= SUSPECT_CRASHES
@@ -209,11 +251,18 @@
         """
         if now_s < self.trial_due_s(fingerprint) + TRIAL_TURN_S * turn:
             return False
+        if now_s < self._last_trial_s() + TRIAL_GAP_S:
+            return False
         evidence = self.evidence[fingerprint]
         evidence.tried_s = evidence.changed_s = now_s
         self.urgent.add(fingerprint)
         return True
 
+    def _last_trial_s(self) -> float:
+        """Return the time in seconds of the last trial that showed no good run."""
+        tried_s = (e.tried_s for e in self.evidence.values() if e.crashes)
+        return max((at_s for at_s in tried_s if at_s is not None), default=-TRIAL_GAP_S)
+
     def on_crash(
         self, crash: CrashId, fingerprint: Fingerprint, now_s: float, *, is_trial: bool
     ) -> None:
@@ -227,11 +276,12 @@
         """
         self._remember_crash(crash, now_s)
         evidence = self._evidence(fingerprint, now_s, now_s)
-        is_crashed_trial = is_trial and evidence.is_quarantined
+        is_crashed_trial = is_trial and evidence.has_many_crashes
         evidence.crashed_trials += is_crashed_trial
         if evidence.add_crashes({crash: Crash(now_s, 0)}) or is_crashed_trial:
             evidence.changed_s = now_s
             self.urgent.add(fingerprint)
+            self._explained = None
 
     def on_ran_well(
         self, fingerprint: Fingerprint, begun_s: float, now_s: float
@@ -247,13 +297,14 @@
         evidence = self.evidence.get(fingerprint)
         if evidence is None:
             return
-        was_quarantined = evidence.is_quarantined
+        was_quarantined = evidence.has_many_crashes
         crashes = evidence.crashes
         if evidence.clear(
             [c for c, crash in crashes.items() if crash.seen_s < begun_s]
         ):
             evidence.changed_s = now_s
             evidence.crashed_trials = 0
+            self._explained = None
             if was_quarantined:
                 self.urgent.add(fingerprint)
 
@@ -274,6 +325,12 @@
         evidence = self._evidence(fingerprint, reported.asked_s, now_s)
         is_cleared = evidence.clear(list(reported.cleared))
         has_crashed = evidence.add_crashes(reported.crashes)
+        if (
+            is_cleared
+            or has_crashed
+            or reported.crashed_trials > evidence.crashed_trials
+        ):
+            self._explained = None
         evidence.crashed_trials = max(evidence.crashed_trials, reported.crashed_trials)
         evidence.asked_s = max(evidence.asked_s, reported.asked_s)
         if reported.tried_s is not None:
@@ -291,6 +348,7 @@
             is_old = now_s - evidence.asked_s >= EVIDENCE_MAX_AGE_S
             if is_old or (is_idle and not evidence.crashes):
                 del self.evidence[fingerprint]
+                self._explained = None
 
     def take_urgent(self) -> list[Fingerprint]:
         """Return the requests that peers have to learn of immediately, and clear them.
@@ -329,3 +387,4 @@
 
         kept = sorted(self.evidence.items(), key=rank, reverse=True)
         self.evidence = dict(kept[:KEPT_SUSPECTS])
+        self._explained = None
