Let each quarantined prompt part come back when it was not the cause

Callers saw: after all engines had ended for a reason of their own, requests of a service whose prompts share a part stayed rejected without end. Cause: a part that never ran well and had no other part at its crashes got no trial at all; a trial was spent although no engine was there; only the owner of the part let trials through; and each rejection renewed the evidence.

Change: every quarantined part is tried by the schedule that quarantined requests have (serving/quarantine/trials.py, one log of crashes for both); a trial counts once it has reached an engine; an unannounced replacement of a backend server counts as a crash without the part; rejections do not renew the evidence; a metric and a log line state how much is rejected.

--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -75,6 +75,9 @@
         self.stated_departures: list[serving_pb2.Announcement] = []
         """Announcements of backend servers that stated in a response that they leave,
         until peers are informed."""
+        self.replaced: list[Backend] = []
+        """Backend servers whose id or address another start has taken although they
+        never said that they leave, until `take_replaced`."""
         self.change_count = 0
         """Number of announcements that were new or changed where requests may go."""
         self.kv_capacity_tokens: dict[str, int] = {}
@@ -96,9 +99,11 @@
             Whether peers have to be informed immediately: the backend server is new, or
             its address, its offer or its leaving state changed.
         """
+        earlier = self.view.earlier_starts(announcement)
         applied_announcement = self.view.on_announcement(announcement, to_ms(now_s))
         if applied_announcement.is_error() or not applied_announcement.ok.applied:
             return False
+        self.replaced += [each for each in earlier if not each.leaving]
         backend_id = BackendId(announcement.id)
         self.id_by_hash[backend_hash(backend_id)] = backend_id
         if heard:
@@ -154,6 +159,11 @@
         if leaving is not None:
             self.stated_departures.append(leaving)
 
+    def take_replaced(self) -> list[Backend]:
+        """Return the backend servers that were replaced without leaving; clear them."""
+        replaced, self.replaced = self.replaced, []
+        return replaced
+
     def on_departure(self, departure: gpb.Departure, now_s: float) -> None:
         """Record the departure time that a backend server itself reported."""
         backend = self.view.backends.get(BackendId(departure.backend))
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -21,7 +21,7 @@
 from tanagerturn.gateway.member import TICK_S as MEMBER_TICK_S
 from tanagerturn.gateway.member import StateMember, open_member
 from tanagerturn.gateway.mesh import BATCH_INTERVAL_S, TICK_S, Mesh
-from tanagerturn.gateway.quarantine import encode_suspects, log_changes
+from tanagerturn.gateway.quarantine import crash_id, encode_suspects, log_changes
 from tanagerturn.gateway.relay import Relay
 from tanagerturn.gateway.repeats import encode_suspect_requests, log_repeat_changes
 from tanagerturn.gateway.replicated_store import ReplicatedStore
@@ -336,6 +336,8 @@
 
     def _update_quarantine(self, now_s: float) -> None:
         quarantine, repeats = self.state.quarantine, self.state.repeats
+        for backend in self.state.fleet.take_replaced():
+            self.state.crash_log.remember(crash_id(backend), now_s)
         repeats.update(now_s)
         requests = repeats.quarantined()
         have_requests_changed = requests != self.quarantined_requests
@@ -346,6 +348,7 @@
         have_parts_changed = quarantine.update(now_s, repeats.quarantined_crashes())
         if have_parts_changed:
             log_changes(quarantine, previous)
+        self.state.quarantine_share.report(now_s)
         if have_requests_changed or have_parts_changed:
             self.relay.sender.withdraw_quarantined()
 
--- a/src/tanagerturn/gateway/intake.py
+++ b/src/tanagerturn/gateway/intake.py
@@ -39,12 +39,11 @@
 the gateway receives one from its peers within about a digest interval."""
 
 QUARANTINE_RETRY_S: Final = 60.0
-"""Time in seconds after which a caller may retry a quarantined request, or a prompt
-with a quarantined part; the quarantine lasts longer while it is asked for."""
+"""Longest time in seconds after which a caller may retry a quarantined request, or a
+prompt with a quarantined part."""
 
 MIN_QUARANTINE_RETRY_S: Final = 1.0
-"""Minimum time in seconds after which a caller may retry a quarantined request that is
-about to be tried."""
+"""Shortest such time in seconds, for those that are about to be tried."""
 
 UNKNOWN_ORIGIN_RETRY_S: Final = 0.5
 """Time in seconds after which a caller may take a stream up again whose software
@@ -103,6 +102,7 @@
                     "no client account with this key in configuration"
                     f" {configuration.version}",
                 )
+        self.state.quarantine_share.on_request(route.targets[0].service)
         is_trial = self._admit_trial(request, account, exchange, route)
         origin = await self._find_origin(request, route)
         units = await self._charge(request, account)
@@ -203,12 +203,12 @@
         if run.is_trial:
             return
         if state.repeats.evidence and state.repeats.is_quarantined(run.fingerprint):
-            refusal = self._repeat_refusal(run.fingerprint, now_s)
+            refusal = self._repeat_refusal(run.fingerprint, run.route, now_s)
         else:
             part = state.quarantine.find(shared_parts(run.request.prompt))
             if part is None:
                 return
-            refusal = self._part_refusal(part, now_s)
+            refusal = self._part_refusal(part, run.route, now_s)
         if run.may_have_run:
             raise Refusal(502, refusal.cause)
         raise refusal
@@ -229,9 +229,7 @@
         if state.repeats.evidence:
             fingerprint = fingerprint_of(request, account, exchange.body)
             if state.repeats.is_quarantined(fingerprint):
-                turn = trial_turn(
-                    fingerprint, state.settings.host, state.limits.gateways
-                )
+                turn = self._trial_turn(fingerprint)
                 if self._has_backend(route, now_s) and state.repeats.try_again(
                     fingerprint, turn, now_s
                 ):
@@ -241,16 +239,21 @@
                         fingerprint=fingerprint_text(fingerprint),
                     )
                     return True
-                raise self._repeat_refusal(fingerprint, now_s)
+                raise self._repeat_refusal(fingerprint, route, now_s)
         parts = shared_parts(request.prompt)
         part = state.quarantine.find(parts)
         if part is None:
             return False
-        if state.limits.is_owner(part) and state.quarantine.try_again(
-            part, parts, now_s
+        if self._has_backend(route, now_s) and state.quarantine.try_again(
+            parts, self._trial_turn(part), now_s
         ):
+            log.info("part_tried", request=request.attempt_id, prompt_part=part)
             return True
-        raise self._part_refusal(part, now_s)
+        raise self._part_refusal(part, route, now_s)
+
+    def _trial_turn(self, suspect: Fingerprint | PartId) -> int:
+        state = self.state
+        return trial_turn(suspect, state.settings.host, state.limits.gateways)
 
     def _has_backend(self, route: Route, now_s: float) -> bool:
         fleet = self.state.fleet
@@ -261,21 +264,22 @@
             for backend in fleet.candidates(target.service, (), now_s)
         )
 
-    def _part_refusal(self, part: PartId, now_s: float) -> Refusal:
-        self.state.quarantine.on_rejected(part, now_s)
+    def _part_refusal(self, part: PartId, route: Route, now_s: float) -> Refusal:
+        self.state.quarantine_share.on_rejected(route.targets[0].service)
+        due_s = self.state.quarantine.trial_due_s(part)
         cause = f"prompt part {part} crashed engines and is quarantined"
-        return Refusal(503, cause, QUARANTINE_RETRY_S)
+        return Refusal(503, cause, _quarantine_retry_s(due_s, now_s))
 
-    def _repeat_refusal(self, fingerprint: Fingerprint, now_s: float) -> Refusal:
+    def _repeat_refusal(
+        self, fingerprint: Fingerprint, route: Route, now_s: float
+    ) -> Refusal:
+        self.state.quarantine_share.on_rejected(route.targets[0].service)
         due_s = self.state.repeats.trial_due_s(fingerprint)
-        retry_after_s = min(
-            max(MIN_QUARANTINE_RETRY_S, due_s - now_s), QUARANTINE_RETRY_S
-        )
         cause = (
             f"request {fingerprint_text(fingerprint)} crashed backend servers and is "
             "quarantined"
         )
-        return Refusal(503, cause, retry_after_s)
+        return Refusal(503, cause, _quarantine_retry_s(due_s, now_s))
 
     def refund(self, run: RequestRun) -> None:
         """Refund the units of a request that was not executed to its client account."""
@@ -315,3 +319,13 @@
                 self.state.random.uniform(*UNVERIFIED_RETRY_S),
             )
         return units
+
+
+def _quarantine_retry_s(due_s: float, now_s: float) -> float:
+    """Return the time in seconds after which the caller of a refused request may retry.
+
+    Args:
+        due_s: Boot-clock time in seconds of the next trial.
+        now_s: Current boot-clock time in seconds.
+    """
+    return min(max(MIN_QUARANTINE_RETRY_S, due_s - now_s), QUARANTINE_RETRY_S)
--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -77,6 +77,14 @@
         "false if another cause of the crashes is known."
     ),
     "request_released": "A request is no longer rejected.",
+    "part_tried": (
+        "A request with a quarantined prompt part is sent to an engine, to find out "
+        "whether it still crashes it."
+    ),
+    "quarantine_rejections": (
+        "Number of requests to a service that quarantines rejected in the last 10 s; "
+        "an error if they are over a tenth of its requests."
+    ),
     "request_tried": (
         "A quarantined request is sent to a backend server, to find out whether it "
         "still crashes it."
--- a/src/tanagerturn/gateway/metrics.py
+++ b/src/tanagerturn/gateway/metrics.py
@@ -65,6 +65,8 @@
 
     backend_limit_requests: Counter
     """Requests that were checked against limits of backend servers here, by charge."""
+    quarantine_rejections: Counter
+    """Requests that were rejected because of a quarantine, by service."""
 
     def update(
         self,
@@ -157,6 +159,12 @@
             ("charge",),
             registry=registry,
         ),
+        quarantine_rejections=Counter(
+            "tanager_gateway_quarantine_rejections",
+            "Requests rejected by a quarantine, by service.",
+            ("service",),
+            registry=registry,
+        ),
         first_event_s=histogram(
             "tanager_gateway_first_event_seconds", "Time to the first event of streams."
         ),
--- a/src/tanagerturn/gateway/quarantine.py
+++ b/src/tanagerturn/gateway/quarantine.py
@@ -11,7 +11,9 @@
 from tanagerturn.gateway._crash_messages import (
     age_ms,
     decode_crashes,
+    decode_trials,
     encode_crashes,
+    encode_trials,
 )
 from tanagerturn.gateway.connection import connect
 from tanagerturn.gateway.fingerprints import fingerprint_text
@@ -116,23 +118,20 @@
         broken = self.broken.pop(crash)
         if not has_crashed:
             return
-        parts = {
-            run.request.attempt_id: shared_parts(run.request.prompt)
-            for run in broken.runs
-        }
+        parts = [shared_parts(run.request.prompt) for run in broken.runs]
         log.info(
             "engine_crashed",
             backend=backend.id,
             requests=len(broken.runs),
             fingerprints=sorted({fingerprint_text(r.fingerprint) for r in broken.runs}),
-            parts=sorted({part for each in parts.values() for part in each}),
+            parts=sorted({part for each in parts for part in each}),
         )
-        for run in broken.runs:
-            self.repeats.on_crash(
-                crash, run.fingerprint, broken.broke_at_s, is_trial=run.is_trial
+        for run, each in zip(broken.runs, parts, strict=True):
+            is_trial, at_s = run.is_trial, broken.broke_at_s
+            self.repeats.on_crash(crash, run.fingerprint, at_s, is_trial=is_trial)
+            self.quarantine.on_crash(
+                crash, run.request.attempt_id, each, at_s, is_trial=is_trial
             )
-        for attempt_id, each in parts.items():
-            self.quarantine.on_crash(crash, attempt_id, each, broken.broke_at_s)
 
 
 async def _refuses_connections(address: str) -> bool:
@@ -182,8 +181,8 @@
             crashes=encode_crashes(evidence.crashes, now_s),
             cleared=evidence.cleared,
             proven=evidence.is_proven,
-            trials=evidence.trials,
-            idle_ms=age_ms(evidence.asked_s, now_s),
+            idle_ms=age_ms(evidence.crashed_s, now_s),
+            trials=encode_trials(evidence, now_s),
         )
     return message
 
@@ -215,13 +214,13 @@
     """
     for reported in message.parts:
         evidence = PartEvidence(
-            asked_s=now_s - reported.idle_ms / 1000,
+            crashed_s=now_s - reported.idle_ms / 1000,
             changed_s=now_s,
             depth=reported.depth,
             crashes=decode_crashes(reported.crashes, now_s),
             cleared={CrashId(crash): None for crash in reported.cleared},
             is_proven=reported.proven,
-            trials=reported.trials,
+            **decode_trials(reported.trials, now_s),
         )
         quarantine.merge(PartId(reported.part), evidence, now_s)
 
--- a/src/tanagerturn/gateway/repeats.py
+++ b/src/tanagerturn/gateway/repeats.py
@@ -9,7 +9,9 @@
 from tanagerturn.gateway._crash_messages import (
     age_ms,
     decode_crashes,
+    decode_trials,
     encode_crashes,
+    encode_trials,
 )
 from tanagerturn.gateway.fingerprints import fingerprint_text
 from tanagerturn.gateway.logs import component_log
@@ -20,6 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from tanagerturn.serving.quarantine.evidence import PartId
     from tanagerturn.serving.quarantine.repeats import RepeatQuarantine
 
 REPORT_DURATION_S: Final = 4.0
@@ -45,15 +48,13 @@
     message = gpb.SuspectRequests()
     for fingerprint in fingerprints:
         evidence = repeats.evidence[fingerprint]
-        request = message.requests.add(
+        message.requests.add(
             fingerprint=fingerprint,
             crashes=encode_crashes(evidence.crashes, now_s),
             cleared=evidence.cleared,
-            crashed_trials=evidence.crashed_trials,
-            idle_ms=age_ms(evidence.asked_s, now_s),
+            idle_ms=age_ms(evidence.crashed_s, now_s),
+            trials=encode_trials(evidence, now_s),
         )
-        if evidence.tried_s is not None:
-            request.tried_ago_ms = age_ms(evidence.tried_s, now_s)
     return message
 
 
@@ -82,31 +83,26 @@
     """
     for reported in message.requests:
         evidence = RepeatEvidence(
-            asked_s=now_s - reported.idle_ms / 1000,
+            crashed_s=now_s - reported.idle_ms / 1000,
             changed_s=now_s,
             crashes=decode_crashes(reported.crashes, now_s),
             cleared={CrashId(crash): None for crash in reported.cleared},
-            crashed_trials=reported.crashed_trials,
-            tried_s=(
-                now_s - reported.tried_ago_ms / 1000
-                if reported.HasField("tried_ago_ms")
-                else None
-            ),
+            **decode_trials(reported.trials, now_s),
         )
         repeats.merge(Fingerprint(reported.fingerprint), evidence, now_s)
 
 
-def trial_turn(fingerprint: Fingerprint, host: str, peers: Iterable[str]) -> int:
-    """Return the position of a gateway in the order of trials of one request.
+def trial_turn(suspect: Fingerprint | PartId, host: str, peers: Iterable[str]) -> int:
+    """Return the position of a gateway in the order of trials of one suspect.
 
     Args:
-        fingerprint: The request.
+        suspect: The request or prompt part.
         host: Host of the gateway.
         peers: Hosts of the other present gateways.
     """
 
     def rank(gateway: str) -> int:
-        return xxhash.xxh64_intdigest(f"{gateway}|{fingerprint}".encode())
+        return xxhash.xxh64_intdigest(f"{gateway}|{suspect}".encode())
 
     local_rank = rank(host)
     return sum(rank(peer) < local_rank for peer in peers)
--- a/src/tanagerturn/gateway/sender.py
+++ b/src/tanagerturn/gateway/sender.py
@@ -225,6 +225,9 @@
         headers = state.dialect.encode_forwarding(request, forwarding, backend.address)
         exchange.send(request.method, request.target, headers, run.exchange.body)
         run.sent_count += 1
+        if run.is_trial:
+            state.quarantine.on_tried(shared_parts(request.prompt), sent_s)
+            state.repeats.on_tried(run.fingerprint, sent_s)
         if not run.held_s:
             run.held_s = boot_s() - run.exchange.arrived_s
         async with asyncio.timeout(run.time_left_s(boot_s())):
--- a/src/tanagerturn/gateway/state.py
+++ b/src/tanagerturn/gateway/state.py
@@ -18,12 +18,14 @@
 from tanagerturn.gateway.logs import component_log
 from tanagerturn.gateway.metrics import GatewayMetrics, make_gateway_metrics
 from tanagerturn.gateway.pool import ConnectionPool
+from tanagerturn.gateway.quarantine_share import QuarantineShare
 from tanagerturn.gateway.usage import UsageCounts
 from tanagerturn.gateway.wall_clock import CorrectedWallClock
 from tanagerturn.serving.capacity.token_demand import TokenDemand
 from tanagerturn.serving.limits.terms import AccountLimit
 from tanagerturn.serving.quarantine.quarantine import PartQuarantine
 from tanagerturn.serving.quarantine.repeats import RepeatQuarantine
+from tanagerturn.serving.quarantine.trials import CrashLog
 from tanagerturn.serving.retries.window import RetryLimits, RetryWindow
 from tanagerturn.serving.streams.origins import StreamOrigin, StreamOrigins
 
@@ -74,10 +76,14 @@
     """State of the backend servers."""
     pool: ConnectionPool = field(default_factory=ConnectionPool)
     """Connections to backend servers."""
-    quarantine: PartQuarantine = field(default_factory=PartQuarantine)
+    crash_log: CrashLog = field(default_factory=CrashLog)
+    """Known crashes of backend servers, whatever was at them."""
+    quarantine: PartQuarantine = field(init=False)
     """Prompt parts that crash engines."""
-    repeats: RepeatQuarantine = field(default_factory=RepeatQuarantine)
+    repeats: RepeatQuarantine = field(init=False)
     """Requests that crash backend servers and come again."""
+    quarantine_share: QuarantineShare = field(init=False)
+    """How much traffic the quarantines reject."""
     token_demand: TokenDemand = field(default_factory=TokenDemand)
     """Token demand on engines at this gateway and its peers, in tokens per second."""
     metrics: GatewayMetrics = field(default_factory=make_gateway_metrics)
@@ -98,6 +104,12 @@
     is_draining: bool = False
     """The process is shutting down after a signal."""
 
+    def __post_init__(self) -> None:
+        """Make the quarantines, which use the same log of crashes."""
+        self.quarantine = PartQuarantine(self.crash_log)
+        self.repeats = RepeatQuarantine(self.crash_log)
+        self.quarantine_share = QuarantineShare(self.metrics.quarantine_rejections)
+
     def adopt(self, configuration: Configuration, now_s: float) -> bool:
         """Put a configuration in force unless its version is not higher.
 
@@ -189,11 +201,20 @@
     def excluded_backends(self, run: RequestRun, now_s: float) -> set[BackendId]:
         """Return the backend servers that must not get the next attempt of a request.
 
-        These are the unfit ones and those whose own limit is exhausted.
+        These are the unfit ones and those whose own limit is exhausted. A trial leaves
+        out those with other requests as well, unless all have some.
         """
-        return self.unfit_backends(run, now_s) | self.backend_limits.exhausted_ids(
-            now_s
-        )
+        limited = self.backend_limits.exhausted_ids(now_s)
+        excluded = self.unfit_backends(run, now_s) | limited
+        if not run.is_trial:
+            return excluded
+        busy = {
+            backend.id
+            for backend in self.fleet.candidates(run.service, excluded, now_s)
+            if self.fleet.state(backend.id).total_work(now_s).running
+        }
+        has_idle = self.fleet.candidates(run.service, excluded | busy, now_s)
+        return excluded | busy if has_idle else excluded
 
     def unfit_backends(self, run: RequestRun, now_s: float) -> set[BackendId]:
         """Return the backend servers that were tried, and those of another version.
--- a/src/tanagerturn/gateway/warm_start.py
+++ b/src/tanagerturn/gateway/warm_start.py
@@ -154,6 +154,7 @@
     for part in suspects.parts:
         part.idle_ms = min(MAX_AGE_MS, part.idle_ms + elapsed_ms)
         _age_crashes(part.crashes, elapsed_ms)
+        _age_trials(part.trials, elapsed_ms)
     return suspects
 
 
@@ -172,9 +173,8 @@
     suspects.CopyFrom(warm_start.suspect_requests)
     for request in suspects.requests:
         request.idle_ms = min(MAX_AGE_MS, request.idle_ms + elapsed_ms)
-        if request.HasField("tried_ago_ms"):
-            request.tried_ago_ms = min(MAX_AGE_MS, request.tried_ago_ms + elapsed_ms)
         _age_crashes(request.crashes, elapsed_ms)
+        _age_trials(request.trials, elapsed_ms)
     return suspects
 
 
@@ -204,3 +204,10 @@
 def _age_crashes(crashes: Iterable[gpb.EngineCrash], elapsed_ms: int) -> None:
     for crash in crashes:
         crash.seen_ago_ms = min(MAX_AGE_MS, crash.seen_ago_ms + elapsed_ms)
+
+
+def _age_trials(trials: gpb.Trials, elapsed_ms: int) -> None:
+    if trials.HasField("admitted_ago_ms"):
+        trials.admitted_ago_ms = min(MAX_AGE_MS, trials.admitted_ago_ms + elapsed_ms)
+    if trials.HasField("tried_ago_ms"):
+        trials.tried_ago_ms = min(MAX_AGE_MS, trials.tried_ago_ms + elapsed_ms)
--- a/src/tanagerturn/serving/backends/view.py
+++ b/src/tanagerturn/serving/backends/view.py
@@ -290,6 +290,23 @@
         healthy = [b for b in eligible if not self.is_ejected(b, now_ms)]
         return healthy or eligible
 
+    def earlier_starts(self, announcement: serving_pb2.Announcement) -> list[Backend]:
+        """Return known backend servers that the one announced would replace.
+
+        They have its id or its address, and are another start.
+        """
+        ids = (
+            BackendId(announcement.id),
+            self._by_address.get(announcement.address, BackendId("")),
+        )
+        known = {i: self.backends[i] for i in ids if i in self.backends}
+        return [
+            backend
+            for backend in known.values()
+            if (backend.id, backend.incarnation)
+            != (announcement.id, announcement.incarnation)
+        ]
+
     def _is_stale(self, announcement: serving_pb2.Announcement) -> bool:
         backend_id = BackendId(announcement.id)
         if announcement.incarnation in self._retired.get(backend_id, ()):
--- a/src/tanagerturn/serving/quarantine/evidence.py
+++ b/src/tanagerturn/serving/quarantine/evidence.py
@@ -52,15 +52,23 @@
 class CrashEvidence:
     """Crashes of engines that were working on one suspect."""
 
-    asked_s: float
-    """Monotonic time in seconds of the last crash, or of the last request that was
-    rejected for a quarantined part."""
+    crashed_s: float
+    """Monotonic time in seconds of the last crash, also of a cleared one."""
     changed_s: float
     """Monotonic time in seconds of the last change that peers have to learn."""
     crashes: dict[CrashId, Crash] = field(default_factory=dict)
     """Crashes since the suspect ran well."""
     cleared: dict[CrashId, None] = field(default_factory=dict)
     """Crashes before the suspect ran well, the oldest first."""
+    crashed_trials: int = 0
+    """Number of requests that were let through in spite of the quarantine and ended in
+    a crash."""
+    admitted_s: float | None = None
+    """Monotonic time in seconds at which the last such request was let through; None if
+    there was none."""
+    tried_s: float | None = None
+    """Monotonic time in seconds at which the last such request was sent to a backend
+    server; None if there was none."""
 
     def add_crashes(self, crashes: Mapping[CrashId, Crash]) -> bool:
         """Add crashes, or further requests to known ones; return whether any is new."""
@@ -71,7 +79,7 @@
             known = self.crashes.get(crash)
             if known is None:
                 known = Crash(reported.seen_s, 0)
-                self.asked_s = max(self.asked_s, reported.seen_s)
+                self.crashed_s = max(self.crashed_s, reported.seen_s)
             requests = known.requests | reported.requests
             if requests != known.requests or crash not in self.crashes:
                 self.crashes[crash] = Crash(known.seen_s, requests)
@@ -90,6 +98,12 @@
             del self.cleared[next(iter(self.cleared))]
         return bool(unknown)
 
+    def merge_trials(self, reported: CrashEvidence) -> None:
+        """Merge the trials that a peer reported."""
+        self.crashed_trials = max(self.crashed_trials, reported.crashed_trials)
+        self.admitted_s = _latest_s(self.admitted_s, reported.admitted_s)
+        self.tried_s = _latest_s(self.tried_s, reported.tried_s)
+
     def last_crash_s(self) -> float:
         """Return the monotonic time in seconds of the last uncleared crash."""
         return max(crash.seen_s for crash in self.crashes.values())
@@ -105,8 +119,6 @@
     is_proven: bool = False
     """Whether a request with the part ran well at some gateway within the minute before
     its first crash, or since."""
-    trials: int = 0
-    """Number of requests that were let through in spite of the part's quarantine."""
 
     def request_count(self) -> int:
         """Return about how many requests with the part were at engines that crashed."""
@@ -130,6 +142,11 @@
         return times_s
 
 
+def _latest_s(one_s: float | None, other_s: float | None) -> float | None:
+    times_s = [at_s for at_s in (one_s, other_s) if at_s is not None]
+    return max(times_s, default=None)
+
+
 def request_bit(attempt_id: str) -> int:
     """Return the bit that stands for a request in a bitmap.
 
--- a/src/tanagerturn/serving/quarantine/quarantine.py
+++ b/src/tanagerturn/serving/quarantine/quarantine.py
@@ -18,6 +18,15 @@
     PartId,
     request_bit,
 )
+from tanagerturn.serving.quarantine.trials import (
+    EARLY_DELAY_S,
+    MAX_EARLY_TRIALS,
+    TURN_S,
+    CrashLog,
+    early_delay_s,
+    is_held,
+    pause_s,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping, Sequence
@@ -51,19 +60,15 @@
 """Maximum number of parts of which the last good run is kept."""
 
 EVIDENCE_MAX_AGE_S: Final = 600.0
-"""Time in seconds after the last crash or rejected request at which the evidence of a
-part is dropped, and requests with it are tried again."""
+"""Time in seconds after the last crash at which the evidence of a part is dropped."""
 
 CLEARED_MAX_AGE_S: Final = 10.0
 """Time in seconds after its last change at which evidence without a crash is dropped;
 peers report no change for that long."""
 
-TRIAL_DELAY_S: Final = 2.0
-"""Time in seconds from the last crash after which a request with a quarantined part is
-let through if that part may only have been beside the cause."""
-
-MAX_TRIALS: Final = 2
-"""Maximum number of such requests by part."""
+OTHER_SUSPECT_WAIT_S: Final = 2.0
+"""Time in seconds for which a trial waits for a prompt without another suspect; some
+parts only occur together."""
 
 MAX_SUSPECTED_DEPTH: Final = 128
 """Number of parts of a prompt, from its beginning, that are suspected."""
@@ -77,9 +82,13 @@
 
 
 class PartQuarantine:
-    """Evidence of all suspected parts at one gateway, and the quarantined parts."""
+    """Evidence of all suspected parts at one gateway, and the quarantined parts.
 
-    def __init__(self) -> None:
+    Args:
+        crash_log: All known crashes; None for an empty log of its own.
+    """
+
+    def __init__(self, crash_log: CrashLog | None = None) -> None:
         self.evidence: dict[PartId, PartEvidence] = {}
         """Evidence by part; empty while no engine crashes."""
         self.quarantined: frozenset[PartId] = frozenset()
@@ -91,6 +100,11 @@
         """Parts with a crash that peers have to learn of immediately."""
         self.repeated: Sequence[frozenset[CrashId]] = ()
         """Crashes of each request that is quarantined itself."""
+        self.crash_log = crash_log or CrashLog()
+        """All known crashes."""
+        self.waiting_since_s: dict[PartId, float] = {}
+        """Monotonic time in seconds since which a trial of a part waits here for a
+        prompt without another suspect."""
 
     def find(self, parts: Iterable[PartId]) -> PartId | None:
         """Return the first quarantined one of a prompt's parts; None if none is."""
@@ -98,35 +112,60 @@
             return None
         return next((part for part in parts if part in self.quarantined), None)
 
-    def try_again(self, part: PartId, parts: Collection[PartId], now_s: float) -> bool:
-        """Return whether to let a request through in spite of a quarantined part.
-
-        A part is tried if it ran well before, or if another part was at the same
-        crashes; and only in a prompt without another suspect. Only the gateway that all
-        others select for the part may ask.
+    def try_again(self, parts: Sequence[PartId], turn: int, now_s: float) -> bool:
+        """Return whether to let a request through in spite of its quarantined parts.
 
         Args:
-            part: A quarantined part.
-            parts: Shared parts of the request's prompt.
+            parts: Shared parts of the request's prompt, of which one is quarantined.
+            turn: Position of this gateway in an order of all gateways that depends on
+                the part; each may let one through some time after the one before.
             now_s: Monotonic time in seconds.
         """
+        tried = [p for p in parts if p in self.quarantined and p in self.evidence]
+        for part in tried:
+            due_s = self.trial_due_s(part) + TURN_S * turn
+            if now_s < due_s or is_held(self.evidence[part], now_s):
+                return False
+            if self._has_other_suspect(part, parts):
+                since_s = self.waiting_since_s.setdefault(part, now_s)
+                if now_s < since_s + OTHER_SUSPECT_WAIT_S:
+                    return False
+        for part in tried:
+            self.waiting_since_s.pop(part, None)
+            evidence = self.evidence[part]
+            evidence.admitted_s = evidence.changed_s = now_s
+            self.urgent.add(part)
+        return True
+
+    def on_tried(self, parts: Iterable[PartId], now_s: float) -> None:
+        """Record that a request that was let through was sent to an engine."""
+        for part in parts:
+            evidence = self.evidence.get(part)
+            if evidence is not None and part in self.quarantined:
+                evidence.tried_s = evidence.changed_s = now_s
+                self.urgent.add(part)
+
+    def trial_due_s(self, part: PartId) -> float:
+        """Return the monotonic time in seconds of the next trial of a part."""
         evidence = self.evidence.get(part)
         if evidence is None or not evidence.crashes:
             # Cleared since the last decision.
-            return True
-        is_due = now_s - evidence.last_crash_s() >= TRIAL_DELAY_S * (
-            1 + evidence.trials
+            return 0.0
+        since_s = max(evidence.last_crash_s(), evidence.tried_s or 0.0)
+        if self.crash_log.goes_on_without(evidence):
+            return since_s + EARLY_DELAY_S
+        if evidence.crashed_trials < MAX_EARLY_TRIALS:
+            return since_s + early_delay_s(evidence)
+        return since_s + pause_s(evidence)
+
+    def _has_other_suspect(self, part: PartId, parts: Iterable[PartId]) -> bool:
+        """Return whether another part of a prompt was at crashes without this one."""
+        crashes = self.evidence[part].crashes.keys()
+        return any(
+            self.evidence[other].crashes.keys() - crashes
+            for other in parts
+            if other != part and other in self.evidence
         )
-        if evidence.trials >= MAX_TRIALS or not is_due:
-            return False
-        others = [self.evidence[p] for p in parts if p != part and p in self.evidence]
-        if any(other.crashes for other in others):
-            return False
-        if not evidence.is_proven and not self._has_alternative(part):
-            return False
-        evidence.trials += 1
-        evidence.changed_s = now_s
-        return True
 
     def is_suspect(self, parts: Iterable[PartId]) -> bool:
         """Return whether a broken request must not be sent to another engine."""
@@ -145,7 +184,13 @@
         return False
 
     def on_crash(
-        self, crash: CrashId, attempt_id: str, parts: Sequence[PartId], now_s: float
+        self,
+        crash: CrashId,
+        attempt_id: str,
+        parts: Sequence[PartId],
+        now_s: float,
+        *,
+        is_trial: bool = False,
     ) -> None:
         """Record that an engine crashed during a request that had not proven harmless.
 
@@ -154,9 +199,13 @@
             attempt_id: Id of the request.
             parts: Shared parts of the request's prompt, in order.
             now_s: Monotonic time in seconds.
+            is_trial: The request was let through in spite of a quarantine.
         """
+        self.crash_log.remember(crash, now_s)
         for depth, part in enumerate(parts[:MAX_SUSPECTED_DEPTH]):
             evidence = self._evidence(part, depth, now_s)
+            if is_trial and part in self.quarantined:
+                evidence.crashed_trials += 1
             if evidence.add_crashes({crash: Crash(now_s, request_bit(attempt_id))}):
                 evidence.changed_s = now_s
                 self.urgent.add(part)
@@ -182,15 +231,12 @@
             if evidence.clear(earlier) or not evidence.is_proven:
                 evidence.is_proven = True
                 evidence.changed_s = now_s
+                if part in self.quarantined:
+                    evidence.crashed_trials = 0
+                    self.urgent.add(part)
         while len(self.proven_s) > MAX_PROVEN_PARTS:
             self.proven_s.popitem(last=False)
 
-    def on_rejected(self, part: PartId, now_s: float) -> None:
-        """Record that a request was rejected for a quarantined part."""
-        evidence = self.evidence.get(part)
-        if evidence is not None:
-            evidence.asked_s = now_s
-
     def merge(
         self,
         part: PartId,
@@ -204,14 +250,16 @@
             reported: Evidence of the peer, in this gateway's monotonic time.
             now_s: Monotonic time in seconds.
         """
-        if now_s - reported.asked_s >= EVIDENCE_MAX_AGE_S:
+        if now_s - reported.crashed_s >= EVIDENCE_MAX_AGE_S:
             return
-        evidence = self._evidence(part, reported.depth, now_s, reported.asked_s)
+        for crash, seen in reported.crashes.items():
+            self.crash_log.remember(crash, seen.seen_s)
+        evidence = self._evidence(part, reported.depth, now_s, reported.crashed_s)
         is_cleared = evidence.clear(list(reported.cleared))
         has_crashed = evidence.add_crashes(reported.crashes)
         evidence.is_proven |= reported.is_proven
-        evidence.trials = max(evidence.trials, reported.trials)
-        evidence.asked_s = max(evidence.asked_s, reported.asked_s)
+        evidence.merge_trials(reported)
+        evidence.crashed_s = max(evidence.crashed_s, reported.crashed_s)
         if is_cleared or has_crashed:
             evidence.changed_s = now_s
 
@@ -230,10 +278,12 @@
             return False
         for part, evidence in list(self.evidence.items()):
             is_idle = now_s - evidence.changed_s >= CLEARED_MAX_AGE_S
-            is_old = now_s - evidence.asked_s >= EVIDENCE_MAX_AGE_S
+            is_old = now_s - evidence.crashed_s >= EVIDENCE_MAX_AGE_S
             if is_old or (is_idle and not evidence.crashes):
                 del self.evidence[part]
         previous, self.quarantined = self.quarantined, self._select(now_s)
+        for part in self.waiting_since_s.keys() - self.quarantined:
+            del self.waiting_since_s[part]
         return self.quarantined != previous
 
     def take_urgent(self) -> list[PartId]:
@@ -242,33 +292,24 @@
         return sorted(part for part in urgent if part in self.evidence)
 
     def _evidence(
-        self, part: PartId, depth: int, now_s: float, asked_s: float | None = None
+        self, part: PartId, depth: int, now_s: float, crashed_s: float | None = None
     ) -> PartEvidence:
         evidence = self.evidence.get(part)
         if evidence is None:
             self._make_room()
-            asked_s = now_s if asked_s is None else asked_s
-            evidence = self.evidence[part] = PartEvidence(asked_s, now_s, depth=depth)
+            crashed_s = now_s if crashed_s is None else crashed_s
+            evidence = self.evidence[part] = PartEvidence(crashed_s, now_s, depth=depth)
             proven_s = self.proven_s.get(part, -PROOF_MAX_AGE_S)
             evidence.is_proven = now_s - proven_s < PROOF_MAX_AGE_S
         evidence.depth = min(evidence.depth, depth)
         return evidence
 
-    def _has_alternative(self, part: PartId) -> bool:
-        """Return whether a part that is not quarantined was at the same crashes."""
-        crashes = self.evidence[part].crashes.keys()
-        return any(
-            len(other.crashes.keys() & crashes) >= UNPROVEN_CRASHES
-            for name, other in self.evidence.items()
-            if name not in self.quarantined
-        )
-
     def _make_room(self) -> None:
-        """Drop the evidence that was asked for least recently, if there is no room."""
+        """Drop the evidence with the oldest last crash, if there is no room."""
         if len(self.evidence) < MAX_SUSPECTS:
             return
         others = self.evidence.keys() - self.quarantined or self.evidence.keys()
-        del self.evidence[min(others, key=lambda p: (self.evidence[p].asked_s, p))]
+        del self.evidence[min(others, key=lambda p: (self.evidence[p].crashed_s, p))]
 
     def _explained(self) -> set[CrashId]:
         """Return the crashes that quarantined parts explain."""
--- a/src/tanagerturn/serving/quarantine/repeats.py
+++ b/src/tanagerturn/serving/quarantine/repeats.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
@@ -18,6 +17,16 @@
     CrashId,
     Fingerprint,
 )
+from tanagerturn.serving.quarantine.trials import (
+    MAX_EARLY_TRIALS,
+    PAUSE_S,
+    TURN_S,
+    CrashLog,
+    early_delay_s,
+    is_held,
+    last_trial_s,
+    pause_s,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -29,33 +38,11 @@
 QUARANTINE_CRASHES: Final = 3
 """Number of crashes from which a request is quarantined."""
 
-EARLY_TRIAL_DELAY_S: Final = 2.0
-"""Time in seconds without a crash or trial from which an attempt of a request that may
-be innocent is let through; doubled after a trial that ended in a crash."""
-
-MAX_EARLY_TRIALS: Final = 2
-"""Number of crashed trials from which a request is tried after long pauses only."""
-
-TRIAL_PAUSE_S: Final = 60.0
-"""Time in seconds after the last crash or trial from which an attempt of any other
-quarantined request is let through; doubled after each trial that ended in a crash."""
-
-MAX_TRIAL_PAUSE_S: Final = 300.0
-"""Upper bound of the time between two trials in seconds."""
-
 TRIAL_GAP_S: Final = 0.5
 """Time in seconds between trials of different requests. A trial that crashes a backend
 server should not take another one with it; one that runs well is over by then, and
 counts no more."""
 
-TRIAL_TURN_S: Final = 0.25
-"""Time in seconds after which another gateway may let an attempt through too; the first
-one has informed its peers by then."""
-
-OTHER_CAUSE_S: Final = 10.0
-"""Time in seconds before the first and after the last crash of a request, within which
-crashes without it speak for another cause."""
-
 EVIDENCE_MAX_AGE_S: Final = 600.0
 """Time in seconds after the last crash at which the evidence against a request is
 dropped."""
@@ -71,9 +58,6 @@
 """Number of requests that keep their evidence when there are too many: those at most
 crashes, the latest first."""
 
-MAX_KNOWN_CRASHES: Final = 256
-"""Maximum number of crashes whose times are kept."""
-
 UPDATE_INTERVAL_S: Final = 1.0
 """Interval in seconds at which old evidence is dropped."""
 
@@ -82,13 +66,6 @@
 class RepeatEvidence(CrashEvidence):
     """Crashes of backend servers that were working on attempts of one request."""
 
-    crashed_trials: int = 0
-    """Number of attempts that were let through in spite of the quarantine and ended in
-    a crash."""
-    tried_s: float | None = None
-    """Monotonic time in seconds of the last attempt that was let through; None if there
-    was none."""
-
     @property
     def has_many_crashes(self) -> bool:
         """Whether attempts are rejected unless another request explains the crashes."""
@@ -96,16 +73,19 @@
 
 
 class RepeatQuarantine:
-    """Evidence of all suspected requests at one gateway."""
+    """Evidence of all suspected requests at one gateway.
+
+    Args:
+        crash_log: All known crashes; None for an empty log of its own.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, crash_log: CrashLog | None = None) -> None:
         self.evidence: dict[Fingerprint, RepeatEvidence] = {}
         """Evidence by request; empty while no backend server crashes."""
         self.urgent: set[Fingerprint] = set()
         """Requests with a change that peers have to learn of immediately."""
-        self.crashes_s: OrderedDict[CrashId, float] = OrderedDict()
-        """Monotonic time in seconds of each known crash, also of those that no suspect
-        is left of; the latest known is last."""
+        self.crash_log = crash_log or CrashLog()
+        """All known crashes, also those that no suspect is left of."""
         self.next_update_s = 0.0
         """Monotonic time in seconds at which old evidence is dropped next."""
         self._explained: frozenset[CrashId] | None = frozenset()
@@ -199,18 +179,7 @@
             for other, evidence in self.evidence.items()
             if other != fingerprint
         )
-        return has_rival or 2 * len(self._others(suspect)) >= len(suspect.crashes)
-
-    def _others(self, suspect: RepeatEvidence) -> dict[CrashId, float]:
-        """Return crashes without a request, and their times in seconds."""
-        times_s = [crash.seen_s for crash in suspect.crashes.values()]
-        earliest_s = min(times_s) - OTHER_CAUSE_S
-        latest_s = max(times_s) + OTHER_CAUSE_S
-        return {
-            crash: seen_s
-            for crash, seen_s in self.crashes_s.items()
-            if crash not in suspect.crashes and earliest_s <= seen_s <= latest_s
-        }
+        return has_rival or self.crash_log.has_other_cause(suspect)
 
     def trial_due_s(self, fingerprint: Fingerprint) -> float:
         """Return the monotonic time in seconds of the next trial of a request."""
@@ -219,22 +188,18 @@
             return 0.0
         last_crash_s = evidence.last_crash_s()
         since_s = max(last_crash_s, evidence.tried_s or 0.0)
-        crashed_trials = evidence.crashed_trials
         if self._is_tried_early(fingerprint, last_crash_s):
             # A trial while backend servers crash for another reason shows nothing.
-            any_crash_s = max(self.crashes_s.values(), default=0.0)
-            delay_s = EARLY_TRIAL_DELAY_S * 2.0**crashed_trials
-            quiet_s = max(since_s, any_crash_s) + delay_s
-            return min(quiet_s, since_s + TRIAL_PAUSE_S)
-        pause_s = TRIAL_PAUSE_S * 2.0 ** max(0, crashed_trials - 1)
-        return since_s + min(pause_s, MAX_TRIAL_PAUSE_S)
+            quiet_s = max(since_s, self.crash_log.last_s()) + early_delay_s(evidence)
+            return min(quiet_s, since_s + PAUSE_S)
+        return since_s + pause_s(evidence)
 
     def _is_tried_early(self, fingerprint: Fingerprint, last_crash_s: float) -> bool:
         evidence = self.evidence[fingerprint]
         if not evidence.crashed_trials:
             return self.may_be_innocent(fingerprint)
         # The cause of a first crashed trial may have been another one as well.
-        others_s = self._others(evidence).values()
+        others_s = self.crash_log.others(evidence).values()
         return (
             evidence.crashed_trials < MAX_EARLY_TRIALS
             and max(others_s, default=0.0) > last_crash_s
@@ -249,19 +214,24 @@
                 the request; each may let one through some time after the one before.
             now_s: Monotonic time in seconds.
         """
-        if now_s < self.trial_due_s(fingerprint) + TRIAL_TURN_S * turn:
+        if now_s < self.trial_due_s(fingerprint) + TURN_S * turn:
             return False
-        if now_s < self._last_trial_s() + TRIAL_GAP_S:
+        last_s = last_trial_s(self.evidence.values())
+        if last_s is not None and now_s < last_s + TRIAL_GAP_S:
             return False
         evidence = self.evidence[fingerprint]
-        evidence.tried_s = evidence.changed_s = now_s
+        if is_held(evidence, now_s):
+            return False
+        evidence.admitted_s = evidence.changed_s = now_s
         self.urgent.add(fingerprint)
         return True
 
-    def _last_trial_s(self) -> float:
-        """Return the time in seconds of the last trial that showed no good run."""
-        tried_s = (e.tried_s for e in self.evidence.values() if e.crashes)
-        return max((at_s for at_s in tried_s if at_s is not None), default=-TRIAL_GAP_S)
+    def on_tried(self, fingerprint: Fingerprint, now_s: float) -> None:
+        """Record that an attempt that was let through was sent to a backend server."""
+        evidence = self.evidence.get(fingerprint)
+        if evidence is not None:
+            evidence.tried_s = evidence.changed_s = now_s
+            self.urgent.add(fingerprint)
 
     def on_crash(
         self, crash: CrashId, fingerprint: Fingerprint, now_s: float, *, is_trial: bool
@@ -274,7 +244,7 @@
             now_s: Monotonic time in seconds.
             is_trial: The attempt was let through in spite of the quarantine.
         """
-        self._remember_crash(crash, now_s)
+        self.crash_log.remember(crash, now_s)
         evidence = self._evidence(fingerprint, now_s, now_s)
         is_crashed_trial = is_trial and evidence.has_many_crashes
         evidence.crashed_trials += is_crashed_trial
@@ -318,11 +288,11 @@
             reported: Evidence of the peer, in this gateway's monotonic time.
             now_s: Monotonic time in seconds.
         """
-        if now_s - reported.asked_s >= EVIDENCE_MAX_AGE_S:
+        if now_s - reported.crashed_s >= EVIDENCE_MAX_AGE_S:
             return
         for crash, seen in reported.crashes.items():
-            self._remember_crash(crash, seen.seen_s)
-        evidence = self._evidence(fingerprint, reported.asked_s, now_s)
+            self.crash_log.remember(crash, seen.seen_s)
+        evidence = self._evidence(fingerprint, reported.crashed_s, now_s)
         is_cleared = evidence.clear(list(reported.cleared))
         has_crashed = evidence.add_crashes(reported.crashes)
         if (
@@ -331,10 +301,8 @@
             or reported.crashed_trials > evidence.crashed_trials
         ):
             self._explained = None
-        evidence.crashed_trials = max(evidence.crashed_trials, reported.crashed_trials)
-        evidence.asked_s = max(evidence.asked_s, reported.asked_s)
-        if reported.tried_s is not None:
-            evidence.tried_s = max(evidence.tried_s or 0.0, reported.tried_s)
+        evidence.merge_trials(reported)
+        evidence.crashed_s = max(evidence.crashed_s, reported.crashed_s)
         if is_cleared or has_crashed:
             evidence.changed_s = now_s
 
@@ -345,7 +313,7 @@
         self.next_update_s = now_s + UPDATE_INTERVAL_S
         for fingerprint, evidence in list(self.evidence.items()):
             is_idle = now_s - evidence.changed_s >= CLEARED_MAX_AGE_S
-            is_old = now_s - evidence.asked_s >= EVIDENCE_MAX_AGE_S
+            is_old = now_s - evidence.crashed_s >= EVIDENCE_MAX_AGE_S
             if is_old or (is_idle and not evidence.crashes):
                 del self.evidence[fingerprint]
                 self._explained = None
@@ -366,24 +334,19 @@
 
         return sorted(fingerprints, key=rank)
 
-    def _remember_crash(self, crash: CrashId, seen_s: float) -> None:
-        self.crashes_s.setdefault(crash, seen_s)
-        if len(self.crashes_s) > MAX_KNOWN_CRASHES:
-            self.crashes_s.popitem(last=False)
-
     def _evidence(
-        self, fingerprint: Fingerprint, asked_s: float, now_s: float
+        self, fingerprint: Fingerprint, crashed_s: float, now_s: float
     ) -> RepeatEvidence:
         evidence = self.evidence.get(fingerprint)
         if evidence is None:
             if len(self.evidence) >= MAX_SUSPECTS:
                 self._make_room()
-            evidence = self.evidence[fingerprint] = RepeatEvidence(asked_s, now_s)
+            evidence = self.evidence[fingerprint] = RepeatEvidence(crashed_s, now_s)
         return evidence
 
     def _make_room(self) -> None:
         def rank(item: tuple[Fingerprint, RepeatEvidence]) -> tuple[int, float]:
-            return len(item[1].crashes), item[1].asked_s
+            return len(item[1].crashes), item[1].crashed_s
 
         kept = sorted(self.evidence.items(), key=rank, reverse=True)
         self.evidence = dict(kept[:KEPT_SUSPECTS])
--- a/tests/gateway/quarantine/quarantine.feature
+++ b/tests/gateway/quarantine/quarantine.feature
@@ -28,3 +28,15 @@
     Given 4 gateways and 6 engines that crash under one part
     When requests with the part arrive one by one until two engines have crashed
     Then the next request with the part reaches one engine and is not answered completely
+
+  # Guards against a service that stays down after its engines are back: a part that all
+  # prompts share was at each crash, and nothing cleared it.
+  Scenario Outline: A part of all prompts, <state>, is served once the engines are back after <down> s
+    Given 6 gateways and 4 engines without a crashing part
+    When <state>, and all engines end within 1.2 s and are back after <down> s
+    Then from 3 s after the first engine is back at least 0.99 of the requests begin
+
+    Examples:
+      | state                     | down |
+      | nothing has run yet       | 5    |
+      | requests ran well before  | 8    |
--- a/tests/gateway/quarantine/steps/quarantine_steps.py
+++ b/tests/gateway/quarantine/steps/quarantine_steps.py
@@ -14,6 +14,7 @@
 
 SOUND_PER_S = 12.0
 BAD_PER_S = 4.0
+OUTAGE_SOUND_PER_S = 20.0
 
 
 def run(context, coroutine):
@@ -157,3 +158,40 @@
     # The first event reaches the caller before the engine crashes.
     assert answer.status == 502 or not answer.is_whole, answer
     assert len(fleet.bad_arrivals_s) == arrivals + 1, fleet.bad_arrivals_s
+
+
+@given("{gateways:d} gateways and {engines:d} engines without a crashing part")
+def sound_fleet(context, gateways, engines):
+    fleet_started(context, gateways, engines)
+
+
+@when("{state}, and all engines end within 1.2 s and are back after {down_s:g} s")
+def engines_end(context, state, down_s):
+    fleet = context.fleet
+    fleet.restart_s = down_s
+
+    async def end_all():
+        if state == "requests ran well before":
+            await fleet.load(0.0, OUTAGE_SOUND_PER_S, 2.0)
+        fleet.first_event_s = 2.0
+        load = asyncio.create_task(fleet.load(0.0, OUTAGE_SOUND_PER_S, down_s + 8.0))
+        await asyncio.sleep(1.0)
+        context.first_back_s = boot_s() + down_s
+        for engine in fleet.engines:
+            engine.crash()
+            await asyncio.sleep(0.4)
+        fleet.first_event_s = 0.0
+        await load
+        context.end_s = boot_s()
+        await asyncio.sleep(1.0)
+
+    run(context, end_all())
+
+
+@then(
+    "from {after_s:g} s after the first engine is back at least {share:g} of the "
+    "requests begin"
+)
+def requests_begin(context, after_s, share):
+    begun = context.fleet.begun_share(context.first_back_s + after_s, context.end_s)
+    assert begun >= share, f"{begun:.3f}"
--- a/tests/support/engine_fleet.py
+++ b/tests/support/engine_fleet.py
@@ -178,6 +178,7 @@
             f"{self._limit_header()}"
             "Transfer-Encoding: chunked\r\n\r\n".encode()
         )
+        await asyncio.sleep(self.fleet.first_event_s)
         last = self.fleet.event_count
         for number in range(int(headers.get("last-event-id", "0")) + 1, last + 1):
             data = f"id: {number}\ndata: {self.event_text(number)}\n\n"
@@ -249,6 +250,8 @@
         self.cluster = Cluster(3, gateways - 3)
         self.fields = FIELDS
         """Fields of the manifest."""
+        self.first_event_s = 0.0
+        """Time in seconds until an engine writes the first event of a stream."""
         self.restart_s = RESTART_S
         """Time in seconds after which a crashed engine is back."""
         self.event_count = EVENTS
--- a/tests/support/repeat_network.py
+++ b/tests/support/repeat_network.py
@@ -132,6 +132,8 @@
         if attempt.is_bad:
             ran_s = self.now_s - self.started_s[attempt.gateway]
             self.arrivals.append((attempt.fingerprint, self.now_s, ran_s))
+        if attempt.is_trial:
+            self.nodes[attempt.gateway].on_tried(attempt.fingerprint, self.now_s)
         attempt.tries_left -= 1
         attempt.ends_s = self.now_s + self.random.uniform(0.05, 0.12)
         engine.attempts.append(attempt)
