Keep the departure of a backend server that announces itself as ready later

Cause: a backend server that stated its departure in a response only, or whose later announcement says that it is ready, was a leaving one at the gateways that knew, but its last announcement, which is all that a gateway gets that starts or missed the news, did not say so: that one sent requests to it, and the registries differed for good. Change: a later announcement of the same start is taken with the departure. The scenario failed before: the announcement counted as a change, and another view had the engine as a candidate.

--- a/src/tanagerturn/serving/backends/backend.py
+++ b/src/tanagerturn/serving/backends/backend.py
@@ -98,6 +98,27 @@
             load = announcement.load
             self.record_load(load.running, load.waiting)
 
+    def with_departure(
+        self, announcement: serving_pb2.Announcement, now_ms: int
+    ) -> serving_pb2.Announcement:
+        """Return an announcement of this incarnation that also states its departure.
+
+        A backend server may state it in a response only, or announce itself as ready
+        later, while others learn of it only from its last announcement.
+
+        Args:
+            announcement: An announcement of the same incarnation.
+            now_ms: Time in milliseconds at which it was received.
+        """
+        if not self.leaving or announcement.leaving:
+            return announcement
+        leaving = serving_pb2.Announcement()
+        leaving.CopyFrom(announcement)
+        leaving.leaving = True
+        if self.stops_at_ms is not None:
+            leaving.leaving_in_ms = max(0, self.stops_at_ms - now_ms)
+        return leaving
+
     def record_heartbeat(self, now_ms: int) -> None:
         """Record that a message of the backend server was received.
 
--- a/src/tanagerturn/serving/backends/view.py
+++ b/src/tanagerturn/serving/backends/view.py
@@ -333,6 +333,7 @@
         backend_id = BackendId(announcement.id)
         known = self.backends.get(backend_id)
         if known is not None and known.incarnation == announcement.incarnation:
+            announcement = known.with_departure(announcement, now_ms)
             changed = _eligibility_differs(known.announcement, announcement)
             self._assign_address(backend_id, known.address, announcement.address)
             known.update(announcement, now_ms)
--- a/tests/serving/backends/steps/view_steps.py
+++ b/tests/serving/backends/steps/view_steps.py
@@ -90,6 +90,27 @@
     assert not context.view.backends["a-1"].leaving
 
 
+@when('engine "{name}" announces itself as ready {later_s:g} s later')
+def announces_ready(context, name, later_s):
+    context.now_ms += round(1000 * later_s)
+    context.accepted = announce(context, name, sequence=9).ok
+    assert context.accepted.applied
+
+
+@then("the later announcement has changed nothing that others need to know")
+def nothing_changed(context):
+    assert not context.accepted.eligibility_changed
+
+
+@then('a view that gets the last announcements only has the candidates "{remaining}"')
+def other_view_candidates(context, remaining):
+    view = make_backend_view()
+    for backend in context.view.backends.values():
+        assert view.on_announcement(backend.announcement, context.now_ms).ok.applied
+    found = view.candidates("draft", "m", now_ms=context.now_ms)
+    assert joined_ids(found) == remaining, joined_ids(found)
+
+
 @when('the engine "{name}" restarts')
 def engine_restarts(context, name):
     view = context.view
--- a/tests/serving/backends/view.feature
+++ b/tests/serving/backends/view.feature
@@ -36,6 +36,16 @@
       | a reclaim notice names "a-1"         | a-2,b-1   |
       | a reclaim notice names "a"           | b-1       |
 
+  # Guards against a departure that is lost when the engine announces itself once more: a
+  # view that only gets the last announcement sent requests to it.
+  Scenario: A leaving engine that announces itself as ready stays a leaving one everywhere
+    Given a view with engines "a-1,b-1"
+    When engine "a-1" announces its departure
+    And engine "a-1" announces itself as ready 0.5 s later
+    Then the candidates are "b-1"
+    And the later announcement has changed nothing that others need to know
+    And a view that gets the last announcements only has the candidates "b-1"
+
   Scenario: An engine that starts after the reclaim time of its zone is a candidate
     Given a view with engines "a-1,b-1"
     When a reclaim notice names "a"
