Recognize late announcements of backend servers that have left

Cause: a backend server that left was forgotten once it was silent, and a delayed announcement of the same start made it a candidate again. Found by reading. Change: the view remembers the last 1,000 departed starts. The scenario failed before: the engine was a candidate.

--- a/src/tanagerturn/serving/backends/view.py
+++ b/src/tanagerturn/serving/backends/view.py
@@ -42,6 +42,9 @@
 NOTICE_RETENTION_MS: Final = 120_000
 """Milliseconds for which a notice is retained after its reclaim time."""
 
+MAX_DEPARTED: Final = 1_000
+"""Number of departed backend servers whose late announcements are recognized."""
+
 MAX_CACHED_POOLS: Final = 1_000
 """Maximum number of cached pools; all are removed before one more is cached."""
 
@@ -75,6 +78,7 @@
         """Failures and ejections of backend servers."""
         self._by_address: dict[str, BackendId] = {}
         self._retired: dict[BackendId, list[str]] = {}
+        self._departed: dict[tuple[BackendId, str], None] = {}
         self._pools: dict[PoolKey, list[Backend]] = {}
 
     def __repr__(self) -> str:
@@ -344,7 +348,11 @@
             self._retire(known)
             self._remove(backend_id)
         self._assign_address(backend_id, "", announcement.address)
-        self.backends[backend_id] = Backend(announcement, now_ms)
+        backend = self.backends[backend_id] = Backend(announcement, now_ms)
+        if (backend_id, backend.incarnation) in self._departed:
+            # A late announcement of a process start that is about to stop, or has.
+            backend.leaving = True
+            backend.announcement = backend.with_departure(announcement, now_ms)
         self._pools.clear()
         return True
 
@@ -375,6 +383,10 @@
             return
         if self._by_address.get(backend.address) == backend_id:
             del self._by_address[backend.address]
+        if backend.leaving:
+            self._departed[backend_id, backend.incarnation] = None
+            if len(self._departed) > MAX_DEPARTED:
+                del self._departed[next(iter(self._departed))]
         self.cache.forget(backend_id)
         self.outliers.forget(backend_id)
         self._pools.clear()
--- a/tests/serving/backends/steps/view_steps.py
+++ b/tests/serving/backends/steps/view_steps.py
@@ -111,6 +111,16 @@
     assert joined_ids(found) == remaining, joined_ids(found)
 
 
+@when('the view forgets "{name}"')
+def view_forgets(context, name):
+    context.view.forget(name)
+
+
+@when('the engine "{name}" starts anew')
+def starts_anew(context, name):
+    assert announce(context, name, incarnation="second", sequence=1).ok.applied
+
+
 @when('the engine "{name}" restarts')
 def engine_restarts(context, name):
     view = context.view
--- a/tests/serving/backends/view.feature
+++ b/tests/serving/backends/view.feature
@@ -46,6 +46,17 @@
     And the later announcement has changed nothing that others need to know
     And a view that gets the last announcements only has the candidates "b-1"
 
+  # Guards against requests to a departed engine whose last announcement was delayed.
+  Scenario: A late announcement of an engine that has left makes it no candidate
+    Given a view with engines "a-1,b-1"
+    When engine "a-1" announces its departure
+    And the view forgets "a-1"
+    And engine "a-1" announces itself as ready 9 s later
+    And engine "b-1" announces itself as ready 0 s later
+    Then the candidates are "b-1"
+    When the engine "a-1" starts anew
+    Then the candidates are "a-1,b-1"
+
   Scenario: An engine that starts after the reclaim time of its zone is a candidate
     Given a view with engines "a-1,b-1"
     When a reclaim notice names "a"
