--- a/tests/platform/platform.feature
+++ b/tests/platform/platform.feature
@@ -83,3 +83,8 @@
     Then the fleet holds only the later start, at its address
     When an engine that started earlier announces the same address
     Then the fleet holds only the later start, at its address
+
+  # Guards against a response header that the platform adds and no gateway reads.
+  Scenario: The reference page lists each response header, and the decoder agrees with it
+    Then each header of docs/reference/response-headers.md changes the field it states
+    And the decoder of responses reads no other header
--- a/tests/platform/steps/platform_steps.py
+++ b/tests/platform/steps/platform_steps.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import copy
+import inspect
+import re
+from dataclasses import asdict
+from pathlib import Path
 
 import orjson
 from behave import given, then, when
@@ -331,3 +335,35 @@
 @then("its request limit is {limit:g}")
 def request_limit(context, limit):
     assert context.reply.limit_per_s == limit, context.reply
+
+
+HEADERS_PAGE = Path(__file__).parents[3] / "docs/reference/response-headers.md"
+
+
+def documented_headers():
+    """Return name, example value and decoded field of each header on the page."""
+    rows = [
+        [cell.strip() for cell in line.strip("|").split("|")]
+        for line in HEADERS_PAGE.read_text(encoding="utf-8").splitlines()
+        if line.startswith("| ")
+    ]
+    return [(name, value, field) for name, value, field, _ in rows[2:]]
+
+
+@then("each header of docs/reference/response-headers.md changes the field it states")
+def headers_change_fields(context):
+    without = asdict(requests.decode_reply(503, []))
+    documented = documented_headers()
+    assert len(documented) >= 15, documented
+    for name, value, field in documented:
+        reply = asdict(requests.decode_reply(503, [(name.encode(), value.encode())]))
+        changed = {key for key in reply if reply[key] != without[key]}
+        assert changed == ({field} - {"-"}), (name, changed)
+
+
+@then("the decoder of responses reads no other header")
+def no_other_header(context):
+    source = inspect.getsource(requests.decode_reply)
+    read = set(re.findall(r'b"([a-z-]+)"', source))
+    decoded = {n.lower() for n, _, field in documented_headers() if field != "-"}
+    assert read == decoded, read ^ decoded
