Try parts later while engines run that did not crash under them

Where engines still run that were there before the first crash, good runs there would have cleared an innocent part, so trials are less urgent, and each costs an engine. Change: the first two trials come after 10 and 20 s then, instead of 2 and 4 s; the start of an engine is its own statement, since a restarted gateway has not seen it.

--- a/src/tanagerturn/gateway/intake.py
+++ b/src/tanagerturn/gateway/intake.py
@@ -16,7 +16,7 @@
 from tanagerturn.gateway.fingerprints import fingerprint_of, fingerprint_text
 from tanagerturn.gateway.limits import Unverified
 from tanagerturn.gateway.logs import component_log
-from tanagerturn.gateway.quarantine import shared_parts
+from tanagerturn.gateway.quarantine import crash_id, shared_parts
 from tanagerturn.gateway.repeats import trial_turn
 from tanagerturn.gateway.request_run import Refusal, RequestRun, earlier_wait_s
 from tanagerturn.gateway.stream_origins import apply_origins, ask_peers
@@ -244,8 +244,9 @@
         part = state.quarantine.find(parts)
         if part is None:
             return False
+        oldest_start_s = self._oldest_start_s(route, now_s)
         if self._has_backend(route, now_s) and state.quarantine.try_again(
-            parts, self._trial_turn(part), now_s
+            parts, self._trial_turn(part), now_s, oldest_start_s
         ):
             log.info("part_tried", request=request.attempt_id, prompt_part=part)
             return True
@@ -264,9 +265,28 @@
             for backend in fleet.candidates(target.service, (), now_s)
         )
 
+    def _oldest_start_s(self, route: Route, now_s: float) -> float:
+        """Return when the backend server started that has run for the longest time.
+
+        Boot-clock time in seconds; the present one if the route has no live one. One
+        that is known to have crashed may count as alive until its announcements are
+        missed.
+        """
+        state = self.state
+        wall_s = state.wall_clock.read(now_s)
+        starts_s = [
+            backend.started_s(now_s, wall_s)
+            for target in route.targets
+            for backend in state.fleet.view.pool(target.service)
+            if backend.is_alive(to_ms(now_s))
+            and crash_id(backend) not in state.crash_log.seen_s
+        ]
+        return min(starts_s, default=now_s)
+
     def _part_refusal(self, part: PartId, route: Route, now_s: float) -> Refusal:
         self.state.quarantine_share.on_rejected(route.targets[0].service)
-        due_s = self.state.quarantine.trial_due_s(part)
+        oldest_start_s = self._oldest_start_s(route, now_s)
+        due_s = self.state.quarantine.trial_due_s(part, oldest_start_s)
         cause = f"prompt part {part} crashed engines and is quarantined"
         return Refusal(503, cause, _quarantine_retry_s(due_s, now_s))
 
--- a/src/tanagerturn/serving/backends/backend.py
+++ b/src/tanagerturn/serving/backends/backend.py
@@ -98,6 +98,20 @@
             load = announcement.load
             self.record_load(load.running, load.waiting)
 
+    def started_s(self, now_s: float, wall_s: float) -> float:
+        """Return when the process started, by its own statement if it makes one.
+
+        Args:
+            now_s: Present time in seconds, on the clock of `now_ms`.
+            wall_s: Present wall-clock time in seconds.
+
+        Returns:
+            Time in seconds on the clock of `now_ms`.
+        """
+        if not self.announcement.born_ms:
+            return self.first_seen_ms / 1000
+        return now_s - (wall_s - self.announcement.born_ms / 1000)
+
     def with_departure(
         self, announcement: serving_pb2.Announcement, now_ms: int
     ) -> serving_pb2.Announcement:
--- a/src/tanagerturn/serving/quarantine/evidence.py
+++ b/src/tanagerturn/serving/quarantine/evidence.py
@@ -104,6 +104,10 @@
         self.admitted_s = _latest_s(self.admitted_s, reported.admitted_s)
         self.tried_s = _latest_s(self.tried_s, reported.tried_s)
 
+    def first_crash_s(self) -> float:
+        """Return the monotonic time in seconds of the first uncleared crash."""
+        return min(crash.seen_s for crash in self.crashes.values())
+
     def last_crash_s(self) -> float:
         """Return the monotonic time in seconds of the last uncleared crash."""
         return max(crash.seen_s for crash in self.crashes.values())
--- a/src/tanagerturn/serving/quarantine/quarantine.py
+++ b/src/tanagerturn/serving/quarantine/quarantine.py
@@ -21,6 +21,7 @@
 from tanagerturn.serving.quarantine.trials import (
     EARLY_DELAY_S,
     MAX_EARLY_TRIALS,
+    SURVIVOR_DELAY_S,
     TURN_S,
     CrashLog,
     early_delay_s,
@@ -112,7 +113,9 @@
             return None
         return next((part for part in parts if part in self.quarantined), None)
 
-    def try_again(self, parts: Sequence[PartId], turn: int, now_s: float) -> bool:
+    def try_again(
+        self, parts: Sequence[PartId], turn: int, now_s: float, oldest_start_s: float
+    ) -> bool:
         """Return whether to let a request through in spite of its quarantined parts.
 
         Args:
@@ -120,10 +123,12 @@
             turn: Position of this gateway in an order of all gateways that depends on
                 the part; each may let one through some time after the one before.
             now_s: Monotonic time in seconds.
+            oldest_start_s: Monotonic time in seconds at which the engine started that
+                has run for the longest time, of those that may get the request.
         """
         tried = [p for p in parts if p in self.quarantined and p in self.evidence]
         for part in tried:
-            due_s = self.trial_due_s(part) + TURN_S * turn
+            due_s = self.trial_due_s(part, oldest_start_s) + TURN_S * turn
             if now_s < due_s or is_held(self.evidence[part], now_s):
                 return False
             if self._has_other_suspect(part, parts):
@@ -145,8 +150,13 @@
                 evidence.tried_s = evidence.changed_s = now_s
                 self.urgent.add(part)
 
-    def trial_due_s(self, part: PartId) -> float:
-        """Return the monotonic time in seconds of the next trial of a part."""
+    def trial_due_s(self, part: PartId, oldest_start_s: float) -> float:
+        """Return the monotonic time in seconds of the next trial of a part.
+
+        Args:
+            part: A quarantined part.
+            oldest_start_s: As for `try_again`.
+        """
         evidence = self.evidence.get(part)
         if evidence is None or not evidence.crashes:
             # Cleared since the last decision.
@@ -154,9 +164,11 @@
         since_s = max(evidence.last_crash_s(), evidence.tried_s or 0.0)
         if self.crash_log.goes_on_without(evidence):
             return since_s + EARLY_DELAY_S
-        if evidence.crashed_trials < MAX_EARLY_TRIALS:
-            return since_s + early_delay_s(evidence)
-        return since_s + pause_s(evidence)
+        if evidence.crashed_trials >= MAX_EARLY_TRIALS:
+            return since_s + pause_s(evidence)
+        has_survivor = oldest_start_s < evidence.first_crash_s()
+        first_s = SURVIVOR_DELAY_S if has_survivor else EARLY_DELAY_S
+        return since_s + early_delay_s(evidence, first_s)
 
     def _has_other_suspect(self, part: PartId, parts: Iterable[PartId]) -> bool:
         """Return whether another part of a prompt was at crashes without this one."""
--- a/src/tanagerturn/serving/quarantine/trials.py
+++ b/src/tanagerturn/serving/quarantine/trials.py
@@ -19,6 +19,10 @@
 """Time in seconds without a crash or trial from which something that may be innocent is
 tried; doubled after a trial that ended in a crash."""
 
+SURVIVOR_DELAY_S: Final = 10.0
+"""The same while an engine runs that was there before the first crash: what is innocent
+is usually cleared by good runs at such engines."""
+
 MAX_EARLY_TRIALS: Final = 2
 """Number of crashed trials from which something is tried after long pauses only."""
 
@@ -99,9 +103,14 @@
         return 2 * len(self.others(suspect)) >= len(suspect.crashes)
 
 
-def early_delay_s(suspect: CrashEvidence) -> float:
-    """Return the time in seconds before an early trial of a suspect."""
-    return EARLY_DELAY_S * 2.0**suspect.crashed_trials
+def early_delay_s(suspect: CrashEvidence, first_s: float = EARLY_DELAY_S) -> float:
+    """Return the time in seconds before an early trial of a suspect.
+
+    Args:
+        suspect: Evidence against the suspect.
+        first_s: Time in seconds before the first such trial.
+    """
+    return first_s * 2.0**suspect.crashed_trials
 
 
 def pause_s(suspect: CrashEvidence) -> float:
--- a/tests/serving/quarantine/quarantine.feature
+++ b/tests/serving/quarantine/quarantine.feature
@@ -53,6 +53,12 @@
     Then at 4.0 s the quarantined parts are "bad0"
     And at 5,9,129,369 s until 600 s part "bad0" is tried, if each trial crashes
 
+  Scenario: A part is tried later while engines run that did not crash
+    Given requests with parts "f0,m1" ran well at 0.1 s
+    And requests with parts "f0,bad0" crashed engines at 1,2,3 s
+    Then at 4.0 s the quarantined parts are "bad0"
+    And beside an engine that did not crash part "bad0" is tried at 13,33,153,393 s until 600 s, if each trial crashes
+
   Scenario: A trial that reaches no engine does not count
     Given requests with parts "m1" crashed engines at 1,2,3 s
     Then at 4.0 s the quarantined parts are "m1"
