Spend less processor time on digests of peers and on the registry's hash

Each digest visited every known backend server, each hash of the registry formatted all entries anew, and silent backend servers were looked for ten times a second. Change: a digest visits the backend servers that it or the one before it names; hashes of entries are kept; twice a second.

--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -44,6 +44,9 @@
 server is forgotten. Until then it gets requests when no other one is available: a
 backend server that can't reach the control listener may still serve."""
 
+EXPIRY_INTERVAL_S: Final = 0.5
+"""Interval in seconds at which silent backend servers are looked for."""
+
 SENT_PART_DIGESTS: Final = 2
 """Number of digests that report each sent prompt part; a datagram may get lost."""
 
@@ -69,6 +72,13 @@
         the backend server itself, in seconds."""
         self.id_by_hash: dict[int, BackendId] = {}
         """Backend server ids by their hash, which stands for them in digests."""
+        self.worked_at: dict[str, frozenset[BackendId]] = {}
+        """Backend servers in the latest digest of each peer gateway; most peers report
+        a few only."""
+        self.next_expiry_s = 0.0
+        """Boot-clock time in seconds at which silent backend servers are looked for."""
+        self.entry_hashes: dict[BackendId, tuple[tuple[int, str, bool], int]] = {}
+        """Hash of each backend server in the registry, and what it was computed of."""
         self.reported_parts: list[tuple[gpb.SentPart, int]] = []
         """Sent prompt parts to report to peers, each with the number of digests that
         still have to report it."""
@@ -194,12 +204,19 @@
                 peer's requests there.
             now_s: Current boot-clock time in seconds.
         """
-        reported = {self.id_by_hash.get(number): each for number, each in work}
-        for backend_id, state in self.states.items():
-            if backend_id in reported:
-                state.peer_work[gateway] = (reported[backend_id], now_s)
-            else:
-                state.peer_work.pop(gateway, None)
+        previous = self.worked_at.get(gateway, frozenset())
+        reported: dict[BackendId, Work] = {}
+        for number, each in work:
+            backend_id = self.id_by_hash.get(number)
+            if backend_id is not None:
+                reported[backend_id] = each
+        for backend_id in previous - reported.keys():
+            if backend_id in self.states:
+                self.states[backend_id].peer_work.pop(gateway, None)
+        for backend_id, each in reported.items():
+            if backend_id in self.states:
+                self.states[backend_id].peer_work[gateway] = (each, now_s)
+        self.worked_at[gateway] = frozenset(reported)
 
     def on_forwarded(
         self,
@@ -333,6 +350,9 @@
 
     def expire(self, now_s: float) -> None:
         """Forget backend servers that were silent for more than `SILENT_MAX_AGE_S`."""
+        if now_s < self.next_expiry_s:
+            return
+        self.next_expiry_s = now_s + EXPIRY_INTERVAL_S
         for backend in list(self.view.backends.values()):
             last_seen_s = max(
                 backend.last_heard_ms / 1000, self.state(backend.id).last_success_s
@@ -342,6 +362,7 @@
                 self.states.pop(backend.id, None)
                 self.directly_heard_s.pop(backend.id, None)
                 self.id_by_hash.pop(backend_hash(backend.id), None)
+                self.entry_hashes.pop(backend.id, None)
 
     def state(self, backend_id: BackendId) -> BackendState:
         """Return the state of a backend server; an empty one is added if missing."""
@@ -389,18 +410,23 @@
         The hash is equal at gateways that know the same id, start, address and leaving
         state of each.
         """
-        total = 0
+        total, now_ms = 0, to_ms(now_s)
         for backend in self.view.backends.values():
-            if not backend.is_alive(to_ms(now_s)):
-                continue
-            announced = backend.announcement
-            text = (
-                f"{announced.id}|{announced.born_ms}|{announced.address}|"
-                f"{backend.leaving}"
-            )
-            total ^= xxhash.xxh64_intdigest(text.encode())
+            if backend.is_alive(now_ms):
+                total ^= self._entry_hash(backend)
         return total
 
+    def _entry_hash(self, backend: Backend) -> int:
+        announced = backend.announcement
+        key = (announced.born_ms, announced.address, backend.leaving)
+        known = self.entry_hashes.get(backend.id)
+        if known is not None and known[0] == key:
+            return known[1]
+        text = "|".join((announced.id, *map(str, key)))
+        entry_hash = xxhash.xxh64_intdigest(text.encode())
+        self.entry_hashes[backend.id] = key, entry_hash
+        return entry_hash
+
     def backend_updates(self, now_s: float) -> gpb.BackendNews:
         """Return the last announcement of each live backend server.
 
