--- a/src/tanagerturn/gateway/quarantine_share.py
+++ b/src/tanagerturn/gateway/quarantine_share.py
@@ -57,12 +57,10 @@
         self.next_report_s = now_s + REPORT_INTERVAL_S
         for service, rejected in sorted(self.rejected.items()):
             requests = max(rejected, self.requests[service])
-            is_large = rejected > MAX_SHARE * requests
-            (log.error if is_large else log.info)(
-                "quarantine_rejections",
-                service=service,
-                rejected=rejected,
-                requests=requests,
-            )
+            counts = {"rejected": rejected, "requests": requests}
+            if rejected > MAX_SHARE * requests:
+                log.error("quarantine_rejections", service=service, **counts)
+            else:
+                log.info("quarantine_rejections", service=service, **counts)
         self.requests.clear()
         self.rejected.clear()
