Do not take the software version that a restarted gateway sees for the only one

A wall clock ahead aged versions too fast.

Change: new resumable streams begin at a version only 3 s after it became known beside a settled one with a healthy engine; nothing expires while the life of streams is unknown, and a dropped version counts against completeness; saved ages are not advanced by the wall clock; a restarted gateway asks its peers before it relies on what it saved; a take-up without an attempt needs the same certainty as any other.

Stand-in engines answer 421 to requests for another id, as the platform's do; without that, streams of an engine's earlier start were continued at its address.

--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -392,11 +392,17 @@
         ]
         alive = [b for b in eligible if b.is_alive(to_ms(now_s))] or eligible
         unblocked = [b for b in alive if now_s >= self.state(b.id).blocked_until_s]
-        healthy = [
-            b for b in unblocked if not self.view.outliers.is_ejected(b.id, now_s)
-        ]
+        healthy = [b for b in unblocked if self.is_healthy(b, now_s)]
         return healthy or unblocked or alive
 
+    def is_healthy(self, backend: Backend, now_s: float) -> bool:
+        """Return whether a backend server is neither silent, blocked nor ejected."""
+        return (
+            backend.is_alive(to_ms(now_s))
+            and now_s >= self.state(backend.id).blocked_until_s
+            and not self.view.outliers.is_ejected(backend.id, now_s)
+        )
+
     def kv_capacity_of(self, backend: Backend) -> int:
         """Return the KV cache capacity of an engine in tokens."""
         return (
--- a/src/tanagerturn/gateway/intake.py
+++ b/src/tanagerturn/gateway/intake.py
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from tanagerturn.gateway.configuration import Account, Route
     from tanagerturn.gateway.links import Links
-    from tanagerturn.gateway.messages import AttemptId, InboundRequest
+    from tanagerturn.gateway.messages import InboundRequest
     from tanagerturn.gateway.server import Exchange
     from tanagerturn.gateway.state import GatewayState
     from tanagerturn.serving.quarantine.evidence import Fingerprint, PartId
@@ -150,21 +150,17 @@
         origins, now_s = self.state.stream_origins, boot_s()
         services = [t.service for t in route.targets if t.weight > 0]
         attempt_id = request.resumed_attempt_id
-        if not attempt_id:
-            # The caller does not know either, so only the versions can tell.
-            versions = origins.recent_versions(services[0], now_s)
-            if len(services) > 1 or not versions:
-                return None
-            if len(versions) == 1:
-                return StreamOrigin(services[0], next(iter(versions)))
-        origin = self._known_origin(attempt_id, services)
-        if origin is None and attempt_id:
+        origin = origins.find(attempt_id) if attempt_id else None
+        if origin is None and not origins.needs_confirmation(now_s):
+            origin = self._sole_origin(services)
+        if origin is None:
             answers = await ask_peers(
                 origins, attempt_id, self.links, self.state.limits.gateways
             )
             for answer in answers:
                 apply_origins(origins, answer, boot_s())
-            origin = self._known_origin(attempt_id, services)
+            origin = origins.find(attempt_id) if attempt_id else None
+            origin = origin or self._sole_origin(services)
         if origin is None:
             cause = "it is not known at which software version the stream began"
             raise Refusal(503, cause, UNKNOWN_ORIGIN_RETRY_S, detail=cause)
@@ -173,19 +169,11 @@
             raise Refusal(503, cause, UNKNOWN_ORIGIN_RETRY_S, detail=cause)
         return origin
 
-    def _known_origin(
-        self, attempt_id: AttemptId, services: list[ServiceName]
-    ) -> StreamOrigin | None:
-        """Return where a stream began, by its record or the versions; None if unknown.
-
-        Args:
-            attempt_id: Id of the attempt that began the stream; empty if unknown.
-            services: Services of the stream's route.
-        """
+    def _sole_origin(self, services: list[ServiceName]) -> StreamOrigin | None:
+        """Return where all streams of a route began; None if that is not sure."""
+        if len(services) != 1:
+            return None
         origins = self.state.stream_origins
-        origin = origins.find(attempt_id) if attempt_id else None
-        if origin is not None or len(services) != 1:
-            return origin
         version = origins.sole_version(services[0], boot_s())
         return None if version is None else StreamOrigin(services[0], version)
 
--- a/src/tanagerturn/gateway/startup.py
+++ b/src/tanagerturn/gateway/startup.py
@@ -100,6 +100,7 @@
         apply_suspect_requests(self.state.repeats, suspect_requests, boot_s())
         origins = aged_origins(warm_start, wall_ms())
         if origins is not None:
+            self.state.stream_origins.on_restored(boot_s())
             apply_origins(self.state.stream_origins, origins, boot_s())
 
     def remember(self) -> None:
--- a/src/tanagerturn/gateway/state.py
+++ b/src/tanagerturn/gateway/state.py
@@ -206,6 +206,12 @@
         """
         limited = self.backend_limits.exhausted_ids(now_s)
         excluded = self.unfit_backends(run, now_s) | limited
+        young = self._young_backends(run, now_s)
+        if young and any(
+            self.fleet.is_healthy(backend, now_s)
+            for backend in self.fleet.candidates(run.service, excluded | young, now_s)
+        ):
+            excluded |= young
         if not run.is_trial:
             return excluded
         busy = {
@@ -216,6 +222,22 @@
         has_idle = self.fleet.candidates(run.service, excluded | busy, now_s)
         return excluded | busy if has_idle else excluded
 
+    def _young_backends(self, run: RequestRun, now_s: float) -> set[BackendId]:
+        """Return the backend servers at which a resumable stream should not begin yet.
+
+        Their software version has just become known, beside an older one.
+        """
+        if run.origin is not None or not run.is_resumable:
+            return set()
+        settled = self.stream_origins.settled_versions(run.service, now_s)
+        if not settled:
+            return set()
+        return {
+            backend.id
+            for backend in self.fleet.view.pool(run.service)
+            if backend.software_version not in settled
+        }
+
     def unfit_backends(self, run: RequestRun, now_s: float) -> set[BackendId]:
         """Return the backend servers that were tried, and those of another version.
 
--- a/src/tanagerturn/gateway/warm_start.py
+++ b/src/tanagerturn/gateway/warm_start.py
@@ -179,11 +179,12 @@
 
 
 def aged_origins(warm_start: gpb.WarmStart, wall_ms: int) -> gpb.StreamOrigins | None:
-    """Return where streams began before a restart, with the ages at present.
+    """Return where streams began before a restart.
 
     Versions that came and went while no gateway ran began no stream, so the saved ones
-    count as complete. None if the wall clock has moved backward since the save, or too
-    much time has passed.
+    count as complete. Their ages stay those of the save: with a wall clock that is
+    ahead since the restart, versions whose streams still run would count as old. None
+    if the wall clock has moved backward since the save, or too much time has passed.
 
     Args:
         warm_start: The saved state.
@@ -194,10 +195,6 @@
         return None
     origins = gpb.StreamOrigins()
     origins.CopyFrom(warm_start.stream_origins)
-    origins.complete_for_ms += elapsed_ms
-    for origin in origins.origins:
-        if origin.HasField("seen_ago_ms"):
-            origin.seen_ago_ms += elapsed_ms
     return origins
 
 
--- a/src/tanagerturn/serving/streams/origins.py
+++ b/src/tanagerturn/serving/streams/origins.py
@@ -22,6 +22,12 @@
 MAX_RECORDS: Final = 100_000
 """Maximum number of streams whose origin is kept."""
 
+NEW_VERSION_DELAY_S: Final = 3.0
+"""Time in seconds after its first engine is known from which new streams begin at a
+version beside older ones. Hosts with a disk save the versions every second, and a loss
+of power may cost the last save; a version that no disk has could not be told from the
+older one after a kill of all gateways."""
+
 
 @dataclass(frozen=True)
 class StreamOrigin:
@@ -57,9 +63,17 @@
         last known."""
         self.complete_since_s = now_s
         """Monotonic time in seconds from which on `seen_s` has all versions."""
+        self.first_seen_s: dict[StreamOrigin, float] = {}
+        """Monotonic time in seconds at which each version in `seen_s` became known."""
+        self.forgotten_seen_s = float("-inf")
+        """Monotonic time in seconds at which the last version that was dropped had been
+        seen last."""
+        self.restored_s: float | None = None
+        """Monotonic time in seconds at which the state of before a restart was
+        restored; None if there was none."""
         self.stream_life_s = 0.0
         """Longest time in seconds from the first event of a stream to its last take-up,
-        by the configuration."""
+        by the configuration; 0 while it is unknown."""
         self.unsent: list[int] = []
         """Streams whose origin has to be sent to peers."""
 
@@ -75,6 +89,7 @@
         """
         is_new = now_s - self.seen_s.get(origin, -1e9) >= self.stream_life_s
         self.seen_s[origin] = max(at_s, self.seen_s.get(origin, at_s))
+        self.first_seen_s.setdefault(origin, now_s)
         if is_new and len(self.recent_versions(origin.service, now_s)) > 1:
             self.unsent += [
                 attempt
@@ -128,6 +143,18 @@
         """Record that versions may have been missed until now."""
         self.complete_since_s = now_s
 
+    def on_restored(self, now_s: float) -> None:
+        """Record that what follows was saved before a restart of this gateway."""
+        self.restored_s = now_s
+
+    def needs_confirmation(self, now_s: float) -> bool:
+        """Return whether peers have to be asked before versions are relied on.
+
+        They may have seen another version between the last save and the restart.
+        """
+        restored_s = self.restored_s
+        return restored_s is not None and now_s - restored_s < self.stream_life_s
+
     def find(self, attempt_id: str) -> StreamOrigin | None:
         """Return where a stream began; None if that is not known here."""
         record = self.records.get(attempt_hash(attempt_id))
@@ -148,12 +175,29 @@
             return None
         return next(iter(versions))
 
+    def settled_versions(self, service: str, now_s: float) -> set[SoftwareVersion]:
+        """Return the versions that have been known for `NEW_VERSION_DELAY_S`.
+
+        New streams should begin at these, if there are any.
+        """
+        return {
+            origin.software_version
+            for origin, at_s in self.first_seen_s.items()
+            if origin.service == service and now_s - at_s >= NEW_VERSION_DELAY_S
+        }
+
     def is_complete(self, now_s: float) -> bool:
         """Return whether all versions of the life of a stream are known."""
-        return now_s - self.complete_since_s >= self.stream_life_s
+        known_since_s = max(self.complete_since_s, self.forgotten_seen_s)
+        return now_s - known_since_s >= self.stream_life_s
 
     def expire(self, now_s: float) -> None:
-        """Drop streams and versions that are too old to be taken up."""
+        """Drop streams and versions that are too old to be taken up.
+
+        Nothing is dropped while it is unknown how long streams live.
+        """
+        if not self.stream_life_s:
+            return
         while self.records:
             attempt, record = next(iter(self.records.items()))
             if now_s - record.recorded_s < self.stream_life_s:
@@ -161,7 +205,9 @@
             del self.records[attempt]
         old = [o for o, s in self.seen_s.items() if now_s - s >= self.stream_life_s]
         for origin in old:
+            self.forgotten_seen_s = max(self.forgotten_seen_s, self.seen_s[origin])
             del self.seen_s[origin]
+            del self.first_seen_s[origin]
 
     def take_unsent(self) -> list[int]:
         """Return the streams to send to peers, and clear them."""
--- a/tests/gateway/versions/steps/versions_steps.py
+++ b/tests/gateway/versions/steps/versions_steps.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
 
 from behave import given, then, when
 
 from support.engine_fleet import EVENT_INTERVAL_S
-from support.gateway_world import KEY
+from support.gateway_world import KEY, CallerResponse
 from support.version_fleet import (
     EVENT_COUNT,
     ReplacedEngine,
     VersionEngine,
     VersionFleet,
 )
+from tanagerturn.gateway import startup
 
 RUN_S = EVENT_COUNT * EVENT_INTERVAL_S
 """Time in seconds that a stream takes."""
@@ -155,6 +157,91 @@
     )
 
 
+@when(
+    "three engines become v2, {count:d} streams begin, and all gateways lose power "
+    "{after_s:g} s later"
+)
+def killed_after_release(context, count, after_s):
+    fleet = context.fleet
+
+    async def release_and_kill():
+        for gateway in fleet.cluster.gateways.values():
+            # As if it had run for longer than streams live.
+            gateway.state.stream_origins.complete_since_s -= 60.0
+        await asyncio.sleep(2 * SAVE_S)
+        saving = mock.patch.object(startup, "write_warm_start", lambda *_: None)
+        # The loss of power takes what is saved from here on.
+        saving.start()
+        for engine in fleet.engines[::2]:
+            engine.software_version = "v2"
+            engine.crash()
+        # The engines are back, and known, before the streams begin.
+        while True:
+            await asyncio.sleep(0.02)
+            states = [g.state for g in fleet.cluster.gateways.values()]
+            known = [
+                {b.software_version for b in s.fleet.view.backends.values()}
+                for s in states
+            ]
+            if all("v2" in versions for versions in known):
+                break
+        fleet.begin(count)
+        await asyncio.sleep(after_s)
+        hosts = sorted(fleet.cluster.gateways)
+        # The engines of v2 announce themselves later than callers come back.
+        announcing = mock.patch.object(VersionEngine, "announce", no_new_version)
+        announcing.start()
+        for host in hosts:
+            await fleet.cluster.kill(host)
+        saving.stop()
+        for host in hosts:
+            await fleet.cluster.start(int(host[1:]), is_first_start=False)
+        await asyncio.sleep(SAVE_S)
+        announcing.stop()
+        await fleet.finish(6 * RUN_S)
+
+    announce = VersionEngine.announce
+
+    async def no_new_version(engine):
+        if engine.software_version != "v2":
+            await announce(engine)
+
+    run(context, release_and_kill())
+
+
+@when(
+    "the engine of v1 ends, a gateway without a disk restarts, and a caller takes up a "
+    "stream there without naming its attempt"
+)
+def unnamed_attempt(context):
+    fleet = context.fleet
+    (v1,) = [e for e in fleet.engines if e.software_version == "v1"]
+
+    async def take_up():
+        await asyncio.sleep(SAVE_S)
+        v1.software_version = "v2"
+        v1.crash()
+        await fleet.cluster.kill("g4")
+        await asyncio.sleep(SAVE_S)
+        await fleet.cluster.start(4, is_first_start=False)
+        answer = CallerResponse(0, {}, b"", False)
+        for number in range(40):
+            headers = "Last-Event-Id: 5\r\n"
+            try:
+                answer = await fleet.request(
+                    "g4", f"POST /notes/{number}", KEY, "5c1e:300,1:300", b"", headers
+                )
+            except (ConnectionError, IndexError):
+                await asyncio.sleep(0.05)
+                continue
+            if answer.status == 200 or b"version" in answer.body:
+                break
+            await asyncio.sleep(0.05)
+        return answer
+
+    context.answer = run(context, take_up())
+
+
 @then("it gets 503 with Retry-After and no event")
 def not_guessed(context):
     assert context.answer.status == 503, context.answer
@@ -168,7 +255,8 @@
     assert streams
     mixed = context.fleet.mixed()
     taken_up = sum(s.was_taken_up for s in streams)
-    assert not mixed, f"{len(mixed)} of {len(streams)}, {taken_up} taken up"
+    order = [(m.events[0][1], m.events[-1][1], len(m.answers)) for m in mixed[:4]]
+    assert not mixed, f"{len(mixed)} of {len(streams)}, {taken_up} taken up: {order}"
     for stream in streams:
         ids = [number for number, _ in stream.events]
         assert ids == list(range(1, len(ids) + 1)), ids
--- a/tests/gateway/versions/versions.feature
+++ b/tests/gateway/versions/versions.feature
@@ -59,3 +59,15 @@
     Given 4 gateways and engines of versions v1,v1,v2,v2
     When a caller takes up a stream of an unknown attempt
     Then it gets 503 with Retry-After and no event
+
+  # Guards against a restarted gateway that takes the version left for the only one.
+  Scenario: A stream whose caller names no attempt is not continued at a guess
+    Given 4 gateways and engines of versions v1,v2
+    When the engine of v1 ends, a gateway without a disk restarts, and a caller takes up a stream there without naming its attempt
+    Then it gets 503 with Retry-After and no event
+
+  # Guards against streams of a version that no disk has when all gateways are killed.
+  Scenario: All gateways lose power right after engines of a new version have joined
+    Given 6 gateways and engines of versions v1,v1,v1,v1,v1,v1
+    When three engines become v2, 60 streams begin, and all gateways lose power 0.7 s later
+    Then no stream has events of two versions
--- a/tests/serving/streams/origins.feature
+++ b/tests/serving/streams/origins.feature
@@ -55,6 +55,63 @@
     When a gateway starts at 30 s and hears from this one
     Then at 30 s "v1" is the sole version there
 
+  # Guards against a restarted gateway that takes the version left for the only one.
+  Scenario: Versions that a peer reports before the configuration arrives are kept
+    Given a gateway that has started at 30 s without a configuration
+    When a peer reports at 31 s that "v1" was seen at 28 s and "v2" at 31 s, all known
+    And versions expire at 32 s, and streams turn out to live 20 s
+    And engines of "v2" are seen at 33 s
+    Then at 33 s no version is the sole one, and the streams to send are ""
+    And at 49 s "v2" is the sole version, and the streams to send are ""
+
+  # Guards against a version that was forgotten under shorter timeouts.
+  Scenario: When streams live longer, versions that were forgotten are not left out
+    Given streams that live 20 s, and engines of "v1" from 0 s on
+    When only engines of "v2" are seen from 30 to 51 s
+    And streams turn out to live 40 s at 52 s
+    Then at 53 s no version is the sole one, and the streams to send are ""
+    And at 71 s "v2" is the sole version, and the streams to send are ""
+
+  # Guards against a wall clock that is wrong after a restart: a version whose streams
+  # may still run must not count as old.
+  Scenario Outline: Versions of before a restart with a clock off by <off_s> s
+    Given streams that live 20 s, and engines of "v1" from 0 s on
+    When engines of "v2" are seen at 46 s
+    And a gateway saves at 46 s, restarts at 49 s, its clock off by <off_s> s
+    Then at 49 s <sole> is the sole version there
+
+    Examples:
+      | off_s | sole |
+      | 0     | none |
+      | 6     | none |
+      | -2    | none |
+      | -6    | none |
+
+  # Guards against a gateway that was down while its peers saw another version.
+  Scenario: A restarted gateway has peers confirm what it saved, as long as streams live
+    Given streams that live 20 s, and engines of "v1" from 0 s on
+    When a gateway saves at 30 s, restarts at 35 s, its clock off by 0 s
+    Then at 35 s "v1" is the sole version there
+    And at 36 s it asks its peers before it relies on that
+    And at 56 s it relies on what it saw
+
+  # Guards against streams of a version that no disk has when all gateways are killed.
+  Scenario Outline: New streams begin at a version once disks have it
+    Given streams that live 20 s, and engines of "v1" from 0 s on
+    When engines of "v1,v2" are seen from 30 to <now_s> s
+    Then at <now_s> s new streams begin at "<settled>"
+
+    Examples:
+      | now_s | settled |
+      | 30    | v1      |
+      | 32    | v1      |
+      | 33.5  | v1,v2   |
+
+  Scenario: At the start of a gateway no version is settled
+    Given a gateway that has started at 30 s without a configuration
+    When engines of "v1,v2" are seen from 30.5 to 31 s
+    Then at 31 s new streams begin at ""
+
   # Guards against origins that are lost with the gateways that a kill takes at once.
   Scenario Outline: With <count> gateways of which half are killed, origins survive
     Given <count> gateways, each with a stream
--- a/tests/serving/streams/steps/origins_steps.py
+++ b/tests/serving/streams/steps/origins_steps.py
@@ -11,6 +11,8 @@
     encode_origins,
     holders,
 )
+from tanagerturn.gateway.warm_start import aged_origins
+from tanagerturn.schema import gateway_pb2 as gpb
 from tanagerturn.serving.streams.origins import (
     StreamOrigin,
     StreamOrigins,
@@ -118,6 +120,86 @@
     assert context.started.sole_version(SERVICE, now_s) == version
 
 
+@given("a gateway that has started at {now_s:g} s without a configuration")
+def started_without_configuration(context, now_s):
+    context.origins = StreamOrigins(now_s)
+
+
+@when(
+    'a peer reports at {now_s:g} s that "{first}" was seen at {first_s:g} s and '
+    '"{second}" at {second_s:g} s, all known'
+)
+def peer_reports_both(context, now_s, first, first_s, second, second_s):
+    peer = StreamOrigins(0.0)
+    peer.stream_life_s = 20.0
+    peer.on_seen(StreamOrigin(SERVICE, first), first_s)
+    peer.on_seen(StreamOrigin(SERVICE, second), second_s)
+    apply_origins(context.origins, encode_origins(peer, (), now_s), now_s)
+
+
+@when("versions expire at {now_s:g} s, and streams turn out to live {life_s:g} s")
+def life_known_late(context, now_s, life_s):
+    context.origins.expire(now_s)
+    context.origins.stream_life_s = life_s
+
+
+@when("streams turn out to live {life_s:g} s at {now_s:g} s")
+def life_changed(context, life_s, now_s):
+    context.origins.expire(now_s)
+    context.origins.stream_life_s = life_s
+
+
+@when(
+    "a gateway saves at {saved_s:g} s, restarts at {started_s:g} s, its clock off by "
+    "{off_s:g} s"
+)
+def restarted(context, saved_s, started_s, off_s):
+    saved = gpb.WarmStart(
+        written_at_ms=int(1000 * saved_s),
+        stream_origins=encode_origins(context.origins, (), saved_s),
+    )
+    context.started = StreamOrigins(started_s)
+    context.started.stream_life_s = context.origins.stream_life_s
+    restored = aged_origins(saved, int(1000 * (started_s + off_s)))
+    if restored is not None:
+        context.started.on_restored(started_s)
+        apply_origins(context.started, restored, started_s)
+    # Only engines of v2 are left, if there were any.
+    for origin in list(context.origins.seen_s)[1:]:
+        context.started.on_seen(origin, started_s)
+
+
+@then("at {now_s:g} s none is the sole version there")
+def no_sole_version_there(context, now_s):
+    assert context.started.sole_version(SERVICE, now_s) is None
+
+
+@then("at {now_s:g} s it asks its peers before it relies on that")
+def asks_peers(context, now_s):
+    assert context.started.needs_confirmation(now_s)
+
+
+@then("at {now_s:g} s it relies on what it saw")
+def relies(context, now_s):
+    assert not context.started.needs_confirmation(now_s)
+
+
+@when('engines of "{versions}" are seen from {from_s:g} to {to_s:g} s')
+def versions_seen(context, versions, from_s, to_s):
+    see(context, versions.split(","), from_s, to_s)
+
+
+@then('at {now_s:g} s new streams begin at "{versions}"')
+def settled_versions(context, now_s, versions):
+    expected = set(versions.split(","))
+    assert context.origins.settled_versions(SERVICE, now_s) == expected
+
+
+@then('at {now_s:g} s new streams begin at ""')
+def no_settled_version(context, now_s):
+    assert context.origins.settled_versions(SERVICE, now_s) == set()
+
+
 @given("{count:d} gateways, each with a stream")
 def gateways_with_streams(context, count):
     hosts = [f"g{number}" for number in range(count)]
--- a/tests/support/engine_fleet.py
+++ b/tests/support/engine_fleet.py
@@ -140,6 +140,12 @@
                     headers[name.lower()] = value.strip()
                 size = int(headers.get("content-length", "0"))
                 body = await reader.readexactly(size)
+                if headers.get("x-expect-instance", self.id) != self.id:
+                    writer.write(
+                        "HTTP/1.1 421 X\r\nContent-Length: 0\r\n"
+                        f"X-Instance-Id: {self.id}\r\n\r\n".encode()
+                    )
+                    continue
                 self.arrivals_s.append(boot_s())
                 is_bad = self.fleet.is_bad(first.split(" ")[1], headers, body)
                 if is_bad:
