Read the datagrams of peers together, and fetch registries only once they settle

Change: the digest socket is polled each 25 ms; the member's timer runs where there is a member; a differing registry is fetched 1 s after the last local change, at the latest 3 s after the last fetch; known announcements are skipped before they are checked.

Ruled out: fewer digests a second, as what gateways know of each other's load would be older. State spread by zone remains to be done.

The modules of digests, mesh and sockets move to gateway/spread, with their tests.

--- a/bench/decisions_speed.py
+++ b/bench/decisions_speed.py
@@ -22,7 +22,7 @@
 from support.cloud import offers
 from support.gateway_world import gateway_settings
 from tanagerturn.clocks import boot_s
-from tanagerturn.gateway.digests import DigestExchange
+from tanagerturn.gateway.spread.digests import DigestExchange
 from tanagerturn.gateway.state import make_state
 from tanagerturn.platform.dialect import PlatformDialect
 from tanagerturn.schema import gateway_pb2, serving_pb2
--- a/src/tanagerturn/gateway/configuration_distributor.py
+++ b/src/tanagerturn/gateway/configuration_distributor.py
@@ -19,8 +19,8 @@
     from collections.abc import Callable
 
     from tanagerturn.gateway.links import Links
-    from tanagerturn.gateway.mesh import Mesh
     from tanagerturn.gateway.replicated_store import ReplicatedStore
+    from tanagerturn.gateway.spread.mesh import Mesh
     from tanagerturn.gateway.state import GatewayState
 
 CURRENT_KEY: Final = "configuration/current"
--- a/src/tanagerturn/gateway/control.py
+++ b/src/tanagerturn/gateway/control.py
@@ -22,9 +22,9 @@
 if TYPE_CHECKING:
     from tanagerturn.gateway.configuration_distributor import ConfigurationDistributor
     from tanagerturn.gateway.departures import DepartureTracker
-    from tanagerturn.gateway.mesh import Mesh
     from tanagerturn.gateway.messages import RawHeaders
     from tanagerturn.gateway.server import Exchange
+    from tanagerturn.gateway.spread.mesh import Mesh
     from tanagerturn.gateway.state import GatewayState
 
 JSON: Final[RawHeaders] = [(b"Content-Type", b"application/json")]
--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -458,6 +458,8 @@
         for announcement, silence_ms in zip(
             news.announcements, silences_ms, strict=True
         ):
+            if self.view.is_stale(announcement):
+                continue
             heard_s = now_s - silence_ms / 1000
             has_changed |= self.on_announcement(announcement, heard_s, heard=False)
         for departure in news.departures:
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -13,19 +13,19 @@
 from tanagerturn.gateway.configuration_distributor import ConfigurationDistributor
 from tanagerturn.gateway.control import Control
 from tanagerturn.gateway.departures import DepartureTracker
-from tanagerturn.gateway.digests import DigestExchange
 from tanagerturn.gateway.duties import Duties
 from tanagerturn.gateway.group_initializer import GroupInitializer
 from tanagerturn.gateway.links import Links
 from tanagerturn.gateway.logs import component_log
 from tanagerturn.gateway.member import TICK_S as MEMBER_TICK_S
 from tanagerturn.gateway.member import StateMember, open_member
-from tanagerturn.gateway.mesh import BATCH_INTERVAL_S, TICK_S, Mesh
 from tanagerturn.gateway.quarantine import crash_id, encode_suspects, log_changes
 from tanagerturn.gateway.relay import Relay
 from tanagerturn.gateway.repeats import encode_suspect_requests, log_repeat_changes
 from tanagerturn.gateway.replicated_store import ReplicatedStore
 from tanagerturn.gateway.server import HttpServer
+from tanagerturn.gateway.spread.digests import DigestExchange
+from tanagerturn.gateway.spread.mesh import BATCH_INTERVAL_S, TICK_S, Mesh
 from tanagerturn.gateway.startup import SAVE_INTERVAL_S, Startup
 from tanagerturn.gateway.state import make_state
 from tanagerturn.schema import gateway_pb2 as gpb
@@ -197,8 +197,9 @@
         log.info("started", host=settings.host, zone=settings.zone)
         tasks = [
             self.loop.create_task(self._run_every(TICK_S, self._tick)),
-            self.loop.create_task(self._run_every(BATCH_INTERVAL_S, self._send_due)),
-            self.loop.create_task(self._run_every(MEMBER_TICK_S, self._tick_member)),
+            self.loop.create_task(
+                self._run_every(BATCH_INTERVAL_S, self._exchange_datagrams)
+            ),
             self.loop.create_task(
                 self._run_every(GROUP_CHECK_INTERVAL_S, self._tick_group)
             ),
@@ -208,7 +209,7 @@
                 self._run_every(SAVE_INTERVAL_S, self.startup.remember)
             ),
             self.loop.create_task(self.duties.run()),
-            self.loop.create_task(self._open_member()),
+            self.loop.create_task(self._run_member()),
             self.loop.create_task(self._confirm_configuration()),
             self.loop.create_task(self.startup.fetch_from_seeds(self.seed_ips)),
         ]
@@ -361,7 +362,8 @@
             now_s,
         )
 
-    def _send_due(self) -> None:
+    def _exchange_datagrams(self) -> None:
+        self.mesh.receive()
         now_s = boot_s()
         self.mesh.send_next_batch(now_s)
         fleet = self.state.fleet
@@ -394,10 +396,6 @@
             named_limits = backend_limits.encode(keys, now_s)
             self.mesh.send_once(gpb.Datagram(named_limits=named_limits), now_s)
 
-    def _tick_member(self) -> None:
-        if self.member is not None:
-            self.member.tick()
-
     def _tick_group(self) -> None:
         now_s = boot_s()
         digests = self._peer_digests()
@@ -446,8 +444,11 @@
     def _on_batch(self, batch: pb.WatchBatch) -> None:
         self.configurations.on_batch(batch)
 
-    async def _open_member(self) -> None:
-        """Open the state group member in a thread: a stalled disk must not block."""
+    async def _run_member(self) -> None:
+        """Open the state group member, if the host has a disk, and run its timers.
+
+        It is opened in a thread: a stalled disk must not block.
+        """
         if self.settings.data_folder is None:
             return
         while self.member is None:
@@ -466,6 +467,7 @@
             else:
                 self.member = self.store.member = self.duties.member = member
                 self.digests.member = member
+                await self._run_every(MEMBER_TICK_S, member.tick)
 
     async def _confirm_configuration(self) -> None:
         """Read the latest configuration from the state group until a read succeeds."""
--- /dev/null
+++ b/src/tanagerturn/gateway/spread/__init__.py
@@ -0,0 +1,1 @@
+"""How gateways spread state among each other."""
--- a/src/tanagerturn/gateway/spread/digests.py
+++ b/src/tanagerturn/gateway/spread/digests.py
@@ -36,6 +36,15 @@
 """Minimum time between two fetches of a peer's registry, and their timeout, in
 seconds."""
 
+REGISTRY_SETTLE_S: Final = 1.0
+"""Time in seconds after a change of the local registry for which a peer's registry that
+differs is not fetched: digests on their way are older than the change, and each change
+is sent to all gateways."""
+
+MAX_REGISTRY_SETTLE_S: Final = 3.0
+"""Time in seconds after the last fetch from which a peer's registry that differs is
+fetched although the local one keeps changing."""
+
 REGISTRY_HASH_MAX_AGE_S: Final = 0.1
 """Age in seconds from which the hash of the local registry is computed again.
 Computing it takes 0.2 ms with 100 backend servers, and up to 120 digests arrive per
@@ -95,6 +104,8 @@
         the first one."""
         self.registry_hash = 0
         """Hash of the local registry, as of `registry_hashed_at_s`."""
+        self.registry_changed_s = -1e9
+        """Boot-clock time in seconds at which `registry_hash` last changed."""
         self.registry_hashed_at_s = -1e9
         """Boot-clock time in seconds at which `registry_hash` was computed."""
         self.fetch_task: asyncio.Task[None] | None = None
@@ -198,14 +209,20 @@
         self._hash_registry(now_s)
         if digest.registry_hash == self.registry_hash:
             return
+        is_settled = now_s - self.registry_changed_s >= REGISTRY_SETTLE_S
+        since_fetch_s = now_s - self.registry_fetched_at_s
+        if not is_settled and since_fetch_s < MAX_REGISTRY_SETTLE_S:
+            return
         self.registry_fetched_at_s = now_s
         self.fetch_task = self.loop.create_task(
             self.fetch_registry(digest.link_address)
         )
 
     def _hash_registry(self, now_s: float) -> None:
-        self.registry_hash = self.state.fleet.registry_hash(now_s)
-        self.registry_hashed_at_s = now_s
+        registry_hash = self.state.fleet.registry_hash(now_s)
+        if registry_hash != self.registry_hash:
+            self.registry_changed_s = now_s
+        self.registry_hash, self.registry_hashed_at_s = registry_hash, now_s
 
     async def fetch_registry(self, address: str) -> None:
         """Fetch and apply the registry of a peer gateway.
--- a/src/tanagerturn/gateway/spread/mesh.py
+++ b/src/tanagerturn/gateway/spread/mesh.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING, Final, cast
+from typing import TYPE_CHECKING, Final
 
 from google.protobuf.message import DecodeError
 
@@ -14,6 +14,7 @@
 from tanagerturn.coordination.membership.config import MembershipConfig
 from tanagerturn.coordination.membership.core import MembershipCore
 from tanagerturn.gateway.logs import component_log
+from tanagerturn.gateway.spread.sockets import PolledUdpSocket, UdpEndpoint
 from tanagerturn.schema import gateway_pb2 as gpb
 from tanagerturn.schema import membership_pb2 as mpb
 
@@ -52,7 +53,8 @@
 interval of digests grows."""
 
 BATCH_INTERVAL_S: Final = 0.025
-"""Interval in seconds between two batches of recipients of a digest."""
+"""Interval in seconds at which received datagrams are read, and between two batches of
+recipients of a digest."""
 
 DIGEST_BATCH: Final = 4
 """Number of recipients in a batch: a host's network link of 5 Mbit/s carries four
@@ -92,38 +94,6 @@
     """Boot-clock time in seconds at which the digest was received."""
 
 
-class UdpEndpoint(asyncio.DatagramProtocol):
-    """A UDP socket that passes received datagrams to a callback.
-
-    Args:
-        on_datagram: Called with each datagram and its sender, as `ip:port`.
-    """
-
-    def __init__(self, on_datagram: Callable[[bytes, str], None]) -> None:
-        self.on_datagram = on_datagram
-        """Called with each datagram and its sender, as `ip:port`."""
-        self.transport: asyncio.DatagramTransport | None = None
-        """The open socket; None before it is open."""
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the open socket."""
-        # The event loop's transport class does not inherit from the interface.
-        self.transport = cast("asyncio.DatagramTransport", transport)
-
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Pass a received datagram to the callback."""
-        self.on_datagram(data, f"{addr[0]}:{addr[1]}")
-
-    def error_received(self, exc: Exception) -> None:
-        """Log that a host rejected an earlier datagram."""
-        log.debug("datagram_refused", reason=str(exc))
-
-    def send(self, data: bytes, ip: str, port: int) -> None:
-        """Send one datagram; it is dropped if the socket is not open."""
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.sendto(data, (ip, port))
-
-
 class Mesh:
     """Membership of gateways, and datagrams between this gateway and its peers.
 
@@ -181,8 +151,9 @@
         """Membership and failure detection."""
         self.probe_socket = UdpEndpoint(self._on_probe)
         """Socket of failure detection."""
-        self.datagram_socket = UdpEndpoint(self._on_datagram)
-        """Socket of digests, backend server updates and configuration versions."""
+        self.datagram_socket = PolledUdpSocket(self._on_datagram)
+        """Socket of digests, backend server updates and configuration versions; read
+        by `receive`."""
         self.next_digest_s = 0.0
         """Boot-clock time in seconds at which the next digest is due."""
         self.last_digest = gpb.Digest()
@@ -204,9 +175,11 @@
         await loop.create_datagram_endpoint(
             lambda: self.probe_socket, (ip, self.settings.membership_port)
         )
-        await loop.create_datagram_endpoint(
-            lambda: self.datagram_socket, (ip, self.settings.digest_port)
-        )
+        self.datagram_socket.listen(ip, self.settings.digest_port)
+
+    def receive(self) -> None:
+        """Apply the datagrams that have arrived since the last call."""
+        self.datagram_socket.poll()
 
     def tick(self, now_s: float) -> None:
         """Run failure detection, and make a new digest if one is due."""
@@ -287,9 +260,8 @@
 
     def close(self) -> None:
         """Close the sockets."""
-        for endpoint in (self.probe_socket, self.datagram_socket):
-            if endpoint.transport is not None:
-                endpoint.transport.close()
+        self.probe_socket.close()
+        self.datagram_socket.close()
 
     def digest_interval_s(self) -> float:
         """Return the interval between two digests in seconds."""
--- a/src/tanagerturn/gateway/startup.py
+++ b/src/tanagerturn/gateway/startup.py
@@ -32,8 +32,8 @@
     from collections.abc import Iterable
 
     from tanagerturn.gateway.configuration_distributor import ConfigurationDistributor
-    from tanagerturn.gateway.digests import DigestExchange
-    from tanagerturn.gateway.mesh import Mesh
+    from tanagerturn.gateway.spread.digests import DigestExchange
+    from tanagerturn.gateway.spread.mesh import Mesh
     from tanagerturn.gateway.state import GatewayState
 
 SAVE_INTERVAL_S: Final = 1.0
--- a/src/tanagerturn/serving/backends/view.py
+++ b/src/tanagerturn/serving/backends/view.py
@@ -100,7 +100,7 @@
         if fault:
             return Error(AnnouncementFault(announcement.id, fault))
         backend_id = BackendId(announcement.id)
-        if self._is_stale(announcement):
+        if self.is_stale(announcement):
             sequence = self.cache.sequence(backend_id)
             return Ok(AnnouncementAccepted(sequence, applied=False))
         changed = self._apply(announcement, now_ms)
@@ -311,7 +311,8 @@
             != (announcement.id, announcement.incarnation)
         ]
 
-    def _is_stale(self, announcement: serving_pb2.Announcement) -> bool:
+    def is_stale(self, announcement: serving_pb2.Announcement) -> bool:
+        """Return whether an announcement is known or older than what is known."""
         backend_id = BackendId(announcement.id)
         if announcement.incarnation in self._retired.get(backend_id, ()):
             return True
--- a/tests/coordination/membership/steps/membership_steps.py
+++ b/tests/coordination/membership/steps/membership_steps.py
@@ -16,7 +16,7 @@
 from support.membership_network import Network
 from tanagerturn.coordination.membership.agent import start_agent
 from tanagerturn.coordination.membership.codec import decode_datagram, encode_datagram
-from tanagerturn.gateway.mesh import membership_config
+from tanagerturn.gateway.spread.mesh import membership_config
 from tanagerturn.schema import membership_pb2 as mpb
 from tanagerturn.schema import settings_pb2
 
--- a/tests/gateway/spread/digests/digests.feature
+++ b/tests/gateway/spread/digests/digests.feature
@@ -17,3 +17,12 @@
     Then no registry is fetched
     When a peer has another backend server in its registry
     Then the registry is fetched once in 0.5 s
+
+  # Guards against gateways that fetch each other's registries all the time while
+  # backend servers come and go: digests on their way are older than the last change.
+  Scenario: While backend servers come and go, registries are not fetched all the time
+    Given a gateway with 92 peers that know 105 backend servers
+    When a backend server joins each 0.4 s for 9 s, and peers report the state before
+    Then the registry is fetched at most 4 times
+    When no backend server joins for 2 s, and peers still report another registry
+    Then the registry is fetched again
--- a/tests/gateway/spread/digests/steps/digests_steps.py
+++ b/tests/gateway/spread/digests/steps/digests_steps.py
@@ -14,7 +14,7 @@
 from support.operations import OPERATIONS_PER_S, count_operations
 from tanagerturn.clocks import boot_s
 from tanagerturn.coordination.errors import UnavailableError
-from tanagerturn.gateway.digests import DigestExchange
+from tanagerturn.gateway.spread.digests import DigestExchange
 from tanagerturn.gateway.state import make_state
 from tanagerturn.platform.dialect import PlatformDialect
 from tanagerturn.schema import gateway_pb2 as gpb
@@ -150,3 +150,48 @@
 @then("the registry is fetched once in 0.5 s")
 def registry_fetched_once(context):
     assert context.links.call_count == 1, context.links.call_count
+
+
+def receive_differing(context, times_s):
+    """Receive a digest of another registry at each time."""
+
+    async def run():
+        for at_s in times_s:
+            datagram = gpb.Datagram.FromString(context.digests[0])
+            datagram.digest.registry_hash ^= 1
+            apply_datagram(context, datagram.SerializeToString(), at_s)
+            await asyncio.sleep(0)
+
+    context.loop.run_until_complete(run())
+
+
+@when(
+    "a backend server joins each {interval_s:g} s for {duration_s:g} s, and peers "
+    "report the state before"
+)
+def backends_join(context, interval_s, duration_s):
+    context.now_s = boot_s()
+    for number in range(int(duration_s / interval_s)):
+        announce(context.state, 200 + number)
+        digests_s = [context.now_s + interval_s * share for share in (0.3, 0.6, 0.9)]
+        receive_differing(context, digests_s)
+        context.now_s += interval_s
+
+
+@then("the registry is fetched at most {count:d} times")
+def fetched_at_most(context, count):
+    context.fetched = context.links.call_count
+    assert context.fetched <= count, context.fetched
+
+
+@when(
+    "no backend server joins for {duration_s:g} s, and peers still report another "
+    "registry"
+)
+def none_joins(context, duration_s):
+    receive_differing(context, [context.now_s + duration_s])
+
+
+@then("the registry is fetched again")
+def fetched_again(context):
+    assert context.links.call_count == context.fetched + 1, context.links.call_count
--- a/tests/gateway/spread/mesh/steps/mesh_steps.py
+++ b/tests/gateway/spread/mesh/steps/mesh_steps.py
@@ -10,7 +10,7 @@
 
 from support.gateway_world import gateway_settings
 from tanagerturn.clocks import boot_s
-from tanagerturn.gateway.mesh import BATCH_INTERVAL_S, TICK_S, Mesh, Peer
+from tanagerturn.gateway.spread.mesh import BATCH_INTERVAL_S, TICK_S, Mesh, Peer
 from tanagerturn.schema import gateway_pb2 as gpb
 from tanagerturn.schema import membership_pb2 as mpb
 
--- a/tests/support/quarantine_network.py
+++ b/tests/support/quarantine_network.py
@@ -7,19 +7,19 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from tanagerturn.gateway.mesh import (
-    BATCH_INTERVAL_S,
-    DIGEST_BATCH,
-    MAX_DIGESTS_PER_S,
-    MIN_DIGEST_INTERVAL_S,
-    TICK_S,
-)
 from tanagerturn.gateway.quarantine import (
     apply_suspects,
     encode_suspects,
     reported_parts,
 )
 from tanagerturn.gateway.repeats import trial_turn
+from tanagerturn.gateway.spread.mesh import (
+    BATCH_INTERVAL_S,
+    DIGEST_BATCH,
+    MAX_DIGESTS_PER_S,
+    MIN_DIGEST_INTERVAL_S,
+    TICK_S,
+)
 from tanagerturn.serving.quarantine.evidence import CrashId, PartId
 from tanagerturn.serving.quarantine.quarantine import WELL_AFTER_S, PartQuarantine
 
