Leave ejected backend servers out also while none is known to be alive

The check of health that the choice of settled versions needs also asks for liveness, so with it the last resort of silent backend servers would have had ejected ones again.

--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -392,7 +392,9 @@
         ]
         alive = [b for b in eligible if b.is_alive(to_ms(now_s))] or eligible
         unblocked = [b for b in alive if now_s >= self.state(b.id).blocked_until_s]
-        healthy = [b for b in unblocked if self.is_healthy(b, now_s)]
+        healthy = [
+            b for b in unblocked if not self.view.outliers.is_ejected(b.id, now_s)
+        ]
         return healthy or unblocked or alive
 
     def is_healthy(self, backend: Backend, now_s: float) -> bool:
