--- a/src/tanagerturn/gateway/startup.py
+++ b/src/tanagerturn/gateway/startup.py
@@ -17,7 +17,7 @@
     encode_suspect_requests,
     reported_requests,
 )
-from tanagerturn.gateway.stream_origins import apply_origins, encode_origins
+from tanagerturn.gateway.stream_origins import apply_origins, encode_saved_origins
 from tanagerturn.gateway.warm_start import (
     aged_backends,
     aged_origins,
@@ -122,7 +122,7 @@
             news,
             suspects,
             encode_suspect_requests(repeats, requests, now_s),
-            encode_origins(origins, origins.records, now_s),
+            encode_saved_origins(origins, now_s),
             addresses,
             wall_ms(),
         )
--- a/src/tanagerturn/gateway/stream_origins.py
+++ b/src/tanagerturn/gateway/stream_origins.py
@@ -54,6 +54,22 @@
     return message
 
 
+def encode_saved_origins(origins: StreamOrigins, now_s: float) -> gpb.StreamOrigins:
+    """Return all origins as saved on a disk.
+
+    Right after a start, the versions count as incomplete: after another kill of all
+    gateways, those at which peers have begun streams meanwhile would be missing.
+
+    Args:
+        origins: Origins of streams.
+        now_s: Current boot-clock time in seconds.
+    """
+    message = encode_origins(origins, origins.records, now_s)
+    if not origins.knows_present_versions(now_s):
+        message.complete_for_ms = 0
+    return message
+
+
 def apply_origins(
     origins: StreamOrigins, message: gpb.StreamOrigins, now_s: float
 ) -> None:
--- a/src/tanagerturn/serving/streams/origins.py
+++ b/src/tanagerturn/serving/streams/origins.py
@@ -61,6 +61,8 @@
         self.seen_s: dict[StreamOrigin, float] = {}
         """Monotonic time in seconds at which engines of each service and version were
         last known."""
+        self.started_s = now_s
+        """Monotonic time in seconds of the start."""
         self.complete_since_s = now_s
         """Monotonic time in seconds from which on `seen_s` has all versions."""
         self.first_seen_s: dict[StreamOrigin, float] = {}
@@ -147,6 +149,13 @@
         """Record that what follows was saved before a restart of this gateway."""
         self.restored_s = now_s
 
+    def knows_present_versions(self, now_s: float) -> bool:
+        """Return whether engines of all versions announced themselves since the start.
+
+        Until then, peers may begin streams at a version that is not known here.
+        """
+        return now_s - self.started_s >= NEW_VERSION_DELAY_S
+
     def needs_confirmation(self, now_s: float) -> bool:
         """Return whether peers have to be asked before versions are relied on.
 
--- a/tests/serving/streams/origins.feature
+++ b/tests/serving/streams/origins.feature
@@ -112,6 +112,22 @@
     When engines of "v1,v2" are seen from 30.5 to 31 s
     Then at 31 s new streams begin at ""
 
+  # Guards against streams joined from two versions in any order of releases, kills,
+  # lost saves, wrong clocks and late announcements.
+  Scenario: No stream goes on at another version in 40 schedules
+    When schedules 0 to 39 of releases, kills and restarts run
+    Then no stream went on at another version
+    And at least half of the streams that were taken up went on
+
+  Scenario Outline: Schedules find gateways that <fault>
+    When schedules 0 to <last> run until gateways that <fault> are found
+    Then a stream went on at another version
+
+    Examples:
+      | fault                                     | last |
+      | begin streams at versions without waiting | 99   |
+      | drop versions before they are configured  | 99   |
+
   # Guards against origins that are lost with the gateways that a kill takes at once.
   Scenario Outline: With <count> gateways of which half are killed, origins survive
     Given <count> gateways, each with a stream
--- a/tests/serving/streams/steps/origins_steps.py
+++ b/tests/serving/streams/steps/origins_steps.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 
+from support.origin_schedule import OriginSchedule
 from tanagerturn.gateway.stream_origins import (
     apply_origins,
     encode_origins,
@@ -224,3 +225,68 @@
     ]
     assert sum(left) >= share * len(left), f"{sum(left)} of {len(left)}"
     assert max(map(len, context.held.values())) <= most
+
+
+class Hasty(StreamOrigins):
+    """Planted break: new streams begin at each version at once."""
+
+    def settled_versions(self, service, now_s):
+        """Return no version, so that all are equal."""
+        return set()
+
+
+class Forgetful(StreamOrigins):
+    """Planted break: versions are dropped while the life of streams is unknown."""
+
+    def expire(self, now_s):
+        """Drop all versions before the configuration arrives."""
+        if self.stream_life_s:
+            super().expire(now_s)
+            return
+        self.seen_s.clear()
+        self.first_seen_s.clear()
+
+
+FAULTS = {
+    "begin streams at versions without waiting": Hasty,
+    "drop versions before they are configured": Forgetful,
+}
+
+
+@when("schedules {first:d} to {last:d} of releases, kills and restarts run")
+def schedules_run(context, first, last):
+    context.joined = {}
+    context.went_on_count = context.refused_count = 0
+    for seed in range(first, last + 1):
+        schedule = OriginSchedule(seed)
+        schedule.run()
+        context.went_on_count += schedule.went_on_count
+        context.refused_count += schedule.refused_count
+        if schedule.joined:
+            context.joined[seed] = schedule.joined
+
+
+@then("no stream went on at another version")
+def none_joined(context):
+    assert not context.joined, context.joined
+
+
+@then("at least half of the streams that were taken up went on")
+def half_went_on(context):
+    assert context.went_on_count >= context.refused_count, context.refused_count
+
+
+@when("schedules {first:d} to {last:d} run until gateways that {fault} are found")
+def faulty_schedules_run(context, first, last, fault):
+    context.joined = {}
+    for seed in range(first, last + 1):
+        schedule = OriginSchedule(seed, FAULTS[fault])
+        schedule.run()
+        if schedule.joined:
+            context.joined[seed] = schedule.joined
+            return
+
+
+@then("a stream went on at another version")
+def some_joined(context):
+    assert context.joined
