Do not rely on versions that were saved long before a start

What it had saved counted as all versions, since no peer was there to ask.

Change: what was saved over 5 s before the start counts as incomplete for 3 s, in which engines announce themselves, unless a peer confirms it.

--- a/src/tanagerturn/gateway/startup.py
+++ b/src/tanagerturn/gateway/startup.py
@@ -23,6 +23,7 @@
     aged_origins,
     aged_suspect_requests,
     aged_suspects,
+    has_fresh_origins,
     make_warm_start,
     read_warm_start,
     write_warm_start,
@@ -100,8 +101,9 @@
         apply_suspect_requests(self.state.repeats, suspect_requests, boot_s())
         origins = aged_origins(warm_start, wall_ms())
         if origins is not None:
-            self.state.stream_origins.on_restored(boot_s())
             apply_origins(self.state.stream_origins, origins, boot_s())
+            is_fresh = has_fresh_origins(warm_start, wall_ms())
+            self.state.stream_origins.on_restored(boot_s(), is_fresh=is_fresh)
 
     def remember(self) -> None:
         """Save the warm start in a thread, unless a write is in progress."""
--- a/src/tanagerturn/gateway/stream_origins.py
+++ b/src/tanagerturn/gateway/stream_origins.py
@@ -39,7 +39,9 @@
         attempts: Hashes of the attempts that began the streams.
         now_s: Current boot-clock time in seconds.
     """
-    message = gpb.StreamOrigins(complete_for_ms=age_ms(origins.complete_since_s, now_s))
+    message = gpb.StreamOrigins()
+    if now_s >= origins.unsure_until_s:
+        message.complete_for_ms = age_ms(origins.complete_since_s, now_s)
     groups: dict[StreamOrigin, list[int]] = {origin: [] for origin in origins.seen_s}
     for attempt in attempts:
         groups.setdefault(origins.records[attempt].origin, []).append(attempt)
--- a/src/tanagerturn/gateway/warm_start.py
+++ b/src/tanagerturn/gateway/warm_start.py
@@ -36,6 +36,11 @@
 """Time in milliseconds since the save after which the origins of streams are no longer
 restored; a peer may have seen other versions meanwhile."""
 
+FRESH_ORIGINS_MS: Final = 5_000
+"""Time in milliseconds from a save to a restart up to which the saved versions count as
+all. After a loss of power, hosts are back within 3 s, their last save is up to 1 s old,
+and a process starts in 1 s; later, others may have served meanwhile."""
+
 MAX_AGE_MS: Final = 2**31
 """Upper bound of an age in milliseconds in a message, 24 days."""
 
@@ -198,6 +203,16 @@
     return origins
 
 
+def has_fresh_origins(warm_start: gpb.WarmStart, wall_ms: int) -> bool:
+    """Return whether no other gateway can have served for long since the save.
+
+    Args:
+        warm_start: The saved state.
+        wall_ms: Current wall-clock time in milliseconds.
+    """
+    return 0 <= wall_ms - warm_start.written_at_ms <= FRESH_ORIGINS_MS
+
+
 def _age_crashes(crashes: Iterable[gpb.EngineCrash], elapsed_ms: int) -> None:
     for crash in crashes:
         crash.seen_ago_ms = min(MAX_AGE_MS, crash.seen_ago_ms + elapsed_ms)
--- a/src/tanagerturn/serving/streams/origins.py
+++ b/src/tanagerturn/serving/streams/origins.py
@@ -73,6 +73,9 @@
         self.restored_s: float | None = None
         """Monotonic time in seconds at which the state of before a restart was
         restored; None if there was none."""
+        self.unsure_until_s = float("-inf")
+        """Monotonic time in seconds until which the restored versions do not count as
+        all: peers may have served after they were saved."""
         self.stream_life_s = 0.0
         """Longest time in seconds from the first event of a stream to its last take-up,
         by the configuration; 0 while it is unknown."""
@@ -140,14 +143,24 @@
         for origin, at_s in seen_s.items():
             self._on_seen_at(origin, at_s, now_s)
         self.complete_since_s = min(self.complete_since_s, complete_since_s)
+        if now_s - complete_since_s >= self.stream_life_s > 0:
+            self.unsure_until_s = float("-inf")
 
     def on_missed(self, now_s: float) -> None:
         """Record that versions may have been missed until now."""
         self.complete_since_s = now_s
 
-    def on_restored(self, now_s: float) -> None:
-        """Record that what follows was saved before a restart of this gateway."""
+    def on_restored(self, now_s: float, *, is_fresh: bool) -> None:
+        """Record that what was merged so far was saved before a restart.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            is_fresh: It was saved so recently that no peer can have served since, if
+                all gateways were killed.
+        """
         self.restored_s = now_s
+        if not is_fresh:
+            self.unsure_until_s = now_s + NEW_VERSION_DELAY_S
 
     def knows_present_versions(self, now_s: float) -> bool:
         """Return whether engines of all versions announced themselves since the start.
@@ -198,7 +211,8 @@
     def is_complete(self, now_s: float) -> bool:
         """Return whether all versions of the life of a stream are known."""
         known_since_s = max(self.complete_since_s, self.forgotten_seen_s)
-        return now_s - known_since_s >= self.stream_life_s
+        is_sure = now_s >= self.unsure_until_s
+        return is_sure and now_s - known_since_s >= self.stream_life_s
 
     def expire(self, now_s: float) -> None:
         """Drop streams and versions that are too old to be taken up.
--- a/tests/serving/streams/steps/origins_steps.py
+++ b/tests/serving/streams/steps/origins_steps.py
@@ -12,7 +12,7 @@
     encode_origins,
     holders,
 )
-from tanagerturn.gateway.warm_start import aged_origins
+from tanagerturn.gateway.warm_start import aged_origins, has_fresh_origins
 from tanagerturn.schema import gateway_pb2 as gpb
 from tanagerturn.serving.streams.origins import (
     StreamOrigin,
@@ -161,10 +161,12 @@
     )
     context.started = StreamOrigins(started_s)
     context.started.stream_life_s = context.origins.stream_life_s
-    restored = aged_origins(saved, int(1000 * (started_s + off_s)))
+    wall_ms = int(1000 * (started_s + off_s))
+    restored = aged_origins(saved, wall_ms)
     if restored is not None:
-        context.started.on_restored(started_s)
         apply_origins(context.started, restored, started_s)
+        is_fresh = has_fresh_origins(saved, wall_ms)
+        context.started.on_restored(started_s, is_fresh=is_fresh)
     # Only engines of v2 are left, if there were any.
     for origin in list(context.origins.seen_s)[1:]:
         context.started.on_seen(origin, started_s)
--- a/tests/support/origin_schedule.py
+++ b/tests/support/origin_schedule.py
@@ -15,7 +15,7 @@
     encode_origins,
     encode_saved_origins,
 )
-from tanagerturn.gateway.warm_start import aged_origins
+from tanagerturn.gateway.warm_start import aged_origins, has_fresh_origins
 from tanagerturn.schema import gateway_pb2 as gpb
 from tanagerturn.serving.backends.messages import SoftwareVersion
 from tanagerturn.serving.streams.origins import (
@@ -166,10 +166,12 @@
             origins.stream_life_s = LIFE_S
         if gateway.saves:
             wall_s = now_s + random.choice(CLOCK_ERRORS_S)
-            restored = aged_origins(gateway.saves[-1][1], int(1000 * wall_s))
+            saved, wall_ms = gateway.saves[-1][1], int(1000 * wall_s)
+            restored = aged_origins(saved, wall_ms)
             if restored is not None:
-                origins.on_restored(now_s)
                 apply_origins(origins, restored, now_s)
+                is_fresh = has_fresh_origins(saved, wall_ms)
+                origins.on_restored(now_s, is_fresh=is_fresh)
 
     def _tick(self, gateway: SimulatedGateway) -> None:
         origins, now_s = gateway.origins, self.now_s
