Add failing tests of gateways without a path to backend servers

Six gateways and four engines on real sockets; a network in the test cuts chosen gateways off from all engines, silently, by resets or by refusing new connections.

--- a/tests/support/engine_fleet.py
+++ b/tests/support/engine_fleet.py
@@ -109,8 +109,13 @@
         """Announce the engine to one gateway, unless it is down."""
         if self.server is None:
             return
+        gateway = self.fleet.random.choice(list(self.fleet.cluster.gateways.values()))
+        await gateway.control.execute(Announce(self.announcement()))
+
+    def announcement(self) -> serving_pb2.Announcement:
+        """Return the next announcement of the engine."""
         self.sequence += 1
-        announcement = serving_pb2.Announcement(
+        return serving_pb2.Announcement(
             id=self.id,
             address=f"{self.ip}:{self.port}",
             incarnation=f"b{self.boots}",
@@ -122,8 +127,6 @@
             born_ms=self.born_ms,
             software_version=self.software_version,
         )
-        gateway = self.fleet.random.choice(list(self.fleet.cluster.gateways.values()))
-        await gateway.control.execute(Announce(announcement))
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/support/gateway_cluster.py
+++ b/tests/support/gateway_cluster.py
@@ -6,6 +6,7 @@
 import random
 import shutil
 import tempfile
+from contextvars import ContextVar, copy_context
 from dataclasses import replace
 from pathlib import Path
 
@@ -19,6 +20,9 @@
 """Timeout in seconds for the initialization of the state group; long enough for a busy
 machine."""
 
+RUNNING_HOST: ContextVar[str] = ContextVar("RUNNING_HOST", default="")
+"""Host of the gateway whose task or callback runs; empty outside of gateways."""
+
 
 class Cluster:
     """Gateways g1, g2, ..., of which the first ones have a disk.
@@ -61,7 +65,11 @@
         loop = asyncio.get_running_loop()
         gateway = Gateway(settings, PlatformDialect(1000), loop, lambda: settings)
         self.gateways[settings.host] = gateway
-        self.gateway_tasks[settings.host] = asyncio.create_task(gateway.run())
+        context = copy_context()
+        context.run(RUNNING_HOST.set, settings.host)
+        self.gateway_tasks[settings.host] = asyncio.create_task(
+            gateway.run(), context=context
+        )
         return gateway
 
     async def start_all(self) -> None:
