Serve requests through peers where a gateway has no path to backend servers

Cause: a gateway could serve only over its own connections. All 78 refusals of the five partitioned gateways between 5 and 15 s name their own failed connections (69 times "unreachable: [Errno 111] Connect call failed", 9 times "Connection reset by peer"), while the other four, with which they exchanged datagrams and configurations, answered 97 requests of the same routes. No readiness check failed, and no refusal names a quarantine.

Change: a failed or slow connection causes a check of several backend servers; if none accepts a connection, the gateway is cut off. A gateway that reaches no backend server of a service forwards the admitted request to a peer, which does not report the service as unreached in its digests, of its own zone if possible. The peer chooses, sends, retries and counts usage as for a caller, within the deadline, attempts and retry budget that are left, and never forwards again. Peers without a path say so, and up to three are tried. Without any path the request is refused at once. Checks go on while a path is missing, so the gateway's own paths are used again within about a second.

--- a/src/tanagerturn/gateway/backends/pool.py
+++ b/src/tanagerturn/gateway/backends/pool.py
@@ -8,6 +8,8 @@
 from tanagerturn.gateway.connection import TcpConnection, connect
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from tanagerturn.serving.backends.messages import BackendId
 
 CONNECT_TIMEOUT_S: Final = 0.5
@@ -47,6 +49,11 @@
     has_stray_responses: bool = False
     """Whether a response to another request than the pending one was received."""
 
+    @property
+    def is_new(self) -> bool:
+        """Whether the connection has never been idle."""
+        return not self.idle_until_s
+
     def close(self) -> None:
         """Close the connection; the backend server then cancels the request on it."""
         self.tcp.abort()
@@ -56,6 +63,8 @@
     """Idle connections by backend server."""
 
     def __init__(self) -> None:
+        self.on_idle_broken: Callable[[BackendId], None] = lambda _: None
+        """Called with the backend server of an idle connection that an error broke."""
         self.idle_connections: dict[BackendId, list[BackendConnection]] = {}
         """Idle connections by backend server id, the most recently used last."""
         self.opened_count = 0
@@ -105,6 +114,12 @@
             return
         connection.idle_until_s = now_s + max_idle_s(keep_alive_s)
         idle_connections.append(connection)
+        connection.tcp.on_disconnect = lambda: self._on_disconnect(connection)
+
+    def has_idle(self, backend_id: BackendId, now_s: float) -> bool:
+        """Return whether an idle connection to a backend server may be reused."""
+        idle_connections = self.idle_connections.get(backend_id, ())
+        return any(_is_reusable(c, now_s) for c in idle_connections)
 
     def expire(self, known_backend_ids: set[BackendId], now_s: float) -> None:
         """Close connections that can't be reused, or to unknown backend servers."""
@@ -122,11 +137,21 @@
             else:
                 del self.idle_connections[backend_id]
 
+    def drop_all(self) -> None:
+        """Close all idle connections."""
+        for backend_id in list(self.idle_connections):
+            self.drop(backend_id)
+
     def drop(self, backend_id: BackendId) -> None:
         """Close the idle connections to a backend server that failed."""
         for connection in self.idle_connections.pop(backend_id, []):
             connection.close()
 
+    def _on_disconnect(self, connection: BackendConnection) -> None:
+        is_idle = connection in self.idle_connections.get(connection.backend_id, ())
+        if is_idle and connection.tcp.error is not None:
+            self.on_idle_broken(connection.backend_id)
+
 
 def max_idle_s(keep_alive_s: float | None) -> float:
     """Return the time in seconds for which an idle connection may be reused.
--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -20,6 +20,7 @@
 )
 from tanagerturn.schema import gateway_pb2 as gpb
 from tanagerturn.serving.backends.messages import BackendId
+from tanagerturn.serving.backends.paths import Paths
 from tanagerturn.serving.backends.view import make_backend_view
 
 if TYPE_CHECKING:
@@ -67,6 +68,8 @@
         """Last announcement and ejections of each backend server."""
         self.states: dict[BackendId, BackendState] = {}
         """Requests in flight, cached prompt parts and failures by backend server id."""
+        self.paths = Paths()
+        """Backend servers that this gateway fails to open connections to."""
         self.directly_heard_s: dict[BackendId, float] = {}
         """Boot-clock time of the last announcement that this gateway received from
         the backend server itself, in seconds."""
@@ -119,6 +122,8 @@
         if heard:
             self.directly_heard_s[backend_id] = now_s
         self.change_count += applied_announcement.ok.eligibility_changed
+        if earlier:
+            self.paths.on_restarted(backend_id)
         return applied_announcement.ok.eligibility_changed
 
     def on_withdrawal(
@@ -319,6 +324,19 @@
         state.doubted_since_s = now_s
         state.blocked_until_s = now_s + backoff_s
 
+    def on_path_opened(self, backend_id: BackendId, now_s: float) -> None:
+        """Record that a connection was opened; it ends the backoff of unreached ones.
+
+        Args:
+            backend_id: Backend server that accepted it.
+            now_s: Current boot-clock time in seconds.
+        """
+        if not self.paths.is_open(backend_id):
+            state = self.state(backend_id)
+            state.consecutive_unreachable = 0
+            state.blocked_until_s = 0.0
+        self.paths.on_opened(backend_id, now_s)
+
     def on_broken(self, backend: Backend, now_s: float) -> None:
         """Record a response that a backend server broke off; it counts as a failure."""
         self.state(backend.id).doubted_since_s = now_s
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 import sys
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.clocks import boot_s, wall_ms
@@ -77,6 +78,9 @@
 """Longest interval in seconds at which the present and known gateways are determined
 although no change was seen."""
 
+FORWARDING_BYTES: Final = 8_192
+"""Maximum size in bytes of the header that a peer adds to a forwarded request."""
+
 MAX_URGENT_REQUESTS: Final = 256
 """Maximum number of suspected requests that are sent to peers at once, 12 KB."""
 
@@ -152,6 +156,10 @@
         """Calls to the cloud API."""
         self.caller_server = HttpServer(self.relay.handle, self._ingress_limits)
         """Listener for callers."""
+        self.forwarding_server = HttpServer(
+            self.relay.handle_forwarded, self._forwarding_limits
+        )
+        """Listener for requests that peers forward."""
         self.readiness_server = HttpServer(self.on_readiness, self._ingress_limits)
         """Listener for the load balancer."""
         self.control_server = HttpServer(self.control.handle, self._ingress_limits)
@@ -187,6 +195,7 @@
         self.startup.load(self.seed_ips)
         await self.mesh.listen()
         await self.links.listen(settings.link_address)
+        await self.forwarding_server.listen(settings.forwarding_address)
         await self.control_server.listen(settings.control_address)
         await self.readiness_server.listen(settings.readiness_address)
         await self.caller_server.listen(settings.callers_address)
@@ -303,6 +312,10 @@
     def _ingress_limits(self) -> IngressLimits:
         return self.state.configuration.limits
 
+    def _forwarding_limits(self) -> IngressLimits:
+        limits = self.state.configuration.limits
+        return replace(limits, header_bytes=limits.header_bytes + FORWARDING_BYTES)
+
     def _peer_digests(self) -> list[gpb.Digest]:
         return self.mesh.recent_digests(boot_s())
 
@@ -333,6 +346,7 @@
         self.state.note_versions(now_s)
         self._update_quarantine(now_s)
         self.relay.start_migrations(now_s)
+        self.relay.sender.path_checker.tick(now_s)
         self.state.pool.expire(set(self.state.fleet.view.backends), now_s)
 
     def _update_quarantine(self, now_s: float) -> None:
@@ -355,8 +369,10 @@
 
     def _update_gateways(self, now_s: float) -> None:
         self.next_view_s = now_s + VIEW_INTERVAL_S
+        present = self.mesh.present_gateways()
+        self.state.peer_paths.set_peers(present, self.mesh.zones())
         self.state.set_gateways(
-            self.mesh.present_gateways(),
+            present,
             self.mesh.known_count(now_s),
             self.mesh.met_count(now_s),
             now_s,
@@ -486,8 +502,11 @@
             await asyncio.sleep(TICK_S)
         # A request accepted later might not finish before the SIGKILL.
         self.caller_server.close()
-        while boot_s() < end_s and self.caller_server.running_count:
+        while boot_s() < end_s and (
+            self.caller_server.running_count or self.forwarding_server.running_count
+        ):
             await asyncio.sleep(TICK_S)
+        self.forwarding_server.close()
         self.mesh.leave()
         await asyncio.sleep(FLUSH_DELAY_S)
         self.may_exit.set()
--- a/src/tanagerturn/gateway/intake.py
+++ b/src/tanagerturn/gateway/intake.py
@@ -24,6 +24,7 @@
 from tanagerturn.serving.streams.origins import StreamOrigin
 
 if TYPE_CHECKING:
+    from tanagerturn.gateway.backends.forwarded import ForwardedCall
     from tanagerturn.gateway.configuration import Account, Route
     from tanagerturn.gateway.links import Links
     from tanagerturn.gateway.messages import InboundRequest
@@ -102,6 +103,8 @@
                     "no client account with this key in configuration"
                     f" {configuration.version}",
                 )
+        if exchange.forwarded is not None:
+            return _forwarded_run(request, exchange, route, account, exchange.forwarded)
         self.state.quarantine_share.on_request(route.targets[0].service)
         is_trial = self._admit_trial(request, account, exchange, route)
         origin = await self._find_origin(request, route)
@@ -329,6 +332,42 @@
         return units
 
 
+def _forwarded_run(
+    request: InboundRequest,
+    exchange: Exchange,
+    route: Route,
+    account: Account | None,
+    forwarded: ForwardedCall,
+) -> RequestRun:
+    """Return the run of a request that a peer gateway has admitted and charged.
+
+    Raises:
+        Refusal: The route has another service now.
+    """
+    stated = forwarded.request
+    service = ServiceName(stated.service)
+    if service not in [t.service for t in route.targets if t.weight > 0]:
+        cause = f"route {route.name} is not routed to service {service} now"
+        raise Refusal(503, cause, NO_CONFIGURATION_RETRY_S)
+    last_id = stated.last_event_id if stated.HasField("last_event_id") else None
+    return RequestRun(
+        request,
+        exchange,
+        route,
+        service,
+        account,
+        exchange.arrived_s + stated.time_left_ms / 1000,
+        StreamProgress(last_id),
+        tried_backend_ids=forwarded.tried_backend_ids,
+        sent_count=stated.sent_count,
+        may_have_run=stated.may_have_run,
+        is_start_counted=stated.start_counted,
+        is_trial=stated.trial,
+        origin=forwarded.origin,
+        forwarded=forwarded,
+    )
+
+
 def _quarantine_retry_s(due_s: float, now_s: float) -> float:
     """Return the time in seconds after which the caller of a refused request may retry.
 
--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -48,7 +48,18 @@
         "A request handler raised an unexpected error; its connection was closed."
     ),
     "connection_broke": "The connection of a caller broke.",
+    "forwarded": (
+        "A request is forwarded to a peer gateway, since this one reaches no backend "
+        "server that may get it; the peer logs the attempts."
+    ),
+    "forwarding_refused": "A request of a peer gateway had no valid forwarding header.",
     # Backend servers
+    "paths_lost": (
+        "None of the checked backend servers accepts a connection: this gateway is cut "
+        "off from them."
+    ),
+    "paths_restored": "A backend server accepts a connection of this gateway again.",
+    "path_check_failed": "A check of the paths to backend servers raised an error.",
     "backend_announced": (
         "A backend server is new or leaving, or its address or offer changed."
     ),
--- a/src/tanagerturn/gateway/metrics.py
+++ b/src/tanagerturn/gateway/metrics.py
@@ -47,6 +47,8 @@
     """Number of present gateways, this one included."""
     backends: Gauge
     """Number of known backend servers."""
+    unreached_backends: Gauge
+    """Backend servers that this gateway fails to open connections to."""
     running: Gauge
     """Number of requests in flight at backend servers."""
     waiting: Gauge
@@ -89,6 +91,12 @@
         self.configuration_version.set(state.configuration.version)
         self.gateways.set(state.gateway_count)
         self.backends.set(len(state.fleet.view.backends))
+        self.unreached_backends.set(
+            sum(
+                not state.fleet.paths.is_open(backend_id)
+                for backend_id in state.fleet.view.backends
+            )
+        )
         self.running.set(running)
         self.waiting.set(waiting)
         self.quarantined_parts.set(len(state.quarantine.quarantined))
@@ -121,6 +129,10 @@
         ),
         gateways=gauge("tanager_gateway_gateways", "Gateways present, itself too."),
         backends=gauge("tanager_gateway_backends", "Backend servers known."),
+        unreached_backends=gauge(
+            "tanager_gateway_unreached_backends",
+            "Backend servers that do not accept connections of this gateway.",
+        ),
         running=gauge("tanager_gateway_running", "Requests at backend servers."),
         waiting=gauge("tanager_gateway_waiting", "Requests that wait for a place."),
         quarantined_parts=gauge(
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.clocks import boot_s
 from tanagerturn.gateway import placement
+from tanagerturn.gateway.backends.detours import Detours
+from tanagerturn.gateway.backends.forwarded import InvalidForwarding, decode_request
 from tanagerturn.gateway.calls import call
 from tanagerturn.gateway.intake import Intake
 from tanagerturn.gateway.logs import component_log
@@ -14,6 +17,7 @@
 from tanagerturn.gateway.quarantine import shared_parts
 from tanagerturn.gateway.request_run import (
     Migration,
+    NoPath,
     Refusal,
     RequestRun,
     earlier_wait_s,
@@ -29,14 +33,16 @@
     next_action,
 )
 from tanagerturn.gateway.sender import Sender
+from tanagerturn.gateway.spread.peer_paths import PeerGateway
 from tanagerturn.serving.admission.first_event import Deferred, admit
+from tanagerturn.serving.backends.backend import Backend
+from tanagerturn.serving.backends.paths import PathFailure
 
 if TYPE_CHECKING:
     from tanagerturn.gateway.links import Links
     from tanagerturn.gateway.placement import Choice
     from tanagerturn.gateway.server import Exchange
     from tanagerturn.gateway.state import GatewayState
-    from tanagerturn.serving.backends.backend import Backend
 
 NO_BACKEND_RETRY_S: Final = 0.4
 """Minimum time in seconds after which a refused caller may retry: lost backend servers
@@ -74,6 +80,8 @@
         """Admits requests."""
         self.sender = Sender(state, self.wake)
         """Makes the backend attempts."""
+        self.detours = Detours(state, self.intake.refund)
+        """Serves requests through peers where this gateway has no path."""
         self.capacity_waiters: set[asyncio.Future[None]] = set()
         """Futures of requests that wait for capacity at a backend server."""
 
@@ -90,12 +98,27 @@
                 return
             if run is not None and not run.may_have_run:
                 self.intake.refund(run)
+            if exchange.forwarded is not None and isinstance(refusal, NoPath):
+                exchange.forwarded.answer.without_path = True
             await refuse(self.state, exchange, run, refusal)
         except asyncio.CancelledError:
             if run is not None:
                 log_end(self.state, run, "caller_left")
             raise
 
+    async def handle_forwarded(self, exchange: Exchange) -> None:
+        """Proxy one request that a peer gateway has admitted, and respond to the peer.
+
+        It is not forwarded again.
+        """
+        try:
+            exchange.forwarded = decode_request(exchange.headers)
+        except InvalidForwarding as error:
+            log.warning("forwarding_refused", reason=str(error))
+            await exchange.respond(400, [], b"")
+            return
+        await self.handle(exchange)
+
     def wake(self) -> None:
         """Let waiting requests check for capacity again."""
         for waiter in self.capacity_waiters:
@@ -106,12 +129,8 @@
         """Make backend attempts until one succeeds or none may follow."""
         migration: Migration | None = None
         while True:
-            backend = (
-                migration.backend if migration else await self._select_backend(run)
-            )
-            outcome = await self.sender.send(
-                run, backend, migration.kv_copy if migration else None
-            )
+            target = migration or await self._select_target(run)
+            outcome = await self._send(target, run)
             if outcome is None:
                 return
             if self._may_retry_target(run, migration, outcome):
@@ -121,7 +140,7 @@
                 continue
             if outcome is AttemptOutcome.BROKEN and self._has_evidence(run):
                 # Otherwise the crash of this attempt would not count in the decision.
-                await self.sender.crash_detector.wait_for_check(backend)
+                await self._wait_for_crash_check(target)
             action = self._next_action(run, outcome)
             if action is not NextAction.TRY_ANOTHER:
                 await self._finish_unanswered(run, action)
@@ -129,7 +148,7 @@
             log.info(
                 "tried_again",
                 request=run.request.attempt_id,
-                after=backend.id,
+                after=_name_of(target),
                 cause=run.cause,
                 sent=run.sent_count,
             )
@@ -199,8 +218,41 @@
         log_end(self.state, run, "broken_off")
         run.exchange.abort()
 
-    async def _select_backend(self, run: RequestRun) -> Backend:
-        """Return the backend server of the next attempt; wait while all are full."""
+    @singledispatchmethod
+    async def _send(
+        self, target: Backend | Migration | PeerGateway, run: RequestRun
+    ) -> AttemptOutcome | None:
+        """Send a request to the target of its next attempt.
+
+        Returns:
+            How the attempt failed; None once the caller has its response.
+        """
+        raise NotImplementedError(type(target).__name__)
+
+    @_send.register
+    async def _(self, target: Backend, run: RequestRun) -> AttemptOutcome | None:
+        return await self.sender.send(run, target, None)
+
+    @_send.register
+    async def _(self, target: Migration, run: RequestRun) -> AttemptOutcome | None:
+        return await self.sender.send(run, target.backend, target.kv_copy)
+
+    @_send.register
+    async def _(self, target: PeerGateway, run: RequestRun) -> AttemptOutcome | None:
+        return await self.detours.send(run, target)
+
+    async def _wait_for_crash_check(
+        self, target: Backend | Migration | PeerGateway
+    ) -> None:
+        backend = target.backend if isinstance(target, Migration) else target
+        if isinstance(backend, Backend):
+            await self.sender.crash_detector.wait_for_check(backend)
+
+    async def _select_target(self, run: RequestRun) -> Backend | PeerGateway:
+        """Return the target of the next attempt; wait while all are full.
+
+        It is a peer gateway if this one reaches no backend server that may get it.
+        """
         while True:
             now_s = boot_s()
             if run.time_left_s(now_s) <= 0:
@@ -211,6 +263,8 @@
                 )
             self.intake.reject_quarantined(run, now_s)
             choice = self._best_choice(run, now_s)
+            if choice is None and self.state.lacks_path(run.service, now_s):
+                return self._select_detour(run, now_s)
             if choice is None and await self._wait_for_limits(run, now_s):
                 continue
             if choice is None:
@@ -222,6 +276,31 @@
                 run.expected_s, run.pace = choice.first_event_s, choice.pace
                 return choice.backend
 
+    def _select_detour(self, run: RequestRun, now_s: float) -> Backend | PeerGateway:
+        """Return the target of a request whose backend servers are not reached.
+
+        Raises:
+            NoPath: No peer may reach them, and a connection would only time out.
+        """
+        state = self.state
+        peer = self.detours.choose(run, now_s) if run.forwarded is None else None
+        if peer is not None:
+            return peer
+        unfit = state.unfit_backends(run, now_s)
+        limited = state.backend_limits.exhausted_ids(now_s)
+        refusing = [
+            b
+            for b in state.fleet.candidates(run.service, unfit | limited, now_s)
+            if state.fleet.paths.failure_of(b.id) is PathFailure.REFUSED
+        ]
+        if refusing and run.forwarded is None and not run.unreachable_count:
+            # A refusal costs no time, and the backend server may have just restarted.
+            return state.random.choice(refusing)
+        cause = run.cause or f"no path to a backend server of service {run.service}"
+        if run.may_have_run:
+            raise Refusal(504 if run.time_left_s(now_s) <= 0 else 502, cause)
+        raise NoPath(503, cause, NO_BACKEND_RETRY_S)
+
     def _best_choice(self, run: RequestRun, now_s: float) -> Choice | None:
         """Return the best backend server without an attempt yet; None if none.
 
@@ -385,3 +464,10 @@
             return None
         migration_task, run.migration_task = run.migration_task, None
         return await migration_task
+
+
+def _name_of(target: Backend | Migration | PeerGateway) -> str:
+    """Return the id or host that names the target of an attempt in logs."""
+    if isinstance(target, PeerGateway):
+        return target.host
+    return target.backend.id if isinstance(target, Migration) else target.id
--- a/src/tanagerturn/gateway/request_run.py
+++ b/src/tanagerturn/gateway/request_run.py
@@ -13,6 +13,7 @@
     import asyncio
 
     from tanagerturn.gateway.backends.exchange import ResponseHead
+    from tanagerturn.gateway.backends.forwarded import ForwardedCall
     from tanagerturn.gateway.configuration import Account, Route, ServiceName
     from tanagerturn.gateway.event_stream import StreamProgress
     from tanagerturn.gateway.messages import InboundRequest, KvCopy
@@ -78,6 +79,10 @@
         """Text for the caller; empty for none."""
 
 
+class NoPath(Refusal):
+    """Raised when this gateway does not reach the backend servers of a service."""
+
+
 class BackendTimeout(Exception):
     """Raised when a backend server sent no data within the timeout."""
 
@@ -105,6 +110,11 @@
     included."""
     sent_count: int = 0
     """Number of backend servers that the request was sent to."""
+    tried_peers: set[str] = field(default_factory=set)
+    """Hosts of the peer gateways that the request was forwarded to."""
+    forwarded: ForwardedCall | None = None
+    """What the peer gateway that forwarded the request states of it; None if the
+    request came from its caller."""
     origin: StreamOrigin | None = None
     """Where the stream began, which may go on only at that software version; None
     before its first event."""
--- a/src/tanagerturn/gateway/sender.py
+++ b/src/tanagerturn/gateway/sender.py
@@ -11,9 +11,13 @@
     ResponseError,
     read_whole,
 )
+from tanagerturn.gateway.backends.path_checks import PathChecker
+from tanagerturn.gateway.backends.streams import (
+    LENGTH_HEADER,
+    new_data,
+    stream_headers,
+)
 from tanagerturn.gateway.configuration import RequestKind
-from tanagerturn.gateway.event_stream import EventSplitter
-from tanagerturn.gateway.http_reader import MIN_PART_BYTES
 from tanagerturn.gateway.logs import component_log
 from tanagerturn.gateway.messages import Forwarding
 from tanagerturn.gateway.outcomes import count_run_start, log_end
@@ -25,6 +29,7 @@
     pause_timeout_s,
 )
 from tanagerturn.gateway.retry_policy import AttemptOutcome
+from tanagerturn.serving.backends.paths import Doubt
 from tanagerturn.serving.quarantine.quarantine import WELL_AFTER_S
 from tanagerturn.serving.streams.origins import StreamOrigin
 
@@ -32,6 +37,7 @@
     from collections.abc import Awaitable, Callable
 
     from tanagerturn.gateway.backends.exchange import ResponseHead
+    from tanagerturn.gateway.backends.pool import BackendConnection
     from tanagerturn.gateway.messages import KvCopy, RawHeaders
     from tanagerturn.gateway.request_run import RequestRun
     from tanagerturn.gateway.state import GatewayState
@@ -41,13 +47,10 @@
 """Maximum size in bytes of the response of a plain service, which is read whole before
 it is forwarded."""
 
-STREAM_LIMIT_BYTES: Final = 16 * 1024 * 1024
-"""Maximum size of a stream in bytes."""
-
-LENGTH_HEADER: Final = b"content-length"
-
-EVENT_STREAM: Final = b"text/event-stream"
-"""Content type of streams of events."""
+SLOW_OPEN_S: Final = 0.12
+"""Time in seconds after which a connection that is not open yet causes a check of the
+paths to backend servers: many round trips, and less than the retransmission timeout of
+a lost first packet."""
 
 T = TypeVar("T")
 
@@ -73,6 +76,11 @@
         server."""
         self.running: dict[RequestRun, BackendExchange] = {}
         """Requests with an attempt in progress, and its exchange."""
+        self.path_checker = PathChecker(state, on_attempt_finished)
+        """Checks which backend servers this gateway reaches."""
+        state.pool.on_idle_broken = lambda backend_id: self.path_checker.on_doubted(
+            backend_id, Doubt.WEAK, boot_s()
+        )
         self.crash_detector = CrashDetector(state.quarantine, state.repeats)
         """Checks backend servers that broke requests off."""
 
@@ -114,13 +122,12 @@
             copied_from=kv_copy.source_address if kv_copy else "",
         )
         try:
-            connection = await state.pool.acquire(
-                backend.id, backend.address, run.time_left_s(now_s), now_s
-            )
+            connection = await self._connect(run, backend, now_s)
         except OSError as error:
             run.unreachable_count += 1
             run.cause = f"{backend.id} unreachable: {str(error) or 'connect timeout'}"
             state.fleet.on_unreachable(backend.id, boot_s())
+            self.path_checker.on_open_failed(backend.id, error, boot_s())
             self._on_attempt_finished(backend, attempt)
             return AttemptOutcome.NOT_SENT
         except asyncio.CancelledError:
@@ -128,6 +135,8 @@
             raise
         exchange = BackendExchange(connection, state.dialect, attempt)
         run.backend, run.writing_since_s, run.has_run_well = backend, 0.0, False
+        if run.forwarded is not None:
+            run.forwarded.answer.backend = backend.id
         self.running[run] = exchange
         try:
             return await self._run_exchange(run, backend, exchange, kv_copy)
@@ -142,6 +151,28 @@
             del self.running[run]
             self._on_attempt_finished(backend, attempt)
 
+    async def _connect(
+        self, run: RequestRun, backend: Backend, now_s: float
+    ) -> BackendConnection:
+        """Return a connection to a backend server; check the paths if it is slow.
+
+        Raises:
+            OSError: The connection could not be opened, or `TimeoutError`.
+        """
+        slow = asyncio.get_running_loop().call_later(
+            SLOW_OPEN_S,
+            lambda: self.path_checker.on_doubted(backend.id, Doubt.STRONG, boot_s()),
+        )
+        try:
+            connection = await self.state.pool.acquire(
+                backend.id, backend.address, run.time_left_s(now_s), now_s
+            )
+        finally:
+            slow.cancel()
+        if connection.is_new:
+            self.state.fleet.on_path_opened(backend.id, boot_s())
+        return connection
+
     def withdraw_quarantined(self) -> None:
         """Close the backend connections of requests that have been quarantined.
 
@@ -186,6 +217,7 @@
             # The stream was migrated to another engine, or the backend server stopped
             # as announced: neither is a failure of the backend server.
             return AttemptOutcome.BROKEN
+        self.path_checker.on_doubted(backend.id, Doubt.WEAK, now_s)
         if isinstance(error, ResponseError):
             self.crash_detector.on_broken(backend, run, writing_s, now_s)
             fleet.on_broken(backend, now_s)
@@ -295,40 +327,25 @@
         Of a generation or an event stream, only complete events that the caller does
         not have yet are forwarded.
         """
-        has_events = run.request.prompt is not None or _is_event_stream(head.headers)
-        splitter = EventSplitter()
         body_parts = exchange.body_parts()
-        is_first = True
-        size = 0
-        while True:
-            timeout_s = first_event_timeout_s(run) if is_first else pause_timeout_s(run)
-            body_part = await self._with_timeout(run, anext(body_parts, b""), timeout_s)
-            if not body_part:
-                break
-            size += max(len(body_part), MIN_PART_BYTES)
-            if size > STREAM_LIMIT_BYTES:
-                raise ResponseError(
-                    f"the stream exceeds the limit of {STREAM_LIMIT_BYTES} bytes"
-                )
-            if is_first:
-                is_first = False
+
+        async def read_part() -> bytes:
+            has_begun = run.writing_since_s > 0
+            timeout_s = (
+                pause_timeout_s(run) if has_begun else first_event_timeout_s(run)
+            )
+            return await self._with_timeout(run, anext(body_parts, b""), timeout_s)
+
+        async for data in new_data(run, head.headers, read_part):
+            if not run.writing_since_s:
                 self._on_first_data(run, backend)
-            data = body_part
-            if has_events:
-                try:
-                    events = splitter.feed(body_part)
-                    data = b"".join(e.data for e in events if run.progress.accept(e))
-                except ValueError as error:
-                    raise ResponseError(str(error)) from error
             if data:
                 self._forward_data(run, head, data)
                 waited_s = boot_s() - exchange.connection.tcp.read_since_s
                 run.passed_on_s = max(run.passed_on_s, waited_s)
                 await run.exchange.drain()
-        if splitter.partial_event:
-            raise ResponseError("the stream ended in the middle of an event")
         if not run.exchange.status:
-            run.exchange.start(head.reply.status, _stream_headers(head.headers))
+            run.exchange.start(head.reply.status, stream_headers(head.headers))
         await run.exchange.finish()
         self._on_ran_well(run, boot_s())
         self.state.fleet.on_success(backend.id, boot_s())
@@ -364,12 +381,16 @@
         if not run.exchange.status:
             run.first_event_s = now_s - run.exchange.arrived_s
             self._on_stream_begun(run, now_s)
-            run.exchange.start(head.reply.status, _stream_headers(head.headers))
+            run.exchange.start(head.reply.status, stream_headers(head.headers))
         run.exchange.send(data)
 
     def _on_stream_begun(self, run: RequestRun, now_s: float) -> None:
         """Bind a stream to the software version that wrote its first event."""
-        if run.origin is not None or run.backend is None:
+        if run.backend is None:
+            return
+        if run.forwarded is not None:
+            run.forwarded.answer.origin_version = run.backend.software_version
+        if run.origin is not None:
             return
         run.origin = StreamOrigin(run.service, run.backend.software_version)
         self.state.stream_origins.on_began(
@@ -402,12 +423,9 @@
     def _has_alternative(self, run: RequestRun) -> bool:
         now_s = boot_s()
         excluded = self.state.excluded_backends(run, now_s)
-        return bool(self.state.fleet.candidates(run.service, excluded, now_s))
-
-
-def _stream_headers(headers: RawHeaders) -> RawHeaders:
-    """Return the headers of a stream without a length, so that it is chunked."""
-    return [(name, value) for name, value in headers if name.lower() != LENGTH_HEADER]
+        if self.state.fleet.candidates(run.service, excluded, now_s):
+            return True
+        return run.forwarded is None and self.state.lacks_path(run.service, now_s)
 
 
 def _check_length(headers: RawHeaders) -> None:
@@ -418,10 +436,3 @@
                 f"the response has {value.decode()} bytes, more than the limit of"
                 f" {RESPONSE_LIMIT_BYTES}"
             )
-
-
-def _is_event_stream(headers: RawHeaders) -> bool:
-    return any(
-        name.lower() == b"content-type" and value.lower().startswith(EVENT_STREAM)
-        for name, value in headers
-    )
--- a/src/tanagerturn/gateway/server.py
+++ b/src/tanagerturn/gateway/server.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
+    from tanagerturn.gateway.backends.forwarded import ForwardedCall
     from tanagerturn.gateway.configuration import IngressLimits
     from tanagerturn.gateway.messages import RawHeaders
 
@@ -79,6 +80,9 @@
         """HTTP status of the response; 0 until the response is started."""
         self.attempt_id = ""
         """Request id that the caller sent; empty until the head is decoded."""
+        self.forwarded: ForwardedCall | None = None
+        """What a peer gateway states of a request that it forwarded; None for requests
+        of callers."""
 
     async def respond(self, status: int, headers: RawHeaders, body: bytes) -> None:
         """Send a whole response."""
@@ -91,6 +95,8 @@
     def start(self, status: int, headers: RawHeaders) -> None:
         """Send the head of a response; without a length its body is chunked."""
         self.status = status
+        if self.forwarded is not None:
+            headers = [*headers, *self.forwarded.answer_headers()]
         if self.connection.closes_after_response():
             headers = [*headers, (b"Connection", b"close")]
         event = h11.Response(status_code=status, headers=headers)
--- a/src/tanagerturn/gateway/settings.py
+++ b/src/tanagerturn/gateway/settings.py
@@ -49,6 +49,8 @@
     """Address of the metrics listener; empty for none."""
     link_port: int
     """TCP port for links of peer gateways; the same on all hosts."""
+    forwarding_port: int
+    """TCP port for requests that peer gateways forward; the same on all hosts."""
     digest_port: int
     """UDP port for digests of peer gateways; the same on all hosts."""
     membership_port: int
@@ -89,6 +91,11 @@
         """Address at which this gateway accepts links of its peers."""
         return f"{self.ip}:{self.link_port}"
 
+    @property
+    def forwarding_address(self) -> str:
+        """Address at which this gateway accepts requests that its peers forward."""
+        return f"{self.ip}:{self.forwarding_port}"
+
     @property
     def state_members(self) -> int:
         """Number of voters with which the state group tolerates `tolerated_losses`."""
--- a/src/tanagerturn/gateway/spread/digests.py
+++ b/src/tanagerturn/gateway/spread/digests.py
@@ -124,6 +124,7 @@
         digest.configuration_version = state.configuration.version
         digest.registry_hash = state.fleet.registry_hash(now_s)
         digest.draining = state.is_draining
+        digest.unreached_services.extend(state.unreached_services(now_s))
         for backend_id, heard_s in state.fleet.directly_heard_s.items():
             if now_s - heard_s < DIRECTLY_HEARD_MAX_AGE_S:
                 digest.heard.append(backend_hash(backend_id))
@@ -176,6 +177,7 @@
         state = self.state
         state.wall_clock.on_peer_time(digest.host, digest.sent_at_ms / 1000, now_s)
         state.fleet.on_heard_by_peer(digest.heard, now_s)
+        state.peer_paths.on_report(digest.host, digest.unreached_services, now_s)
         work = [
             (each.backend, Work(each.running, each.prompt_tokens, each.kv_tokens))
             for each in digest.work
--- a/src/tanagerturn/gateway/spread/mesh.py
+++ b/src/tanagerturn/gateway/spread/mesh.py
@@ -298,6 +298,13 @@
             if member.process not in excluded and member.info.relay_address
         }
 
+    def zones(self) -> dict[str, str]:
+        """Return the availability zone of each present peer by host."""
+        return {
+            str(member.process): member.info.availability_zone
+            for member in self.core.table.present_members()
+        }
+
     def known_count(self, now_s: float) -> int:
         """Return the number of gateways that this one or any recent digest knows.
 
--- a/src/tanagerturn/gateway/state.py
+++ b/src/tanagerturn/gateway/state.py
@@ -19,6 +19,7 @@
 from tanagerturn.gateway.logs import component_log
 from tanagerturn.gateway.metrics import GatewayMetrics, make_gateway_metrics
 from tanagerturn.gateway.quarantine_share import QuarantineShare
+from tanagerturn.gateway.spread.peer_paths import PeerPaths
 from tanagerturn.gateway.usage import UsageCounts
 from tanagerturn.gateway.wall_clock import CorrectedWallClock
 from tanagerturn.serving.capacity.token_demand import TokenDemand
@@ -66,6 +67,8 @@
     """Limits that backend servers name."""
     stream_origins: StreamOrigins
     """Software versions at which streams began."""
+    peer_paths: PeerPaths
+    """Peer gateways that reach backend servers which this one does not."""
     wall_clock: CorrectedWallClock
     """Wall clock, corrected by the clocks of peer gateways."""
     usage: UsageCounts
@@ -201,11 +204,13 @@
     def excluded_backends(self, run: RequestRun, now_s: float) -> set[BackendId]:
         """Return the backend servers that must not get the next attempt of a request.
 
-        These are the unfit ones and those whose own limit is exhausted. A trial leaves
-        out those with other requests as well, unless all have some.
+        These are the unfit ones, those whose own limit is exhausted and those that this
+        gateway does not reach. A trial leaves out those with other requests as well,
+        unless all have some.
         """
         limited = self.backend_limits.exhausted_ids(now_s)
-        excluded = self.unfit_backends(run, now_s) | limited
+        unreached = self.unreached_backends(run.service, now_s)
+        excluded = self.unfit_backends(run, now_s) | limited | unreached
         young = self._young_backends(run, now_s)
         if young and any(
             self.fleet.is_healthy(backend, now_s)
@@ -222,6 +227,40 @@
         has_idle = self.fleet.candidates(run.service, excluded | busy, now_s)
         return excluded | busy if has_idle else excluded
 
+    def unreached_backends(self, service: str, now_s: float) -> set[BackendId]:
+        """Return the backend servers of a service that this gateway does not reach.
+
+        One to which an idle connection is left is reached.
+        """
+        paths = self.fleet.paths
+        if not paths.has_failures:
+            return set()
+        return {
+            backend.id
+            for backend in self.fleet.view.pool(service)
+            if not paths.is_open(backend.id)
+            and not self.pool.has_idle(backend.id, now_s)
+        }
+
+    def lacks_path(self, service: str, now_s: float) -> bool:
+        """Return whether this gateway does not reach a live backend server."""
+        return any(
+            backend.is_alive(to_ms(now_s)) and not backend.leaving
+            for backend_id in self.unreached_backends(service, now_s)
+            if (backend := self.fleet.view.backends.get(backend_id)) is not None
+        )
+
+    def unreached_services(self, now_s: float) -> list[str]:
+        """Return the services of which this gateway reaches no live backend server."""
+        if not self.fleet.paths.has_failures:
+            return []
+        reached: dict[str, bool] = {}
+        for backend in self.fleet.view.backends.values():
+            if backend.is_alive(to_ms(now_s)) and not backend.leaving:
+                service, is_open = service_of(backend), self.fleet.paths.is_open
+                reached[service] = reached.get(service, False) or is_open(backend.id)
+        return sorted(service for service, is_any in reached.items() if not is_any)
+
     def _young_backends(self, run: RequestRun, now_s: float) -> set[BackendId]:
         """Return the backend servers at which a resumable stream should not begin yet.
 
@@ -277,6 +316,7 @@
         limits=AccountLimits(settings.host, settings.limit_tolerance),
         backend_limits=BackendLimits(settings.host),
         stream_origins=StreamOrigins(now_s),
+        peer_paths=PeerPaths(settings.zone),
         wall_clock=CorrectedWallClock(now_s, wall_s),
         usage=UsageCounts(settings.report_window_s),
     )
--- a/src/tanagerturn/platform/settings.py
+++ b/src/tanagerturn/platform/settings.py
@@ -19,6 +19,7 @@
 LINK_PORT_OFFSET: Final = 0
 MEMBERSHIP_PORT_OFFSET: Final = 1
 DIGEST_PORT_OFFSET: Final = 2
+FORWARDING_PORT_OFFSET: Final = 3
 """Offsets of the gateway's ports from the first port of `internal_ports`, which is
 the same on all machines."""
 
@@ -115,6 +116,7 @@
         control_address=fields["listen.control"],
         metrics_address=f"{fields['ip']}:{METRICS_PORT}",
         link_port=first_port + LINK_PORT_OFFSET,
+        forwarding_port=first_port + FORWARDING_PORT_OFFSET,
         digest_port=first_port + DIGEST_PORT_OFFSET,
         membership_port=first_port + MEMBERSHIP_PORT_OFFSET,
         # Seeds name the control listeners of other gateways. Only their IP addresses
--- a/tests/support/gateway_cluster.py
+++ b/tests/support/gateway_cluster.py
@@ -56,6 +56,7 @@
             link_port=self.port + 3,
             digest_port=self.port + 4,
             membership_port=self.port + 5,
+            forwarding_port=self.port + 6,
             seed_ips=seeds,
         )
 
@@ -100,6 +101,7 @@
         await asyncio.wait((task,))
         for server in (
             gateway.caller_server,
+            gateway.forwarding_server,
             gateway.readiness_server,
             gateway.control_server,
         ):
--- a/tests/support/gateway_world.py
+++ b/tests/support/gateway_world.py
@@ -47,6 +47,7 @@
         control_address="127.0.0.1:0",
         metrics_address="",
         link_port=0,
+        forwarding_port=0,
         digest_port=0,
         membership_port=0,
         seed_ips=("127.0.0.1",),
