Do not take engines for crashed that a gateway is cut off from

Cause: an engine that refuses a connection after it broke one counted as crashed, also where the gateway could open a connection to no other backend server either.

Change: a refusal is a crash only if a connection to some backend server has been opened since.

--- a/src/tanagerturn/gateway/backends/path_checks.py
+++ b/src/tanagerturn/gateway/backends/path_checks.py
@@ -10,7 +10,11 @@
 from tanagerturn.gateway.connection import connect
 from tanagerturn.gateway.fleet import service_of
 from tanagerturn.gateway.logs import component_log
-from tanagerturn.serving.backends.paths import Doubt, PathFailure
+from tanagerturn.serving.backends.paths import (
+    REACHED_MAX_AGE_S,
+    Doubt,
+    PathFailure,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -51,7 +55,23 @@
             now_s: Current boot-clock time in seconds.
         """
         if self.check is None and self.paths.is_check_due(doubt, now_s):
-            self._start(backend_id, doubt, now_s)
+            self._start(backend_id, doubt, now_s, now_s - REACHED_MAX_AGE_S)
+
+    async def is_cut_off(self, backend_id: BackendId, since_s: float) -> bool:
+        """Check whether this gateway reaches any backend server.
+
+        Args:
+            backend_id: Backend server whose connections broke.
+            since_s: Boot-clock time in seconds at which they broke; a connection opened
+                later to any backend server shows that this gateway is not cut off.
+        """
+        while self.paths.opened_s <= since_s:
+            if self.check is None:
+                self._start(backend_id, Doubt.STRONG, boot_s(), since_s)
+                await self.wait()
+                break
+            await self.wait()
+        return self.paths.cut is not None
 
     def on_open_failed(
         self, backend_id: BackendId, error: OSError, now_s: float
@@ -72,7 +92,7 @@
         if self.check is None and self.paths.is_check_due(None, now_s):
             failed = sorted(self.paths.failures)
             chosen = self.state.random.choice(failed) if failed else None
-            self._start(chosen, None, now_s)
+            self._start(chosen, None, now_s, now_s)
 
     async def wait(self) -> None:
         """Wait for the check in progress, if any."""
@@ -85,7 +105,11 @@
         return self.state.fleet.paths
 
     def _start(
-        self, doubted: BackendId | None, doubt: Doubt | None, now_s: float
+        self,
+        doubted: BackendId | None,
+        doubt: Doubt | None,
+        now_s: float,
+        reached_since_s: float,
     ) -> None:
         backends = self.state.fleet.view.backends
         known = backends.get(doubted) if doubted is not None else None
@@ -97,7 +121,7 @@
             of_service,
             backends.keys() - of_service,
             self.state.random,
-            now_s,
+            reached_since_s,
         )
         if not chosen:
             return
--- a/src/tanagerturn/gateway/sender.py
+++ b/src/tanagerturn/gateway/sender.py
@@ -81,7 +81,9 @@
         state.pool.on_idle_broken = lambda backend_id: self.path_checker.on_doubted(
             backend_id, Doubt.WEAK, boot_s()
         )
-        self.crash_detector = CrashDetector(state.quarantine, state.repeats)
+        self.crash_detector = CrashDetector(
+            state.quarantine, state.repeats, state.fleet.view, self.path_checker
+        )
         """Checks backend servers that broke requests off."""
 
     async def send(
--- a/src/tanagerturn/serving/backends/paths.py
+++ b/src/tanagerturn/serving/backends/paths.py
@@ -155,7 +155,7 @@
         of_service: Iterable[BackendId],
         others: Iterable[BackendId],
         random: Random,
-        now_s: float,
+        reached_since_s: float,
     ) -> list[BackendId]:
         """Choose the backend servers of a check.
 
@@ -168,10 +168,11 @@
             of_service: Backend servers of its service.
             others: All other backend servers.
             random: Source of the choice.
-            now_s: Monotonic time in seconds.
+            reached_since_s: Monotonic time in seconds; a connection opened after it
+                shows that others are reached.
         """
         chosen = [doubted] if doubted is not None else []
-        is_reached = now_s - self.opened_s < REACHED_MAX_AGE_S
+        is_reached = self.opened_s > reached_since_s
         is_strong = doubt is Doubt.STRONG and not is_reached
         if chosen and not is_strong and self.cut is None:
             return chosen
