Name the software version in refusals of streams that no peer can continue either

tests/gateway/versions failed after requests were forwarded to peers: the take-up of a stream whose last engine had ended got 503 without a text. Peers counted as unreachable backend servers, so the request was refused as one with too many of those. The refusal is now the one of a gateway without an eligible backend server, and peers do not count.

--- a/src/tanagerturn/gateway/backends/detours.py
+++ b/src/tanagerturn/gateway/backends/detours.py
@@ -145,7 +145,6 @@
     def _on_not_run(
         self, run: RequestRun, peer: PeerGateway, reason: str
     ) -> AttemptOutcome:
-        run.unreachable_count += 1
         run.cause = f"gateway {peer.host}: {reason}"
         self.state.peer_paths.on_failed(peer.host, boot_s())
         return AttemptOutcome.NOT_SENT
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -52,6 +52,9 @@
 """Time in seconds after which a caller may take a stream up again of whose software
 version no backend server is left; a crashed one is back after some seconds."""
 
+NOT_RUN_STATUS: Final = 503
+"""Status by which the gateway states that a request has not run."""
+
 CAPACITY_CHECK_INTERVAL_S: Final = 0.25
 """Time in seconds after which a waiting request checks for capacity although this
 gateway has freed none; other gateways also free capacity."""
@@ -296,10 +299,13 @@
         if refusing and run.forwarded is None and not run.unreachable_count:
             # A refusal costs no time, and the backend server may have just restarted.
             return state.random.choice(refusing)
-        cause = run.cause or f"no path to a backend server of service {run.service}"
-        if run.may_have_run:
-            raise Refusal(504 if run.time_left_s(now_s) <= 0 else 502, cause)
-        raise NoPath(503, cause, NO_BACKEND_RETRY_S)
+        run.cause = run.cause or f"no path to a backend server of {run.service}"
+        refusal = self._no_backend(run, now_s)
+        if refusal.status != NOT_RUN_STATUS:
+            raise refusal
+        raise NoPath(
+            NOT_RUN_STATUS, refusal.cause, refusal.retry_after_s, refusal.detail
+        )
 
     def _best_choice(self, run: RequestRun, now_s: float) -> Choice | None:
         """Return the best backend server without an attempt yet; None if none.
