Obey what backend servers state in answers that their requests do not use

Cause: pauses, departures and limits were read where an answer decides its request. An answer was not read at all if its request had just been given up, by its deadline, a timeout or its caller's leaving, and a refusal behind a stray answer raised an error before it was. A backend server answers at the deadline that it is given, which is when the gateway gives up as well.

Change: each received head is read for what it states, whichever request it belongs to. New log events late_answer and stray_response.

--- a/src/tanagerturn/gateway/backends/exchange.py
+++ b/src/tanagerturn/gateway/backends/exchange.py
@@ -10,9 +10,10 @@
 
 from tanagerturn.gateway.connection import end_to_end_headers
 from tanagerturn.gateway.http_reader import MIN_PART_BYTES, HttpReader
+from tanagerturn.gateway.logs import component_log
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from tanagerturn.gateway.backends.pool import BackendConnection
     from tanagerturn.gateway.dialect import Dialect
@@ -26,6 +27,8 @@
 SKIPPED_BODY_LIMIT_BYTES: Final = 64 * 1024
 """Maximum size in bytes of the body of a late response, which is not forwarded."""
 
+log = component_log("relay")
+
 
 class ResponseError(Exception):
     """Raised when a backend server's response is missing, malformed or incomplete.
@@ -52,10 +55,16 @@
         connection: Connection that carries the request.
         dialect: Decodes the head of the response.
         attempt_id: Request id that the response has to repeat.
+        on_reply: Called with the head of each response that is received, and whether
+            it belongs to the request.
     """
 
     def __init__(
-        self, connection: BackendConnection, dialect: Dialect, attempt_id: str
+        self,
+        connection: BackendConnection,
+        dialect: Dialect,
+        attempt_id: str,
+        on_reply: Callable[[BackendReply, bool], None] = lambda reply, is_own: None,
     ) -> None:
         self.connection = connection
         """Connection that carries the request."""
@@ -63,6 +72,10 @@
         """Decodes the head of the response."""
         self.attempt_id = attempt_id
         """Request id that the response has to repeat."""
+        self.on_reply = on_reply
+        """Called with the head of each response, and whether it is the request's."""
+        self.has_head = False
+        """Whether the head of the response was received."""
         self.reader = HttpReader(connection.tcp, h11.Connection(h11.CLIENT))
         """Reads the events of the response."""
         self.request: h11.Request | None = None
@@ -111,15 +124,26 @@
                 )
             headers = list(event.headers.raw_items())
             reply = self.dialect.decode_reply(event.status_code, headers)
-            if not self._is_own(reply):
+            is_own = self._is_own(reply)
+            is_doubtful = reply.is_refusal and self.connection.has_stray_responses
+            self.on_reply(reply, is_own and not is_doubtful)
+            if not is_own:
                 self.connection.has_stray_responses = True
+                log.info(
+                    "stray_response",
+                    request=self.attempt_id,
+                    backend=self.connection.backend_id,
+                    status=reply.status,
+                    answers=reply.attempt_id,
+                )
                 await self._skip_response()
                 continue
-            if reply.is_refusal and self.connection.has_stray_responses:
+            if is_doubtful:
                 raise ResponseError(
                     f"refused with status {reply.status} after a response to another"
                     " request, so the refusal may belong to another one too"
                 )
+            self.has_head = True
             self.connection.echoes_ids |= bool(reply.attempt_id)
             self.keep_alive_s = reply.keep_alive_s
             self.closes_connection = reply.closes_connection or reply.is_refusal
--- a/src/tanagerturn/gateway/connection.py
+++ b/src/tanagerturn/gateway/connection.py
@@ -168,6 +168,11 @@
         self._drain_waiter = asyncio.get_running_loop().create_future()
         await self._drain_waiter
 
+    def end_writing(self) -> None:
+        """Close the connection in this direction once the written bytes are sent."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write_eof()
+
     def close(self) -> None:
         """Close the connection once the written bytes are sent."""
         if self.transport is not None:
--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -53,6 +53,14 @@
         "server that may get it; the peer logs the attempts."
     ),
     "forwarding_refused": "A request of a peer gateway had no valid forwarding header.",
+    "late_answer": (
+        "The answer to a request arrived just after the request was given up; only "
+        "what the backend server states of itself is used."
+    ),
+    "stray_response": (
+        "A backend server sent a response to another request than the pending one, "
+        "`answers`; it is skipped."
+    ),
     # Backend servers
     "paths_lost": (
         "None of the checked backend servers accepts a connection: this gateway is cut "
--- a/src/tanagerturn/gateway/sender.py
+++ b/src/tanagerturn/gateway/sender.py
@@ -5,13 +5,15 @@
 import asyncio
 from typing import TYPE_CHECKING, Final, TypeVar
 
-from tanagerturn.clocks import boot_s, to_ms
+from tanagerturn.clocks import boot_s
 from tanagerturn.gateway.backends.exchange import (
     BackendExchange,
     ResponseError,
     read_whole,
 )
+from tanagerturn.gateway.backends.late_answers import LateAnswers
 from tanagerturn.gateway.backends.path_checks import PathChecker
+from tanagerturn.gateway.backends.statements import apply_statements
 from tanagerturn.gateway.backends.streams import (
     LENGTH_HEADER,
     new_data,
@@ -38,7 +40,7 @@
 
     from tanagerturn.gateway.backends.exchange import ResponseHead
     from tanagerturn.gateway.backends.pool import BackendConnection
-    from tanagerturn.gateway.messages import KvCopy, RawHeaders
+    from tanagerturn.gateway.messages import BackendReply, KvCopy, RawHeaders
     from tanagerturn.gateway.request_run import RequestRun
     from tanagerturn.gateway.state import GatewayState
     from tanagerturn.serving.backends.backend import Backend
@@ -76,6 +78,8 @@
         server."""
         self.running: dict[RequestRun, BackendExchange] = {}
         """Requests with an attempt in progress, and its exchange."""
+        self.late_answers = LateAnswers()
+        """Reads answers to requests that were given up."""
         self.path_checker = PathChecker(state, on_attempt_finished)
         """Checks which backend servers this gateway reaches."""
         state.pool.on_idle_broken = lambda backend_id: self.path_checker.on_doubted(
@@ -135,7 +139,13 @@
         except asyncio.CancelledError:
             self._on_attempt_finished(backend, attempt)
             raise
-        exchange = BackendExchange(connection, state.dialect, attempt)
+        sent_s = boot_s()
+
+        def on_reply(reply: BackendReply, is_own: bool) -> None:
+            known_sent_s = sent_s if is_own else None
+            apply_statements(state, backend, reply, known_sent_s, boot_s())
+
+        exchange = BackendExchange(connection, state.dialect, attempt, on_reply)
         run.backend, run.writing_since_s, run.has_run_well = backend, 0.0, False
         if run.forwarded is not None:
             run.forwarded.answer.backend = backend.id
@@ -147,8 +157,10 @@
         finally:
             if exchange.is_reusable:
                 state.pool.release(connection, exchange.keep_alive_s, boot_s())
-            else:
+            elif exchange.request is None or exchange.has_head:
                 connection.close()
+            else:
+                self.late_answers.read(exchange)
             run.backend = None
             del self.running[run]
             self._on_attempt_finished(backend, attempt)
@@ -263,17 +275,6 @@
                 run, exchange.read_head(), first_event_timeout_s(run)
             )
             reply = head.reply
-            state.backend_limits.on_response(
-                backend, reply.limit_per_s, sent_s, boot_s()
-            )
-            if reply.pause_s is not None:
-                state.backend_limits.on_pause_asked(backend, reply.pause_s, boot_s())
-            if reply.is_leaving:
-                state.fleet.on_leaving_stated(
-                    backend, to_ms(state.settings.drain_s), boot_s()
-                )
-            if reply.load is not None:
-                state.fleet.on_load_hint(backend, reply.load)
             if reply.is_refusal:
                 # The connection is closed with the body unread: on a kept one, a copy
                 # of this refusal could be taken for the answer of the next request.
