Do not send a request whose connection opened after a pause began

A backend server was chosen before it asked for a pause and got the request once a connection was open, up to 0.6 s later (BUDGET allows 0.5 s). The pause is checked again before the request is written. The scenario in tests/gateway/backends/statements failed before: two requests arrived, now one.

--- a/src/tanagerturn/gateway/backends/limits.py
+++ b/src/tanagerturn/gateway/backends/limits.py
@@ -134,6 +134,10 @@
         self.paused_until_s[backend.id] = until_s
         log.info("pause_asked", backend=backend.id, pause_s=round(pause_s, 3))
 
+    def is_paused(self, backend_id: BackendId, now_s: float) -> bool:
+        """Return whether a backend server asked for a pause that has not ended."""
+        return now_s < self.paused_until_s.get(backend_id, 0.0)
+
     async def acquire(self, backend: Backend, links: Links) -> bool:
         """Return whether a request may be sent to a backend server, and charge it.
 
--- a/src/tanagerturn/gateway/sender.py
+++ b/src/tanagerturn/gateway/sender.py
@@ -139,6 +139,11 @@
         except asyncio.CancelledError:
             self._on_attempt_finished(backend, attempt)
             raise
+        if state.backend_limits.is_paused(backend.id, boot_s()):
+            state.pool.release(connection, None, boot_s())
+            run.cause = f"{backend.id} asked for a pause while a connection opened"
+            self._on_attempt_finished(backend, attempt)
+            return AttemptOutcome.NOT_SENT
         sent_s = boot_s()
 
         def on_reply(reply: BackendReply, is_own: bool) -> None:
