Leave backend servers in their pause out of queries and migrations

Queries for departure times and migrations did not read Retry-After and went to backend servers in their pause, up to three within 0.45 s.

--- a/src/tanagerturn/gateway/calls.py
+++ b/src/tanagerturn/gateway/calls.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 import h11
@@ -25,10 +25,11 @@
 
 @dataclass(frozen=True)
 class CallResponse:
-    """Status and body of the response to a call."""
+    """Status, body and headers of the response to a call."""
 
     status: int
     body: bytes
+    headers: RawHeaders = field(default_factory=list, repr=False)
 
 
 async def call(
@@ -88,10 +89,12 @@
         tcp.write(head + data)
         reader = HttpReader(tcp, http)
         status, interim_count, size, body_bytes = 0, 0, 0, bytearray()
+        response_headers: RawHeaders = []
         while True:
             event = await reader.next_event()
             if isinstance(event, h11.Response):
                 status = event.status_code
+                response_headers = list(event.headers.raw_items())
             elif isinstance(event, h11.Data):
                 body_bytes += event.data
                 size += max(len(event.data), MIN_PART_BYTES)
@@ -101,7 +104,7 @@
                         f" {BODY_LIMIT_BYTES} bytes"
                     )
             elif isinstance(event, h11.EndOfMessage):
-                return CallResponse(status, bytes(body_bytes))
+                return CallResponse(status, bytes(body_bytes), response_headers)
             elif not isinstance(event, h11.InformationalResponse):
                 raise ConnectionResetError(
                     "the connection closed before the end of the response"
--- a/src/tanagerturn/gateway/departures.py
+++ b/src/tanagerturn/gateway/departures.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.clocks import boot_s
+from tanagerturn.gateway.backends.statements import read_call_statements
 from tanagerturn.gateway.calls import call
 from tanagerturn.gateway.logs import component_log
 from tanagerturn.schema import gateway_pb2 as gpb
@@ -75,9 +76,14 @@
         path = self.state.dialect.report_path
         reason = "the report states no departure time"
         for _ in range(MAX_QUERIES):
+            if self.state.backend_limits.is_paused(backend.id, boot_s()):
+                reason = "the backend server asked for a pause"
+                break
             answered = await call(
                 backend.address, path, [], b"", QUERY_TIMEOUT_S, method="GET"
             )
+            if answered.is_ok():
+                read_call_statements(self.state, backend, answered.ok, boot_s())
             report = answered.bind(
                 lambda a: self.state.dialect.decode_report(
                     a.status, a.body, backend.address
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -10,6 +10,7 @@
 from tanagerturn.gateway import placement
 from tanagerturn.gateway.backends.detours import Detours
 from tanagerturn.gateway.backends.forwarded import InvalidForwarding, decode_request
+from tanagerturn.gateway.backends.statements import read_call_statements
 from tanagerturn.gateway.calls import call
 from tanagerturn.gateway.intake import Intake
 from tanagerturn.gateway.logs import component_log
@@ -430,6 +431,8 @@
 
     async def _migrate(self, run: RequestRun, source: Backend) -> Migration | None:
         """Stop a stream at its engine and copy its KV cache to another engine."""
+        if self.state.backend_limits.is_paused(source.id, boot_s()):
+            return None
         target = await self._migration_target(run)
         if target is None:
             return None
@@ -438,6 +441,8 @@
             attempt, target.backend.address
         )
         result = await call(source.address, path, [], body, MIGRATION_TIMEOUT_S)
+        if result.is_ok():
+            read_call_statements(self.state, source, result.ok, boot_s())
         migration = result.bind(
             lambda a: self.state.dialect.decode_migration(
                 a.status, a.body, source.address
