Divide the slots of brittle backend servers among the gateways

Known loads are some tenths of a second old, and each gateway filled a backend server to 1.5 requests per slot. While a service is brittle, each slot belongs to one gateway, by rendezvous hashing over all that are known, recently lost ones included: no request can be rejected for want of room, however late gateways learn of each other. A gateway without any slot forwards requests to a peer. A rejection, which shows that there is less room than announced, pauses that backend server at all gateways for 1 s. Statements and rejections are sent to all peers at once; digests carry them only while a service is brittle.

--- a/src/tanagerturn/gateway/backends/statements.py
+++ b/src/tanagerturn/gateway/backends/statements.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from tanagerturn.clocks import to_ms
+from tanagerturn.gateway.fleet import service_of
 
 if TYPE_CHECKING:
     from tanagerturn.gateway.calls import CallResponse
@@ -38,6 +39,9 @@
         state.fleet.on_leaving_stated(backend, drain_ms, now_s)
     if sent_s is None:
         return
+    state.fleet.brittle.on_response(
+        service_of(backend), reply.brittle_per_s, sent_s, now_s
+    )
     state.backend_limits.on_response(backend, reply.limit_per_s, sent_s, now_s)
     if reply.load is not None:
         state.fleet.on_load_hint(backend, reply.load)
--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -22,9 +22,10 @@
 from tanagerturn.serving.backends.messages import BackendId
 from tanagerturn.serving.backends.paths import Paths
 from tanagerturn.serving.backends.view import make_backend_view
+from tanagerturn.serving.limits.brittle import BrittleServices
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
     from tanagerturn.gateway.messages import LoadHint, Prompt
     from tanagerturn.schema import serving_pb2
@@ -61,13 +62,19 @@
 
 
 class Fleet:
-    """All backend servers known to one gateway."""
+    """All backend servers known to one gateway.
 
-    def __init__(self) -> None:
+    Args:
+        host: Host of the gateway.
+    """
+
+    def __init__(self, host: str = "") -> None:
         self.view: BackendView = make_backend_view()
         """Last announcement and ejections of each backend server."""
         self.states: dict[BackendId, BackendState] = {}
         """Requests in flight, cached prompt parts and failures by backend server id."""
+        self.brittle = BrittleServices(host)
+        """Services whose backend servers fail when they reject many requests."""
         self.paths = Paths()
         """Backend servers that this gateway fails to open connections to."""
         self.directly_heard_s: dict[BackendId, float] = {}
@@ -371,6 +378,7 @@
         if now_s < self.next_expiry_s:
             return
         self.next_expiry_s = now_s + EXPIRY_INTERVAL_S
+        self.brittle.expire(self.view.backends, now_s)
         for backend in list(self.view.backends.values()):
             last_seen_s = max(
                 backend.last_heard_ms / 1000, self.state(backend.id).last_success_s
@@ -423,6 +431,36 @@
             and not self.view.outliers.is_ejected(backend.id, now_s)
         )
 
+    def with_room(self, backends: Sequence[Backend], now_s: float) -> Sequence[Backend]:
+        """Return the backend servers that may get a request without rejecting it.
+
+        Those that are not brittle may reject requests.
+
+        Args:
+            backends: Backend servers of one service.
+            now_s: Current boot-clock time in seconds.
+        """
+        if not backends or not self.brittle.is_brittle(service_of(backends[0]), now_s):
+            return backends
+        return [
+            backend
+            for backend in backends
+            if self.brittle.has_room(
+                backend.id,
+                backend.slots,
+                len(self.state(backend.id).in_flight),
+                now_s,
+            )
+        ]
+
+    def owns_no_slots(self, service: str, now_s: float) -> bool:
+        """Return whether all slots of a brittle service belong to other gateways."""
+        return self.brittle.is_brittle(service, now_s) and not any(
+            self.brittle.own_slots(backend.id, backend.slots)
+            for backend in self.view.pool(service)
+            if backend.is_alive(to_ms(now_s)) and not backend.leaving
+        )
+
     def kv_capacity_of(self, backend: Backend) -> int:
         """Return the KV cache capacity of an engine in tokens."""
         return (
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -11,6 +11,8 @@
 from tanagerturn.clocks import boot_s, wall_ms
 from tanagerturn.coordination.errors import StepError
 from tanagerturn.gateway import stream_origins
+from tanagerturn.gateway.backends import indirect_checks
+from tanagerturn.gateway.backends.brittle import encode_brittle
 from tanagerturn.gateway.configuration_distributor import ConfigurationDistributor
 from tanagerturn.gateway.control import Control
 from tanagerturn.gateway.departures import DepartureTracker
@@ -371,6 +373,7 @@
         self.next_view_s = now_s + VIEW_INTERVAL_S
         present = self.mesh.present_gateways()
         self.state.peer_paths.set_peers(present, self.mesh.zones())
+        self.state.fleet.brittle.set_gateways(self.mesh.known_hosts(now_s))
         self.state.set_gateways(
             present,
             self.mesh.known_count(now_s),
@@ -407,6 +410,12 @@
             suspect_requests = encode_suspect_requests(repeats, requests, now_s)
             datagram = gpb.Datagram(suspect_requests=suspect_requests)
             self.mesh.send_once(datagram, now_s)
+        services, rejecting = fleet.brittle.take_urgent()
+        if services or rejecting:
+            for service in services:
+                log.warning("service_brittle", service=service)
+            brittle = encode_brittle(fleet, services, rejecting, now_s)
+            self.mesh.send_once(gpb.Datagram(brittle=brittle), now_s)
         if backend_limits.named.urgent:
             keys = backend_limits.named.take_urgent()
             named_limits = backend_limits.encode(keys, now_s)
--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -67,6 +67,10 @@
         "off from them."
     ),
     "paths_restored": "A backend server accepts a connection of this gateway again.",
+    "service_brittle": (
+        "The backend servers of a service state that they fail when they reject many "
+        "requests; their slots are divided among the gateways."
+    ),
     "path_check_failed": "A check of the paths to backend servers raised an error.",
     "backend_announced": (
         "A backend server is new or leaving, or its address or offer changed."
--- a/src/tanagerturn/gateway/messages.py
+++ b/src/tanagerturn/gateway/messages.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, NewType
+from typing import TYPE_CHECKING, Final, NewType
 
 if TYPE_CHECKING:
     from tanagerturn.schema import serving_pb2
@@ -18,6 +18,9 @@
 PromptPartId = NewType("PromptPartId", str)
 """Id of one part of a prompt; equal parts have equal ids."""
 
+UNAVAILABLE_STATUS: Final = 503
+"""HTTP status by which a backend server refuses a request for want of room."""
+
 RawHeaders = list[tuple[bytes, bytes]]
 """Header names and values as on the wire."""
 
@@ -156,9 +159,17 @@
     for no pause."""
     is_leaving: bool
     """The backend server states that it is about to stop."""
+    brittle_per_s: float | None
+    """Number of rejections in a second above which the backend server fails; None if it
+    states none."""
     closes_connection: bool
     """The backend server closes the connection after this response."""
 
+    @property
+    def is_want_of_room(self) -> bool:
+        """Whether the backend server had no room for the request."""
+        return self.states_not_run and self.status == UNAVAILABLE_STATUS
+
     @property
     def is_refusal(self) -> bool:
         """Whether the backend server refused the request without running it."""
--- a/src/tanagerturn/gateway/placement.py
+++ b/src/tanagerturn/gateway/placement.py
@@ -64,9 +64,13 @@
     Returns:
         The best backend server; None if none may get the request.
     """
-    backends = fleet.candidates(service, excluded, now_s)
+    backends: Sequence[Backend] = fleet.candidates(service, excluded, now_s)
     if not backends:
         return None
+    with_room = fleet.with_room(backends, now_s)
+    if not with_room:
+        return Choice(backends[0], is_full=True)
+    backends = with_room
     if prompt is None:
         return _least_loaded(fleet, backends, zone, now_s)
     return _choose_engine(fleet, backends, prompt, zone, now_s)
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -274,6 +274,13 @@
             if choice is None:
                 raise self._no_backend(run, now_s)
             self._reject_if_late(run, choice, now_s)
+            if (
+                choice.is_full
+                and run.forwarded is None
+                and self.state.fleet.owns_no_slots(run.service, now_s)
+                and (peer := self.detours.choose(run, now_s)) is not None
+            ):
+                return peer
             if choice.is_full:
                 await self._wait_for_capacity(run, now_s)
             elif await self.state.backend_limits.acquire(choice.backend, self.links):
@@ -463,7 +470,8 @@
         """Return the best engine whose own limit, if any, allows the request."""
         for _ in range(MAX_UNREACHABLE):
             target = self._best_choice(run, boot_s())
-            if target is None:
+            fleet = self.state.fleet
+            if target is None or not fleet.with_room([target.backend], boot_s()):
                 return None
             if await self.state.backend_limits.acquire(target.backend, self.links):
                 return target
--- a/src/tanagerturn/gateway/sender.py
+++ b/src/tanagerturn/gateway/sender.py
@@ -20,6 +20,7 @@
     stream_headers,
 )
 from tanagerturn.gateway.configuration import RequestKind
+from tanagerturn.gateway.fleet import service_of
 from tanagerturn.gateway.logs import component_log
 from tanagerturn.gateway.messages import Forwarding
 from tanagerturn.gateway.outcomes import count_run_start, log_end
@@ -316,6 +317,10 @@
         self, run: RequestRun, backend: Backend, head: ResponseHead
     ) -> AttemptOutcome:
         run.cause = f"{backend.id} rejected the request with status {head.reply.status}"
+        if head.reply.is_want_of_room:
+            self.state.fleet.brittle.on_rejected(
+                service_of(backend), backend.id, boot_s()
+            )
         if head.reply.is_wrong_backend:
             self.state.fleet.view.forget(backend.id)
             self.state.pool.drop(backend.id)
--- a/src/tanagerturn/gateway/spread/digests.py
+++ b/src/tanagerturn/gateway/spread/digests.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.clocks import boot_s
+from tanagerturn.gateway.backends.brittle import apply_brittle, encode_brittle
 from tanagerturn.gateway.backends.state import Work
 from tanagerturn.gateway.fleet import backend_hash
 from tanagerturn.gateway.logs import component_log
@@ -150,6 +151,10 @@
         named = state.backend_limits.named.statements
         if named:
             digest.named_limits.CopyFrom(state.backend_limits.encode(named, now_s))
+        if state.fleet.brittle.statements:
+            digest.brittle.CopyFrom(
+                encode_brittle(state.fleet, state.fleet.brittle.statements, (), now_s)
+            )
         is_extended = digest.sequence % EXTENDED_DIGEST_INTERVAL == 0
         window_count = (
             WINDOWS_PER_EXTENDED_DIGEST if is_extended else WINDOWS_PER_DIGEST
@@ -188,6 +193,7 @@
         apply_suspects(state.quarantine, digest.suspects, now_s)
         apply_suspect_requests(state.repeats, digest.suspect_requests, now_s)
         state.backend_limits.on_reported(digest.named_limits.limits, now_s)
+        apply_brittle(state.fleet, digest.brittle, now_s)
         gateway_start = f"{digest.host}@{digest.started_ms}"
         for window in digest.windows:
             counts = {each.client_account: each.count for each in window.counts}
@@ -250,6 +256,8 @@
             apply_suspects(state.quarantine, datagram.suspects, now_s)
         elif kind == "suspect_requests":
             apply_suspect_requests(state.repeats, datagram.suspect_requests, now_s)
+        elif kind == "brittle":
+            apply_brittle(state.fleet, datagram.brittle, now_s)
         elif kind == "named_limits":
             state.backend_limits.on_reported(datagram.named_limits.limits, now_s)
 
--- a/src/tanagerturn/gateway/spread/mesh.py
+++ b/src/tanagerturn/gateway/spread/mesh.py
@@ -298,6 +298,15 @@
             if member.process not in excluded and member.info.relay_address
         }
 
+    def known_hosts(self, now_s: float) -> list[str]:
+        """Return the hosts of all gateways, recently lost ones included."""
+        now_ms = to_ms(now_s)
+        return [
+            str(member.process)
+            for member in self.core.table.members.values()
+            if _is_recipient(member, now_ms)
+        ]
+
     def zones(self) -> dict[str, str]:
         """Return the availability zone of each present peer by host."""
         return {
--- a/src/tanagerturn/gateway/state.py
+++ b/src/tanagerturn/gateway/state.py
@@ -71,12 +71,12 @@
     """Peer gateways that reach backend servers which this one does not."""
     wall_clock: CorrectedWallClock
     """Wall clock, corrected by the clocks of peer gateways."""
+    fleet: Fleet
+    """State of the backend servers."""
     usage: UsageCounts
     """Counts of started requests by report window and client account."""
     configuration: Configuration = field(default_factory=empty_configuration)
     """The configuration in force."""
-    fleet: Fleet = field(default_factory=Fleet)
-    """State of the backend servers."""
     pool: ConnectionPool = field(default_factory=ConnectionPool)
     """Connections to backend servers."""
     crash_log: CrashLog = field(default_factory=CrashLog)
@@ -317,6 +317,7 @@
         backend_limits=BackendLimits(settings.host),
         stream_origins=StreamOrigins(now_s),
         peer_paths=PeerPaths(settings.zone),
+        fleet=Fleet(settings.host),
         wall_clock=CorrectedWallClock(now_s, wall_s),
         usage=UsageCounts(settings.report_window_s),
     )
--- a/src/tanagerturn/platform/requests.py
+++ b/src/tanagerturn/platform/requests.py
@@ -255,6 +255,7 @@
         limit_per_s=_decode_limit(fields.get(b"server-limit", "")),
         pause_s=_decode_pause_s(status, fields.get(b"retry-after", "")),
         is_leaving=fields.get(b"server-leaving", "") == "1",
+        brittle_per_s=_decode_limit(fields.get(b"server-brittle", "")),
         closes_connection="close" in connection,
     )
 
