--- a/src/tanagerturn/gateway/backends/path_checks.py
+++ b/src/tanagerturn/gateway/backends/path_checks.py
@@ -27,6 +27,10 @@
 CHECK_TIMEOUT_S: Final = 0.35
 """Timeout in seconds of a check's connections: many round trips within a region."""
 
+CONFIRMED_MAX_AGE_S: Final = 2.0
+"""Age in seconds up to which an opened connection shows that a failure found by a
+repeated check concerns a single backend server."""
+
 log = component_log("paths")
 
 
@@ -62,10 +66,11 @@
 
         Args:
             backend_id: Backend server whose connections broke.
-            since_s: Boot-clock time in seconds at which they broke; a connection opened
-                later to any backend server shows that this gateway is not cut off.
+            since_s: Boot-clock time in seconds at which they broke; a connection to any
+                backend server that is begun later and opens shows that this gateway is
+                not cut off.
         """
-        while self.paths.opened_s <= since_s:
+        while self.paths.opened_since_s <= since_s:
             if self.check is None:
                 self._start(backend_id, Doubt.STRONG, boot_s(), since_s)
                 await self.wait()
@@ -111,6 +116,16 @@
         now_s: float,
         reached_since_s: float,
     ) -> None:
+        chosen = self._choose(doubted, doubt, reached_since_s)
+        if not chosen:
+            return
+        self.paths.checked_s = now_s
+        self.check = asyncio.create_task(self._check(chosen))
+        self.check.add_done_callback(self._on_check_done)
+
+    def _choose(
+        self, doubted: BackendId | None, doubt: Doubt | None, reached_since_s: float
+    ) -> list[Backend]:
         backends = self.state.fleet.view.backends
         known = backends.get(doubted) if doubted is not None else None
         service = service_of(known) if known is not None else ""
@@ -123,11 +138,7 @@
             self.state.random,
             reached_since_s,
         )
-        if not chosen:
-            return
-        self.paths.checked_s = now_s
-        self.check = asyncio.create_task(self._check([backends[i] for i in chosen]))
-        self.check.add_done_callback(self._on_check_done)
+        return [backends[backend_id] for backend_id in chosen]
 
     def _on_check_done(self, task: asyncio.Task[None]) -> None:
         self.check = None
@@ -135,14 +146,25 @@
             log.error("path_check_failed", reason=repr(task.exception()))
 
     async def _check(self, backends: list[Backend]) -> None:
+        """Check backend servers; if a single one fails, check others as well."""
+        await self._check_once(backends)
+        if len(backends) > 1 or self.paths.is_open(backends[0].id):
+            return
+        now_s = boot_s()
+        others = self._choose(backends[0].id, Doubt.STRONG, now_s - CONFIRMED_MAX_AGE_S)
+        if len(others) > 1:
+            self.paths.checked_s = now_s
+            await self._check_once(others)
+
+    async def _check_once(self, backends: list[Backend]) -> None:
         results = await asyncio.gather(*(self._open(b) for b in backends))
         ids = [backend.id for backend in backends]
         failed = {i: r for i, r in zip(ids, results, strict=True) if r is not None}
         opened = [i for i in ids if i not in failed]
-        paths, fleet, now_s = self.paths, self.state.fleet, boot_s()
+        paths, fleet = self.paths, self.state.fleet
         for backend_id in opened:
-            fleet.on_path_opened(backend_id, now_s)
-        has_changed = paths.on_checked(opened, failed, len(fleet.view.backends), now_s)
+            fleet.on_path_opened(backend_id, paths.checked_s)
+        has_changed = paths.on_checked(opened, failed, len(fleet.view.backends))
         if paths.cut is PathFailure.SILENT:
             # Their other ends may be gone, and a request on them would only time out.
             self.state.pool.drop_all()
--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -331,18 +331,18 @@
         state.doubted_since_s = now_s
         state.blocked_until_s = now_s + backoff_s
 
-    def on_path_opened(self, backend_id: BackendId, now_s: float) -> None:
+    def on_path_opened(self, backend_id: BackendId, begun_s: float) -> None:
         """Record that a connection was opened; it ends the backoff of unreached ones.
 
         Args:
             backend_id: Backend server that accepted it.
-            now_s: Current boot-clock time in seconds.
+            begun_s: Boot-clock time in seconds at which the attempt began.
         """
         if not self.paths.is_open(backend_id):
             state = self.state(backend_id)
             state.consecutive_unreachable = 0
             state.blocked_until_s = 0.0
-        self.paths.on_opened(backend_id, now_s)
+        self.paths.on_opened(backend_id, begun_s)
 
     def on_broken(self, backend: Backend, now_s: float) -> None:
         """Record a response that a backend server broke off; it counts as a failure."""
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -295,6 +295,8 @@
         elif kind == "ask_stream_origin":
             call, origins = frame.ask_stream_origin, self.state.stream_origins
             return stream_origins.serve_call(origins, call, boot_s())
+        elif kind == "check_backend":
+            return await indirect_checks.serve_check(frame.check_backend)
         elif kind == "stream_origins":
             stream_origins.apply_origins(
                 self.state.stream_origins, frame.stream_origins, boot_s()
--- a/src/tanagerturn/gateway/quarantine.py
+++ b/src/tanagerturn/gateway/quarantine.py
@@ -8,7 +8,6 @@
 
 import xxhash
 
-from tanagerturn.clocks import boot_s, to_ms
 from tanagerturn.gateway._crash_messages import (
     age_ms,
     decode_crashes,
@@ -28,13 +27,12 @@
 from tanagerturn.serving.quarantine.quarantine import WELL_AFTER_S
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Awaitable, Callable, Iterable
 
     from tanagerturn.gateway.backends.path_checks import PathChecker
     from tanagerturn.gateway.messages import Prompt
     from tanagerturn.gateway.request_run import RequestRun
     from tanagerturn.serving.backends.backend import Backend
-    from tanagerturn.serving.backends.view import BackendView
     from tanagerturn.serving.quarantine.quarantine import PartQuarantine
     from tanagerturn.serving.quarantine.repeats import RepeatQuarantine
 
@@ -45,17 +43,6 @@
 MAX_CHECK_WAIT_S: Final = 1.0
 """Longest time in seconds for which a retry waits for a check."""
 
-CUT_OFF_INTERVAL_S: Final = 0.1
-"""Interval in seconds at which a gateway that is cut off looks for a sign of life, or
-of the end, of the engine."""
-
-MAX_CUT_OFF_S: Final = 5.0
-"""Longest time in seconds for which it looks; an engine that has crashed counts as dead
-earlier, after three missed announcements."""
-
-SIGN_OF_LIFE_DELAY_S: Final = 0.3
-"""Time in seconds that an announcement takes at most to all gateways."""
-
 REPORT_DURATION_S: Final = 4.0
 """Time in seconds after a change for which digests report a suspected part; with many
 gateways that is several digests."""
@@ -82,25 +69,26 @@
     Args:
         quarantine: Evidence against prompt parts.
         repeats: Evidence against requests that come again.
-        view: Announcements of the backend servers.
         path_checker: Checks whether this gateway reaches any backend server.
+        accepts_peers: Returns whether the backend server at an address accepts
+            connections of peer gateways.
     """
 
     def __init__(
         self,
         quarantine: PartQuarantine,
         repeats: RepeatQuarantine,
-        view: BackendView,
         path_checker: PathChecker,
+        accepts_peers: Callable[[str], Awaitable[bool]],
     ) -> None:
         self.quarantine = quarantine
         """Evidence against prompt parts."""
         self.repeats = repeats
         """Evidence against requests that come again."""
-        self.view = view
-        """Announcements of the backend servers."""
         self.path_checker = path_checker
         """Checks whether this gateway reaches any backend server."""
+        self.accepts_peers = accepts_peers
+        """Returns whether the backend server at an address accepts peers."""
         self.broken: dict[CrashId, BrokenRequests] = {}
         """Requests broken off by engines that are being checked."""
         self.checks: dict[CrashId, asyncio.Task[None]] = {}
@@ -146,7 +134,7 @@
         broke_at_s = self.broken[crash].broke_at_s
         has_crashed = await _refuses_connections(backend.address)
         if has_crashed and await self.path_checker.is_cut_off(backend.id, broke_at_s):
-            has_crashed = await self._ends(backend, broke_at_s)
+            has_crashed = not await self.accepts_peers(backend.address)
         broken = self.broken.pop(crash)
         if not has_crashed:
             return
@@ -165,25 +153,6 @@
                 crash, run.request.attempt_id, each, at_s, is_trial=is_trial
             )
 
-    async def _ends(self, backend: Backend, broke_at_s: float) -> bool:
-        """Return whether an engine ended, while this gateway is cut off.
-
-        Only what peers receive from the engine tells a crash from the partition.
-        """
-        heard_after_ms = to_ms(broke_at_s + SIGN_OF_LIFE_DELAY_S)
-        end_s = broke_at_s + MAX_CUT_OFF_S
-        while (now_s := boot_s()) < end_s:
-            if self.view.backends.get(backend.id) is not backend:
-                return True
-            if backend.last_heard_ms > heard_after_ms:
-                return False
-            if not backend.is_alive(to_ms(now_s)):
-                return True
-            if self.path_checker.paths.cut is None:
-                return await _refuses_connections(backend.address)
-            await asyncio.sleep(CUT_OFF_INTERVAL_S)
-        return False
-
 
 async def _refuses_connections(address: str) -> bool:
     try:
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -82,7 +82,7 @@
         """Links to peer gateways."""
         self.intake = Intake(state, links)
         """Admits requests."""
-        self.sender = Sender(state, self.wake)
+        self.sender = Sender(state, links, self.wake)
         """Makes the backend attempts."""
         self.detours = Detours(state, self.intake.refund)
         """Serves requests through peers where this gateway has no path."""
--- a/src/tanagerturn/gateway/sender.py
+++ b/src/tanagerturn/gateway/sender.py
@@ -11,6 +11,7 @@
     ResponseError,
     read_whole,
 )
+from tanagerturn.gateway.backends.indirect_checks import accepts_peers
 from tanagerturn.gateway.backends.late_answers import LateAnswers
 from tanagerturn.gateway.backends.path_checks import PathChecker
 from tanagerturn.gateway.backends.statements import apply_statements
@@ -41,6 +42,7 @@
 
     from tanagerturn.gateway.backends.exchange import ResponseHead
     from tanagerturn.gateway.backends.pool import BackendConnection
+    from tanagerturn.gateway.links import Links
     from tanagerturn.gateway.messages import BackendReply, KvCopy, RawHeaders
     from tanagerturn.gateway.request_run import RequestRun
     from tanagerturn.gateway.state import GatewayState
@@ -65,12 +67,16 @@
 
     Args:
         state: State that the components of the gateway share.
+        links: Links to peer gateways.
         on_attempt_finished: Called when an attempt has finished, which frees capacity
             at its backend server.
     """
 
     def __init__(
-        self, state: GatewayState, on_attempt_finished: Callable[[], None]
+        self,
+        state: GatewayState,
+        links: Links,
+        on_attempt_finished: Callable[[], None],
     ) -> None:
         self.state = state
         """State that the components of the gateway share."""
@@ -87,7 +93,12 @@
             backend_id, Doubt.WEAK, boot_s()
         )
         self.crash_detector = CrashDetector(
-            state.quarantine, state.repeats, state.fleet.view, self.path_checker
+            state.quarantine,
+            state.repeats,
+            self.path_checker,
+            lambda address: accepts_peers(
+                address, links, state.limits.gateways, state.random
+            ),
         )
         """Checks backend servers that broke requests off."""
 
@@ -190,7 +201,7 @@
         finally:
             slow.cancel()
         if connection.is_new:
-            self.state.fleet.on_path_opened(backend.id, boot_s())
+            self.state.fleet.on_path_opened(backend.id, now_s)
         return connection
 
     def withdraw_quarantined(self) -> None:
--- a/src/tanagerturn/serving/backends/paths.py
+++ b/src/tanagerturn/serving/backends/paths.py
@@ -69,8 +69,10 @@
         """How connections to all backend servers fail; None if any can be opened."""
         self.checked_s = float("-inf")
         """Monotonic time in seconds at which the last check began."""
-        self.opened_s = float("-inf")
-        """Monotonic time in seconds at which the last connection was opened."""
+        self.opened_since_s = float("-inf")
+        """Monotonic time in seconds since which a path is known to have been open: the
+        beginning of the last attempt to connect that succeeded. Attempts that began
+        before a partition may still succeed after its beginning."""
 
     def is_open(self, backend_id: BackendId) -> bool:
         """Return whether connections to a backend server are expected to open."""
@@ -89,15 +91,16 @@
         """Record that a connection could not be opened."""
         self.failures[backend_id] = failure
 
-    def on_opened(self, backend_id: BackendId, now_s: float) -> None:
+    def on_opened(self, backend_id: BackendId, begun_s: float) -> None:
         """Record that a connection was opened.
 
         Args:
             backend_id: Backend server that accepted it.
-            now_s: Monotonic time in seconds.
+            begun_s: Monotonic time in seconds at which the attempt began.
         """
         self.failures.pop(backend_id, None)
-        self.cut, self.opened_s = None, now_s
+        self.cut = None
+        self.opened_since_s = max(self.opened_since_s, begun_s)
 
     def on_restarted(self, backend_id: BackendId) -> None:
         """Forget the failures of an earlier start of a backend server."""
@@ -108,7 +111,6 @@
         opened: Collection[BackendId],
         failed: Mapping[BackendId, PathFailure],
         known_count: int,
-        now_s: float,
     ) -> bool:
         """Apply the result of a check.
 
@@ -116,14 +118,13 @@
             opened: Backend servers that accepted a connection.
             failed: Backend servers that did not, and how the connections failed.
             known_count: Number of all known backend servers.
-            now_s: Monotonic time in seconds.
 
         Returns:
             Whether the process has become cut off, or has a path again.
         """
         was_cut = self.cut is not None
         for backend_id in opened:
-            self.on_opened(backend_id, now_s)
+            self.on_opened(backend_id, self.checked_s)
         self.failures.update(failed)
         if opened:
             self.cut = None
@@ -172,7 +173,7 @@
                 shows that others are reached.
         """
         chosen = [doubted] if doubted is not None else []
-        is_reached = self.opened_s > reached_since_s
+        is_reached = self.opened_since_s > reached_since_s
         is_strong = doubt is Doubt.STRONG and not is_reached
         if chosen and not is_strong and self.cut is None:
             return chosen
