Tolerate backend servers that are silent for more than a second

With TCP_USER_TIMEOUT, keep-alive probes give up at the first one that is due after it: 2.5 s with probes from 2 s on closed a connection whose other side had been silent for 1 s, for instance of a stream that waited for its first event. In use, 3 s are tolerated now, 4 s in all. Idle connections are closed after 2 s instead of 3, so that none that a partition has cut gets a request that can't be repeated. A stream moved on from an engine that was silent for 1 s where its route allows pauses of 0.3 s; 2 s now.

Two scenarios failed before (tests/gateway/server, tests/gateway/relay).

--- a/src/tanagerturn/gateway/backends/pool.py
+++ b/src/tanagerturn/gateway/backends/pool.py
@@ -88,6 +88,7 @@
         while idle_connections:
             connection = idle_connections.pop()
             if connection.address == address and _is_reusable(connection, now_s):
+                connection.tcp.set_idle(is_idle=False)
                 return connection
             connection.close()
         self.opened_count += 1
@@ -112,6 +113,7 @@
         ):
             connection.close()
             return
+        connection.tcp.set_idle(is_idle=True)
         connection.idle_until_s = now_s + max_idle_s(keep_alive_s)
         idle_connections.append(connection)
         connection.tcp.on_disconnect = lambda: self._on_disconnect(connection)
--- a/src/tanagerturn/gateway/connection.py
+++ b/src/tanagerturn/gateway/connection.py
@@ -14,14 +14,20 @@
 READ_AHEAD_LIMIT_BYTES: Final = 64 * 1024
 """Number of unread bytes of one connection above which reading pauses."""
 
-USER_TIMEOUT_MS: Final = 2_500
+USER_TIMEOUT_MS: Final = 4_000
 """Time in milliseconds without an acknowledgement of sent bytes after which the kernel
-closes a connection; a network partition leaves connections open without a reset."""
+closes a connection; a network partition leaves connections open without a reset. With
+it, keep-alive probes give up at the first one that is due later, whatever their number:
+the other side may be silent for `USER_TIMEOUT_MS` less `KEEP_ALIVE_IDLE_S`."""
 
-KEEP_ALIVE_IDLE_S: Final = 2
+IDLE_USER_TIMEOUT_MS: Final = 1_500
+"""The same for idle connections, whose loss costs nothing; one that a partition has cut
+must not get a request that can't be repeated."""
+
+KEEP_ALIVE_IDLE_S: Final = 1
 """Idle time in seconds after which the kernel sends keep-alive probes."""
 
-KEEP_ALIVE_PROBES: Final = 3
+KEEP_ALIVE_PROBES: Final = 4
 
 HOP_HEADERS: Final = frozenset(
     (
@@ -168,6 +174,13 @@
         self._drain_waiter = asyncio.get_running_loop().create_future()
         await self._drain_waiter
 
+    def set_idle(self, *, is_idle: bool) -> None:
+        """Set how long the peer may be silent before the kernel closes the connection."""
+        if self.transport is not None and not self.transport.is_closing():
+            timeout_ms = IDLE_USER_TIMEOUT_MS if is_idle else USER_TIMEOUT_MS
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
     def end_writing(self) -> None:
         """Close the connection in this direction once the written bytes are sent."""
         if self.transport is not None and not self.transport.is_closing():
--- a/src/tanagerturn/gateway/request_run.py
+++ b/src/tanagerturn/gateway/request_run.py
@@ -32,9 +32,10 @@
 """Timeouts for the first event and for a pause within a stream, as a multiple of the
 route's latency and pause objectives."""
 
-MIN_PAUSE_TIMEOUT_S: Final = 1.0
+MIN_PAUSE_TIMEOUT_S: Final = 2.0
 """Minimum time in seconds without data within a stream after which the stream is
-resumed at another backend server, if its route allows it."""
+resumed at another backend server, if its route allows it; a sound one may be silent for
+more than a second."""
 
 REPEATED_ATTEMPT_FRACTION: Final = 0.95
 """A request whose deadline is shorter than this fraction of its route's timeout counts
--- a/tests/gateway/relay/relay.feature
+++ b/tests/gateway/relay/relay.feature
@@ -289,3 +289,26 @@
       | in an event in bits        | an event in small chunks | posts a prompt to "/draft/1" | 502    | 900   |
       | in a body                  | a body                   | gets "/look/1"               | 502    | 4800  |
       | in a body with a length    | a body with a length     | gets "/look/1"               | 502    | 600   |
+
+  # Guards against a stream that moves on from an engine that is only silent for a moment.
+  Scenario: A stream whose engine is silent for 1.6 s goes on at this engine
+    Given a backend server that streams 2 events, is silent for 1.6 s, and streams 2 more
+    And a backend server that resumes after the last event and ends with event 4
+    When a caller posts to "/notes/1" with 5 s left
+    Then the caller gets the whole stream of events 1 to 4
+    And the first backend server alone got the request
+
+  # Guards against the error of a second engine in the middle of a stream.
+  Scenario Outline: A stream that broke off gets nothing of the error <status> of the next engine
+    Given a backend server that streams 3 events and resets the connection
+    And a backend server that responds <status> with "no such stream"
+    When a caller posts to "/notes/1"
+    Then the caller gets only events 1 to 3 of an incomplete stream
+
+    Examples:
+      | status |
+      | 200    |
+      | 400    |
+      | 404    |
+      | 500    |
+      | 503    |
--- a/tests/gateway/relay/steps/relay_steps.py
+++ b/tests/gateway/relay/steps/relay_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from dataclasses import replace
 from unittest import mock
 
 import orjson
@@ -857,3 +858,57 @@
 def reads_little(context, limit, most):
     assert context.received_bytes <= 1024 * limit, context.received_bytes
     assert context.turns.longest_s < most / 1000, context.turns.longest_s
+
+
+@given(
+    "a backend server that streams {before:d} events, is silent for {pause_s:g} s, and "
+    "streams {after:d} more"
+)
+def silent_within_stream(context, before, pause_s, after):
+    async def script(call: ReceivedRequest):
+        await call.begin_stream()
+        for number in range(1, before + 1):
+            await call.event(number)
+        await asyncio.sleep(pause_s)
+        for number in range(before + 1, before + after + 1):
+            await call.event(number)
+        await call.end_stream()
+
+    add_backend(context, script)
+
+
+@when('a caller posts to "{path}" with {time_s:g} s left')
+def posts_with_time(context, path, time_s):
+    async def post(world):
+        configuration = world.state.configuration
+        routes = tuple(replace(r, timeout_s=time_s) for r in configuration.routes)
+        world.state.configuration = replace(configuration, routes=routes)
+        headers = {"X-Deadline-Ms": str(int(time_s * 1000))}
+        return await world.send_request(path, headers=headers)
+
+    context.answer = run_logged(context, post)
+
+
+@then("the first backend server alone got the request")
+def first_alone(context):
+    assert [len(engine.calls) for engine in context.engines] == [1, 0]
+
+
+def stream_of(first, last):
+    return "".join(
+        f"id: {n}\ndata: word{n}\n\n" for n in range(first, last + 1)
+    ).encode()
+
+
+@then("the caller gets the whole stream of events {first:d} to {last:d}")
+def gets_whole_stream(context, first, last):
+    assert context.answer.status == 200
+    assert context.answer.body == stream_of(first, last), context.answer
+    assert context.answer.is_whole
+
+
+@then("the caller gets only events {first:d} to {last:d} of an incomplete stream")
+def gets_only_events(context, first, last):
+    assert context.answer.status == 200
+    assert context.answer.body == stream_of(first, last), context.answer
+    assert not context.answer.is_whole
--- a/tests/gateway/server/server.feature
+++ b/tests/gateway/server/server.feature
@@ -35,3 +35,8 @@
     When the server is drained during a request and then closed
     Then the running request gets a response
     And the next request fails because the connection is closed
+
+  # Guards against kernel timeouts that close a connection whose peer is silent for 1 s.
+  Scenario: Connections outlast a peer that is silent for some seconds
+    When a connection is opened, pooled and used again
+    Then the kernel closes it after 3 to 4 s of silence in use, and after 2 s when idle
--- a/tests/gateway/server/steps/server_steps.py
+++ b/tests/gateway/server/steps/server_steps.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 from behave import given, then, when
 
 from support.gateway_world import CallerResponse, read_response
+from tanagerturn.clocks import boot_s
+from tanagerturn.gateway.backends.pool import ConnectionPool
 from tanagerturn.gateway.configuration import IngressLimits
 from tanagerturn.gateway.server import HttpServer
+from tanagerturn.serving.backends.messages import BackendId
 
 LIMITS = IngressLimits(2048, 4096, 0.2, 0.5)
 GET = "GET /{n} HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -148,3 +152,46 @@
 def next_request_fails(context):
     assert context.answers[1] == CallerResponse(0, {}, b"", False)
     assert len(context.server.bodies) == 1
+
+
+def silence_until_close_s(sock):
+    """Return the shortest and the longest silence after which the kernel closes.
+
+    With a user timeout, keep-alive probes give up at the first one that is due after
+    it, whatever their maximum number.
+    """
+    tcp = socket.IPPROTO_TCP
+    idle_s = sock.getsockopt(tcp, socket.TCP_KEEPIDLE)
+    interval_s = sock.getsockopt(tcp, socket.TCP_KEEPINTVL)
+    timeout_s = sock.getsockopt(tcp, socket.TCP_USER_TIMEOUT) / 1000
+    closed_s = idle_s
+    while closed_s < max(timeout_s, idle_s + interval_s):
+        closed_s += interval_s
+    return closed_s - idle_s, closed_s
+
+
+@when("a connection is opened, pooled and used again")
+def connection_pooled(context):
+    async def play():
+        server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        pool = ConnectionPool()
+        connection = await pool.acquire(BackendId("i-1"), address, 1.0, boot_s())
+        sock = connection.tcp.transport.get_extra_info("socket")
+        context.silences = [silence_until_close_s(sock)]
+        pool.release(connection, 5.0, boot_s())
+        context.silences.append(silence_until_close_s(sock))
+        again = await pool.acquire(BackendId("i-1"), address, 1.0, boot_s())
+        assert again is connection
+        context.silences.append(silence_until_close_s(sock))
+        connection.close()
+        server.close()
+
+    asyncio.run(play())
+
+
+@then("the kernel closes it after 3 to 4 s of silence in use, and after 2 s when idle")
+def kernel_closes(context):
+    in_use, idle, again = context.silences
+    assert in_use == again == (3, 4), context.silences
+    assert idle[1] == 2, context.silences
