Do not continue a stream with a response that is no stream

A stream that had begun and broke off was continued with the body of a second engine's 200 response without events, for instance an error page. The scenario of tests/gateway/relay with status 200 failed before; those with 400, 404, 500 and 503 passed: these responses are never written into a stream that has begun (ResponseError in Sender._run_exchange, and _finish_unanswered breaks off).

--- a/src/tanagerturn/gateway/backends/streams.py
+++ b/src/tanagerturn/gateway/backends/streams.py
@@ -42,6 +42,8 @@
         ResponseError: The stream is too large, malformed or incomplete.
     """
     has_events = run.request.prompt is not None or _is_event_stream(headers)
+    if run.progress.event_count and not has_events:
+        raise ResponseError("the response that continues a stream has no events")
     splitter = EventSplitter()
     size = 0
     while body_part := await read_part():
