--- a/src/tanagerturn/platform/control_calls.py
+++ b/src/tanagerturn/platform/control_calls.py
@@ -97,7 +97,7 @@
             f"service is {service!r} and address is {address!r}, expected a non-empty "
             "string and a string"
         )
-    born_ms = _non_negative_int(fields.get("born", 0))
+    born_ms = _whole_number(fields.get("born", 0))
     announcement = serving_pb2.Announcement(
         id=backend_id,
         address=address,
@@ -148,6 +148,12 @@
     return max(0, int(value))
 
 
+def _whole_number(value: object) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError(f"expected a whole number, found {value!r}")
+    return max(0, value)
+
+
 def encode_usage(window: int, counts: Mapping[str, int]) -> tuple[str, bytes]:
     """Return path and body of a usage report to the cloud API.
 
--- a/src/tanagerturn/serving/backends/_check.py
+++ b/src/tanagerturn/serving/backends/_check.py
@@ -22,6 +22,10 @@
 PRICE_MAX_PER_HOUR: Final = 10_000.0
 TOKENS_MAX_PER_S: Final = 10_000_000.0
 LEAVING_MAX_MS: Final = 24 * 3_600_000
+SEQUENCE_MAX: Final = 2**53
+BORN_MAX_MS: Final = 7_258_118_400_000
+"""Wall-clock time in milliseconds of the year 2200."""
+
 EVENTS_MAX: Final = 5_000
 BLOCKS_MAX: Final = 100_000
 NAMES_MAX: Final = 256
@@ -42,6 +46,7 @@
         _find_name_fault(announcement)
         or _find_address_fault(announcement.address, networks)
         or _find_size_fault(announcement)
+        or _find_order_fault(announcement)
         or _find_load_fault(announcement.load)
         or _find_event_fault(announcement.cache_events)
     )
@@ -92,6 +97,18 @@
     return ""
 
 
+def _find_order_fault(announcement: serving_pb2.Announcement) -> str:
+    """Return what is wrong with the fields by which announcements are ordered.
+
+    A value that is too large would hide all later announcements.
+    """
+    if announcement.sequence > SEQUENCE_MAX:
+        return "sequence is too large"
+    if announcement.born_ms > BORN_MAX_MS:
+        return "born_ms is not a time"
+    return ""
+
+
 def _find_load_fault(load: serving_pb2.LoadReport) -> str:
     if not _is_within(load.kv_used, 1.0):
         return "load.kv_used must be 0 to 1"
--- a/tests/platform/platform.feature
+++ b/tests/platform/platform.feature
@@ -88,3 +88,25 @@
   Scenario: The reference page lists each response header, and the decoder agrees with it
     Then each header of docs/reference/response-headers.md changes the field it states
     And the decoder of responses reads no other header
+
+  # Guards against an entry of another writer after which a gateway no longer follows an
+  # engine, or ends.
+  Scenario Outline: An odd entry with <field> <value> hides no engine
+    Given an engine that announces itself
+    When another writer announces it with "<field>" set to <value>
+    And the engine announces itself again with another address
+    Then the fleet holds the engine at its new address
+
+    Examples:
+      | field    | value                |
+      | sequence | 9223372036854775807  |
+      | sequence | 1e300                |
+      | sequence | 18446744073709551616 |
+      | born     | 9223372036854775807  |
+      | born     | 33000000000000       |
+      | born     | 1.5                  |
+      | address  | "10.0.0.1:99999"     |
+      | zone     | [[[[[[[[]]]]]]]]     |
+      | slots    | 1e300                |
+      | models   | {"a": {"a": {}}}     |
+      | service  | 7                    |
--- a/tests/platform/steps/platform_steps.py
+++ b/tests/platform/steps/platform_steps.py
@@ -4,6 +4,7 @@
 
 import copy
 import inspect
+import json
 import re
 from dataclasses import asdict
 from pathlib import Path
@@ -367,3 +368,33 @@
     read = set(re.findall(r'b"([a-z-]+)"', source))
     decoded = {n.lower() for n, _, field in documented_headers() if field != "-"}
     assert read == decoded, read ^ decoded
+
+
+@given("an engine that announces itself")
+def engine_announced(context):
+    context.fleet = Fleet()
+    announce(context.fleet, "i-1", born=1000, sequence=4, address="10.0.0.1:80")
+
+
+@when('another writer announces it with "{field}" set to {value}')
+def odd_entry(context, field, value):
+    fields = {**ANNOUNCEMENT, "born": 1000, "sequence": 5}
+    text = json.dumps({**fields, field: None}).replace(
+        f'"{field}": null', f'"{field}": {value}'
+    )
+    target = "/v1/instances/i-1"
+    call = control_calls.decode_control("PUT", target, text.encode(), 1000, 2000)
+    if isinstance(call, Announce):
+        context.fleet.on_announcement(call.announcement, 10.0, heard=True)
+
+
+@when("the engine announces itself again with another address")
+def engine_announces_again(context):
+    announce(context.fleet, "i-1", born=1000, sequence=6, address="10.0.0.2:80")
+
+
+@then("the fleet holds the engine at its new address")
+def engine_followed(context):
+    backends = context.fleet.view.backends
+    assert set(backends) == {"i-1"}, backends
+    assert backends["i-1"].address == "10.0.0.2:80", backends["i-1"].address
