Detect a suspension before a request is admitted

After a suspension, requests that waited in the kernel were read before the timer noticed it, so that limits and the list of versions were still relied on. And a gateway without peers gave the list up once only, when the last peer vanished; after the life of a stream it relied on it again.

--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -72,10 +72,6 @@
 RELOAD_INTERVAL_S: Final = 2.0
 """Interval in seconds at which the settings file is reread."""
 
-PAUSE_S: Final = 1.0
-"""Time in seconds between two ticks above which the process was suspended; peers notice
-a silent gateway after about two seconds."""
-
 VIEW_INTERVAL_S: Final = 1.0
 """Longest interval in seconds at which the present and known gateways are determined
 although no change was seen."""
@@ -182,8 +178,6 @@
         """Set when the process may exit."""
         self.quarantined_requests: frozenset[Fingerprint] = frozenset()
         """Requests that were quarantined at the last tick."""
-        self.ticked_s = self.started_s
-        """Boot-clock time in seconds of the last tick."""
         self.next_view_s = 0.0
         """Boot-clock time in seconds at which the present and known gateways are
         determined again even if no change was seen: lost ones expire."""
@@ -335,11 +329,7 @@
     def _tick(self) -> None:
         now_s = boot_s()
         self.mesh.tick(now_s)
-        if now_s - self.ticked_s > PAUSE_S:
-            self.state.limits.on_pause(now_s)
-            self.state.backend_limits.limits.on_pause(now_s)
-            self.state.stream_origins.on_missed(now_s)
-        self.ticked_s = now_s
+        self.state.detect_pause(now_s)
         if self.mesh.take_view_change() or now_s >= self.next_view_s:
             self._update_gateways(now_s)
         self.state.limits.report(self.state.metrics.limit_units, now_s)
--- a/src/tanagerturn/gateway/intake.py
+++ b/src/tanagerturn/gateway/intake.py
@@ -79,6 +79,7 @@
                 matches, or the account is over its limit.
         """
         state = self.state
+        state.detect_pause(boot_s())
         configuration = state.configuration
         decoded = state.dialect.decode_request(
             exchange.method, exchange.target, exchange.headers
--- a/src/tanagerturn/gateway/state.py
+++ b/src/tanagerturn/gateway/state.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Final
 
-from tanagerturn.clocks import to_ms
+from tanagerturn.clocks import boot_s, to_ms
 from tanagerturn.gateway.backends.limits import BackendLimits
 from tanagerturn.gateway.backends.pool import ConnectionPool
 from tanagerturn.gateway.configuration import (
@@ -45,6 +45,10 @@
 VERSIONS_INTERVAL_S: Final = 0.5
 """Interval in seconds at which the software versions of backend servers are noted."""
 
+PAUSE_S: Final = 1.0
+"""Time in seconds without a sign that the process runs above which it was suspended;
+peers notice a silent gateway after about two seconds."""
+
 MIN_MET_SHARE: Final = 0.9
 """Share of the known gateways from which a gateway has to have heard before it owns
 limits or uses its part of a budget: with fewer, it often selects another owner than its
@@ -100,6 +104,8 @@
     budget_gateways: int = 1
     """Number of gateways that share budgets, this one and recently lost ones included;
     0 until this gateway has heard from nearly all that any peer knows."""
+    ticked_s: float = field(default_factory=boot_s)
+    """Boot-clock time in seconds at which the process was last known to run."""
     next_versions_s: float = 0.0
     """Boot-clock time in seconds at which software versions are noted next."""
     noted_changes: int = -1
@@ -168,8 +174,8 @@
                 itself.
             now_s: Current boot-clock time in seconds.
         """
-        if self.gateway_count > 1 and not peer_addresses:
-            # Alone, it does not hear of all backend servers.
+        if not peer_addresses and max(known_count, self.gateway_count) > 1:
+            # Alone, it does not receive the announcements of all backend servers.
             self.stream_origins.on_missed(now_s)
         self.gateway_count = 1 + len(peer_addresses)
         known_count = max(known_count, self.gateway_count)
@@ -184,6 +190,21 @@
                 is_draining=self.is_draining,
             )
 
+    def detect_pause(self, now_s: float) -> None:
+        """Give up what may have become wrong if the process was suspended.
+
+        It is called by the timer, and before each request is admitted: after a pause,
+        requests that waited in the kernel may be read before the timer fires.
+
+        Args:
+            now_s: Current boot-clock time in seconds, which includes suspensions.
+        """
+        if now_s - self.ticked_s > PAUSE_S:
+            self.limits.on_pause(now_s)
+            self.backend_limits.limits.on_pause(now_s)
+            self.stream_origins.on_missed(now_s)
+        self.ticked_s = now_s
+
     def note_versions(self, now_s: float) -> None:
         """Record the software versions of the known backend servers.
 
--- a/tests/gateway/versions/steps/versions_steps.py
+++ b/tests/gateway/versions/steps/versions_steps.py
@@ -8,13 +8,14 @@
 from behave import given, then, when
 
 from support.engine_fleet import EVENT_INTERVAL_S
-from support.gateway_world import KEY, CallerResponse
+from support.gateway_world import KEY, CallerResponse, ScriptedBackend, World
 from support.version_fleet import (
     EVENT_COUNT,
     ReplacedEngine,
     VersionEngine,
     VersionFleet,
 )
+from tanagerturn.clocks import boot_s
 from tanagerturn.gateway import startup
 
 RUN_S = EVENT_COUNT * EVENT_INTERVAL_S
@@ -280,3 +281,56 @@
 def streams_whole(context, count):
     whole = sum(s.is_whole for s in context.fleet.streams)
     assert whole >= count, f"{whole} of {len(context.fleet.streams)}"
+
+
+@given("a gateway that has known the only version of its engines for long")
+def knows_only_version(context):
+    async def resume(call):
+        await call.begin_stream()
+        await call.event(3)
+        await call.end_stream()
+
+    context.loop = asyncio.new_event_loop()
+    context.closers.append(context.loop.close)
+    context.world = World(ScriptedBackend("i-1", [resume]))
+    run(context, context.world.start())
+    origins = context.world.state.stream_origins
+    origins.started_s = origins.complete_since_s = boot_s() - 100.0
+    context.world.state.note_versions(boot_s())
+
+
+def take_up(context):
+    headers = {"Last-Event-Id": "2", "Resumes": "r0"}
+    context.answer = run(
+        context, context.world.send_request("/notes/1", headers=headers)
+    )
+
+
+@when("a stream is taken up there")
+def taken_up(context):
+    take_up(context)
+
+
+@when("the gateway has just woken up after {pause_s:g} s and one is taken up")
+def woken_up(context, pause_s):
+    context.world.state.ticked_s = boot_s() - pause_s
+    take_up(context)
+
+
+@when("the gateway has been without its peers for a minute and one is taken up")
+def without_peers(context):
+    state, now_s = context.world.state, boot_s()
+    state.set_gateways({"g2": "127.0.0.1:1"}, 2, 2, now_s - 61.0)
+    for second in range(60, -1, -1):
+        state.set_gateways({}, 2, 2, now_s - second)
+    take_up(context)
+
+
+@then("it goes on")
+def goes_on(context):
+    assert context.answer.status == 200, context.answer
+
+
+@then("it is refused with 503")
+def refused(context):
+    assert context.answer.status == 503, context.answer
--- a/tests/gateway/versions/versions.feature
+++ b/tests/gateway/versions/versions.feature
@@ -71,3 +71,17 @@
     Given 6 gateways and engines of versions v1,v1,v1,v1,v1,v1
     When three engines become v2, 60 streams begin, and all gateways lose power 0.7 s later
     Then no stream has events of two versions
+
+  # Guards against a gateway that wakes up and takes the version that it knew for the only
+  # one, although another version joined meanwhile.
+  Scenario Outline: A gateway that <circumstance> does not rely on the versions it knew
+    Given a gateway that has known the only version of its engines for long
+    When a stream is taken up there
+    Then it goes on
+    When the gateway <circumstance> and one is taken up
+    Then it is refused with 503
+
+    Examples:
+      | circumstance                             |
+      | has just woken up after 4 s              |
+      | has been without its peers for a minute  |
