--- a/src/tanagerturn/gateway/sender.py
+++ b/src/tanagerturn/gateway/sender.py
@@ -57,6 +57,10 @@
 paths to backend servers: many round trips, and less than the retransmission timeout of
 a lost first packet."""
 
+RECENT_SUCCESS_S: Final = 1.0
+"""Time in seconds after a success within which a missing response of the same backend
+server is no reason to check the path to it."""
+
 T = TypeVar("T")
 
 log = component_log("relay")
@@ -248,7 +252,8 @@
             # The stream was migrated to another engine, or the backend server stopped
             # as announced: neither is a failure of the backend server.
             return AttemptOutcome.BROKEN
-        self.path_checker.on_doubted(backend.id, Doubt.WEAK, now_s)
+        if now_s - fleet.state(backend.id).last_success_s > RECENT_SUCCESS_S:
+            self.path_checker.on_doubted(backend.id, Doubt.WEAK, now_s)
         if isinstance(error, ResponseError):
             self.crash_detector.on_broken(backend, run, writing_s, now_s)
             fleet.on_broken(backend, now_s)
