--- a/src/tanagerturn/gateway/connection.py
+++ b/src/tanagerturn/gateway/connection.py
@@ -175,7 +175,7 @@
         await self._drain_waiter
 
     def set_idle(self, *, is_idle: bool) -> None:
-        """Set how long the peer may be silent until the kernel closes the connection."""
+        """Set how long the peer may be silent before the connection is closed."""
         if self.transport is not None and not self.transport.is_closing():
             timeout_ms = IDLE_USER_TIMEOUT_MS if is_idle else USER_TIMEOUT_MS
             sock = self.transport.get_extra_info("socket")
