--- a/src/tanagerturn/gateway/spread/peer_paths.py
+++ b/src/tanagerturn/gateway/spread/peer_paths.py
@@ -18,6 +18,11 @@
 gateways, digests are some seconds apart."""
 
 
+MIN_NEAR: Final = 3
+"""Number of peers in this gateway's zone from which they are preferred; fewer could be
+overloaded by the requests of one that is cut off."""
+
+
 @dataclass(frozen=True)
 class PeerGateway:
     """A peer gateway that may forward requests to backend servers."""
@@ -87,11 +92,14 @@
     def choose(
         self, service: str, excluded: Collection[str], random: Random, now_s: float
     ) -> PeerGateway | None:
-        """Choose a peer at random, one of this zone if there is any.
+        """Choose a peer at random.
+
+        The first one is of this zone, if there are some. A whole zone may be cut off
+        before its gateways report it, so further ones are of any zone.
 
         Args:
             service: Service of the request.
-            excluded: Hosts that must not be chosen.
+            excluded: Hosts that the request was sent to before.
             random: Source of the choice.
             now_s: Monotonic time in seconds.
 
@@ -104,7 +112,8 @@
             if host not in excluded and self._is_usable(host, service, now_s)
         ]
         near = [peer for peer in usable if peer.zone == self.zone]
-        candidates = near or usable
+        is_near_enough = not excluded and len(near) >= MIN_NEAR
+        candidates = near if is_near_enough else usable
         return random.choice(candidates) if candidates else None
 
     def _is_usable(self, host: str, service: str, now_s: float) -> bool:
