--- a/src/tanagerturn/gateway/stream_origins.py
+++ b/src/tanagerturn/gateway/stream_origins.py
@@ -40,7 +40,7 @@
         now_s: Current boot-clock time in seconds.
     """
     message = gpb.StreamOrigins()
-    if now_s >= origins.unsure_until_s:
+    if origins.is_sure(now_s):
         message.complete_for_ms = age_ms(origins.complete_since_s, now_s)
     groups: dict[StreamOrigin, list[int]] = {origin: [] for origin in origins.seen_s}
     for attempt in attempts:
--- a/src/tanagerturn/serving/streams/origins.py
+++ b/src/tanagerturn/serving/streams/origins.py
@@ -73,9 +73,11 @@
         self.restored_s: float | None = None
         """Monotonic time in seconds at which the state of before a restart was
         restored; None if there was none."""
-        self.unsure_until_s = float("-inf")
-        """Monotonic time in seconds until which the restored versions do not count as
-        all: peers may have served after they were saved."""
+        self.is_restored_fresh = False
+        """Whether the restored state was saved shortly before the restart."""
+        self.is_unsure = False
+        """Whether versions may be missing in the restored state: peers may have served
+        after it was saved, and none that has seen all versions has reported since."""
         self.stream_life_s = 0.0
         """Longest time in seconds from the first event of a stream to its last take-up,
         by the configuration; 0 while it is unknown."""
@@ -144,23 +146,26 @@
             self._on_seen_at(origin, at_s, now_s)
         self.complete_since_s = min(self.complete_since_s, complete_since_s)
         if now_s - complete_since_s >= self.stream_life_s > 0:
-            self.unsure_until_s = float("-inf")
+            self.is_unsure = False
 
     def on_missed(self, now_s: float) -> None:
         """Record that versions may have been missed until now."""
         self.complete_since_s = now_s
 
     def on_restored(self, now_s: float, *, is_fresh: bool) -> None:
-        """Record that what was merged so far was saved before a restart.
+        """Record that what was merged until now was saved before a restart.
+
+        Peers may have begun streams at another version after the save. If it is fresh,
+        engines of that version announce themselves within `NEW_VERSION_DELAY_S`. Else
+        they may have come and gone; only a peer that has seen all versions knows.
 
         Args:
             now_s: Monotonic time in seconds.
-            is_fresh: It was saved so recently that no peer can have served since, if
-                all gateways were killed.
+            is_fresh: It was saved shortly before the restart.
         """
         self.restored_s = now_s
-        if not is_fresh:
-            self.unsure_until_s = now_s + NEW_VERSION_DELAY_S
+        self.is_restored_fresh = is_fresh
+        self.is_unsure = True
 
     def knows_present_versions(self, now_s: float) -> bool:
         """Return whether engines of all versions announced themselves since the start.
@@ -208,11 +213,17 @@
             if origin.service == service and now_s - at_s >= NEW_VERSION_DELAY_S
         }
 
+    def is_sure(self, now_s: float) -> bool:
+        """Return whether no version is missing in what was restored."""
+        if not self.is_unsure or self.restored_s is None:
+            return True
+        wait_s = NEW_VERSION_DELAY_S if self.is_restored_fresh else self.stream_life_s
+        return self.stream_life_s > 0 and now_s - self.restored_s >= wait_s
+
     def is_complete(self, now_s: float) -> bool:
         """Return whether all versions of the life of a stream are known."""
         known_since_s = max(self.complete_since_s, self.forgotten_seen_s)
-        is_sure = now_s >= self.unsure_until_s
-        return is_sure and now_s - known_since_s >= self.stream_life_s
+        return self.is_sure(now_s) and now_s - known_since_s >= self.stream_life_s
 
     def expire(self, now_s: float) -> None:
         """Drop streams and versions that are too old to be taken up.
