--- a/src/tanagerturn/gateway/backends/detours.py
+++ b/src/tanagerturn/gateway/backends/detours.py
@@ -18,6 +18,7 @@
     without_forwarding,
 )
 from tanagerturn.gateway.backends.pool import BackendConnection
+from tanagerturn.gateway.backends.sender import RESPONSE_LIMIT_BYTES
 from tanagerturn.gateway.backends.streams import new_data, stream_headers
 from tanagerturn.gateway.configuration import RequestKind
 from tanagerturn.gateway.connection import connect, end_to_end_headers
@@ -25,7 +26,6 @@
 from tanagerturn.gateway.outcomes import log_end
 from tanagerturn.gateway.request_run import first_event_timeout_s, pause_timeout_s
 from tanagerturn.gateway.retry_policy import AttemptOutcome
-from tanagerturn.gateway.sender import RESPONSE_LIMIT_BYTES
 from tanagerturn.serving.backends.messages import BackendId, SoftwareVersion
 from tanagerturn.serving.streams.origins import StreamOrigin
 
--- a/src/tanagerturn/gateway/control.py
+++ b/src/tanagerturn/gateway/control.py
@@ -20,8 +20,8 @@
 from tanagerturn.serving.backends.messages import BackendId
 
 if TYPE_CHECKING:
+    from tanagerturn.gateway.backends.departures import DepartureTracker
     from tanagerturn.gateway.configuration_distributor import ConfigurationDistributor
-    from tanagerturn.gateway.departures import DepartureTracker
     from tanagerturn.gateway.messages import RawHeaders
     from tanagerturn.gateway.server import Exchange
     from tanagerturn.gateway.spread.mesh import Mesh
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -13,9 +13,9 @@
 from tanagerturn.gateway import stream_origins
 from tanagerturn.gateway.backends import indirect_checks
 from tanagerturn.gateway.backends.brittle import encode_brittle
+from tanagerturn.gateway.backends.departures import DepartureTracker
 from tanagerturn.gateway.configuration_distributor import ConfigurationDistributor
 from tanagerturn.gateway.control import Control
-from tanagerturn.gateway.departures import DepartureTracker
 from tanagerturn.gateway.duties import Duties
 from tanagerturn.gateway.group_initializer import GroupInitializer
 from tanagerturn.gateway.links import Links
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -7,9 +7,10 @@
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.clocks import boot_s
-from tanagerturn.gateway import placement
+from tanagerturn.gateway.backends import placement
 from tanagerturn.gateway.backends.detours import Detours
 from tanagerturn.gateway.backends.forwarded import InvalidForwarding, decode_request
+from tanagerturn.gateway.backends.sender import Sender
 from tanagerturn.gateway.backends.statements import read_call_statements
 from tanagerturn.gateway.calls import call
 from tanagerturn.gateway.intake import Intake
@@ -33,15 +34,14 @@
     NextAction,
     next_action,
 )
-from tanagerturn.gateway.sender import Sender
 from tanagerturn.gateway.spread.peer_paths import PeerGateway
 from tanagerturn.serving.admission.first_event import Deferred, admit
 from tanagerturn.serving.backends.backend import Backend
 from tanagerturn.serving.backends.paths import PathFailure
 
 if TYPE_CHECKING:
+    from tanagerturn.gateway.backends.placement import Choice
     from tanagerturn.gateway.links import Links
-    from tanagerturn.gateway.placement import Choice
     from tanagerturn.gateway.server import Exchange
     from tanagerturn.gateway.state import GatewayState
 
@@ -274,14 +274,10 @@
             if choice is None:
                 raise self._no_backend(run, now_s)
             self._reject_if_late(run, choice, now_s)
-            if (
-                choice.is_full
-                and run.forwarded is None
-                and self.state.fleet.owns_no_slots(run.service, now_s)
-                and (peer := self.detours.choose(run, now_s)) is not None
-            ):
-                return peer
             if choice.is_full:
+                peer = self._peer_with_slots(run, now_s)
+                if peer is not None:
+                    return peer
                 await self._wait_for_capacity(run, now_s)
             elif await self.state.backend_limits.acquire(choice.backend, self.links):
                 run.expected_s, run.pace = choice.first_event_s, choice.pace
@@ -315,6 +311,17 @@
             NOT_RUN_STATUS, refusal.cause, refusal.retry_after_s, refusal.detail
         )
 
+    def _peer_with_slots(self, run: RequestRun, now_s: float) -> PeerGateway | None:
+        """Return a peer for a request whose service has no slots for this gateway.
+
+        None if this gateway has some, or no peer is known.
+        """
+        if run.forwarded is not None:
+            return None
+        if not self.state.fleet.owns_no_slots(run.service, now_s):
+            return None
+        return self.detours.choose(run, now_s)
+
     def _best_choice(self, run: RequestRun, now_s: float) -> Choice | None:
         """Return the best backend server without an attempt yet; None if none.
 
--- a/tests/gateway/backends/statements/steps/statements_steps.py
+++ b/tests/gateway/backends/statements/steps/statements_steps.py
@@ -8,8 +8,7 @@
 
 from support.gateway_world import ScriptedBackend, World
 from tanagerturn.clocks import boot_s
-from tanagerturn.gateway import departures
-from tanagerturn.gateway.backends import pool
+from tanagerturn.gateway.backends import departures, pool
 
 PAUSE = ("X-Not-Executed: 1", "Retry-After: 30")
 LEAVING = ("Server-Leaving: 1",)
--- a/tests/gateway/departures/steps/departures_steps.py
+++ b/tests/gateway/departures/steps/departures_steps.py
@@ -8,7 +8,7 @@
 
 from support.gateway_world import ScriptedBackend, World
 from tanagerturn.clocks import boot_s
-from tanagerturn.gateway.departures import DepartureTracker
+from tanagerturn.gateway.backends.departures import DepartureTracker
 from tanagerturn.gateway.request_run import MIGRATION_LEAD_S
 from tanagerturn.schema import gateway_pb2 as gpb
 
