Wait for a request that arrives as a stopping gateway closes its listeners

A request sent at 13.985 s was passed on to an engine at 14.026 s, and the process ended at 14.12 s with its answer due.

Cause: the process waited while requests were handled. One that had arrived and was not read yet did not count, so the wait ended at once, and it began within the 0.1 s that the last bytes have to leave.

Change: requests that have arrived count, and after the 0.1 s the process waits again. The new scenario of tests/gateway/server fails with the count of handled requests alone.

--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -503,15 +503,21 @@
             await asyncio.sleep(TICK_S)
         # A request accepted later might not finish before the SIGKILL.
         self.caller_server.close()
-        while boot_s() < end_s and (
-            self.caller_server.running_count or self.forwarding_server.running_count
-        ):
-            await asyncio.sleep(TICK_S)
+        await self._wait_until_idle(end_s)
         self.forwarding_server.close()
         self.mesh.leave()
         await asyncio.sleep(FLUSH_DELAY_S)
+        # A request that arrived as the listeners closed may have begun meanwhile.
+        await self._wait_until_idle(end_s)
         self.may_exit.set()
 
+    async def _wait_until_idle(self, end_s: float) -> None:
+        """Wait until no request is handled, until `end_s` at the latest."""
+        while boot_s() < end_s and (
+            self.caller_server.is_busy or self.forwarding_server.is_busy
+        ):
+            await asyncio.sleep(TICK_S)
+
 
 async def run_gateway(
     settings: GatewaySettings,
--- a/src/tanagerturn/gateway/server.py
+++ b/src/tanagerturn/gateway/server.py
@@ -314,6 +314,13 @@
             backlog=LISTEN_BACKLOG,
         )
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is handled, or has arrived and is not read yet."""
+        return self.running_count > 0 or any(
+            connection.tcp.has_unread for connection in self.connections
+        )
+
     def drain(self) -> None:
         """Close each connection after its next response."""
         self.is_draining = True
--- a/tests/gateway/server/server.feature
+++ b/tests/gateway/server/server.feature
@@ -40,3 +40,9 @@
   Scenario: Connections outlast a peer that is silent for some seconds
     When a connection is opened, pooled and used again
     Then the kernel closes it after 3 to 4 s of silence in use, and after 2 s when idle
+
+  # Guards against a process that ends although a request has just arrived.
+  Scenario: A request that arrives as the listener closes counts as busy until its answer
+    Given a server that responds to a request after 0.3 s
+    When a request arrives in the turn in which the server is closed
+    Then the server is busy from then on, and idle after the answer
--- a/tests/gateway/server/steps/server_steps.py
+++ b/tests/gateway/server/steps/server_steps.py
@@ -195,3 +195,35 @@
     in_use, idle, again = context.silences
     assert in_use == again == (3, 4), context.silences
     assert idle[1] == 2, context.silences
+
+
+@when("a request arrives in the turn in which the server is closed")
+def arrives_at_close(context):
+    async def play():
+        reader, writer = await context.server.connect()
+        server = context.server.http_server
+        while not server.connections:
+            await asyncio.sleep(0.01)
+        tcp = next(iter(server.connections)).tcp
+        receive = tcp.data_received
+
+        def receive_and_close(data):
+            receive(data)
+            server.close()
+            context.busy = [server.is_busy]
+
+        tcp.data_received = receive_and_close
+        writer.write(GET.format(n=1).encode())
+        await asyncio.sleep(0.1)
+        context.busy.append(server.is_busy)
+        answer = await read_response(reader)
+        await asyncio.sleep(0.05)
+        context.busy.append(server.is_busy)
+        assert answer.status == 200, answer
+
+    asyncio.run(play())
+
+
+@then("the server is busy from then on, and idle after the answer")
+def busy_until_answer(context):
+    assert context.busy == [True, True, False], context.busy
