--- /dev/null
+++ b/review/support/engine.py
@@ -0,0 +1,179 @@
+"""A stand-in of a plain service's engine, and of its announcements."""
+
+from __future__ import annotations
+
+import json
+import socket
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import TYPE_CHECKING
+
+from support.gateways import CONTROL_PORT, Gateway, Record, call
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+HEARTBEAT_S = 1.2
+"""`heartbeat_ms` of the settings."""
+
+
+class Engine:
+    """An engine that answers each request and announces itself.
+
+    Args:
+        engine_id: Its id.
+        ip: Loopback IP address that it listens at.
+        service: Service that it announces.
+        gateways: Gateways that it announces itself to, the first one that answers.
+        record: Record of the case.
+        work_s: Time in seconds that a request takes.
+    """
+
+    def __init__(
+        self,
+        engine_id: str,
+        ip: str,
+        service: str,
+        gateways: Sequence[Gateway],
+        record: Record,
+        work_s: float = 0.02,
+    ) -> None:
+        self.id = engine_id
+        self.service = service
+        self.gateways = list(gateways)
+        self.record = record
+        self.work_s = work_s
+        self.born_ms = int(time.time() * 1000)
+        self.sequence = 0
+        self.state = "ready"
+        self.zone = "z1"
+        self.slots = 6
+        self.ran: list[tuple[str, float]] = []
+        """Ids of the requests that it began to run, with the time."""
+        self.confirmed: list[tuple[str, str, float]] = []
+        """State, gateway and time of each confirmed announcement."""
+        self.stopping = threading.Event()
+        self.server = _Server((ip, 0), _Handler)
+        self.server.engine = self
+        self.address = f"{ip}:{self.server.server_address[1]}"
+        self.threads = [
+            threading.Thread(target=self.server.serve_forever, daemon=True),
+            threading.Thread(target=self._announce, daemon=True),
+        ]
+
+    def start(self) -> None:
+        """Start to listen and to announce."""
+        for thread in self.threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Stop to announce and to listen."""
+        self.stopping.set()
+        self.server.shutdown()
+        self.server.server_close()
+
+    def fields(self) -> dict[str, object]:
+        """Return the fields of the next announcement."""
+        self.sequence += 1
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": self.state,
+            "warmup_left_ms": 0,
+            "sequence": self.sequence,
+            "born": self.born_ms,
+        }
+
+    def announce(self) -> None:
+        """Send one announcement, to the next gateway if one does not confirm it."""
+        fields = self.fields()
+        for gateway in self.gateways:
+            status = announce(gateway, self.id, fields)
+            if 200 <= status < 300:
+                self.confirmed.append(
+                    (str(fields["state"]), gateway.name, time.monotonic())
+                )
+                return
+
+    def drain(self) -> float:
+        """Announce that it is draining; return the time of the confirmation."""
+        self.state = "draining"
+        self.announce()
+        state, gateway, at_s = self.confirmed[-1]
+        self.record.line(f"{self.id} says {state}, confirmed by {gateway}")
+        return at_s
+
+    def _announce(self) -> None:
+        while not self.stopping.is_set():
+            self.announce()
+            self.stopping.wait(HEARTBEAT_S)
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 128
+    engine: Engine
+
+    def get_request(self) -> tuple[socket.socket, object]:
+        connection, address = super().get_request()
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return connection, address
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    wbufsize = -1
+    server: _Server
+
+    def do_GET(self) -> None:
+        """Run a request."""
+        self._run()
+
+    def do_POST(self) -> None:
+        """Run a request."""
+        self._run()
+
+    def _run(self) -> None:
+        engine = self.server.engine
+        length = int(self.headers.get("Content-Length") or 0)
+        self.rfile.read(length)
+        attempt = self.headers.get("X-Request-Id", "")
+        if self.headers.get("X-Expect-Instance", engine.id) != engine.id:
+            self._answer(421, attempt, b"", {"X-Not-Executed": "1"})
+            return
+        engine.ran.append((attempt, time.monotonic()))
+        engine.record.line(f"{engine.id} runs {attempt}")
+        time.sleep(engine.work_s)
+        self._answer(200, attempt, b"answer to " + attempt.encode(), {})
+
+    def _answer(
+        self, status: int, attempt: str, body: bytes, headers: dict[str, str]
+    ) -> None:
+        self.send_response(status)
+        self.send_header("X-Request-Id", attempt)
+        self.send_header("X-Server-Stamp", f"stamp.{self.server.engine.id}.{attempt}")
+        self.send_header("Keep-Alive", "timeout=15")
+        self.send_header("Content-Length", str(len(body)))
+        for name, value in headers.items():
+            self.send_header(name, value)
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *_: object) -> None:
+        """Write nothing to standard error."""
+
+
+def announce(gateway: Gateway, engine_id: str, fields: dict[str, object]) -> int:
+    """Send one announcement to a gateway and return the status of the answer."""
+    return call(
+        f"{gateway.ip}:{CONTROL_PORT}",
+        "PUT",
+        f"/v1/instances/{engine_id}",
+        {"Content-Type": "application/json"},
+        json.dumps(fields).encode(),
+        1.0,
+    )[0]
