--- a/review/support/engine.py
+++ b/review/support/engine.py
@@ -28,6 +28,8 @@
         gateways: Gateways that it announces itself to, the first one that answers.
         record: Record of the case.
         work_s: Time in seconds that a request takes.
+        picks_in_turn: Each call goes to the next gateway; otherwise each call goes to
+            the first gateway that answers.
     """
 
     def __init__(
@@ -38,12 +40,15 @@
         gateways: Sequence[Gateway],
         record: Record,
         work_s: float = 0.02,
+        *,
+        picks_in_turn: bool = False,
     ) -> None:
         self.id = engine_id
         self.service = service
         self.gateways = list(gateways)
         self.record = record
         self.work_s = work_s
+        self.picks_in_turn = picks_in_turn
         self.born_ms = int(time.time() * 1000)
         self.sequence = 0
         self.state = "ready"
@@ -91,14 +96,39 @@
     def announce(self) -> None:
         """Send one announcement, to the next gateway if one does not confirm it."""
         fields = self.fields()
-        for gateway in self.gateways:
+        for gateway in self.next_gateways():
             status = announce(gateway, self.id, fields)
             if 200 <= status < 300:
-                self.confirmed.append(
-                    (str(fields["state"]), gateway.name, time.monotonic())
-                )
+                self._on_confirmed(str(fields["state"]), gateway)
                 return
 
+    def next_gateways(self) -> list[Gateway]:
+        """Return the gateways in the order in which the next call tries them."""
+        if self.picks_in_turn:
+            self.gateways = [*self.gateways[1:], self.gateways[0]]
+        return list(self.gateways)
+
+    def withdraw(self) -> float:
+        """Say that it is gone, and go on serving; return the time of the answer."""
+        self.stopping.set()
+        self.threads[1].join()
+        for gateway in self.next_gateways():
+            address = f"{gateway.ip}:{CONTROL_PORT}"
+            path = f"/v1/instances/{self.id}"
+            body = json.dumps({"born": self.born_ms}).encode()
+            status, _ = call(address, "DELETE", path, {}, body, 1.0)
+            if 200 <= status < 300:
+                self._on_confirmed("gone", gateway)
+                break
+        self.record.line(f"{self.id} says DELETE, confirmed by {gateway.name}")
+        return self.confirmed[-1][2]
+
+    def _on_confirmed(self, state: str, gateway: Gateway) -> None:
+        self.confirmed.append((state, gateway.name, time.monotonic()))
+        self.record.line(
+            f"{self.id} says {state}, sequence {self.sequence}, to {gateway.name}: 200"
+        )
+
     def drain(self) -> float:
         """Announce that it is draining; return the time of the confirmation."""
         self.state = "draining"
