--- a/review/support/engine.py
+++ b/review/support/engine.py
@@ -154,6 +154,10 @@
         return connection, address
 
 
+    def handle_error(self, *_: object) -> None:
+        """Write nothing of channels that a gateway has closed."""
+
+
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     wbufsize = -1
