--- a/review/support/engine.py
+++ b/review/support/engine.py
@@ -54,6 +54,8 @@
         self.state = "ready"
         self.zone = "z1"
         self.slots = 6
+        self.arrived: list[str] = []
+        """Ids of the requests that arrived."""
         self.ran: list[tuple[str, float]] = []
         """Ids of the requests that it began to run, with the time."""
         self.confirmed: list[tuple[str, str, float]] = []
@@ -69,6 +71,7 @@
 
     def start(self) -> None:
         """Start to listen and to announce."""
+        self.free_slots = threading.Semaphore(self.slots)
         for thread in self.threads:
             thread.start()
 
@@ -179,9 +182,11 @@
         if self.headers.get("X-Expect-Instance", engine.id) != engine.id:
             self._answer(421, attempt, b"", {"X-Not-Executed": "1"})
             return
-        engine.ran.append((attempt, time.monotonic()))
-        engine.record.line(f"{engine.id} runs {attempt}")
-        time.sleep(engine.work_s)
+        engine.arrived.append(attempt)
+        with engine.free_slots:
+            engine.ran.append((attempt, time.monotonic()))
+            engine.record.line(f"{engine.id} runs {attempt}")
+            time.sleep(engine.work_s)
         self._answer(200, attempt, b"answer to " + attempt.encode(), {})
 
     def _answer(
