--- a/review/2/case.py
+++ b/review/2/case.py
@@ -29,9 +29,6 @@
 CATCH_UP_S = 4.0
 """`catch_up_s` of the settings: from then on the successors count."""
 
-GAP_S = 2.0
-"""Time between two SIGTERMs, the `gap_s` of `roll_term` at the site."""
-
 GRACE_S = 8.0
 """`grace_s` of the settings."""
 
@@ -82,7 +79,7 @@
     if trouble:
         replace(old, record)
     else:
-        time.sleep(GAP_S * CORE + GRACE_S)
+        time.sleep(GRACE_S + 2)
     present = new if trouble else deployment.gateways
     end_s = time.monotonic() + RECOVER_S + CONTACT_S
     version = None
@@ -98,11 +95,9 @@
 
 
 def replace(old: list[Gateway], record: Record) -> None:
-    """Stop the old hosts one after the other, each gracefully and for good."""
+    """Stop the old hosts for good: each gracefully, after the one before has ended."""
     for gateway in old:
         gateway.signal(signal.SIGTERM)
-        time.sleep(GAP_S)
-    for gateway in old:
         assert gateway.process is not None
         code = gateway.process.wait(GRACE_S + 2)
         record.line(f"{gateway.name} has ended with code {code}")
--- a/review/6/run.sh
+++ /dev/null
@@ -1,3 +0,0 @@
-#!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
-cd "$(dirname "$0")/../.." && exec python3 review/6/case.py
--- a/review/support/clients.py
+++ b/review/support/clients.py
@@ -1,11 +1,11 @@
-"""Clients that send purchases to all gateways, one after the other."""
+"""Clients that send purchases to all gateways."""
 
 from __future__ import annotations
 
 import itertools
 import threading
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from support.gateways import FRONT_PORT, Deployment, Record, call
 
@@ -13,21 +13,43 @@
     from support.engine import Engine
 
 
+CLIENTS: Final = 8
+
+
 class Clients:
-    """Sends purchases to all gateways in turn and keeps the time of each."""
+    """Some clients, each of which sends purchases to all gateways in turn."""
 
     def __init__(self, deployment: Deployment, record: Record) -> None:
         self.deployment = deployment
         self.record = record
         self.sent_s: dict[str, float] = {}
-        self.answered = 0
+        self.status: dict[str, int] = {}
+        """Status of the answer by request; 0 if the channel ended without one."""
+        self.numbers = itertools.count()
         self.stopping = threading.Event()
-        self.thread = threading.Thread(target=self._send, daemon=True)
+        self.threads = [
+            threading.Thread(target=self._send, daemon=True) for _ in range(CLIENTS)
+        ]
+
+    def start(self) -> None:
+        """Start to send."""
+        for thread in self.threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Stop to send, and wait for the last answers."""
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join()
+
+    @property
+    def were_served(self) -> bool:
+        """Whether any purchase got its answer."""
+        return 200 in self.status.values()
 
     def _send(self) -> None:
-        for number in itertools.count():
-            if self.stopping.is_set():
-                return
+        while not self.stopping.is_set():
+            number = next(self.numbers)
             gateway = self.deployment.gateways[number % 4]
             attempt = f"purchase-{number}"
             headers = {
@@ -38,9 +60,9 @@
             self.sent_s[attempt] = time.monotonic()
             address = f"{gateway.ip}:{FRONT_PORT}"
             status, _ = call(address, "POST", "/desk/buy", headers, b"{}", 2.0)
-            self.answered += status == 200
+            self.status[attempt] = status
             self.record.line(f"{attempt} at {gateway.name}: {status}")
-            self.stopping.wait(0.03)
+            self.stopping.wait(0.05)
 
 
 def sent_late(clients: Clients, engine: Engine, due_s: float) -> list[str]:
--- a/review/support/engine.py
+++ b/review/support/engine.py
@@ -60,6 +60,10 @@
         """Ids of the requests that it began to run, with the time."""
         self.confirmed: list[tuple[str, str, float]] = []
         """State, gateway and time of each confirmed announcement."""
+        self.cut: list[str] = []
+        """Ids of the requests that it broke off as it exited."""
+        self.has_exited = False
+        """Whether it has ended: it reads and answers nothing more."""
         self.stopping = threading.Event()
         self.server = _Server((ip, 0), _Handler)
         self.server.engine = self
@@ -75,6 +79,12 @@
         for thread in self.threads:
             thread.start()
 
+    def exit(self) -> None:
+        """End like a process: running requests are cut and new channels refused."""
+        self.has_exited = True
+        self.record.line(f"{self.id} exits")
+        self.stop()
+
     def stop(self) -> None:
         """Stop to announce and to listen."""
         self.stopping.set()
@@ -179,6 +189,9 @@
         length = int(self.headers.get("Content-Length") or 0)
         self.rfile.read(length)
         attempt = self.headers.get("X-Request-Id", "")
+        if engine.has_exited:
+            self.close_connection = True
+            return
         if self.headers.get("X-Expect-Instance", engine.id) != engine.id:
             self._answer(421, attempt, b"", {"X-Not-Executed": "1"})
             return
@@ -187,6 +200,11 @@
             engine.ran.append((attempt, time.monotonic()))
             engine.record.line(f"{engine.id} runs {attempt}")
             time.sleep(engine.work_s)
+        if engine.has_exited:
+            engine.cut.append(attempt)
+            engine.record.line(f"{engine.id} has cut {attempt}")
+            self.close_connection = True
+            return
         self._answer(200, attempt, b"answer to " + attempt.encode(), {})
 
     def _answer(
