--- a/review/2/case.py
+++ b/review/2/case.py
@@ -20,6 +20,7 @@
     Gateway,
     Record,
     manifest,
+    run_case,
     wait_for,
 )
 
@@ -115,4 +116,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    run_case(main)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -24,6 +24,7 @@
     Gateway,
     Record,
     manifest,
+    run_case,
     wait_for,
 )
 
@@ -181,4 +182,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    run_case(main)
--- a/review/support/gateways.py
+++ b/review/support/gateways.py
@@ -18,7 +18,12 @@
 import tempfile
 import threading
 import time
+import traceback
 from pathlib import Path
+from typing import TYPE_CHECKING, NoReturn
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 ROOT = Path(__file__).resolve().parents[2]
 RUN = "target/tanagerturn/tanagerturn/platform/run.py"
@@ -310,7 +315,17 @@
     return {**base, **changes}
 
 
-def wait_for(condition, timeout_s: float) -> bool:
+def run_case(main: Callable[[], int]) -> NoReturn:
+    """Run a case and exit with its result, or with 2 if it fails by itself."""
+    try:
+        result = main()
+    except Exception:
+        traceback.print_exc()
+        result = EXIT_NOT_RUN
+    sys.exit(result)
+
+
+def wait_for(condition: Callable[[], bool], timeout_s: float) -> bool:
     """Wait until a condition holds; return whether it did in time."""
     end_s = time.monotonic() + timeout_s
     while time.monotonic() < end_s:
