--- a/src/tanagerturn/gateway/configuration_distributor.py
+++ b/src/tanagerturn/gateway/configuration_distributor.py
@@ -19,9 +19,9 @@
     from collections.abc import Callable
 
     from tanagerturn.gateway.links import Links
-    from tanagerturn.gateway.replicated_store import ReplicatedStore
     from tanagerturn.gateway.spread.mesh import Mesh
     from tanagerturn.gateway.state import GatewayState
+    from tanagerturn.gateway.state_group.replicated_store import ReplicatedStore
 
 CURRENT_KEY: Final = "configuration/current"
 """Key of the newest configuration in the state group."""
--- a/src/tanagerturn/gateway/duties.py
+++ b/src/tanagerturn/gateway/duties.py
@@ -32,9 +32,9 @@
 
     from tanagerturn.coordination.errors import StepError
     from tanagerturn.gateway.configuration import Service
-    from tanagerturn.gateway.member import StateMember
-    from tanagerturn.gateway.replicated_store import ReplicatedStore
     from tanagerturn.gateway.state import GatewayState
+    from tanagerturn.gateway.state_group.member import StateMember
+    from tanagerturn.gateway.state_group.replicated_store import ReplicatedStore
     from tanagerturn.serving.capacity.counts import CountKey
 
 LEASE_NAME: Final = "cloud-duties"
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -17,20 +17,20 @@
 from tanagerturn.gateway.configuration_distributor import ConfigurationDistributor
 from tanagerturn.gateway.control import Control
 from tanagerturn.gateway.duties import Duties
-from tanagerturn.gateway.group_initializer import GroupInitializer
 from tanagerturn.gateway.links import Links
 from tanagerturn.gateway.logs import component_log
-from tanagerturn.gateway.member import TICK_S as MEMBER_TICK_S
-from tanagerturn.gateway.member import StateMember, open_member
 from tanagerturn.gateway.quarantine import crash_id, encode_suspects, log_changes
 from tanagerturn.gateway.relay import Relay
 from tanagerturn.gateway.repeats import encode_suspect_requests, log_repeat_changes
-from tanagerturn.gateway.replicated_store import ReplicatedStore
 from tanagerturn.gateway.server import HttpServer
 from tanagerturn.gateway.spread.digests import DigestExchange
 from tanagerturn.gateway.spread.mesh import BATCH_INTERVAL_S, TICK_S, Mesh
 from tanagerturn.gateway.startup import SAVE_INTERVAL_S, Startup
 from tanagerturn.gateway.state import make_state
+from tanagerturn.gateway.state_group.group_initializer import GroupInitializer
+from tanagerturn.gateway.state_group.member import TICK_S as MEMBER_TICK_S
+from tanagerturn.gateway.state_group.member import StateMember, open_member
+from tanagerturn.gateway.state_group.replicated_store import ReplicatedStore
 from tanagerturn.schema import gateway_pb2 as gpb
 from tanagerturn.serving.backends.messages import BackendId
 
--- a/src/tanagerturn/gateway/spread/digests.py
+++ b/src/tanagerturn/gateway/spread/digests.py
@@ -26,8 +26,8 @@
     from collections.abc import Callable
 
     from tanagerturn.gateway.links import Links
-    from tanagerturn.gateway.member import StateMember
     from tanagerturn.gateway.state import GatewayState
+    from tanagerturn.gateway.state_group.member import StateMember
 
 DIRECTLY_HEARD_MAX_AGE_S: Final = 2.0
 """Age in seconds from which an announcement that this gateway received is no longer
--- a/src/tanagerturn/gateway/member.py
+++ b/src/tanagerturn/gateway/state_group/member.py
@@ -19,12 +19,12 @@
 from tanagerturn.coordination.log.ready import Options
 from tanagerturn.coordination.storage.files import DamageError, DiskFiles
 from tanagerturn.coordination.storage.folder import open_folder
-from tanagerturn.gateway._member_parts import (
+from tanagerturn.gateway.logs import component_log
+from tanagerturn.gateway.state_group._member_parts import (
     LoopWatcher,
     MemberClocks,
     MemberTransport,
 )
-from tanagerturn.gateway.logs import component_log
 from tanagerturn.schema import coordination_pb2 as pb
 from tanagerturn.schema import gateway_pb2 as gpb
 from tanagerturn.state import messages as m
--- a/src/tanagerturn/gateway/replicated_store.py
+++ b/src/tanagerturn/gateway/state_group/replicated_store.py
@@ -21,7 +21,7 @@
 
     from tanagerturn.coordination.store import Store
     from tanagerturn.gateway.links import Links
-    from tanagerturn.gateway.member import StateMember
+    from tanagerturn.gateway.state_group.member import StateMember
 
 RETRY_DELAY_S: Final = 0.06
 """Delay in seconds before another attempt; an election takes many times as long."""
--- a/tests/gateway/decisions/steps/decisions_steps.py
+++ b/tests/gateway/decisions/steps/decisions_steps.py
@@ -19,15 +19,15 @@
 from tanagerturn.gateway.configuration import RequestKind
 from tanagerturn.gateway.event_stream import EventSplitter
 from tanagerturn.gateway.fleet import Fleet, backend_hash
-from tanagerturn.gateway.group_initializer import GroupInitializer
 from tanagerturn.gateway.logs import MAX_BURST_LINES, LineBudget, LineWriter
-from tanagerturn.gateway.member import mark_replaced_as_lost, spare_members
 from tanagerturn.gateway.retry_policy import (
     AttemptHistory,
     AttemptOutcome,
     NextAction,
     next_action,
 )
+from tanagerturn.gateway.state_group.group_initializer import GroupInitializer
+from tanagerturn.gateway.state_group.member import mark_replaced_as_lost, spare_members
 from tanagerturn.gateway.usage import UsageCounts
 from tanagerturn.gateway.wall_clock import CorrectedWallClock
 from tanagerturn.gateway.warm_start import (
