Replace voters that were told to stop before they end

What callers saw: after the hosts with a disk were replaced one after the other, as planned work, no configuration could be read or changed any more (503 for good).

Cause: a voter that drained counted as live until it had been silent for 2.5 s after its end, and nothing kept the next one from ending meanwhile; the leadership was transferred to a voter that had ended.

Change: the leader replaces draining voters at once; a stop waits within its grace period until the group does not count on the member; a removed leader lets the most advanced voter elect at once; a voter of this version takes the leadership from a leader of a version that replaces silent voters only.

--- a/src/tanagerturn/coordination/log/_replication.py
+++ b/src/tanagerturn/coordination/log/_replication.py
@@ -67,13 +67,13 @@
 def _majority_responds(core: Core, now_s: float) -> bool:
     voters = core.quorum_voters()
     responding = sum(
-        voter == core.options.member or _responds(core, voter, now_s)
-        for voter in voters
+        voter == core.options.member or responds(core, voter, now_s) for voter in voters
     )
     return responding >= len(voters) // 2 + 1
 
 
-def _responds(core: Core, peer: str, now_s: float) -> bool:
+def responds(core: Core, peer: str, now_s: float) -> bool:
+    """Return whether a leader's peer has responded within an election timeout."""
     progress = core.progress.get(peer)
     if progress is None:
         return False
@@ -201,6 +201,10 @@
         return
     for peer, progress in core.progress.items():
         _send_append(core, peer, progress, may_be_empty=True)
+    successor = core.most_advanced_voter(core.heartbeat_at_s)
+    if successor is not None:
+        # Without it, the others would elect a leader after an election timeout only.
+        core.send(successor, timeout_now=pb.TimeoutNow())
     _election.become_follower(core, core.term, "", core.heartbeat_at_s)
 
 
--- a/src/tanagerturn/coordination/log/core.py
+++ b/src/tanagerturn/coordination/log/core.py
@@ -195,6 +195,28 @@
         _replication.try_transfer(self)
         return Ok(None)
 
+    def most_advanced_voter(self, now_s: float) -> MemberId | None:
+        """Return the responding peer that votes and has the highest match index.
+
+        None if no other voter has responded within an election timeout, or this member
+        is not the leader.
+        """
+        responding = [
+            voter
+            for voter in self.quorum_voters()
+            if _replication.responds(self, voter, now_s)
+        ]
+        return max(
+            responding,
+            key=lambda voter: self.progress[voter].match_index,
+            default=None,
+        )
+
+    def take_leadership(self, now_s: float) -> None:
+        """Start an election now, as if the leader had transferred its leadership."""
+        if self.role is not Role.LEADER:
+            _election.start_election(self, now_s, transfer=True)
+
     def take_ready(self, now_s: float) -> Ready:
         """Return the output collected since the last call and clear it."""
         if self.role is Role.LEADER:
--- a/src/tanagerturn/coordination/replica.py
+++ b/src/tanagerturn/coordination/replica.py
@@ -22,7 +22,6 @@
     StepError,
     UnavailableError,
 )
-from tanagerturn.coordination.ids import MemberId
 from tanagerturn.coordination.lease_timers import LeaseTimers
 from tanagerturn.coordination.log.ready import Role
 from tanagerturn.coordination.storage.files import DamageError, DiskFullError
@@ -32,6 +31,7 @@
     from collections.abc import Callable, Iterable, Sequence
 
     from tanagerturn.coordination._pending import ResultCallback
+    from tanagerturn.coordination.ids import MemberId
     from tanagerturn.coordination.log.core import Core
     from tanagerturn.coordination.log.ready import ChunkToSend, Ready, ReceivedChunk
     from tanagerturn.coordination.moment import Moment
@@ -193,16 +193,22 @@
 
         Args:
             moment: Current time.
-            target: Next leader; None selects the voter with the highest match index.
+            target: Next leader; None selects the voter with the highest match index
+                among those that respond.
         """
         if self.core.role is not Role.LEADER:
             return
-        voters = self.core.quorum_voters()
-        others = {p: g for p, g in self.core.progress.items() if p in voters}
-        if not others:
-            return
-        most_advanced = max(others, key=lambda peer: others[peer].match_index)
-        self.core.transfer(target or MemberId(most_advanced), moment.monotonic_s)
+        successor = target or self.core.most_advanced_voter(moment.monotonic_s)
+        if successor is not None:
+            self.core.transfer(successor, moment.monotonic_s)
+
+    def take_leadership(self, moment: Moment) -> None:
+        """Start an election although the present leader responds.
+
+        A voter with entries that this member lacks refuses its vote. Without effect at
+        the leader and at learners.
+        """
+        self.core.take_leadership(moment.monotonic_s)
 
     def snapshot_saved(self, meta: pb.SnapshotMeta | None) -> None:
         """Record a new snapshot, and compact the log up to the previous snapshot.
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -27,6 +27,7 @@
 from tanagerturn.gateway.spread.mesh import BATCH_INTERVAL_S, TICK_S, Mesh
 from tanagerturn.gateway.startup import SAVE_INTERVAL_S, Startup
 from tanagerturn.gateway.state import make_state
+from tanagerturn.gateway.state_group import handover
 from tanagerturn.gateway.state_group.group_initializer import GroupInitializer
 from tanagerturn.gateway.state_group.member import TICK_S as MEMBER_TICK_S
 from tanagerturn.gateway.state_group.member import StateMember, open_member
@@ -240,7 +241,7 @@
         log.info("stopping", running=self.caller_server.running_count)
         self.caller_server.drain()
         if self.member is not None:
-            self.member.transfer_leadership()
+            self.member.drain()
         self._update_gateways(boot_s())
         self.mesh.send_digest(boot_s())
         self.loop.create_task(self._drain())
@@ -422,7 +423,8 @@
             | self._member_addresses()
         )
         if self.member is not None:
-            self.member.repair(digests)
+            present = self.mesh.present_hosts()
+            self.member.repair(self.member.view(digests, present), now_s)
         settings = self.settings
         is_first_seed = settings.seed_ips[:1] == (settings.ip,)
         if (
@@ -504,6 +506,7 @@
         # A request accepted later might not finish before the SIGKILL.
         self.caller_server.close()
         await self._wait_until_idle(end_s)
+        await self._wait_for_successor(end_s)
         self.forwarding_server.close()
         self.mesh.leave()
         await asyncio.sleep(FLUSH_DELAY_S)
@@ -511,6 +514,25 @@
         await self._wait_until_idle(end_s)
         self.may_exit.set()
 
+    async def _wait_for_successor(self, end_s: float) -> None:
+        """Wait until the state group does not need this gateway's member.
+
+        Args:
+            end_s: Boot-clock time in seconds at which the wait is given up.
+        """
+        member = self.member
+        if member is None:
+            return
+        may_end = False
+        while not may_end and boot_s() < end_s:
+            view = member.view(self._peer_digests(), self.mesh.present_hosts())
+            may_end = handover.may_end(view, self.settings.state_members)
+            if not may_end:
+                await asyncio.sleep(TICK_S)
+        if not may_end:
+            log.warning("place_kept", member=member.id)
+        member.transfer_leadership()
+
     async def _wait_until_idle(self, end_s: float) -> None:
         """Wait until no request is handled, until `end_s` at the latest."""
         while boot_s() < end_s and (
--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -165,6 +165,14 @@
         "The leader added, promoted or removed a member of the state group, or failed "
         "to; see `outcome`."
     ),
+    "leadership_taken": (
+        "This member started an election: the leader is of a version that does not "
+        "replace voters that were told to stop."
+    ),
+    "place_kept": (
+        "The process stops although the state group still counts on its member: no "
+        "other member took its place in time."
+    ),
     "member_ended": "The state group member failed; the process exits with code 1.",
     "member_not_opened": (
         "The data folder could not be opened; another attempt follows."
--- a/src/tanagerturn/gateway/spread/digests.py
+++ b/src/tanagerturn/gateway/spread/digests.py
@@ -169,6 +169,8 @@
         if member is not None:
             digest.member.CopyFrom(member.member_record)
             digest.founded = member.is_in_group
+            digest.replaces_draining_voters = True
+            digest.voters.extend(member.committed_voters)
             if member.core is not None:
                 digest.term = member.core.term
                 digest.leader_address = member.leader_address
--- a/src/tanagerturn/gateway/spread/mesh.py
+++ b/src/tanagerturn/gateway/spread/mesh.py
@@ -298,6 +298,12 @@
             if member.process not in excluded and member.info.relay_address
         }
 
+    def present_hosts(self) -> set[str]:
+        """Return the hosts of the present peers, draining ones included."""
+        return {str(member.process) for member in self.core.table.present_members()} - {
+            self.settings.host
+        }
+
     def known_hosts(self, now_s: float) -> list[str]:
         """Return the hosts of all gateways, recently lost ones included."""
         now_ms = to_ms(now_s)
--- a/src/tanagerturn/gateway/state_group/member.py
+++ b/src/tanagerturn/gateway/state_group/member.py
@@ -16,7 +16,7 @@
 from tanagerturn.coordination.ids import ClusterId, GroupId, MemberId
 from tanagerturn.coordination.log.core import Core
 from tanagerturn.coordination.log.membership import voters
-from tanagerturn.coordination.log.ready import Options
+from tanagerturn.coordination.log.ready import Options, Role
 from tanagerturn.coordination.storage.files import DamageError, DiskFiles
 from tanagerturn.coordination.storage.folder import open_folder
 from tanagerturn.gateway.logs import component_log
@@ -25,8 +25,13 @@
     MemberClocks,
     MemberTransport,
 )
+from tanagerturn.gateway.state_group.handover import (
+    GroupView,
+    must_take_leadership,
+    spare_members,
+    with_states,
+)
 from tanagerturn.schema import coordination_pb2 as pb
-from tanagerturn.schema import gateway_pb2 as gpb
 from tanagerturn.state import messages as m
 from tanagerturn.state._repair import GroupHealth, next_membership_change
 from tanagerturn.state.group import ReplicationGroup
@@ -35,7 +40,7 @@
 
 if TYPE_CHECKING:
     import asyncio
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Collection, Sequence
 
     import pykka
     from expression import Result
@@ -44,6 +49,7 @@
     from tanagerturn.coordination.store import Store
     from tanagerturn.gateway.links import Links
     from tanagerturn.gateway.settings import GatewaySettings
+    from tanagerturn.schema import gateway_pb2 as gpb
 
 CLUSTER: Final = ClusterId("gateways")
 GROUP: Final = GroupId("gateways")
@@ -65,6 +71,10 @@
 """Time in seconds without a message from a voter after which the voter is replaced; a
 second voter may be lost four seconds after the first is back."""
 
+ELECTION_INTERVAL_S: Final = 1.0
+"""Minimum time in seconds between two attempts to take the leadership; an election
+takes some round trips."""
+
 SNAPSHOT_ENTRIES: Final = 2_000
 """Number of log entries between two snapshots; each lease renewal adds one, about once
 a second."""
@@ -112,6 +122,12 @@
         """The current watch of committed writes; None before the first tick."""
         self.repair_task: asyncio.Task[None] | None = None
         """The last health check and membership change; None before the first one."""
+        self.is_draining = False
+        """Whether the process was told to stop, so that another member has to take
+        this one's place."""
+        self.next_election_s = 0.0
+        """Boot-clock time in seconds before which this member does not take the
+        leadership again."""
         self.is_starting = False
         """Whether a start was requested; a thread then reads the files."""
         if self.folder.has_state((GROUP,)):
@@ -176,11 +192,59 @@
             self.watcher = LoopWatcher("", self.loop, self.on_batch)
             self.actor.tell(m.AddWatch(self.watcher))
 
-    def repair(self, digests: Sequence[gpb.Digest]) -> None:
-        """Check the group's health; a leader makes one membership change if needed."""
-        in_progress = self.repair_task is not None and not self.repair_task.done()
-        if self.actor is not None and not in_progress:
-            self.repair_task = self.loop.create_task(self._repair(digests))
+    def view(
+        self, digests: Sequence[gpb.Digest], present: Collection[str]
+    ) -> GroupView:
+        """Return the group as this member sees it.
+
+        Args:
+            digests: Recent digests of the peer gateways.
+            present: Hosts of the peer gateways that failure detection finds present.
+        """
+        core = self.core
+        return GroupView(
+            self.id,
+            self.is_draining,
+            core.log.membership if core is not None else pb.Membership(),
+            self.leader_address,
+            core is not None and core.role is Role.LEADER,
+            digests,
+            present,
+        )
+
+    @property
+    def committed_voters(self) -> list[MemberId]:
+        """Ids of the voters; empty unless this member leads the group.
+
+        Also empty while a membership change is not committed.
+        """
+        core = self.core
+        if core is None or core.role is not Role.LEADER:
+            return []
+        if core.log.membership_index > core.commit_index:
+            return []
+        return voters(core.log.membership)
+
+    def drain(self) -> None:
+        """Hand over the member's place in the group, because the process will stop."""
+        self.is_draining = True
+
+    def repair(self, view: GroupView, now_s: float) -> None:
+        """Check the group's health; a leader makes one membership change if needed.
+
+        Args:
+            view: The group as this member sees it.
+            now_s: Current boot-clock time in seconds.
+        """
+        if self.actor is None:
+            return
+        if now_s >= self.next_election_s and must_take_leadership(view):
+            self.next_election_s = now_s + ELECTION_INTERVAL_S
+            log.info("leadership_taken", leader=view.leader_address)
+            self.actor.tell(m.TakeLeadership())
+            return
+        if self.repair_task is None or self.repair_task.done():
+            self.repair_task = self.loop.create_task(self._repair(view))
 
     async def propose(self, command: pb.Command) -> Result[pb.CommandResult, StepError]:
         """Commit a command, if this member is the leader."""
@@ -223,18 +287,19 @@
         # A separate future is awaited: its cancellation must not cancel the reply.
         return await result_future
 
-    async def _repair(self, digests: Sequence[gpb.Digest]) -> None:
+    async def _repair(self, view: GroupView) -> None:
         reply: Future[GroupHealth | None] = Future()
         health = await self._ask_actor(m.GetHealth(reply), reply)
         if health is None:
             return
-        health = mark_replaced_as_lost(health, digests)
-        spares = spare_members(health, digests)
-        required_voters = self.settings.state_members
+        health = with_states(health, view)
+        spares = spare_members(view)
         change = next_membership_change(
-            health, spares, required_voters, REPLACE_AFTER_S
+            health, spares, self.settings.state_members, REPLACE_AFTER_S
         )
         if change is None:
+            if self.is_draining and not spares:
+                self._transfer_to_staying(health)
             return
         change_reply: Future[Result[pb.Membership, StepError]] = Future()
         result = await self._ask_actor(
@@ -248,6 +313,14 @@
             outcome=outcome,
         )
 
+    def _transfer_to_staying(self, health: GroupHealth) -> None:
+        """Transfer the leadership to a voter that was not told to stop, if any."""
+        for voter in voters(health.membership):
+            if voter in health.caught_up and voter not in health.draining:
+                assert self.actor is not None
+                self.actor.tell(m.TransferLeadership(voter))
+                return
+
     def _start_in_thread(self, membership: pb.Membership) -> None:
         """Start the member in a thread; messages dropped meanwhile are sent again."""
         if not self.is_starting:
@@ -317,37 +390,6 @@
     return StateMember(settings, links, loop, on_batch)
 
 
-def mark_replaced_as_lost(
-    health: GroupHealth, digests: Sequence[gpb.Digest]
-) -> GroupHealth:
-    """Return the health in which voters whose host has a new disk count as lost."""
-    member_ids_by_address = {
-        d.member.address: d.member.id for d in digests if d.member.id
-    }
-    last_response_age_s = dict(health.last_response_age_s)
-    for member in health.membership.members:
-        if member_ids_by_address.get(member.address, member.id) != member.id:
-            last_response_age_s[member.id] = float("inf")
-    return GroupHealth(health.membership, last_response_age_s, health.caught_up)
-
-
-def spare_members(
-    health: GroupHealth, digests: Sequence[gpb.Digest]
-) -> list[pb.Member]:
-    """Return members outside the group, those of the least represented zones first."""
-    group_member_ids = {member.id for member in health.membership.members}
-    zones = [member.availability_zone for member in health.membership.members]
-    spares = [
-        digest.member
-        for digest in digests
-        if digest.member.id
-        and digest.member.id not in group_member_ids
-        and not digest.draining
-    ]
-    spares.sort(key=lambda spare: (zones.count(spare.availability_zone), spare.id))
-    return spares
-
-
 def exit_process(error: StepError) -> None:
     """Log a fatal error of the member and exit the process immediately.
 
--- a/src/tanagerturn/state/group.py
+++ b/src/tanagerturn/state/group.py
@@ -200,6 +200,10 @@
         """Transfer the leadership of the group if this member is leader."""
         self.replica.transfer_leadership(self._moment(), message.target)
 
+    def on_take_leadership(self, message: m.TakeLeadership) -> None:
+        """Start an election although the present leader responds."""
+        self.replica.take_leadership(self._moment())
+
     def on_snapshot_saved(self, message: m.SnapshotSaved) -> None:
         """Compact the log if the snapshot was stored."""
         self.replica.snapshot_saved(message.meta)
@@ -238,6 +242,7 @@
     m.GetDump: ReplicationGroup.on_get_dump,
     m.GetHealth: ReplicationGroup.on_get_health,
     m.TransferLeadership: ReplicationGroup.on_transfer_leadership,
+    m.TakeLeadership: ReplicationGroup.on_take_leadership,
     m.SnapshotSaved: ReplicationGroup.on_snapshot_saved,
 }
 """Handler methods by message type; messages of other types are ignored."""
--- a/src/tanagerturn/state/messages.py
+++ b/src/tanagerturn/state/messages.py
@@ -116,6 +116,11 @@
     index."""
 
 
+@dataclass(frozen=True)
+class TakeLeadership:
+    """Requests an election now; without effect at the leader and at learners."""
+
+
 @dataclass(frozen=True)
 class SnapshotSaved:
     """Reports that the snapshot writer has finished."""
--- a/tests/gateway/decisions/steps/decisions_steps.py
+++ b/tests/gateway/decisions/steps/decisions_steps.py
@@ -27,7 +27,11 @@
     next_action,
 )
 from tanagerturn.gateway.state_group.group_initializer import GroupInitializer
-from tanagerturn.gateway.state_group.member import mark_replaced_as_lost, spare_members
+from tanagerturn.gateway.state_group.handover import (
+    GroupView,
+    spare_members,
+    with_states,
+)
 from tanagerturn.gateway.usage import UsageCounts
 from tanagerturn.gateway.wall_clock import CorrectedWallClock
 from tanagerturn.gateway.warm_start import (
@@ -247,9 +251,11 @@
     "and remove the lost one"
 )
 def replaces_lost_voter(context):
+    hosts = {digest.host for digest in context.digests}
+    view = GroupView("m3", False, context.membership, "", True, context.digests, hosts)
     health = GroupHealth(context.membership, {"m1": 0.1, "m2": 0.1}, set())
-    health = mark_replaced_as_lost(health, context.digests)
-    spares = spare_members(health, context.digests)
+    health = with_states(health, view)
+    spares = spare_members(view)
     assert [spare.id for spare in spares] == ["m4", "m1-new"], spares
     change = next_membership_change(health, spares, 3, 2.5)
     assert change is not None
@@ -257,7 +263,7 @@
     grown = pb.Membership()
     grown.CopyFrom(context.membership)
     grown.members.add(id="m4", address="10.0.0.4:7600", role=pb.VOTER)
-    health = mark_replaced_as_lost(GroupHealth(grown, {}, set()), context.digests)
+    health = with_states(GroupHealth(grown, {}, set()), view)
     change = next_membership_change(health, [], 3, 2.5)
     assert change is not None
     assert (change.action, change.member.id) == (Action.REMOVE, "m1")
