Answer every request that a stopping gateway has read

What callers saw: requests that waited at a gateway when it was told to stop, or were sent on late in its grace period, ended with a closed connection and no answer; among them purchases that an engine had.

Cause: only the listener knew of the stop. Time was compared with the deadline of a request, never with the end of the process, and that end cancelled the handlers, which log 'caller_left' and answer nothing.

Change: before each attempt the time that a request needs is compared with the time by which the last response has to be complete; one that doesn't fit is refused at once, as not run and with Retry-After. What is left at the end is answered: 503 if it has not run, 502 if it may have. Requests that peers forward to a stopping gateway go to other peers, by an answer that knows.

--- a/src/tanagerturn/gateway/backends/detours.py
+++ b/src/tanagerturn/gateway/backends/detours.py
@@ -129,7 +129,7 @@
         connection = BackendConnection(BackendId(peer.host), address, tcp)
         exchange = PeerExchange(connection, self.state.dialect, run.request.attempt_id)
         try:
-            async with asyncio.timeout(run.time_left_s(boot_s())):
+            async with asyncio.timeout(self._time_left_s(run, boot_s())):
                 return await self._run_exchange(run, peer, exchange)
         except (ResponseError, InvalidForwarding, TimeoutError) as error:
             run.may_have_run = True
@@ -142,6 +142,12 @@
         finally:
             connection.close()
 
+    def _time_left_s(self, run: RequestRun, now_s: float) -> float:
+        """Return the time in seconds within which the peer's response is of use."""
+        stop_s = self.state.stop_s
+        left_s = run.time_left_s(now_s)
+        return left_s if stop_s is None else min(left_s, stop_s - now_s)
+
     def _on_not_run(
         self, run: RequestRun, peer: PeerGateway, reason: str
     ) -> AttemptOutcome:
@@ -155,8 +161,9 @@
         request = run.request
         headers = without_forwarding(end_to_end_headers(run.exchange.headers))
         headers = [h for h in headers if h[0].lower() not in OWN_HEADERS]
-        headers.append(encode_request(run, boot_s()))
+        headers.append(encode_request(run, self._time_left_s(run, boot_s())))
         exchange.send(request.method, request.target, headers, run.exchange.body)
+        run.is_in_flight = True
         if not run.held_s:
             run.held_s = boot_s() - run.exchange.arrived_s
         head = await _with_timeout(
--- a/src/tanagerturn/gateway/backends/forwarded.py
+++ b/src/tanagerturn/gateway/backends/forwarded.py
@@ -65,16 +65,16 @@
         return [(ANSWER_HEADER, _encode(self.answer))]
 
 
-def encode_request(run: RequestRun, now_s: float) -> tuple[bytes, bytes]:
+def encode_request(run: RequestRun, time_left_s: float) -> tuple[bytes, bytes]:
     """Return the header of a request that is forwarded to a peer.
 
     Args:
         run: The request.
-        now_s: Current boot-clock time in seconds.
+        time_left_s: Time in seconds within which the response is of use.
     """
     origin = run.origin
     message = gpb.ForwardedRequest(
-        time_left_ms=max(0, to_ms(run.time_left_s(now_s) - ANSWER_MARGIN_S)),
+        time_left_ms=max(0, to_ms(time_left_s - ANSWER_MARGIN_S)),
         service=run.service,
         last_event_id=run.progress.last_id,
         origin_version=None if origin is None else origin.software_version,
--- a/src/tanagerturn/gateway/backends/sender.py
+++ b/src/tanagerturn/gateway/backends/sender.py
@@ -287,6 +287,7 @@
         headers = state.dialect.encode_forwarding(request, forwarding, backend.address)
         exchange.send(request.method, request.target, headers, run.exchange.body)
         run.sent_count += 1
+        run.is_in_flight = True
         if run.is_trial:
             state.quarantine.on_tried(shared_parts(request.prompt), sent_s)
             state.repeats.on_tried(run.fingerprint, sent_s)
--- /dev/null
+++ b/src/tanagerturn/gateway/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers: what they are told, and when."""
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -59,6 +59,12 @@
 FLUSH_DELAY_S: Final = 0.1
 """Time in seconds for the last bytes to be sent before the process exits."""
 
+END_TIMEOUT_S: Final = 0.1
+"""Longest time in seconds for responses to requests that are not served."""
+
+END_POLL_S: Final = 0.01
+"""Interval in seconds at which it is checked whether they are answered."""
+
 DRAIN_MARGIN_S: Final = 0.4
 """Time in seconds between the end of draining and the platform's SIGKILL."""
 
@@ -238,8 +244,11 @@
         if self.state.is_draining:
             return
         self.state.is_draining = True
+        self.state.stop_s = boot_s() + self.settings.grace_s - DRAIN_MARGIN_S
         log.info("stopping", running=self.caller_server.running_count)
         self.caller_server.drain()
+        # Waiting requests that can't be served in time are refused at once.
+        self.relay.wake()
         if self.member is not None:
             self.member.drain()
         self._update_gateways(boot_s())
@@ -486,6 +495,8 @@
             else:
                 self.member = self.store.member = self.duties.member = member
                 self.digests.member = member
+                if self.state.is_draining:
+                    member.drain()
                 await self._run_every(MEMBER_TICK_S, member.tick)
 
     async def _confirm_configuration(self) -> None:
@@ -500,20 +511,34 @@
     async def _drain(self) -> None:
         """Wait until the running requests have ended, then let the process exit."""
         drain_started_s = boot_s()
-        end_s = drain_started_s + self.settings.grace_s - DRAIN_MARGIN_S
+        assert self.state.stop_s is not None
+        end_s = self.state.stop_s
         while boot_s() - drain_started_s < MIN_DRAIN_S:
             await asyncio.sleep(TICK_S)
         # A request accepted later might not finish before the SIGKILL.
         self.caller_server.close()
         await self._wait_until_idle(end_s)
+        await self._end_requests()
         await self._wait_for_successor(end_s)
         self.forwarding_server.close()
         self.mesh.leave()
         await asyncio.sleep(FLUSH_DELAY_S)
         # A request that arrived as the listeners closed may have begun meanwhile.
         await self._wait_until_idle(end_s)
+        await self._end_requests()
         self.may_exit.set()
 
+    async def _end_requests(self) -> None:
+        """Let the requests that are left be answered at once, though not served."""
+        if not self._is_busy:
+            return
+        self.state.is_stopping_now = True
+        self.caller_server.end_handlers()
+        self.forwarding_server.end_handlers()
+        end_s = boot_s() + END_TIMEOUT_S
+        while boot_s() < end_s and self._is_busy:
+            await asyncio.sleep(END_POLL_S)
+
     async def _wait_for_successor(self, end_s: float) -> None:
         """Wait until the state group does not need this gateway's member.
 
@@ -528,17 +553,23 @@
             view = member.view(self._peer_digests(), self.mesh.present_hosts())
             may_end = handover.may_end(view, self.settings.state_members)
             if not may_end:
-                await asyncio.sleep(TICK_S)
+                await asyncio.sleep(min(TICK_S, max(0.0, end_s - boot_s())))
         if not may_end:
             log.warning("place_kept", member=member.id)
         member.transfer_leadership()
 
     async def _wait_until_idle(self, end_s: float) -> None:
-        """Wait until no request is handled, until `end_s` at the latest."""
-        while boot_s() < end_s and (
-            self.caller_server.is_busy or self.forwarding_server.is_busy
-        ):
-            await asyncio.sleep(TICK_S)
+        """Wait until no request is handled.
+
+        Args:
+            end_s: Boot-clock time in seconds at which the wait is given up.
+        """
+        while (left_s := end_s - boot_s()) > 0 and self._is_busy:
+            await asyncio.sleep(min(TICK_S, left_s))
+
+    @property
+    def _is_busy(self) -> bool:
+        return self.caller_server.is_busy or self.forwarding_server.is_busy
 
 
 async def run_gateway(
--- a/src/tanagerturn/gateway/outcomes.py
+++ b/src/tanagerturn/gateway/outcomes.py
@@ -81,6 +81,8 @@
     status = fields.get("status", run.exchange.status)
     metrics.outcomes.labels(outcome, status).inc()
     if outcome == "answered":
+        service_s = taken_s - run.held_s
+        state.service_times.on_answered(run.route.name, service_s, boot_s())
         metrics.answer_s.observe(taken_s)
         metrics.held_s.observe(run.held_s)
         metrics.passed_on_s.observe(run.passed_on_s)
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -12,6 +12,10 @@
 from tanagerturn.gateway.backends.forwarded import InvalidForwarding, decode_request
 from tanagerturn.gateway.backends.sender import Sender
 from tanagerturn.gateway.backends.statements import read_call_statements
+from tanagerturn.gateway.callers.stopping import (
+    refusal_of_stopping,
+    reject_if_unfinishable,
+)
 from tanagerturn.gateway.calls import call
 from tanagerturn.gateway.intake import Intake
 from tanagerturn.gateway.logs import component_log
@@ -96,20 +100,33 @@
             run = await self.intake.accept(exchange)
             await self._make_attempts(run)
         except Refusal as refusal:
-            if run is not None and exchange.status:
-                run.cause = refusal.cause
-                self._break_off(run)
-                return
-            if run is not None and not run.may_have_run:
-                self.intake.refund(run)
-            if exchange.forwarded is not None and isinstance(refusal, NoPath):
-                exchange.forwarded.answer.without_path = True
-            await refuse(self.state, exchange, run, refusal)
+            await self._refuse(exchange, run, refusal)
         except asyncio.CancelledError:
+            if self.state.is_stopping_now and not exchange.connection.tcp.at_eof:
+                await self._refuse(exchange, run, refusal_of_stopping(run))
+                return
             if run is not None:
                 log_end(self.state, run, "caller_left")
             raise
 
+    async def _refuse(
+        self, exchange: Exchange, run: RequestRun | None, refusal: Refusal
+    ) -> None:
+        """Respond with an error, or break the response off if it has begun."""
+        if run is not None and exchange.status:
+            run.cause = refusal.cause
+            self._break_off(run)
+            return
+        has_not_run = refusal.status == NOT_RUN_STATUS
+        if run is not None and not run.may_have_run and not run.is_in_flight:
+            self.intake.refund(run)
+        if exchange.forwarded is not None and (
+            isinstance(refusal, NoPath) or (has_not_run and self.state.is_draining)
+        ):
+            # The peer may send it to another gateway.
+            exchange.forwarded.answer.without_path = True
+        await refuse(self.state, exchange, run, refusal)
+
     async def handle_forwarded(self, exchange: Exchange) -> None:
         """Proxy one request that a peer gateway has admitted, and respond to the peer.
 
@@ -121,6 +138,9 @@
             log.warning("forwarding_refused", reason=str(error))
             await exchange.respond(400, [], b"")
             return
+        if self.state.is_draining:
+            await self._refuse(exchange, None, refusal_of_stopping(None))
+            return
         await self.handle(exchange)
 
     def wake(self) -> None:
@@ -137,6 +157,7 @@
             outcome = await self._send(target, run)
             if outcome is None:
                 return
+            run.is_in_flight = False
             if self._may_retry_target(run, migration, outcome):
                 continue
             migration = await self._finished_migration(run)
@@ -266,6 +287,9 @@
                     now_s,
                 )
             self.intake.reject_quarantined(run, now_s)
+            reject_if_unfinishable(
+                run, self.state.service_times, self.state.stop_s, now_s
+            )
             choice = self._best_choice(run, now_s)
             if choice is None and self.state.lacks_path(run.service, now_s):
                 return self._select_detour(run, now_s)
--- a/src/tanagerturn/gateway/request_run.py
+++ b/src/tanagerturn/gateway/request_run.py
@@ -123,6 +123,9 @@
     """Number of attempts that failed because the backend server was unreachable."""
     may_have_run: bool = False
     """Whether a backend server may have started to execute the request."""
+    is_in_flight: bool = False
+    """Whether the request was sent to a backend server or a peer gateway that has not
+    answered it yet."""
     is_start_counted: bool = False
     """Whether the start of the request was counted for usage."""
     cause: str = ""
--- a/src/tanagerturn/gateway/server.py
+++ b/src/tanagerturn/gateway/server.py
@@ -337,6 +337,12 @@
             if connection.handler_task is None and not connection.tcp.has_unread:
                 connection.tcp.close()
 
+    def end_handlers(self) -> None:
+        """Cancel the handlers of all requests, so that they respond at once."""
+        for connection in list(self.connections):
+            if connection.handler_task is not None:
+                connection.handler_task.cancel()
+
     def _on_connected(self, tcp: TcpConnection) -> None:
         connection = HttpConnection(tcp, self)
         self.connections.add(connection)
--- a/src/tanagerturn/gateway/state.py
+++ b/src/tanagerturn/gateway/state.py
@@ -9,6 +9,7 @@
 from tanagerturn.clocks import boot_s, to_ms
 from tanagerturn.gateway.backends.limits import BackendLimits
 from tanagerturn.gateway.backends.pool import ConnectionPool
+from tanagerturn.gateway.callers.service_times import ServiceTimes
 from tanagerturn.gateway.configuration import (
     Configuration,
     RequestKind,
@@ -112,6 +113,13 @@
     """Number of changes of the fleet when software versions were noted last."""
     is_draining: bool = False
     """The process is shutting down after a signal."""
+    stop_s: float | None = None
+    """Boot-clock time in seconds by which the last response has to be complete; None
+    unless the process is shutting down."""
+    is_stopping_now: bool = False
+    """That time has come: the remaining requests are answered at once."""
+    service_times: ServiceTimes = field(default_factory=ServiceTimes)
+    """How long the requests of each route lately took."""
 
     def __post_init__(self) -> None:
         """Make the quarantines, which use the same log of crashes."""
