--- a/src/tanagerturn/entry/gate.py
+++ b/src/tanagerturn/entry/gate.py
@@ -97,6 +97,8 @@
         """Monotonic time of the last read of the slots, in seconds."""
         self.started: dict[TicketId, threading.Event] = {}
         """Event by waiting ticket; set when the request may run."""
+        self.is_ending = False
+        """Whether waiting requests are refused, since the process is about to end."""
         self.ticket_numbers = itertools.count(1)
         """Counter of ticket ids."""
         self.lock = threading.Lock()
@@ -172,6 +174,13 @@
         with self.lock:
             self.admission.draining = True
 
+    def refuse_waiting(self) -> None:
+        """Refuse the requests that wait, because the process ends before their turn."""
+        with self.lock:
+            self.is_ending = True
+            for started in self.started.values():
+                started.set()
+
     def dump(self) -> dict[str, Any]:
         """Return the state for a dump."""
         with self.lock:
@@ -220,9 +229,11 @@
         started.wait(ticket.deadline_s - now_s)
         with self.lock:
             self.started.pop(ticket.ticket_id, None)
-            if started.is_set() or not self.admission.withdraw(ticket):
+            if not self.admission.withdraw(ticket):
                 return
-        raise make_refusal(Refuse(RefusalReason.DEADLINE, 1.0))
+            is_ending = self.is_ending
+        reason = RefusalReason.DRAINING if is_ending else RefusalReason.DEADLINE
+        raise make_refusal(Refuse(reason, 1.0))
 
     def _start(self, tickets: list[Ticket]) -> None:
         for ticket in tickets:
--- a/src/tanagerturn/entry/server.py
+++ b/src/tanagerturn/entry/server.py
@@ -51,6 +51,9 @@
 CALLER_THREADS_PER_JOB_THREAD: Final = 4
 """Number of caller threads per thread for background jobs."""
 
+REFUSAL_TIME_S: Final = 0.5
+"""Time in seconds before the end of a stop at which waiting requests are refused."""
+
 
 class EntryServer:
     """A running entry process.
@@ -201,13 +204,18 @@
         """
         unfinished_count = self.app.running
         while unfinished_count and time.monotonic() < deadline_s:
+            if time.monotonic() >= deadline_s - REFUSAL_TIME_S:
+                # They have not run; callers may ask another entry host at once.
+                self.components.gate.refuse_waiting()
             log.info(
                 "Draining: {} requests and {} background jobs still run.",
                 unfinished_count,
                 self.components.jobs.job_count,
             )
+            refusal_at_s = deadline_s - REFUSAL_TIME_S
+            next_s = refusal_at_s if time.monotonic() < refusal_at_s else deadline_s
             unfinished_count = self.app.wait_idle(
-                min(1.0, max(0.0, deadline_s - time.monotonic()))
+                min(1.0, max(0.0, next_s - time.monotonic()))
             )
         left_job_count = self.components.jobs.stop(
             max(0.0, deadline_s - time.monotonic())
