Refuse responses whose head ends with its connection

Report of other operators: an engine stopped in the middle of its answer's head and closed; clients got a 200 with an empty body, framed as whole. It could happen in tanager-entry and tanager-control: http.client takes the end of a connection for the end of the head. Gateways parse with h11, which refuses such a head (4 new scenarios of tests/gateway/relay passed at once).

Measured: tests/entry/transport, 4 of 9 scenarios failed with the code before, 9 of 9 pass.

--- a/src/tanagerturn/control/transport.py
+++ b/src/tanagerturn/control/transport.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 from typing import TYPE_CHECKING, Final
 
 import urllib3
@@ -9,6 +10,7 @@
 
 from tanagerturn.schema import serving_pb2
 from tanagerturn.serving.orders.messages import SendAnswer
+from tanagerturn.shared.http_pools import make_pools
 
 if TYPE_CHECKING:
     from urllib3 import BaseHTTPResponse
@@ -27,7 +29,7 @@
     """Sends requests to engines over HTTP, without retries."""
 
     def __init__(self) -> None:
-        self.pools = urllib3.PoolManager(num_pools=MAX_POOLS, retries=False)
+        self.pools = make_pools(MAX_POOLS)
         """Connection pools, one for each engine address."""
 
     def send(
@@ -79,5 +81,5 @@
                 timeout=urllib3.Timeout(total=timeout_s),
                 retries=False,
             )
-        except (urllib3.exceptions.HTTPError, OSError):
+        except (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError):
             return None
--- a/src/tanagerturn/entry/transport.py
+++ b/src/tanagerturn/entry/transport.py
@@ -7,13 +7,14 @@
 from typing import TYPE_CHECKING, Final
 
 import urllib3
-from urllib3.connection import HTTPConnection
 
 from tanagerturn.coordination.errors import StepError
+from tanagerturn.shared.http_pools import WholeHeadConnection, make_pools
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Mapping
 
+    from urllib3.connection import HTTPConnection
     from urllib3.response import BaseHTTPResponse
 
 CONNECT_TIMEOUT_S: Final = 1.0
@@ -130,12 +131,7 @@
     def __init__(self, response_limit_bytes: int = RESPONSE_LIMIT_BYTES) -> None:
         self.response_limit_bytes = response_limit_bytes
         """Maximum size in bytes of a response body that is not streamed."""
-        self.pool = urllib3.PoolManager(
-            num_pools=MAX_POOLS,
-            maxsize=CONNECTIONS_PER_SERVER,
-            retries=False,
-            block=False,
-        )
+        self.pool = make_pools(MAX_POOLS, CONNECTIONS_PER_SERVER)
         """Pool of persistent connections, for repeatable calls."""
 
     def call(self, request: BackendRequest) -> BackendResponse:
@@ -181,7 +177,11 @@
             urllib3.exceptions.ConnectTimeoutError,
         ) as error:
             raise NothingSentError("connect", address, str(error)) from error
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+        except (
+            urllib3.exceptions.HTTPError,
+            http.client.HTTPException,
+            OSError,
+        ) as error:
             raise BrokenCallError("send", address, str(error)) from error
         return BackendStream(response, address)
 
@@ -201,7 +201,7 @@
         """
         address = request.address
         ip, _, port = address.rpartition(":")
-        connection = HTTPConnection(
+        connection = WholeHeadConnection(
             ip.strip("[]"), int(port), timeout=CONNECT_TIMEOUT_S
         )
         try:
--- a/tests/entry/transport/steps/transport_steps.py
+++ b/tests/entry/transport/steps/transport_steps.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 
 from behave import given, then
 
+from tanagerturn.control.transport import HttpEngineTransport
 from tanagerturn.deploy import free_port
 from tanagerturn.entry.transport import (
     BackendRequest,
@@ -14,13 +16,20 @@
     BrokenCallError,
     NothingSentError,
 )
+from tanagerturn.schema import serving_pb2
+from tanagerturn.serving.orders.messages import SendAnswer
 
 LIMIT_BYTES = 100
+DRAIN_TIMEOUT_S = 0.2
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
 RESPONSES = {
     "too large": HEAD % 200 + b"x" * 200,
     "incomplete": HEAD % 50 + b"x" * 20,
     "empty": b"",
+    "cut in its status line": b"HTTP/1.1 200 OK",
+    "cut before a header": b"HTTP/1.1 200 OK\r\n",
+    "cut in a header": b"HTTP/1.1 200 OK\r\nContent-Le",
+    "cut behind a header": b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n",
     "not HTTP": b"\x00\x01 this is not HTTP\r\n\r\n",
     "complete": HEAD % 5 + b"whole",
 }
@@ -42,6 +51,12 @@
             with connection:
                 context.received.append(connection.recv(65536))
                 connection.sendall(RESPONSES[response])
+                # Closed with unread bytes, the connection would be reset.
+                connection.settimeout(DRAIN_TIMEOUT_S)
+                with contextlib.suppress(OSError):
+                    connection.shutdown(socket.SHUT_WR)
+                    while connection.recv(65536):
+                        pass
 
     threading.Thread(target=serve, daemon=True).start()
     context.transport = BackendTransport(LIMIT_BYTES)
@@ -75,6 +90,13 @@
     assert error.peer == context.address
 
 
+@then("an order to an engine gets no answer")
+def order_lost(context):
+    transport = HttpEngineTransport()
+    answer, _ = transport.send(context.address, serving_pb2.Order(), 5.0)
+    assert answer is SendAnswer.LOST, answer
+
+
 @then("a call without permission sends nothing and the server receives no byte")
 def without_permission(context):
     request = request_to(context.address)
--- a/tests/gateway/relay/relay.feature
+++ b/tests/gateway/relay/relay.feature
@@ -240,6 +240,21 @@
     Then the caller gets 200 with "free" and the proof of origin
     And 2 requests reach the backend servers
 
+  # Guards against a head that ends with its connection and is taken for a whole response.
+  Scenario Outline: A response that stops <where> is not taken for a whole one
+    Given a backend server that stops <where> and closes
+    And a backend server that responds 200 with "free"
+    When a caller gets "/look/1"
+    Then the caller gets 200 with "free" and the proof of origin
+    And 2 requests reach the backend servers
+
+    Examples:
+      | where               |
+      | in its status line  |
+      | behind its stamp    |
+      | in its last header  |
+      | before its empty line |
+
   Scenario: A stream without a length and chunks ends with its connection
     Given a backend server that streams 3 events without chunks and closes
     When a caller posts a prompt to "/draft/1"
--- a/tests/gateway/relay/steps/relay_steps.py
+++ b/tests/gateway/relay/steps/relay_steps.py
@@ -781,6 +781,25 @@
     add_backend(context, script)
 
 
+CUT_HEADS = {
+    "in its status line": "HTTP/1.1 200 OK",
+    "behind its stamp": HEAD,
+    "in its last header": HEAD + "Content-Type: text/pl",
+    "before its empty line": HEAD + "Content-Type: text/plain\r\n",
+}
+"""Beginnings of a head, after which its backend server closes."""
+
+
+@given("a backend server that stops {where} and closes")
+def stops_in_head(context, where):
+    async def script(call: ReceivedRequest):
+        await call.send(CUT_HEADS[where])
+        await asyncio.sleep(0.02)
+        call.writer.close()
+
+    add_backend(context, script)
+
+
 def streaming_without_chunks(count, rest=""):
     async def script(call: ReceivedRequest):
         await call.send(EVENTS + "\r\n")
