Bound what the control process reads of an engine's response

Report of other operators: a faulty engine sent bytes without end, and the process that had called it kept them all. Gateways bound heads, bodies, events and calls already: 'Bytes without end ...' in tests/gateway/relay (15 scenarios) and tests/gateway/calls.

--- a/src/tanagerturn/control/transport.py
+++ b/src/tanagerturn/control/transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 import urllib3
@@ -25,6 +26,20 @@
 """HTTP status by which an engine refuses an order with a stale fencing number."""
 
 
+MAX_RESPONSE_BYTES: Final = 256 * 1024
+"""Maximum size in bytes of a response body; a larger one is no response."""
+
+
+@dataclass(frozen=True)
+class EngineResponse:
+    """A whole response of an engine."""
+
+    status: int
+    """HTTP status."""
+    body: bytes
+    """Response body."""
+
+
 class HttpEngineTransport:
     """Sends requests to engines over HTTP, without retries."""
 
@@ -41,7 +56,7 @@
         response = self._request("POST", url, timeout_s, body.encode())
         if response is None:
             return SendAnswer.LOST, "no response"
-        reason = response.data[:MAX_REASON_BYTES].decode(errors="replace")
+        reason = response.body[:MAX_REASON_BYTES].decode(errors="replace")
         if response.status == STATUS_STALE:
             return SendAnswer.STALE, reason
         if response.status < 300:
@@ -60,7 +75,7 @@
             return None
         try:
             return json_format.Parse(
-                response.data, serving_pb2.Announcement(), ignore_unknown_fields=True
+                response.body, serving_pb2.Announcement(), ignore_unknown_fields=True
             )
         except (json_format.ParseError, UnicodeDecodeError, RecursionError):
             return None
@@ -71,15 +86,31 @@
 
     def _request(
         self, method: str, url: str, timeout_s: float, body: bytes
-    ) -> BaseHTTPResponse | None:
+    ) -> EngineResponse | None:
+        """Return a whole response of at most `MAX_RESPONSE_BYTES`, or None."""
         try:
-            return self.pools.request(
+            response = self.pools.request(
                 method,
                 url,
                 body=body,
                 headers={"Content-Type": "application/json"},
                 timeout=urllib3.Timeout(total=timeout_s),
                 retries=False,
+                preload_content=False,
             )
         except (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError):
             return None
+        return _read_response(response)
+
+
+def _read_response(response: BaseHTTPResponse) -> EngineResponse | None:
+    """Return a response whose body is read; None if it is too large or incomplete."""
+    try:
+        body = response.read(MAX_RESPONSE_BYTES + 1)
+    except (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError):
+        return None
+    if len(body) > MAX_RESPONSE_BYTES:
+        response.close()
+        return None
+    response.release_conn()
+    return EngineResponse(response.status, body)
