Let a departure win over any earlier word of the same start

What callers saw: requests reached an engine up to 3.6 s after its DELETE was confirmed.

Cause: a DELETE became an announcement with the next sequence number after the latest one that its gateway knew; peers that had received later heartbeats took it for outdated.

--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -19,6 +19,7 @@
     part_hash,
 )
 from tanagerturn.schema import gateway_pb2 as gpb
+from tanagerturn.serving.backends._check import SEQUENCE_MAX
 from tanagerturn.serving.backends.messages import BackendId
 from tanagerturn.serving.backends.paths import Paths
 from tanagerturn.serving.backends.view import make_backend_view
@@ -134,7 +135,12 @@
         return applied_announcement.ok.eligibility_changed
 
     def on_withdrawal(
-        self, backend_id: BackendId, born_ms: int, leaving_in_ms: int, now_s: float
+        self,
+        backend_id: BackendId,
+        born_ms: int,
+        leaving_in_ms: int,
+        now_s: float,
+        sequence: int = 0,
     ) -> serving_pb2.Announcement | None:
         """Mark a backend server as leaving after it announced its own stop.
 
@@ -145,6 +151,8 @@
             leaving_in_ms: Time in milliseconds until the backend server is expected to
                 stop.
             now_s: Current boot-clock time in seconds.
+            sequence: Sequence number of the announcement that states it; 0 for one that
+                is higher than any that a peer knows, since no other will follow.
 
         Returns:
             The announcement to send to peers; None if the backend server is unknown to
@@ -160,7 +168,7 @@
         leaving.CopyFrom(announced)
         leaving.leaving = True
         leaving.leaving_in_ms = leaving_in_ms
-        leaving.sequence = announced.sequence + 1
+        leaving.sequence = sequence or SEQUENCE_MAX
         self.on_announcement(leaving, now_s, heard=False)
         return leaving
 
@@ -177,7 +185,11 @@
         if backend.leaving:
             return
         born_ms = backend.announcement.born_ms
-        leaving = self.on_withdrawal(backend.id, born_ms, leaving_in_ms, now_s)
+        # The backend server goes on to announce itself.
+        sequence = backend.sequence + 1
+        leaving = self.on_withdrawal(
+            backend.id, born_ms, leaving_in_ms, now_s, sequence
+        )
         if leaving is not None:
             self.stated_departures.append(leaving)
 
--- a/src/tanagerturn/serving/backends/view.py
+++ b/src/tanagerturn/serving/backends/view.py
@@ -321,6 +321,10 @@
         backend = self.backends.get(backend_id)
         if backend is None or backend.incarnation != announcement.incarnation:
             return False
+        if announcement.leaving and not backend.leaving:
+            # A start that leaves does not come back, so the order does not matter: the
+            # sender may not have received the latest announcements.
+            return False
         return announcement.sequence <= backend.sequence
 
     def _is_earlier_start(self, announcement: serving_pb2.Announcement) -> bool:
@@ -339,6 +343,8 @@
         known = self.backends.get(backend_id)
         if known is not None and known.incarnation == announcement.incarnation:
             announcement = known.with_departure(announcement, now_ms)
+            if announcement.sequence < known.sequence:
+                announcement = with_sequence(announcement, known.sequence)
             changed = _eligibility_differs(known.announcement, announcement)
             self._assign_address(backend_id, known.address, announcement.address)
             known.update(announcement, now_ms)
@@ -402,6 +408,16 @@
     return BackendView(networks)
 
 
+def with_sequence(
+    announcement: serving_pb2.Announcement, sequence: int
+) -> serving_pb2.Announcement:
+    """Return a copy of an announcement with another sequence number."""
+    copy = type(announcement)()
+    copy.CopyFrom(announcement)
+    copy.sequence = sequence
+    return copy
+
+
 def _offer_same_service(one: Backend, other: Backend) -> bool:
     return any(one.serves(name) for name in other.announcement.services)
 
--- a/tests/serving/backends/view.feature
+++ b/tests/serving/backends/view.feature
@@ -14,6 +14,13 @@
     Then an announcement of the earlier process start is not applied
     And the requests and cached blocks of "a-1" are removed
 
+  # Guards against a departure that is taken for older than what else is known.
+  Scenario: A departure is applied whatever its sequence number, and is final for its start
+    Given a view with engines "a-1"
+    Then an announcement with the same or an earlier sequence number is not applied
+    And one that states that the engine leaves is applied, whatever its sequence number
+    And the engine stays leaving, whatever the same start announces later
+
   Scenario: A new engine at an address replaces the earlier one
     Given a view with engines "a-1"
     When engine "a-2" announces the address of "a-1"
