Refuse announcements with fields missing, and confirm only those that apply

What callers saw: requests to an engine that had announced that it leaves, after one heartbeat of another writer under its id.

Cause: without version, warmup_left_ms or born an entry was decoded with defaults; without born it was another start of the engine, and retired the real one, whose announcements were then ignored and answered 200 all the same.

An entry without a start time, which a peer of may pass on, never replaces one with it. An announcement that does not apply gets 409, so the engine asks another gateway.

--- a/src/tanagerturn/gateway/control.py
+++ b/src/tanagerturn/gateway/control.py
@@ -100,6 +100,14 @@
             self.mesh.send_update(gpb.BackendNews(announcements=[announcement]))
             if announcement.leaving:
                 self.departures.on_leaving(BackendId(announcement.id))
+        if not self.state.fleet.is_in_force(announcement):
+            log.info(
+                "announcement_ignored",
+                backend=announcement.id,
+                born_ms=announcement.born_ms,
+                sequence=announcement.sequence,
+            )
+            return 409, b"{}"
         return 200, b"{}"
 
     @execute.register
--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -172,6 +172,13 @@
         self.on_announcement(leaving, now_s, heard=False)
         return leaving
 
+    def is_in_force(self, announcement: serving_pb2.Announcement) -> bool:
+        """Return whether an announcement, or a later one of the same start, applies."""
+        known = self.view.backends.get(BackendId(announcement.id))
+        if known is None or known.incarnation != announcement.incarnation:
+            return False
+        return known.leaving or not announcement.leaving
+
     def on_leaving_stated(
         self, backend: Backend, leaving_in_ms: int, now_s: float
     ) -> None:
--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -75,6 +75,10 @@
     "backend_announced": (
         "A backend server is new or leaving, or its address or offer changed."
     ),
+    "announcement_ignored": (
+        "An announcement was answered with status 409: a later start of the backend "
+        "server is known, or a field is invalid."
+    ),
     "backend_withdrawn": (
         "A backend server announced, or stated in a response, that it is about to stop."
     ),
--- a/src/tanagerturn/platform/control_calls.py
+++ b/src/tanagerturn/platform/control_calls.py
@@ -78,7 +78,9 @@
         return Announce(
             _decode_announcement(backend_id, fields, heartbeat_ms, drain_ms)
         )
-    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
+    except KeyError as error:
+        return MalformedCall(400, f"announcement of {backend_id} without {error}")
+    except (orjson.JSONDecodeError, TypeError, ValueError, AttributeError) as error:
         return MalformedCall(400, f"invalid announcement of {backend_id}: {error!r}")
 
 
@@ -89,15 +91,12 @@
     if state not in ("ready", "draining"):
         raise ValueError(f"state is {state!r}, expected 'ready' or 'draining'")
     service, address = fields["service"], fields["address"]
-    version = fields.get("version", "")
-    if not isinstance(version, str):
-        raise ValueError(f"version is {version!r}, expected a string")
-    if not isinstance(service, str) or not service or not isinstance(address, str):
-        raise ValueError(
-            f"service is {service!r} and address is {address!r}, expected a non-empty "
-            "string and a string"
-        )
-    born_ms = _whole_number(fields.get("born", 0))
+    for name in ("service", "address", "zone", "version"):
+        if not isinstance(fields[name], str):
+            raise ValueError(f"{name} is {fields[name]!r}, expected a string")
+    if not service:
+        raise ValueError("service is empty")
+    born_ms = _whole_number(fields["born"])
     announcement = serving_pb2.Announcement(
         id=backend_id,
         address=address,
@@ -113,9 +112,9 @@
         slots=_non_negative_int(fields["slots"]),
         heartbeat_ms=heartbeat_ms,
         born_ms=born_ms,
-        warmup_left_ms=_non_negative_int(fields.get("warmup_left_ms", 0)),
+        warmup_left_ms=_non_negative_int(fields["warmup_left_ms"]),
         # The version of the engine's software; versions of models are in `models`.
-        software_version=version,
+        software_version=fields["version"],
     )
     if announcement.leaving:
         announcement.leaving_in_ms = _non_negative_int(
--- a/src/tanagerturn/serving/backends/view.py
+++ b/src/tanagerturn/serving/backends/view.py
@@ -328,9 +328,10 @@
         return announcement.sequence <= backend.sequence
 
     def _is_earlier_start(self, announcement: serving_pb2.Announcement) -> bool:
-        """Return whether a later process start is known with the same id or address."""
-        if not announcement.born_ms:
-            return False
+        """Return whether a later process start is known with the same id or address.
+
+        An announcement without a start time counts as earlier than those with one.
+        """
         at_address = self._by_address.get(announcement.address, BackendId(""))
         for backend_id in (BackendId(announcement.id), at_address):
             known = self.backends.get(backend_id)
--- a/tests/platform/platform.feature
+++ b/tests/platform/platform.feature
@@ -110,3 +110,28 @@
       | slots    | 1e300                |
       | models   | {"a": {"a": {}}}     |
       | service  | 7                    |
+      | version  | 1                    |
+      | stage    | []                   |
+
+  # Guards against an entry of another writer that is taken for another start of an engine.
+  Scenario Outline: An entry without <field> changes nothing about an engine
+    Given an engine that announces itself
+    When another writer announces it without "<field>"
+    Then the entry is refused, and the log line names "<field>"
+    When the engine announces that it leaves
+    Then the fleet holds the engine as leaving
+
+    Examples:
+      | field          |
+      | service        |
+      | address        |
+      | zone           |
+      | version        |
+      | slots          |
+      | state          |
+      | warmup_left_ms |
+      | sequence       |
+      | born           |
+
+  Scenario: No foreign entry hides what an engine says of itself
+    Then with any fields missing, retyped or foreign, an engine can still state its departure
--- a/tests/platform/steps/platform_steps.py
+++ b/tests/platform/steps/platform_steps.py
@@ -398,3 +398,67 @@
     backends = context.fleet.view.backends
     assert set(backends) == {"i-1"}, backends
     assert backends["i-1"].address == "10.0.0.2:80", backends["i-1"].address
+
+
+@when('another writer announces it without "{field}"')
+def entry_without_field(context, field):
+    fields = {**ANNOUNCEMENT, "born": 1000, "sequence": 5}
+    del fields[field]
+    target = "/v1/instances/i-1"
+    body = orjson.dumps(fields)
+    context.call = control_calls.decode_control("PUT", target, body, 1000, 2000)
+
+
+@then('the entry is refused, and the log line names "{field}"')
+def entry_refused(context, field):
+    assert isinstance(context.call, MalformedCall), context.call
+    assert context.call.status == 400
+    assert repr(field) in context.call.reason, context.call.reason
+
+
+@when("the engine announces that it leaves")
+def engine_leaves(context):
+    announce(context.fleet, "i-1", born=1000, sequence=6, state="draining")
+
+
+@then("the fleet holds the engine as leaving")
+def engine_is_leaving(context):
+    assert context.fleet.view.backends["i-1"].leaving
+
+
+FOREIGN_FIELDS = st.fixed_dictionaries(
+    {},
+    optional={
+        **{
+            name: st.one_of(
+                st.just(value), st.none(), st.integers(), st.text(), st.booleans()
+            )
+            for name, value in ANNOUNCEMENT.items()
+            # A whole entry with a later start time is another start of the engine.
+            if name not in ("born", "sequence")
+        },
+        "born": st.one_of(st.none(), st.text(), st.integers(-9, 1000), st.floats()),
+        "sequence": st.one_of(st.none(), st.text(), st.integers(-9, 2**64)),
+        "foreign": st.integers(),
+    },
+)
+
+
+@then(
+    "with any fields missing, retyped or foreign, an engine can still state its"
+    " departure"
+)
+def departure_never_hidden(context):
+    @for_all(FOREIGN_FIELDS)
+    def check(fields):
+        fleet = Fleet()
+        announce(fleet, "i-1", born=1000, sequence=4)
+        target = "/v1/instances/i-1"
+        body = json.dumps(fields).encode()
+        call = control_calls.decode_control("PUT", target, body, 1000, 2000)
+        if isinstance(call, Announce):
+            fleet.on_announcement(call.announcement, 10.0, heard=True)
+        announce(fleet, "i-1", born=1000, sequence=5, state="draining")
+        assert fleet.view.backends["i-1"].leaving
+
+    check()
