Do not bound the operator's calls by the limits for callers

What operators saw: a confirmed configuration was refused with 413 when it was sent again, and so was each later one above the limit, also one that raised it.

Cause: the control listener used the ingress limits of the configuration in force. Change: limits of its own, 6 MiB. Measured: tests/gateway/cluster, "A configuration larger than the limits that it sets is accepted again" failed before (200, 413, 413), passes now.

--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -14,6 +14,7 @@
 from tanagerturn.gateway.backends import indirect_checks
 from tanagerturn.gateway.backends.brittle import encode_brittle
 from tanagerturn.gateway.backends.departures import DepartureTracker
+from tanagerturn.gateway.configuration import IngressLimits
 from tanagerturn.gateway.configuration_distributor import ConfigurationDistributor
 from tanagerturn.gateway.control import Control
 from tanagerturn.gateway.duties import Duties
@@ -38,7 +39,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from tanagerturn.gateway.configuration import IngressLimits
     from tanagerturn.gateway.dialect import Dialect
     from tanagerturn.gateway.limits import AccountLimits
     from tanagerturn.gateway.server import Exchange
@@ -86,6 +86,10 @@
 FORWARDING_BYTES: Final = 8_192
 """Maximum size in bytes of the header that a peer adds to a forwarded request."""
 
+CONTROL_LIMITS: Final = IngressLimits(body_bytes=6 * 1024 * 1024)
+"""Limits on calls of backend servers and operators; links to peers carry 8 MiB. Those
+of a configuration bound callers only: a configuration may be larger than they allow."""
+
 MAX_URGENT_REQUESTS: Final = 256
 """Maximum number of suspected requests that are sent to peers at once, 12 KB."""
 
@@ -167,7 +171,7 @@
         """Listener for requests that peers forward."""
         self.readiness_server = HttpServer(self.on_readiness, self._ingress_limits)
         """Listener for the load balancer."""
-        self.control_server = HttpServer(self.control.handle, self._ingress_limits)
+        self.control_server = HttpServer(self.control.handle, lambda: CONTROL_LIMITS)
         """Listener for backend servers and operators."""
         self.metrics_server = HttpServer(self.on_metrics, self._ingress_limits)
         """Listener for metrics."""
--- a/tests/gateway/cluster/cluster.feature
+++ b/tests/gateway/cluster/cluster.feature
@@ -10,6 +10,13 @@
     When versions 7 and 8 are sent concurrently to "g1" and "g5"
     Then version 8 is in force at all gateways within 2 s and read back at "g2"
 
+  # Guards against limits for callers that also bound the operator's calls.
+  Scenario: A configuration larger than the limits that it sets is accepted again
+    Given 4 gateways with a disk and 2 without
+    When version 5 with 350 routes and a body limit of 4096 bytes is sent to "g1"
+    Then it is acknowledged at "g1", and again at "g1" and "g5"
+    And version 6 of that kind is acknowledged at "g6"
+
   Scenario: An invalid configuration is rejected and never takes effect
     Given 4 gateways with a disk and 2 without
     When an invalid version 9 is sent to "g5"
@@ -48,6 +55,24 @@
     When the backend server withdraws at "g2"
     Then within 1 s no gateway selects it for requests
 
+  # Guards against a withdrawal that peers take for older than the latest announcement.
+  Scenario Outline: A withdrawal at a gateway without the latest announcements (<what>)
+    Given 4 gateways with a disk and 2 without
+    When a backend server announces itself to "g6"
+    Then all gateways know the backend server within 1 s
+    When it announces itself 5 times more to "g1", which <what>
+    And the backend server withdraws at "g2"
+    Then within 1 s no gateway selects it for requests
+    When a late announcement of it reaches "g3"
+    Then for 1 s no gateway selects it for requests
+    When it starts again under the same id and announces itself to "g4"
+    Then all gateways know the backend server within 1 s
+
+    Examples:
+      | what               |
+      | goes on            |
+      | is killed just then |
+
   Scenario: Cancelled proposals do not affect later ones
     Given 4 gateways with a disk and 2 without
     When 20 proposals at the leader are cancelled before they are committed
--- a/tests/gateway/cluster/steps/cluster_steps.py
+++ b/tests/gateway/cluster/steps/cluster_steps.py
@@ -4,10 +4,13 @@
 
 import asyncio
 
+import orjson
 from behave import given, then, when
 
 from support.gateway_cluster import Cluster
+from support.gateway_world import manifest, route
 from tanagerturn.coordination.errors import RefusedError
+from tanagerturn.gateway.calls import call
 from tanagerturn.gateway.messages import Announce, Withdraw
 from tanagerturn.schema import coordination_pb2 as pb
 from tanagerturn.schema import serving_pb2
@@ -265,3 +268,70 @@
         return set(cluster.versions_in_force()) == {5} and all(selectable(context))
 
     run(context, cluster.wait_until(is_known, 2.0))
+
+
+@when('it announces itself {count:d} times more to "{host}", which {what}')
+def announces_more(context, count, host, what):
+    control = context.cluster.gateways[host].control
+    for sequence in range(2, 2 + count):
+        announced = announcement()
+        announced.sequence = sequence
+        status, _ = run(context, control.execute(Announce(announced)))
+        assert status == 200
+    if what == "is killed just then":
+        run(context, context.cluster.kill(host))
+
+
+@when('a late announcement of it reaches "{host}"')
+def late_announcement(context, host):
+    announced = announcement()
+    announced.sequence = 90
+    control = context.cluster.gateways[host].control
+    run(context, control.execute(Announce(announced)))
+
+
+@then("for 1 s no gateway selects it for requests")
+def not_selected(context):
+    async def check():
+        for _ in range(20):
+            assert not any(selectable(context))
+            await asyncio.sleep(0.05)
+
+    run(context, check())
+
+
+@when('it starts again under the same id and announces itself to "{host}"')
+def starts_again(context, host):
+    announced = announcement()
+    announced.incarnation, announced.born_ms = "b2", 2
+    control = context.cluster.gateways[host].control
+    status, _ = run(context, control.execute(Announce(announced)))
+    assert status == 200
+
+
+def send_large(context, version, host):
+    """Send a configuration by HTTP; return the status of the response."""
+    limits = {"max_header_bytes": 2048, "max_body_bytes": 4096}
+    routes = [route(f"/buy/{n}/", "non_idempotent") for n in range(350)]
+    body = orjson.dumps(manifest(version=version, routes=routes, limits=limits))
+    assert len(body) > 4096
+    address = context.cluster.gateways[host].settings.control_address
+    answered = run(context, call(address, "/v1/config", [], body, 5.0, "PUT"))
+    return answered.ok.status if answered.is_ok() else 0
+
+
+@when('version 5 with 350 routes and a body limit of 4096 bytes is sent to "{host}"')
+def large_sent(context, host):
+    context.statuses = [send_large(context, 5, host)]
+
+
+@then('it is acknowledged at "g1", and again at "g1" and "g5"')
+def large_acknowledged(context):
+    until_in_force(context, 5, 2.0)
+    context.statuses += [send_large(context, 5, host) for host in ("g1", "g5")]
+    assert context.statuses == [200, 200, 200], context.statuses
+
+
+@then('version 6 of that kind is acknowledged at "{host}"')
+def next_large_acknowledged(context, host):
+    assert send_large(context, 6, host) == 200
