Answer HEAD requests and 304 without a second Content-Length

Callers got a closed connection: a length of 0 was added to the length that the backend server stated, which h11 refuses. Such responses have no body and keep the stated length.

--- a/src/tanagerturn/gateway/server.py
+++ b/src/tanagerturn/gateway/server.py
@@ -25,6 +25,9 @@
 """Time in seconds past the idle timeout at which a connection is closed, so that a
 request sent just within the timeout is still served."""
 
+NOT_MODIFIED: Final = 304
+"""Status of a response that never has a body."""
+
 LISTEN_BACKLOG: Final = 512
 """Maximum number of new connections that the kernel queues until they are accepted."""
 
@@ -85,7 +88,16 @@
         of callers."""
 
     async def respond(self, status: int, headers: RawHeaders, body: bytes) -> None:
-        """Send a whole response."""
+        """Send a whole response.
+
+        A response without a body keeps the length that its headers state, which is that
+        of the body which a GET request would get.
+        """
+        if self.method == "HEAD" or status == NOT_MODIFIED:
+            self.start(status, headers)
+            await self.finish()
+            return
+        headers = [h for h in headers if h[0].lower() != b"content-length"]
         length = (b"Content-Length", str(len(body)).encode())
         self.start(status, [*headers, length])
         if body:
--- a/tests/gateway/server/server.feature
+++ b/tests/gateway/server/server.feature
@@ -14,6 +14,16 @@
       | a length and chunked encoding | 400    |
       | data that is not HTTP         | 400    |
 
+  Scenario Outline: A response to <what> has no body, and keeps the length that it states
+    Given a server that responds <status> and states a length of 5
+    When a request of method <method> arrives
+    Then the caller gets <status> with length 5 and no body, and the next request is served
+
+    Examples:
+      | what              | method | status |
+      | HEAD              | HEAD   | 200    |
+      | a conditional GET | GET    | 304    |
+
   Scenario: Pipelined requests get responses in order
     Given a server with configured limits
     When a caller sends two pipelined requests
--- a/tests/gateway/server/steps/server_steps.py
+++ b/tests/gateway/server/steps/server_steps.py
@@ -227,3 +227,42 @@
 @then("the server is busy from then on, and idle after the answer")
 def busy_until_answer(context):
     assert context.busy == [True, True, False], context.busy
+
+
+@given("a server that responds {status:d} and states a length of 5")
+def server_with_length(context, status):
+    context.server = RecordingServer()
+
+    async def handle(exchange):
+        await exchange.respond(status, [(b"Content-Length", b"5")], b"")
+
+    context.server.handle = handle
+
+
+@when("a request of method {method} arrives")
+def sends_method(context, method):
+    async def run():
+        reader, writer = await context.server.connect()
+        responses = []
+        for _ in range(2):
+            writer.write(f"{method} /1 HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+            async with asyncio.timeout(1.0):
+                responses.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.write_eof()
+        async with asyncio.timeout(1.0):
+            context.rest = await reader.read()
+        context.responses = responses
+
+    asyncio.run(run())
+
+
+@then(
+    "the caller gets {status:d} with length 5 and no body, and the next request is"
+    " served"
+)
+def no_body(context, status):
+    for response in context.responses:
+        assert response.startswith(f"HTTP/1.1 {status} ".encode()), response
+        assert response.lower().count(b"content-length: 5") == 1, response
+        assert b"content-length: 0" not in response.lower(), response
+    assert context.rest == b""
