Agree on the founder of the state group

What callers saw: after a host had frozen during the first start, two groups confirmed configurations for good, and two hosts ordered engines under one epoch number.

Cause: the order to found the group waited in the frozen host's socket, and was obeyed after another host had founded one.

Change: an ordered host proposes itself in a round of single-decree Paxos among all known hosts with a disk; votes are stored before they are answered.

--- a/src/tanagerturn/coordination/storage/folder.py
+++ b/src/tanagerturn/coordination/storage/folder.py
@@ -76,7 +76,7 @@
                 "member": member,
                 "incarnation": incarnation or os.urandom(8).hex(),
             }
-            _write_atomically(files, IDENTITY_FILE, orjson.dumps(identity))
+            write_atomically(files, IDENTITY_FILE, orjson.dumps(identity))
         stored_identity = orjson.loads(files.read(IDENTITY_FILE))
         _check_identity(stored_identity, cluster, member)
     except BaseException:
@@ -106,7 +106,12 @@
         raise StorageError("open data folder", IDENTITY_FILE, reason)
 
 
-def _write_atomically(files: Files, path: str, data: bytes) -> None:
+def write_atomically(files: Files, path: str, data: bytes) -> None:
+    """Replace a file, so that after a crash it has either content.
+
+    Raises:
+        StorageError: The file can't be written.
+    """
     temporary = f"{path}.temporary"
     files.remove(temporary)
     file = files.append(temporary)
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -293,8 +293,15 @@
         if kind == "log" and self.member is not None:
             self.member.deliver(frame.log.messages)
         elif kind == "found" and self.member is not None:
-            self.member.initialize_group()
+            hosts = ((h.host, h.link_address) for h in frame.found.hosts)
+            self.member.agreement.add_hosts(hosts)
+            self.member.propose_founder(self.links)
             return gpb.Frame(done=gpb.Done())
+        elif kind == "founding":
+            if self.member is None:
+                return gpb.Frame(failure=gpb.Failure(reason="no member here"))
+            vote = await self.member.agreement.serve(frame.founding)
+            return gpb.Frame(founding_vote=vote)
         elif kind == "ask_news":
             return gpb.Frame(news=self.state.fleet.backend_updates(boot_s()))
         elif kind == "correction":
@@ -436,6 +443,9 @@
             | self._member_addresses()
         )
         if self.member is not None:
+            self.member.agreement.add_hosts(
+                (d.host, d.link_address) for d in digests if d.member.id
+            )
             present = self.mesh.present_hosts()
             self.member.repair(self.member.view(digests, present), now_s)
         settings = self.settings
@@ -454,11 +464,10 @@
         if chosen is None:
             return
         if chosen.host == settings.host and self.member is not None:
-            self.member.initialize_group()
+            self.member.propose_founder(self.links)
         else:
-            self.links.link_to(chosen.link_address).send_one_way(
-                gpb.Frame(found=gpb.FoundCall())
-            )
+            order = gpb.FoundCall(hosts=self.group_initializer.known_hosts())
+            self.links.link_to(chosen.link_address).send_one_way(gpb.Frame(found=order))
 
     def _member_addresses(self) -> set[str]:
         if self.member is None:
--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -169,6 +169,12 @@
         "The leader added, promoted or removed a member of the state group, or failed "
         "to; see `outcome`."
     ),
+    "founder_not_proposed": (
+        "This host's vote on the founder of the state group could not be stored."
+    ),
+    "founder_agreed": (
+        "The hosts with a disk have agreed on the host that founds the state group."
+    ),
     "leadership_taken": (
         "This member started an election: the leader is of a version that does not "
         "replace voters that were told to stop."
--- a/src/tanagerturn/gateway/state_group/member.py
+++ b/src/tanagerturn/gateway/state_group/member.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from tanagerturn.clocks import boot_s, wall_ms
+from tanagerturn.coordination.errors import StorageError
 from tanagerturn.coordination.ids import ClusterId, GroupId, MemberId
 from tanagerturn.coordination.log.core import Core
 from tanagerturn.coordination.log.membership import voters
@@ -25,6 +26,7 @@
     MemberClocks,
     MemberTransport,
 )
+from tanagerturn.gateway.state_group.founder import FounderAgreement
 from tanagerturn.gateway.state_group.handover import (
     GroupView,
     must_take_leadership,
@@ -32,6 +34,7 @@
     with_states,
 )
 from tanagerturn.schema import coordination_pb2 as pb
+from tanagerturn.schema import gateway_pb2 as gpb
 from tanagerturn.state import messages as m
 from tanagerturn.state._repair import GroupHealth, next_membership_change
 from tanagerturn.state.group import ReplicationGroup
@@ -49,7 +52,6 @@
     from tanagerturn.coordination.store import Store
     from tanagerturn.gateway.links import Links
     from tanagerturn.gateway.settings import GatewaySettings
-    from tanagerturn.schema import gateway_pb2 as gpb
 
 CLUSTER: Final = ClusterId("gateways")
 GROUP: Final = GroupId("gateways")
@@ -111,6 +113,16 @@
         files = DiskFiles(settings.data_folder / STATE_FOLDER)
         self.folder = open_folder(files, CLUSTER, MemberId(settings.host))
         """The open data folder."""
+        self.agreement = FounderAgreement(
+            settings.host,
+            settings.link_address,
+            settings.tolerated_losses,
+            links,
+            files,
+        )
+        """Agreement on the host that founds the group."""
+        self.founding_task: asyncio.Task[None] | None = None
+        """The last proposal of a founder; None before the first one."""
         self.id = MemberId(f"{settings.host}-{self.folder.incarnation}")
         """Id of the member; an emptied disk gives the member a new id."""
         self.actor: pykka.ActorRef[Any] | None = None
@@ -163,6 +175,30 @@
             return ""
         return self.transport.addresses.get(self.core.leader, "")
 
+    def propose_founder(self, links: Links) -> None:
+        """Propose this host as the founder, and found the group if all agree.
+
+        Args:
+            links: Links to peer gateways.
+        """
+        in_progress = self.founding_task is not None and not self.founding_task.done()
+        if self.actor is None and not in_progress:
+            self.founding_task = self.loop.create_task(self._propose_founder(links))
+
+    async def _propose_founder(self, links: Links) -> None:
+        try:
+            founder = await self.agreement.propose()
+        except StorageError as error:
+            log.warning("founder_not_proposed", reason=str(error))
+            return
+        if founder == self.settings.host:
+            self.initialize_group()
+        elif founder:
+            address = self.agreement.hosts.get(founder, "")
+            order = gpb.FoundCall(hosts=self.agreement.known_hosts())
+            if address:
+                links.link_to(address).send_one_way(gpb.Frame(found=order))
+
     def initialize_group(self) -> None:
         """Initialize the group with this member alone; others are added later."""
         if self.actor is None:
