Let members of a group grant no votes, and tolerate a damaged vote there

Found on reading the agreement again: a member that restarts with the state of a group voted as if there were none yet, so a late proposer could have become a second founder; a damaged vote kept the member of any host from being opened. Members of a group refuse votes and do not read theirs; without a group a damaged vote counts as a lost disk. Names: voter_ids, with_reported_states.

--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -295,7 +295,7 @@
         elif kind == "found" and self.member is not None:
             hosts = ((h.host, h.link_address) for h in frame.found.hosts)
             self.member.agreement.add_hosts(hosts)
-            self.member.propose_founder(self.links)
+            self.member.propose_founder()
             return gpb.Frame(done=gpb.Done())
         elif kind == "founding":
             if self.member is None:
@@ -464,7 +464,7 @@
         if chosen is None:
             return
         if chosen.host == settings.host and self.member is not None:
-            self.member.propose_founder(self.links)
+            self.member.propose_founder()
         else:
             order = gpb.FoundCall(hosts=self.group_initializer.known_hosts())
             self.links.link_to(chosen.link_address).send_one_way(gpb.Frame(found=order))
--- a/src/tanagerturn/gateway/state_group/founder.py
+++ b/src/tanagerturn/gateway/state_group/founder.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
-from tanagerturn.coordination.errors import StorageError
+from tanagerturn.coordination.storage.files import DamageError
 from tanagerturn.coordination.storage.folder import write_atomically
 from tanagerturn.gateway.logs import component_log
 from tanagerturn.gateway.state_group.founding import (
@@ -43,12 +43,22 @@
         links: Links to peer gateways.
         files: Files of the state member, in which the vote is stored.
 
+        has_group: Whether the member belonged to a group when it was opened: it grants
+            no votes, and its stored vote is not needed any more.
+
     Raises:
-        StorageError: The stored vote is damaged.
+        DamageError: The stored vote is damaged, and no group is known.
     """
 
     def __init__(
-        self, host: str, address: str, tolerated_losses: int, links: Links, files: Files
+        self,
+        host: str,
+        address: str,
+        tolerated_losses: int,
+        links: Links,
+        files: Files,
+        *,
+        has_group: bool,
     ) -> None:
         self.host = host
         """This host."""
@@ -58,7 +68,9 @@
         """Links to peer gateways."""
         self.files = files
         """Files of the state member."""
-        self.vote = _load_vote(files)
+        self.has_group = has_group
+        """Whether the member belonged to a group when it was opened."""
+        self.vote = Vote() if has_group else _load_vote(files)
         """What this host has promised and accepted, as stored."""
         self.hosts = {host: address}
         """Link addresses of all hosts with a disk that were ever known, by host."""
@@ -77,11 +89,7 @@
         """Promise a round or accept a founder, and return what is stored then."""
         proposed = _decode_round(call.round)
         async with self.lock:
-            changed = (
-                self.vote.on_accept(proposed, call.founder)
-                if call.founder
-                else self.vote.on_prepare(proposed)
-            )
+            changed = self._changed_vote(proposed, call.founder)
             if changed is not None and changed != self.vote:
                 data = changed.to_bytes()
                 await asyncio.get_running_loop().run_in_executor(
@@ -96,6 +104,13 @@
             hosts=self.known_hosts(),
         )
 
+    def _changed_vote(self, proposed: Round, founder: str) -> Vote | None:
+        if self.has_group:
+            return None
+        if founder:
+            return self.vote.on_accept(proposed, founder)
+        return self.vote.on_prepare(proposed)
+
     def known_hosts(self) -> list[gpb.FoundingHost]:
         """Return all hosts with a disk that were ever known."""
         return [
@@ -122,6 +137,13 @@
         log.info("founder_agreed", founder=founder, round=current.number)
         return founder
 
+    def send_order(self, founder: str) -> None:
+        """Tell the founder that was agreed on to propose itself."""
+        address = self.hosts.get(founder)
+        if address is not None:
+            order = gpb.FoundCall(hosts=self.known_hosts())
+            self.links.link_to(address).send_one_way(gpb.Frame(found=order))
+
     async def _ask_all(self, current: Round, founder: str) -> list[Vote] | None:
         """Return the votes of the hosts that agree; None if too few do."""
         call = gpb.FoundingCall(round=_encode_round(current), founder=founder)
@@ -163,7 +185,7 @@
     try:
         return decode_vote(files.read(VOTE_FILE))
     except ValueError as error:
-        raise StorageError("read vote", VOTE_FILE, str(error)) from error
+        raise DamageError("read vote", VOTE_FILE, str(error)) from error
 
 
 def _encode_round(each: Round) -> gpb.FoundingRound:
--- a/src/tanagerturn/gateway/state_group/handover.py
+++ b/src/tanagerturn/gateway/state_group/handover.py
@@ -39,7 +39,7 @@
     """Hosts of the peer gateways that failure detection finds present."""
 
     @property
-    def voters(self) -> Sequence[str]:
+    def voter_ids(self) -> Sequence[str]:
         """Ids of the voters, as the latest leader states them.
 
         A removed member does not receive the entry that removes it.
@@ -61,7 +61,7 @@
         return [d for d in self.digests if d.member.id and d.host in self.present]
 
 
-def with_states(health: GroupHealth, view: GroupView) -> GroupHealth:
+def with_reported_states(health: GroupHealth, view: GroupView) -> GroupHealth:
     """Return the health with what digests state of the members.
 
     Voters whose host has a new disk count as lost, and those whose processes were told
@@ -103,7 +103,7 @@
         view: The group as this member sees it.
         wanted_voters: Number of voters that the group should have.
     """
-    ids = view.voters
+    ids = view.voter_ids
     responding = {digest.member.id for digest in view.present_digests}
     spares = {d.member.id for d in view.present_digests if not d.draining} - set(ids)
     # A peer whose first digest has not arrived yet may have a disk.
@@ -122,7 +122,7 @@
     spare could replace one, and this member is the first of those that would: members
     that stay come before those that drain.
     """
-    ids = view.voters
+    ids = view.voter_ids
     if view.leads or view.member not in ids or not spare_members(view):
         return False
     if not view.draining.intersection(ids):
--- a/src/tanagerturn/gateway/state_group/member.py
+++ b/src/tanagerturn/gateway/state_group/member.py
@@ -31,7 +31,7 @@
     GroupView,
     must_take_leadership,
     spare_members,
-    with_states,
+    with_reported_states,
 )
 from tanagerturn.schema import coordination_pb2 as pb
 from tanagerturn.schema import gateway_pb2 as gpb
@@ -119,6 +119,7 @@
             settings.tolerated_losses,
             links,
             files,
+            has_group=self.folder.has_state((GROUP,)),
         )
         """Agreement on the host that founds the group."""
         self.founding_task: asyncio.Task[None] | None = None
@@ -175,17 +176,13 @@
             return ""
         return self.transport.addresses.get(self.core.leader, "")
 
-    def propose_founder(self, links: Links) -> None:
-        """Propose this host as the founder, and found the group if all agree.
-
-        Args:
-            links: Links to peer gateways.
-        """
+    def propose_founder(self) -> None:
+        """Propose this host as the founder, and found the group if enough agree."""
         in_progress = self.founding_task is not None and not self.founding_task.done()
         if self.actor is None and not in_progress:
-            self.founding_task = self.loop.create_task(self._propose_founder(links))
+            self.founding_task = self.loop.create_task(self._propose_founder())
 
-    async def _propose_founder(self, links: Links) -> None:
+    async def _propose_founder(self) -> None:
         try:
             founder = await self.agreement.propose()
         except StorageError as error:
@@ -194,10 +191,7 @@
         if founder == self.settings.host:
             self.initialize_group()
         elif founder:
-            address = self.agreement.hosts.get(founder, "")
-            order = gpb.FoundCall(hosts=self.agreement.known_hosts())
-            if address:
-                links.link_to(address).send_one_way(gpb.Frame(found=order))
+            self.agreement.send_order(founder)
 
     def initialize_group(self) -> None:
         """Initialize the group with this member alone; others are added later."""
@@ -328,7 +322,7 @@
         health = await self._ask_actor(m.GetHealth(reply), reply)
         if health is None:
             return
-        health = with_states(health, view)
+        health = with_reported_states(health, view)
         spares = spare_members(view)
         change = next_membership_change(
             health, spares, self.settings.state_members, REPLACE_AFTER_S
--- a/tests/gateway/decisions/steps/decisions_steps.py
+++ b/tests/gateway/decisions/steps/decisions_steps.py
@@ -30,7 +30,7 @@
 from tanagerturn.gateway.state_group.handover import (
     GroupView,
     spare_members,
-    with_states,
+    with_reported_states,
 )
 from tanagerturn.gateway.usage import UsageCounts
 from tanagerturn.gateway.wall_clock import CorrectedWallClock
@@ -254,7 +254,7 @@
     hosts = {digest.host for digest in context.digests}
     view = GroupView("m3", False, context.membership, "", True, context.digests, hosts)
     health = GroupHealth(context.membership, {"m1": 0.1, "m2": 0.1}, set())
-    health = with_states(health, view)
+    health = with_reported_states(health, view)
     spares = spare_members(view)
     assert [spare.id for spare in spares] == ["m4", "m1-new"], spares
     change = next_membership_change(health, spares, 3, 2.5)
@@ -263,7 +263,7 @@
     grown = pb.Membership()
     grown.CopyFrom(context.membership)
     grown.members.add(id="m4", address="10.0.0.4:7600", role=pb.VOTER)
-    health = with_states(GroupHealth(grown, {}, set()), view)
+    health = with_reported_states(GroupHealth(grown, {}, set()), view)
     change = next_membership_change(health, [], 3, 2.5)
     assert change is not None
     assert (change.action, change.member.id) == (Action.REMOVE, "m1")
--- a/tests/gateway/state_group/founding/steps/founding_steps.py
+++ b/tests/gateway/state_group/founding/steps/founding_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import shutil
 import signal
 import tempfile
@@ -19,7 +20,10 @@
 from support.gateway_programs import CONTROL_PORT, make_programs
 from support.gateway_world import manifest
 from support.processes import wait_for
+from tanagerturn.coordination.storage.files import DamageError, DiskFiles
+from tanagerturn.gateway.state_group.founder import VOTE_FILE, FounderAgreement
 from tanagerturn.gateway.state_group.founding import Round, Vote, decode_vote
+from tanagerturn.schema import gateway_pb2 as gpb
 
 LONG_FACTOR = 20
 PLANTED_SEEDS = range(1000)
@@ -64,6 +68,39 @@
         raise AssertionError(stored[:length])
 
 
+@given("a host whose stored vote is damaged")
+def damaged_vote(context):
+    folder = Path(tempfile.mkdtemp())
+    context.closers.append(lambda: shutil.rmtree(folder, ignore_errors=True))
+    (folder / VOTE_FILE).write_bytes(b"[3,")
+    context.files = DiskFiles(folder)
+
+
+def agreement_of(context, *, has_group):
+    return FounderAgreement("h1", "h1:1", 1, None, context.files, has_group=has_group)
+
+
+@then("it is not opened as a host without a group")
+def not_opened(context):
+    try:
+        agreement_of(context, has_group=False)
+    except DamageError:
+        return
+    raise AssertionError("a damaged vote was taken for one")
+
+
+@then("as a member of a group it is opened, and refuses each vote")
+def refuses_votes(context):
+    agreement = agreement_of(context, has_group=True)
+    current = gpb.FoundingRound(number=9, proposer="h2")
+    for founder in ("", "h2"):
+        call = gpb.FoundingCall(round=current, founder=founder)
+        vote = asyncio.run(agreement.serve(call))
+        assert not vote.granted
+        assert not vote.founder
+    assert (context.files.folder / VOTE_FILE).read_bytes() == b"[3,"
+
+
 @given("4 gateway processes of which the first is frozen 1 s after their start")
 def first_frozen(context):
     folder = Path(tempfile.mkdtemp())
--- a/tests/support/handover_schedule.py
+++ b/tests/support/handover_schedule.py
@@ -254,7 +254,7 @@
             return
         ages = {p: self.now - g.last_response_at_s for p, g in core.progress.items()}
         caught_up = {p for p in core.progress if is_caught_up(core, p, self.now)}
-        health = handover.with_states(
+        health = handover.with_reported_states(
             GroupHealth(core.log.membership, ages, caught_up), view
         )
         repairs = self.repairs
