Let the soak's backend servers send all fields of an announcement

Traced: its backend servers sent neither version nor warmup_left_ms, which the users' page lists, and are refused since ('an announcement was not acknowledged'), so nothing was served.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -139,7 +139,9 @@
             "address": self.proxy.listen,
             "zone": "z1",
             "slots": 16,
+            "version": "v1",
             "state": "draining" if self.is_leaving else "ready",
+            "warmup_left_ms": 0,
             "sequence": self.sequence,
             "born": self.start_number,
         }
