Ask for the leader's version before spares are listed

Each voter asked every 0.15 s, in the calm too, for the spares among all digests, and for the draining members once for each member. The leader's flag, which ends the question in a fleet of one build, comes first now, and the draining members are listed once. No behaviour changes.

--- a/src/tanagerturn/gateway/state_group/handover.py
+++ b/src/tanagerturn/gateway/state_group/handover.py
@@ -84,9 +84,9 @@
 
     The zone of a voter that was told to stop counts as not represented by it.
     """
-    members = view.membership.members
+    members, draining = view.membership.members, view.draining
     member_ids = {member.id for member in members}
-    zones = [m.availability_zone for m in members if m.id not in view.draining]
+    zones = [m.availability_zone for m in members if m.id not in draining]
     spares = [
         digest.member
         for digest in view.present_digests
@@ -122,20 +122,21 @@
     spare could replace one, and this member is the first of those that would: members
     that stay come before those that drain.
     """
-    ids = view.voter_ids
-    if view.leads or view.member not in ids or not spare_members(view):
-        return False
-    if not view.draining.intersection(ids):
+    if view.leads:
         return False
-    leader = next(
-        (d for d in view.present_digests if d.link_address == view.leader_address), None
-    )
+    digests = view.present_digests
+    leader = next((d for d in digests if d.link_address == view.leader_address), None)
     if leader is None or leader.replaces_draining_voters:
         return False
+    ids, draining = view.voter_ids, view.draining
+    if view.member not in ids or not draining.intersection(ids):
+        return False
+    if not spare_members(view):
+        return False
     able = {
         d.member.id
-        for d in view.present_digests
+        for d in digests
         if d.replaces_draining_voters and d.member.id in ids
     }
     able.add(view.member)
-    return min(able, key=lambda each: (each in view.draining, each)) == view.member
+    return min(able, key=lambda each: (each in draining, each)) == view.member
