--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -140,7 +140,7 @@
         born_ms: int,
         leaving_in_ms: int,
         now_s: float,
-        sequence: int = 0,
+        sequence: int = SEQUENCE_MAX,
     ) -> serving_pb2.Announcement | None:
         """Mark a backend server as leaving after it announced its own stop.
 
@@ -151,8 +151,8 @@
             leaving_in_ms: Time in milliseconds until the backend server is expected to
                 stop.
             now_s: Current boot-clock time in seconds.
-            sequence: Sequence number of the announcement that states it; 0 for one that
-                is higher than any that a peer knows, since no other will follow.
+            sequence: Sequence number of the announcement that states it; the highest
+                one by default, since no other announcement will follow.
 
         Returns:
             The announcement to send to peers; None if the backend server is unknown to
@@ -168,7 +168,7 @@
         leaving.CopyFrom(announced)
         leaving.leaving = True
         leaving.leaving_in_ms = leaving_in_ms
-        leaving.sequence = sequence or SEQUENCE_MAX
+        leaving.sequence = sequence
         self.on_announcement(leaving, now_s, heard=False)
         return leaving
 
