Answer requests that have half arrived when a stopping gateway closes its listener

Callers saw a reset 3 s after the SIGTERM of their gateway: HttpServer.close closed each connection without a handler and without unread bytes, and a connection whose request head and half of whose body have been read has neither. If the rest arrived afterwards, the request was read by no one and never answered; one whose rest never came was cut as well.

Now a connection counts as busy from the first byte of a request, keeps being read after the listener closes, and is answered: served if the rest comes in time, else 503, which is true since nothing was sent on.

--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -14,6 +14,7 @@
 from tanagerturn.gateway.backends import indirect_checks
 from tanagerturn.gateway.backends.brittle import encode_brittle
 from tanagerturn.gateway.backends.departures import DepartureTracker
+from tanagerturn.gateway.callers.stopping import STOPPING_RETRY_S
 from tanagerturn.gateway.configuration import IngressLimits
 from tanagerturn.gateway.configuration_distributor import ConfigurationDistributor
 from tanagerturn.gateway.control import Control
@@ -546,8 +547,8 @@
         if not self._is_busy:
             return
         self.state.is_stopping_now = True
-        self.caller_server.end_handlers()
-        self.forwarding_server.end_handlers()
+        self.caller_server.end_requests(STOPPING_RETRY_S)
+        self.forwarding_server.end_requests(STOPPING_RETRY_S)
         end_s = boot_s() + END_TIMEOUT_S
         while boot_s() < end_s and self._is_busy:
             await asyncio.sleep(END_POLL_S)
--- a/src/tanagerturn/gateway/server.py
+++ b/src/tanagerturn/gateway/server.py
@@ -154,8 +154,18 @@
         """Reads the events of requests."""
         self.handler_task: asyncio.Task[None] | None = None
         """Handler of the current request; None between requests."""
+        self.is_receiving = False
+        """Whether a part of a request has been read, and the rest is awaited."""
+        self.is_refused = False
+        """Whether a request was refused before its rest arrived."""
         tcp.on_disconnect = self._on_disconnect
 
+    @property
+    def has_request(self) -> bool:
+        """Whether a request is handled, or at least a part of one has arrived."""
+        is_handled = self.handler_task is not None
+        return is_handled or self.is_receiving or self.tcp.has_unread
+
     def closes_after_response(self) -> bool:
         """Return whether the connection closes after the current response."""
         return self.server.is_draining
@@ -178,6 +188,7 @@
         except h11.RemoteProtocolError as error:
             await self._send_error(InvalidRequest(error.error_status_hint, str(error)))
         finally:
+            self.is_receiving = False
             self.tcp.close()
             self.server.connections.discard(self)
 
@@ -187,6 +198,7 @@
             return False
         arrived_s = boot_s()
         body = await self._read_body(request)
+        self.is_receiving = False
         exchange = Exchange(self, request, body, arrived_s)
         self.server.running_count += 1
         self.handler_task = asyncio.create_task(self.server.handler(exchange))
@@ -222,6 +234,7 @@
             except TimeoutError:
                 return None
             event = self.http.next_event()
+        self.is_receiving = not self.tcp.at_eof
         try:
             async with asyncio.timeout(limits.header_timeout_s):
                 if event is h11.NEED_DATA:
@@ -266,6 +279,8 @@
                 ) from None
 
     async def _send_error(self, error: InvalidRequest) -> None:
+        if self.is_refused:
+            return
         log.info(
             "caller_fault",
             peer=self.tcp.peer,
@@ -278,6 +293,23 @@
         self.send_event(h11.Response(status_code=error.status, headers=headers))
         self.send_event(h11.EndOfMessage())
 
+    def refuse_incomplete(self, retry_after_s: float) -> None:
+        """Refuse a request whose rest has not arrived, and close the connection.
+
+        Args:
+            retry_after_s: Time in seconds after which the caller may retry.
+        """
+        self.is_receiving, self.is_refused = False, True
+        if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            headers = [
+                (b"Retry-After", f"{retry_after_s:.3f}".encode()),
+                (b"Content-Length", b"0"),
+                (b"Connection", b"close"),
+            ]
+            self.send_event(h11.Response(status_code=503, headers=headers))
+            self.send_event(h11.EndOfMessage())
+        self.tcp.close()
+
     def _on_disconnect(self) -> None:
         if self.handler_task is not None and not self.handler_task.done():
             self.handler_task.cancel()
@@ -328,10 +360,8 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is handled, or has arrived and is not read yet."""
-        return self.running_count > 0 or any(
-            connection.tcp.has_unread for connection in self.connections
-        )
+        """Whether a request is handled, or a part of one has arrived."""
+        return any(connection.has_request for connection in self.connections)
 
     def drain(self) -> None:
         """Close each connection after its next response."""
@@ -346,14 +376,22 @@
         if self.listener is not None:
             self.listener.close()
         for connection in list(self.connections):
-            if connection.handler_task is None and not connection.tcp.has_unread:
+            if not connection.has_request:
                 connection.tcp.close()
 
-    def end_handlers(self) -> None:
-        """Cancel the handlers of all requests, so that they respond at once."""
+    def end_requests(self, retry_after_s: float) -> None:
+        """Let all requests get a response at once: their handlers are cancelled.
+
+        Those whose rest has not arrived are refused, since they have not run.
+
+        Args:
+            retry_after_s: Time in seconds after which refused callers may retry.
+        """
         for connection in list(self.connections):
             if connection.handler_task is not None:
                 connection.handler_task.cancel()
+            elif connection.is_receiving:
+                connection.refuse_incomplete(retry_after_s)
 
     def _on_connected(self, tcp: TcpConnection) -> None:
         connection = HttpConnection(tcp, self)
--- a/tests/gateway/callers/stopping/steps/stopping_steps.py
+++ b/tests/gateway/callers/stopping/steps/stopping_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from behave import given, then, when
 
@@ -146,3 +147,23 @@
     tries = context.fleet.tries
     statuses = [t.response.status for t in tries]
     assert sum(t.is_served for t in tries) >= count, statuses
+
+
+@when(
+    "half of 24 requests' bodies arrives as a gateway is told to stop, the rest {rest}"
+)
+def halves(context, rest):
+    fleet = context.fleet
+    rest_after_s = math.inf if rest == "never" else float(rest.split()[1])
+
+    async def play():
+        tries = [
+            asyncio.create_task(
+                fleet.try_in_halves(STOPPED, KINDS[n % len(KINDS)], rest_after_s)
+            )
+            for n in range(COUNT)
+        ]
+        await asyncio.sleep(0.2)
+        await stop_beside(fleet, tries)
+
+    run(context, play())
--- a/tests/gateway/callers/stopping/stopping.feature
+++ b/tests/gateway/callers/stopping/stopping.feature
@@ -41,3 +41,18 @@
     Given 4 gateways and 2 engines with 12 slots, whose requests take 0.3 s
     When a peer is told to stop while a gateway without paths gets 60 requests
     Then at least 60 of them were served
+
+  # Guards against a half-read request that is cut when the listener closes.
+  Scenario Outline: Requests that have half arrived when the listener closes, the rest <rest>
+    Given 4 gateways and 2 engines with 12 slots, whose requests take 0.3 s
+    And the gateways have seen how long requests take
+    When half of 24 requests' bodies arrives as a gateway is told to stop, the rest <rest>
+    Then it ends within its grace period
+    And each of the requests got a whole answer
+    And no purchase ran twice, and none that was refused with 503 ran
+    And at least <served> of them were served
+
+    Examples:
+      | rest         | served |
+      | within 3.5 s | 24     |
+      | never        | 0      |
--- a/tests/support/stopping_fleet.py
+++ b/tests/support/stopping_fleet.py
@@ -3,10 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, Final
 
-from support.gateway_world import CallerResponse, route
-from support.partition_fleet import PATH_FIELDS, PartitionFleet, PathEngine
+from support.gateway_world import HOST, KEY, CallerResponse, read_response, route
+from support.partition_fleet import (
+    PATH_FIELDS,
+    FirstTry,
+    PartitionFleet,
+    PathEngine,
+)
 from tanagerturn.clocks import boot_s
 
 if TYPE_CHECKING:
@@ -91,6 +97,38 @@
         self.stopped_s = boot_s() - self.terminated_s
         await self.cluster.kill(host)
 
+    async def try_in_halves(self, host: str, kind: str, rest_after_s: float) -> None:
+        """Send a request of which a half arrives at once.
+
+        Args:
+            host: Gateway that receives the request.
+            kind: Route of the request.
+            rest_after_s: Time in seconds until the other half; infinite for never.
+        """
+        self.attempt_count += 1
+        attempt, sent_s = f"r{self.attempt_count}", boot_s()
+        ip, _, port = self.cluster.gateways[host].settings.callers_address.rpartition(
+            ":"
+        )
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        head = (
+            f"POST /{kind}/{attempt} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"X-Request-Id: {attempt}\r\nX-Deadline-Ms: {self.deadline_ms}\r\n"
+            f"Authorization: Bearer {KEY}\r\nContent-Length: 100\r\n\r\n"
+        )
+        writer.write(head.encode() + bytes(50))
+        if rest_after_s < math.inf:
+            await asyncio.sleep(rest_after_s)
+            writer.write(bytes(50))
+        try:
+            response = await read_response(reader)
+        except (ConnectionError, KeyError):
+            response = CallerResponse(0, {}, b"", False)
+        writer.close()
+        took_s = boot_s() - sent_s
+        tried = FirstTry(host, kind, sent_s, took_s, attempt, response, 0)
+        self.tries.append(tried)
+
     def unanswered(self) -> list[tuple[str, CallerResponse]]:
         """Return the requests without a whole answer."""
         return [(t.attempt, t.response) for t in self.tries if not t.response.is_whole]
