Answer calls of operators that run when a gateway ends

An operator whose configuration was being stored when its gateway ended saw a closed connection: only the listeners for callers and peers answer what is left at the end. The control listener now answers 503, which sends the operator to another gateway; the configuration may still be stored, and storing it again changes nothing.

--- a/src/tanagerturn/gateway/control.py
+++ b/src/tanagerturn/gateway/control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Final
 
@@ -71,7 +72,13 @@
         call = self.state.dialect.decode_control(
             exchange.method, exchange.target, exchange.body
         )
-        status, body = await self.execute(call)
+        try:
+            status, body = await self.execute(call)
+        except asyncio.CancelledError:
+            if not self.state.is_stopping_now or exchange.connection.tcp.at_eof:
+                raise
+            # A configuration may still be stored; the caller sends it again elsewhere.
+            status, body = 503, b"{}"
         await exchange.respond(status, JSON, body)
 
     @singledispatchmethod
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -38,7 +38,7 @@
 from tanagerturn.serving.backends.messages import BackendId
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from tanagerturn.gateway.dialect import Dialect
     from tanagerturn.gateway.limits import AccountLimits
@@ -540,6 +540,10 @@
         # A request that arrived as the listeners closed may have begun meanwhile.
         await self._wait_until_idle(end_s)
         await self._end_requests()
+        self.state.is_stopping_now = True
+        self.control_server.close()
+        self.control_server.end_requests(STOPPING_RETRY_S)
+        await self._wait_for_responses([self.control_server])
         self.may_exit.set()
 
     async def _end_requests(self) -> None:
@@ -549,8 +553,12 @@
         self.state.is_stopping_now = True
         self.caller_server.end_requests(STOPPING_RETRY_S)
         self.forwarding_server.end_requests(STOPPING_RETRY_S)
+        await self._wait_for_responses([self.caller_server, self.forwarding_server])
+
+    async def _wait_for_responses(self, servers: Sequence[HttpServer]) -> None:
+        """Wait until all requests at some servers have their responses."""
         end_s = boot_s() + END_TIMEOUT_S
-        while boot_s() < end_s and self._is_busy:
+        while boot_s() < end_s and any(server.is_busy for server in servers):
             await asyncio.sleep(END_POLL_S)
 
     async def _wait_for_successor(self, end_s: float) -> None:
--- a/tests/gateway/callers/stopping/steps/stopping_steps.py
+++ b/tests/gateway/callers/stopping/steps/stopping_steps.py
@@ -167,3 +167,21 @@
         await stop_beside(fleet, tries)
 
     run(context, play())
+
+
+@when("a gateway is told to stop while it stores a configuration")
+def stopped_while_storing(context):
+    fleet = context.fleet
+
+    async def play():
+        order = asyncio.create_task(fleet.order_late(STOPPED))
+        await asyncio.sleep(0.2)
+        await fleet.stop_gateway(STOPPED)
+        context.response = await order
+
+    run(context, play())
+
+
+@then("the operator is told to ask another gateway")
+def told_to_ask_another(context):
+    assert context.response.status == 503, context.response
--- a/tests/gateway/callers/stopping/stopping.feature
+++ b/tests/gateway/callers/stopping/stopping.feature
@@ -56,3 +56,10 @@
       | rest         | served |
       | within 3.5 s | 24     |
       | never        | 0      |
+
+  # Guards against an operator's call that a stopping gateway has read and never answers.
+  Scenario: A configuration is being stored when its gateway ends
+    Given 4 gateways and 2 engines with 12 slots, whose requests take 0.3 s
+    When a gateway is told to stop while it stores a configuration
+    Then it ends within its grace period
+    And the operator is told to ask another gateway
--- a/tests/support/stopping_fleet.py
+++ b/tests/support/stopping_fleet.py
@@ -129,6 +129,27 @@
         tried = FirstTry(host, kind, sent_s, took_s, attempt, response, 0)
         self.tries.append(tried)
 
+    async def order_late(self, host: str) -> CallerResponse:
+        """Send a configuration that is not stored before a stopping gateway ends."""
+        gateway = self.cluster.gateways[host]
+
+        async def put(document: bytes) -> object:
+            del document
+            return await asyncio.get_running_loop().create_future()
+
+        gateway.configurations.put = put
+        ip, _, port = gateway.settings.control_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(
+            b"PUT /v1/config HTTP/1.1\r\nHost: g\r\nContent-Length: 2\r\n\r\n{}"
+        )
+        try:
+            return await read_response(reader)
+        except (ConnectionError, KeyError):
+            return CallerResponse(0, {}, b"", False)
+        finally:
+            writer.close()
+
     def unanswered(self) -> list[tuple[str, CallerResponse]]:
         """Return the requests without a whole answer."""
         return [(t.attempt, t.response) for t in self.tries if not t.response.is_whole]
