Refuse streams that arrive too late to end before a planned stop

Of a stream that may be resumed elsewhere, a stopping gateway only checked that its first event would come in time. One that arrives on an open connection after the listener has closed, 3 s after the signal, was sent on, and cut at the end of the grace period although its caller could have been told to ask another gateway. It is now held to its whole length, as other requests are; those that arrive earlier are begun as before.

The times of a stop are one value, Shutdown, in place of stop_s.

--- a/src/tanagerturn/gateway/backends/detours.py
+++ b/src/tanagerturn/gateway/backends/detours.py
@@ -144,9 +144,9 @@
 
     def _time_left_s(self, run: RequestRun, now_s: float) -> float:
         """Return the time in seconds within which the peer's response is of use."""
-        stop_s = self.state.stop_s
+        shutdown = self.state.shutdown
         left_s = run.time_left_s(now_s)
-        return left_s if stop_s is None else min(left_s, stop_s - now_s)
+        return left_s if shutdown is None else min(left_s, shutdown.end_s - now_s)
 
     def _on_not_run(
         self, run: RequestRun, peer: PeerGateway, reason: str
--- a/src/tanagerturn/gateway/callers/stopping.py
+++ b/src/tanagerturn/gateway/callers/stopping.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.gateway.request_run import Refusal
@@ -15,32 +16,44 @@
 balancer may still choose this gateway, whose listener closes after some seconds."""
 
 
+@dataclass(frozen=True)
+class Shutdown:
+    """Boot-clock times in seconds of a planned stop of the process."""
+
+    listens_until_s: float
+    """Time until which the listener for callers is open, since the load balancer may
+    still choose this gateway."""
+    end_s: float
+    """Time by which the last response has to be complete."""
+
+
 def reject_if_unfinishable(
-    run: RequestRun, times: ServiceTimes, stop_s: float | None, now_s: float
+    run: RequestRun, times: ServiceTimes, shutdown: Shutdown | None, now_s: float
 ) -> None:
     """Refuse to send a request on whose response would not be complete in time.
 
-    Of a stream that may be resumed elsewhere, only the first event has to come in time.
+    Of a stream that may be resumed elsewhere, only the first event has to come in time;
+    but one that arrives on an open connection after the listener has closed could have
+    been sent elsewhere, so it must not be cut.
 
     Args:
         run: The request, which has no attempt in progress.
         times: How long requests lately took.
-        stop_s: Boot-clock time in seconds by which the last response has to be
-            complete; None if the process was not told to stop.
+        shutdown: Times of the planned stop; None if the process was not told to stop.
         now_s: Current boot-clock time in seconds.
 
     Raises:
         Refusal: The response would most probably come too late.
     """
-    if stop_s is None:
+    if shutdown is None:
         return
-    if run.is_resumable:
+    if run.is_resumable and run.exchange.arrived_s <= shutdown.listens_until_s:
         longest_s: float | None = run.route.latency_objective_s
     else:
         longest_s = times.longest_s(run.route.name, now_s)
     time_left_s = run.time_left_s(now_s)
     needed_s = time_left_s if longest_s is None else min(longest_s, time_left_s)
-    if now_s + needed_s > stop_s:
+    if now_s + needed_s > shutdown.end_s:
         raise refusal_of_stopping(run)
 
 
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -14,7 +14,7 @@
 from tanagerturn.gateway.backends import indirect_checks
 from tanagerturn.gateway.backends.brittle import encode_brittle
 from tanagerturn.gateway.backends.departures import DepartureTracker
-from tanagerturn.gateway.callers.stopping import STOPPING_RETRY_S
+from tanagerturn.gateway.callers.stopping import STOPPING_RETRY_S, Shutdown
 from tanagerturn.gateway.configuration import IngressLimits
 from tanagerturn.gateway.configuration_distributor import ConfigurationDistributor
 from tanagerturn.gateway.control import Control
@@ -206,11 +206,12 @@
         await self.forwarding_server.listen(settings.forwarding_address)
         await self.control_server.listen(settings.control_address)
         await self.readiness_server.listen(settings.readiness_address)
+        # Before callers are accepted: a signal must not end the process with a request.
+        self.loop.add_signal_handler(signal.SIGTERM, self.on_terminate)
+        self.loop.add_signal_handler(signal.SIGHUP, self.on_reload)
         await self.caller_server.listen(settings.callers_address)
         if settings.metrics_address:
             await self.metrics_server.listen(settings.metrics_address)
-        self.loop.add_signal_handler(signal.SIGTERM, self.on_terminate)
-        self.loop.add_signal_handler(signal.SIGHUP, self.on_reload)
         log.info("started", host=settings.host, zone=settings.zone)
         tasks = [
             self.loop.create_task(self._run_every(TICK_S, self._tick)),
@@ -249,7 +250,11 @@
         if self.state.is_draining:
             return
         self.state.is_draining = True
-        self.state.stop_s = boot_s() + self.settings.grace_s - DRAIN_MARGIN_S
+        now_s = boot_s()
+        self.state.shutdown = Shutdown(
+            listens_until_s=now_s + MIN_DRAIN_S,
+            end_s=now_s + self.settings.grace_s - DRAIN_MARGIN_S,
+        )
         log.info("stopping", running=self.caller_server.running_count)
         self.caller_server.drain()
         # Waiting requests that can't be served in time are refused at once.
@@ -524,10 +529,9 @@
 
     async def _drain(self) -> None:
         """Wait until the running requests have ended, then let the process exit."""
-        drain_started_s = boot_s()
-        assert self.state.stop_s is not None
-        end_s = self.state.stop_s
-        while boot_s() - drain_started_s < MIN_DRAIN_S:
+        assert self.state.shutdown is not None
+        end_s = self.state.shutdown.end_s
+        while boot_s() < self.state.shutdown.listens_until_s:
             await asyncio.sleep(TICK_S)
         # A request accepted later might not finish before the SIGKILL.
         self.caller_server.close()
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -288,7 +288,7 @@
                 )
             self.intake.reject_quarantined(run, now_s)
             reject_if_unfinishable(
-                run, self.state.service_times, self.state.stop_s, now_s
+                run, self.state.service_times, self.state.shutdown, now_s
             )
             choice = self._best_choice(run, now_s)
             if choice is None and self.state.lacks_path(run.service, now_s):
--- a/src/tanagerturn/gateway/state.py
+++ b/src/tanagerturn/gateway/state.py
@@ -34,6 +34,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from tanagerturn.gateway.callers.stopping import Shutdown
     from tanagerturn.gateway.dialect import Dialect
     from tanagerturn.gateway.request_run import RequestRun
     from tanagerturn.gateway.settings import GatewaySettings
@@ -113,9 +114,8 @@
     """Number of changes of the fleet when software versions were noted last."""
     is_draining: bool = False
     """The process is shutting down after a signal."""
-    stop_s: float | None = None
-    """Boot-clock time in seconds by which the last response has to be complete; None
-    unless the process is shutting down."""
+    shutdown: Shutdown | None = None
+    """Times of the planned stop; None unless the process is shutting down."""
     is_stopping_now: bool = False
     """That time has come: the remaining requests are answered at once."""
     service_times: ServiceTimes = field(default_factory=ServiceTimes)
--- a/tests/gateway/callers/stopping/steps/stopping_steps.py
+++ b/tests/gateway/callers/stopping/steps/stopping_steps.py
@@ -4,12 +4,17 @@
 
 import asyncio
 import math
+from types import SimpleNamespace
 
 from behave import given, then, when
 
 from support.gateway_world import KEY
 from support.partition import Cut
 from support.stopping_fleet import GRACE_S, TIMEOUT_MS, StoppingFleet
+from tanagerturn.gateway.callers.service_times import ServiceTimes
+from tanagerturn.gateway.callers.stopping import Shutdown, reject_if_unfinishable
+from tanagerturn.gateway.gateway import MIN_DRAIN_S
+from tanagerturn.gateway.request_run import Refusal
 
 KINDS = ("look", "buy")
 STOPPED = "g4"
@@ -185,3 +190,33 @@
 @then("the operator is told to ask another gateway")
 def told_to_ask_another(context):
     assert context.response.status == 503, context.response
+
+
+@when(
+    "a resumable stream is read {after_s:g} s after the signal, {left_s:g} s before"
+    " the end"
+)
+def stream_read(context, after_s, left_s):
+    longest_s = float(context.active_outline["longest_s"])
+    now_s, times = 1000.0, ServiceTimes()
+    times.on_answered("notes", longest_s / 1.5, now_s)
+    run = SimpleNamespace(
+        is_resumable=True,
+        is_in_flight=False,
+        may_have_run=False,
+        route=SimpleNamespace(name="notes", latency_objective_s=1.0),
+        exchange=SimpleNamespace(arrived_s=now_s),
+        time_left_s=lambda now_s: 15.0,
+    )
+    stop = Shutdown(now_s - after_s + MIN_DRAIN_S, now_s + left_s)
+    try:
+        reject_if_unfinishable(run, times, stop, now_s)
+        context.decision = "passed on"
+    except Refusal as refusal:
+        assert refusal.status == 503
+        context.decision = "refused"
+
+
+@then("it is {decision}")
+def decided(context, decision):
+    assert context.decision == decision, context.decision
--- a/tests/gateway/callers/stopping/stopping.feature
+++ b/tests/gateway/callers/stopping/stopping.feature
@@ -63,3 +63,14 @@
     When a gateway is told to stop while it stores a configuration
     Then it ends within its grace period
     And the operator is told to ask another gateway
+
+  # Guards against streams that the end of the grace period cuts, and that nothing excuses.
+  Scenario Outline: A stream of <longest_s> s that a stopping gateway reads <after_s> s after its signal
+    When a resumable stream is read <after_s> s after the signal, <left_s> s before the end
+    Then it is <decision>
+
+    Examples:
+      | longest_s | after_s | left_s | decision  |
+      | 10        | 1       | 6.6    | passed on |
+      | 10        | 3.5     | 4.1    | refused   |
+      | 2         | 3.5     | 4.1    | passed on |
