Read load reports with more than three fields as far as they are known

Engines may report a fourth figure, the momentary time of their work in percent; the reader dropped every report that did not have exactly three. The fourth figure is decoded, later fields are skipped and counted in tanager_gateway_unknown_load_fields, and an invalid fourth figure counts as none. Superscript digits and figures of thousands of digits raised while they were converted; such reports are dropped.

--- a/src/tanagerturn/gateway/backends/statements.py
+++ b/src/tanagerturn/gateway/backends/statements.py
@@ -44,6 +44,8 @@
     )
     state.backend_limits.on_response(backend, reply.limit_per_s, sent_s, now_s)
     if reply.load is not None:
+        if reply.load.unknown_fields:
+            state.metrics.unknown_load_fields.inc()
         state.fleet.on_load_hint(backend, reply.load)
 
 
--- a/src/tanagerturn/gateway/messages.py
+++ b/src/tanagerturn/gateway/messages.py
@@ -130,6 +130,11 @@
     """Number of requests that the backend server queues."""
     slots: int
     """Number of requests that the backend server can run concurrently."""
+    time_percent: int | None = None
+    """Time that work takes at this moment, in percent of the usual time of the backend
+    server; None if it states none."""
+    unknown_fields: int = 0
+    """Number of further fields of the report, whose meaning is unknown."""
 
 
 @dataclass(frozen=True)
--- a/src/tanagerturn/gateway/metrics.py
+++ b/src/tanagerturn/gateway/metrics.py
@@ -69,6 +69,8 @@
     """Requests that were checked against limits of backend servers here, by charge."""
     quarantine_rejections: Counter
     """Requests that were rejected because of a quarantine, by service."""
+    unknown_load_fields: Counter
+    """Load reports of backend servers with more fields than are known."""
 
     def update(
         self,
@@ -177,6 +179,11 @@
             ("service",),
             registry=registry,
         ),
+        unknown_load_fields=Counter(
+            "tanager_gateway_unknown_load_fields",
+            "Load reports of backend servers with more fields than are known.",
+            registry=registry,
+        ),
         first_event_s=histogram(
             "tanager_gateway_first_event_seconds", "Time to the first event of streams."
         ),
--- a/src/tanagerturn/platform/requests.py
+++ b/src/tanagerturn/platform/requests.py
@@ -56,6 +56,15 @@
 MIN_RETRY_AFTER_S: Final = 0.01
 """Smallest value of the header `Retry-After`, in seconds."""
 
+KNOWN_LOAD_FIELDS: Final = 4
+"""Number of fields of the header `X-Instance-Load` whose meaning is known."""
+
+MAX_TIME_PERCENT: Final = 10_000
+"""Largest percentage of the usual time that is taken from a load report."""
+
+MAX_COUNT_DIGITS: Final = 18
+"""Maximum number of digits of a figure in a load report."""
+
 
 def decode_request(
     method: str, target: str, headers: RawHeaders
@@ -278,11 +287,27 @@
 
 
 def _decode_load(value: str) -> LoadHint | None:
-    numbers = value.split(",")
-    if len(numbers) != 3 or not all(n.strip().isdigit() for n in numbers):
+    """Decode `RUNNING,WAITING,SLOTS`, which `PERCENT` and unknown fields may follow.
+
+    Returns:
+        The report; None if one of the first three fields is not a number. An invalid
+        percentage counts as none.
+    """
+    fields = [field.strip() for field in value.split(",")]
+    if len(fields) < 3 or not all(_is_count(field) for field in fields[:3]):
         return None
-    running, waiting, slots = (int(number) for number in numbers)
-    return LoadHint(running, waiting, slots)
+    running, waiting, slots = (int(field) for field in fields[:3])
+    time_percent = None
+    if len(fields) > 3 and _is_count(fields[3]):
+        percent = int(fields[3])
+        time_percent = percent if 0 < percent <= MAX_TIME_PERCENT else None
+    unknown_fields = max(0, len(fields) - KNOWN_LOAD_FIELDS)
+    return LoadHint(running, waiting, slots, time_percent, unknown_fields)
+
+
+def _is_count(field: str) -> bool:
+    # isdigit accepts superscripts, and int refuses numbers of thousands of digits.
+    return field.isascii() and field.isdigit() and len(field) <= MAX_COUNT_DIGITS
 
 
 def _decode_limit(value: str) -> float | None:
--- a/tests/platform/platform.feature
+++ b/tests/platform/platform.feature
@@ -135,3 +135,38 @@
 
   Scenario: No foreign entry hides what an engine says of itself
     Then with any fields missing, retyped or foreign, an engine can still state its departure
+
+  # Guards against load reports that are lost because another release adds a field.
+  Scenario Outline: A load report "<report>" is read as far as it is known
+    Then the load report "<report>" has the figures "<figures>", time "<percent>" and <unknown> unknown fields
+
+    Examples:
+      | report              | figures  | percent | unknown |
+      | 3,1,64              | 3,1,64   |         | 0       |
+      | 3,1,64,250          | 3,1,64   | 250     | 0       |
+      | 3, 1, 64, 40        | 3,1,64   | 40      | 0       |
+      | 3,1,64,100,7        | 3,1,64   | 100     | 1       |
+      | 3,1,64,100,x,-9     | 3,1,64   | 100     | 2       |
+      | 3,1,64,0            | 3,1,64   |         | 0       |
+      | 3,1,64,-250         | 3,1,64   |         | 0       |
+      | 3,1,64,1e3          | 3,1,64   |         | 0       |
+      | 3,1,64,             | 3,1,64   |         | 0       |
+      | 3,1,64,99999999999  | 3,1,64   |         | 0       |
+
+  # Guards against a malformed report that sets the load of a backend server.
+  Scenario Outline: A load report "<report>" is dropped
+    Then the load report "<report>" is dropped
+
+    Examples:
+      | report         |
+      |                |
+      | 3,1            |
+      | -3,1,64        |
+      | 3,1,x          |
+      | 3,1,64²        |
+      | 3,1,64²,100    |
+      | 3,1,6.4,100    |
+
+  # Guards against a figure of thousands of digits that raises while it is converted.
+  Scenario: A load report with a figure of 5000 digits is dropped
+    Then a load report with a figure of 5000 digits is dropped
--- a/tests/platform/steps/platform_steps.py
+++ b/tests/platform/steps/platform_steps.py
@@ -462,3 +462,35 @@
         assert fleet.view.backends["i-1"].leaving
 
     check()
+
+
+def load_of(report):
+    headers = [(b"X-Instance-Load", report.encode("latin-1"))]
+    return requests.decode_reply(200, headers).load
+
+
+@then(
+    'the load report "{report}" has the figures "{figures}", time "{percent}" and '
+    "{unknown:d} unknown fields"
+)
+@then(
+    'the load report "{report}" has the figures "{figures}", time "" and '
+    "{unknown:d} unknown fields"
+)
+def load_report_read(context, report, figures, unknown, percent=None):
+    load = load_of(report)
+    assert load is not None
+    assert f"{load.running},{load.waiting},{load.slots}" == figures, load
+    assert load.time_percent == (int(percent) if percent else None), load
+    assert load.unknown_fields == unknown, load
+
+
+@then('the load report "" is dropped')
+@then('the load report "{report}" is dropped')
+def load_report_dropped(context, report=""):
+    assert load_of(report) is None, load_of(report)
+
+
+@then("a load report with a figure of {count:d} digits is dropped")
+def long_load_report_dropped(context, count):
+    assert load_of("1,0," + "9" * count) is None
