Choose among backend servers of different speed by expected completion

Engines of one service differ lastingly in speed and report how long their work takes at the moment; both were ignored. A lasting factor per start of a backend server is learned from first events, intervals of streams and whole responses, relative to the service's other backend servers and with the reported momentary factor divided out. A report's weight falls with its age as successive reports of the service relate. The choice estimates the completion at 12 random candidates and those that hold the prompt, and spreads requests by what other gateways are expected to send unseen.

--- a/src/tanagerturn/gateway/backends/placement.py
+++ b/src/tanagerturn/gateway/backends/placement.py
@@ -5,10 +5,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from tanagerturn.gateway.backends.speed_placement import choose_by_speed
 from tanagerturn.serving.routing.prompt_parts import CandidateEngine, place_prompt
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
+    from random import Random
 
     from tanagerturn.gateway.fleet import Fleet
     from tanagerturn.gateway.messages import Prompt
@@ -41,6 +43,9 @@
     plain requests."""
     pace: float = 1.0
     """Ratio of observed to expected times to the first event at this engine."""
+    time_factor: float = 1.0
+    """Factor of the speed of this backend server, which the expected times include; 1
+    for services whose backend servers report no speed."""
 
 
 def choose(
@@ -50,6 +55,7 @@
     excluded: Collection[BackendId],
     zone: str,
     now_s: float,
+    random: Random | None = None,
 ) -> Choice | None:
     """Choose the backend server of a request.
 
@@ -60,6 +66,9 @@
         excluded: Ids of backend servers that must not get the request.
         zone: Availability zone of this gateway.
         now_s: Current boot-clock time in seconds.
+        random: Source of randomness, by which gateways with the same knowledge choose
+            differently; None to choose the best one. Only services whose backend
+            servers report their speed use it.
 
     Returns:
         The best backend server; None if none may get the request.
@@ -71,6 +80,12 @@
     if not with_room:
         return Choice(backends[0], is_full=True)
     backends = with_room
+    speeds = fleet.speeds.active(service)
+    if speeds is not None:
+        chosen = choose_by_speed(
+            fleet, speeds, service, backends, prompt, zone, random, now_s
+        )
+        return Choice(*chosen)
     if prompt is None:
         return _least_loaded(fleet, backends, zone, now_s)
     return _choose_engine(fleet, backends, prompt, zone, now_s)
--- a/src/tanagerturn/gateway/backends/sender.py
+++ b/src/tanagerturn/gateway/backends/sender.py
@@ -126,6 +126,7 @@
             run.request.prompt,
             now_s,
             run.expected_s / run.pace,
+            run.time_factor,
         )
         log.info(
             "sent",
@@ -136,6 +137,7 @@
             after_event=run.progress.last_id,
             expected_s=round(run.expected_s, 4),
             pace=round(run.pace, 2),
+            time_factor=round(run.time_factor, 3),
             running=work.running,
             prompt_tokens=work.prompt_tokens,
             heard_ago_s=round(now_s - backend.last_heard_ms / 1000, 3),
@@ -325,6 +327,7 @@
             )
         if reply.status < 300:
             self._on_ran_well(run, boot_s())
+            state.fleet.on_whole_response(backend, request.attempt_id, boot_s())
         run.passed_on_s = boot_s() - exchange.connection.tcp.read_since_s
         await run.exchange.respond(reply.status, head.headers, body)
         log_end(state, run, "answered")
@@ -379,6 +382,14 @@
         await run.exchange.finish()
         self._on_ran_well(run, boot_s())
         self.state.fleet.on_success(backend.id, boot_s())
+        if run.writing_since_s and run.sent_count == 1:
+            self.state.fleet.on_stream_ended(
+                backend,
+                run.request.attempt_id,
+                run.last_event_s - run.writing_since_s,
+                run.progress.event_count,
+                boot_s(),
+            )
         log_end(self.state, run, "answered")
 
     def _on_first_data(self, run: RequestRun, backend: Backend) -> None:
--- /dev/null
+++ b/src/tanagerturn/gateway/backends/speed_placement.py
@@ -0,0 +1,239 @@
+"""Chooses the backend server of a request to a service with reported speeds; no I/O."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+from tanagerturn.gateway.backends.state import part_hash
+from tanagerturn.serving.routing.completion import PromptNeed, choose_engine
+from tanagerturn.serving.routing.spread import (
+    plain_load,
+    spread_choice,
+    unknown_share,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Sequence
+    from random import Random
+
+    from tanagerturn.gateway.backends.state import BackendState
+    from tanagerturn.gateway.fleet import Fleet
+    from tanagerturn.gateway.messages import Prompt
+    from tanagerturn.serving.backends.backend import Backend
+    from tanagerturn.serving.routing.speed import ServiceSpeeds
+
+SAMPLE_SIZE: Final = 12
+"""Number of candidates whose completion is estimated, beside those that hold a part of
+the prompt; estimates for all of 117 engines would take more than 300 us."""
+
+MAX_HOLDERS: Final = 2
+"""Number of candidates that are added because they hold most of the prompt."""
+
+HASH_FACTOR: Final = 0x9E3779B97F4A7C15
+"""Odd number whose products spread the hashes of an engine and a prompt part."""
+
+HASH_MASK: Final = (1 << 64) - 1
+
+CROSS_ZONE_LOAD: Final = 0.1
+"""Load, as a multiple of the time at an idle backend server, that is added to those in
+another availability zone than the gateway's."""
+
+MAX_REQUESTS_PER_SLOT: Final = 1.5
+"""Requests per slot from which a backend server of a plain service counts as full."""
+
+
+class Chosen(NamedTuple):
+    """Chosen backend server, with the fields of `Choice`."""
+
+    backend: Backend
+    is_full: bool
+    first_event_s: float
+    prompt_read_s: float
+    pace: float
+    time_factor: float
+
+
+class Candidate(NamedTuple):
+    """Known state of one candidate."""
+
+    backend: Backend
+    state: BackendState
+    time_factor: float
+    known_running: int
+    """Known number of requests of all gateways."""
+    running: float
+    """Expected number of them that are still in flight."""
+    own_tokens: int
+    """Unread prompt tokens of this gateway's requests."""
+    others_tokens: float
+    """Expected unread prompt tokens of the requests of other gateways."""
+    kv_tokens: int
+    """Tokens in use in the KV cache by the known requests."""
+
+
+def choose_by_speed(
+    fleet: Fleet,
+    speeds: ServiceSpeeds,
+    service: str,
+    backends: Sequence[Backend],
+    prompt: Prompt | None,
+    zone: str,
+    random: Random | None,
+    now_s: float,
+) -> Chosen:
+    """Choose the backend server with the earliest expected completion.
+
+    Args:
+        fleet: State of the backend servers.
+        speeds: What the backend servers of the service have in common.
+        service: Service of the request.
+        backends: Candidates, at least one.
+        prompt: Prompt of a generation; None for plain requests.
+        zone: Availability zone of this gateway.
+        random: Source of randomness; None to choose the best of all.
+        now_s: Current boot-clock time in seconds.
+    """
+    parts = [part_hash(part.id) for part in prompt.parts] if prompt else []
+    holders, preferred = _affine(fleet, backends, prompt, parts)
+    sampled: Sequence[Backend] = backends
+    if random is not None and len(backends) > SAMPLE_SIZE:
+        sampled = random.sample(backends, SAMPLE_SIZE)
+        sampled += [b for b in holders if b not in sampled]
+    # A digest is known until the next one, so half of the interval on average.
+    late_s = fleet.digest_interval_s / 2
+    present, sent_share = unknown_share(late_s, speeds.in_flight_s)
+    pool = fleet.view.pool(service)
+    rows, others = _candidates(fleet, speeds, pool, sampled, present, now_s)
+    unknown_count = 0.0 if random is None else sent_share * others
+    draw = 0.0 if random is None else random.random()
+    if prompt is None:
+        return _choose_plain(rows, zone, unknown_count, draw)
+    free = [row for row in rows if row.known_running < row.backend.slots]
+    if not free and len(sampled) < len(backends):
+        rows, others = _candidates(fleet, speeds, pool, backends, present, now_s)
+        free = [row for row in rows if row.known_running < row.backend.slots]
+    rows = free or rows
+    capacity = fleet.kv_capacity_of(rows[0].backend)
+    output = prompt.expected_output_tokens or prompt.max_output_tokens
+    engine_rows = [
+        (
+            row.running,
+            row.own_tokens + row.others_tokens,
+            row.kv_tokens,
+            capacity,
+            row.state.cached_tokens(prompt.parts, parts)
+            if row.backend in holders
+            else 0,
+            row.state.pace.time_factor(now_s) if row.state.pace.excess else 1.0,
+            row.time_factor,
+            row.backend.slots,
+            row.backend.zone != zone,
+            row.backend is preferred,
+        )
+        for row in rows
+    ]
+    warmups_ms = [row.backend.announcement.warmup_left_ms for row in rows]
+    need = PromptNeed(
+        prompt.prompt_tokens, output, len(parts) > 1, speeds.event_s * 1000
+    )
+    chosen = choose_engine(engine_rows, warmups_ms, need, unknown_count, draw)
+    row, engine_row = rows[chosen.row], engine_rows[chosen.row]
+    kv_tokens = engine_row[2] + prompt.prompt_tokens + output
+    lacks_kv_capacity = row.known_running > 0 and kv_tokens > capacity
+    return Chosen(
+        row.backend,
+        row.known_running >= row.backend.slots or lacks_kv_capacity,
+        chosen.first_event_ms / 1000,
+        chosen.prefill_ms / 1000,
+        engine_row[5],
+        row.time_factor,
+    )
+
+
+def _affine(
+    fleet: Fleet, backends: Sequence[Backend], prompt: Prompt | None, parts: list[int]
+) -> tuple[Collection[Backend], Backend | None]:
+    """Return the engines that hold a prompt's first part, and the preferred one.
+
+    Gateways agree on an engine for a shared part that none holds, so that it is
+    computed once.
+    """
+    if prompt is None or not parts:
+        return (), None
+    states, first = fleet.states, parts[0]
+    ids = [i for i, state in states.items() if first in state.cached_parts]
+    holders = [b for b in backends if b.id in ids] if ids else []
+    if len(holders) > MAX_HOLDERS:
+        holders.sort(key=lambda b: -states[b.id].cached_tokens(prompt.parts, parts))
+        del holders[MAX_HOLDERS:]
+    if holders or len(parts) < 2:
+        return holders, None
+    speeds, shared = fleet.speeds.by_backend, parts[-2]
+    preferred, best = None, -1
+    for backend in backends:
+        speed = speeds.get(backend.id)
+        if speed is None:
+            continue
+        number = ((speed.key ^ shared) * HASH_FACTOR) & HASH_MASK
+        if number > best:
+            preferred, best = backend, number
+    return [preferred] if preferred is not None else [], preferred
+
+
+def _candidates(
+    fleet: Fleet,
+    speeds: ServiceSpeeds,
+    pool: Sequence[Backend],
+    backends: Sequence[Backend],
+    present: float,
+    now_s: float,
+) -> tuple[list[Candidate], float]:
+    """Return the candidates, and the number of requests of others at all of the pool.
+
+    Args:
+        fleet: State of the backend servers.
+        speeds: What the backend servers of the service have in common.
+        pool: All backend servers of the service.
+        backends: Candidates.
+        present: Share of the known requests of others that are still in flight.
+        now_s: Current boot-clock time in seconds.
+    """
+    factors = fleet.speeds.time_factors(speeds, pool, backends, now_s)
+    rows, others_sum, states = [], 0, fleet.states
+    for backend, factor in zip(backends, factors, strict=True):
+        state = states.get(backend.id) or fleet.state(backend.id)
+        own = state.own_work or state.local_work()
+        others = (
+            state.peer_total
+            if now_s < state.peer_expiry_s
+            else state.others_work(now_s)
+        )
+        others_sum += others.running
+        rows.append(
+            Candidate(
+                backend,
+                state,
+                factor,
+                own.running + others.running,
+                own.running + present * others.running,
+                own.prompt_tokens,
+                present * others.prompt_tokens,
+                own.kv_tokens + others.kv_tokens,
+            )
+        )
+    return rows, others_sum
+
+
+def _choose_plain(
+    rows: Sequence[Candidate], zone: str, unknown_count: float, draw: float
+) -> Chosen:
+    costs, added = [], []
+    for row in rows:
+        load = plain_load(row.running, row.backend.slots)
+        if row.backend.zone != zone:
+            load += CROSS_ZONE_LOAD
+        costs.append(row.time_factor * load)
+        added.append(row.time_factor / max(1, row.backend.slots))
+    row = rows[spread_choice(costs, added, unknown_count, draw)]
+    is_full = row.known_running >= MAX_REQUESTS_PER_SLOT * row.backend.slots
+    return Chosen(row.backend, is_full, 0.0, 0.0, 1.0, row.time_factor)
--- a/src/tanagerturn/gateway/backends/statements.py
+++ b/src/tanagerturn/gateway/backends/statements.py
@@ -46,7 +46,7 @@
     if reply.load is not None:
         if reply.load.unknown_fields:
             state.metrics.unknown_load_fields.inc()
-        state.fleet.on_load_hint(backend, reply.load)
+        state.fleet.on_load_hint(backend, reply.load, now_s)
 
 
 def read_call_statements(
--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -12,7 +12,9 @@
 import xxhash
 
 from tanagerturn.clocks import to_ms
+from tanagerturn.gateway.backends.speeds import Speeds
 from tanagerturn.gateway.backends.state import (
+    PEER_WORK_MAX_AGE_S,
     BackendState,
     InFlightRequest,
     Work,
@@ -24,6 +26,7 @@
 from tanagerturn.serving.backends.paths import Paths
 from tanagerturn.serving.backends.view import make_backend_view
 from tanagerturn.serving.limits.brittle import BrittleServices
+from tanagerturn.serving.routing.spread import plain_load
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -50,6 +53,9 @@
 EXPIRY_INTERVAL_S: Final = 0.5
 """Interval in seconds at which silent backend servers are looked for."""
 
+INITIAL_DIGEST_INTERVAL_S: Final = 0.35
+"""Time in seconds between two digests of a peer gateway that is assumed at first."""
+
 SENT_PART_DIGESTS: Final = 2
 """Number of digests that report each sent prompt part; a datagram may get lost."""
 
@@ -74,6 +80,8 @@
         """Last announcement and ejections of each backend server."""
         self.states: dict[BackendId, BackendState] = {}
         """Requests in flight, cached prompt parts and failures by backend server id."""
+        self.blocked_ids: set[BackendId] = set()
+        """Backend servers that were unreachable since their last success."""
         self.brittle = BrittleServices(host)
         """Services whose backend servers fail when they reject many requests."""
         self.paths = Paths()
@@ -86,6 +94,12 @@
         self.worked_at: dict[str, frozenset[BackendId]] = {}
         """Backend servers in the latest digest of each peer gateway; most peers report
         a few only."""
+        self.peers_heard_s: dict[str, float] = {}
+        """Boot-clock time of the latest digest of each peer gateway in seconds."""
+        self.digest_interval_s = INITIAL_DIGEST_INTERVAL_S
+        """Moving average of the time between two digests of a peer in seconds."""
+        self.speeds = Speeds()
+        """Speeds of the backend servers that report them."""
         self.next_expiry_s = 0.0
         """Boot-clock time in seconds at which silent backend servers are looked for."""
         self.entry_hashes: dict[BackendId, tuple[tuple[int, str, bool], int]] = {}
@@ -243,11 +257,16 @@
                 reported[backend_id] = each
         for backend_id in previous - reported.keys():
             if backend_id in self.states:
-                self.states[backend_id].peer_work.pop(gateway, None)
+                self.states[backend_id].set_peer_work(gateway, None, now_s)
         for backend_id, each in reported.items():
-            if backend_id in self.states:
-                self.states[backend_id].peer_work[gateway] = (each, now_s)
+            if backend_id in self.view.backends:
+                self.state(backend_id).set_peer_work(gateway, each, now_s)
         self.worked_at[gateway] = frozenset(reported)
+        heard_s = self.peers_heard_s.get(gateway)
+        self.peers_heard_s[gateway] = now_s
+        if heard_s is not None:
+            interval_s = min(PEER_WORK_MAX_AGE_S, now_s - heard_s)
+            self.digest_interval_s += 0.02 * (interval_s - self.digest_interval_s)
 
     def on_forwarded(
         self,
@@ -256,6 +275,7 @@
         prompt: Prompt | None,
         now_s: float,
         expected_s: float = 0.0,
+        time_factor: float = 1.0,
     ) -> None:
         """Record a request that is about to be forwarded as in flight.
 
@@ -266,18 +286,30 @@
             now_s: Current boot-clock time in seconds.
             expected_s: Expected time to the first event in seconds, at pace 1; 0 if
                 unknown.
+            time_factor: Factor of the backend server's speed, which `expected_s`
+                contains.
         """
         state = self.state(backend.id)
+        base_s, momentary = 0.0, 0.0
+        speeds = self.speeds.active(service_of(backend))
+        if speeds is not None:
+            momentary = self.speeds.of(backend).momentary(speeds.decay, now_s)
+            base_s = expected_s / time_factor
         if prompt is None:
-            state.in_flight[attempt] = InFlightRequest(now_s, 0, 0)
+            if speeds is not None:
+                running = state.total_work(now_s).running
+                base_s = plain_load(running, backend.slots)
+            request = InFlightRequest(now_s, 0, 0, base_s=base_s, momentary=momentary)
+            state.add_request(attempt, request)
             return
         cached = state.cached_tokens(prompt.parts)
         tokens_to_read = max(0, prompt.prompt_tokens - cached)
         output = prompt.expected_output_tokens or prompt.max_output_tokens
         kv_tokens = prompt.prompt_tokens + output
-        state.in_flight[attempt] = InFlightRequest(
-            now_s, tokens_to_read, kv_tokens, expected_s
+        request = InFlightRequest(
+            now_s, tokens_to_read, kv_tokens, expected_s, base_s, momentary
         )
+        state.add_request(attempt, request)
         capacity = int(PROMPT_PART_CACHE_FRACTION * self.kv_capacity_of(backend))
         last = len(prompt.parts) - 1
         for index, part in enumerate(prompt.parts):
@@ -315,22 +347,54 @@
     def on_first_event(self, backend_id: BackendId, attempt: str, now_s: float) -> None:
         """Record the first event of a local request: its prompt has been read."""
         state = self.state(backend_id)
-        request = state.in_flight.get(attempt)
+        request = state.on_first_event(attempt)
         if request is not None:
-            request.first_event_received = True
             state.pace.on_first_event(
                 now_s - request.sent_at_s, request.expected_s, now_s
             )
+            backend = self.view.backends.get(backend_id)
+            if backend is not None and not backend.announcement.warmup_left_ms:
+                self.speeds.on_first_event(backend, service_of(backend), request, now_s)
+
+    def on_stream_ended(
+        self,
+        backend: Backend,
+        attempt: str,
+        event_s: float,
+        event_count: int,
+        now_s: float,
+    ) -> None:
+        """Record the end of the stream of a local request.
+
+        Args:
+            backend: Backend server that sent it.
+            attempt: Id of the caller's attempt.
+            event_s: Time from the first to the last event in seconds.
+            event_count: Number of events.
+            now_s: Current boot-clock time in seconds.
+        """
+        request = self.state(backend.id).in_flight.get(attempt)
+        if request is not None:
+            self.speeds.on_stream_ended(
+                backend, service_of(backend), request, event_s, event_count, now_s
+            )
+
+    def on_whole_response(self, backend: Backend, attempt: str, now_s: float) -> None:
+        """Record a complete response to a plain request."""
+        request = self.state(backend.id).in_flight.get(attempt)
+        if request is not None:
+            self.speeds.on_whole_response(backend, service_of(backend), request, now_s)
 
     def on_request_ended(self, backend_id: BackendId, attempt: str) -> None:
         """Remove a local request that is no longer in flight."""
-        self.state(backend_id).in_flight.pop(attempt, None)
+        self.state(backend_id).remove_request(attempt)
 
     def on_success(self, backend_id: BackendId, now_s: float) -> None:
         """Record a successful response; it resets the backoff and failure counts."""
         state = self.state(backend_id)
         state.consecutive_unreachable = 0
         state.blocked_until_s = 0.0
+        self.blocked_ids.discard(backend_id)
         state.last_success_s = now_s
         self.view.outliers.count_success(backend_id, now_s)
 
@@ -349,6 +413,7 @@
         state.consecutive_unreachable = min(state.consecutive_unreachable + 1, 8)
         state.doubted_since_s = now_s
         state.blocked_until_s = now_s + backoff_s
+        self.blocked_ids.add(backend_id)
 
     def on_path_opened(self, backend_id: BackendId, begun_s: float) -> None:
         """Record that a connection was opened; it ends the backoff of unreached ones.
@@ -361,6 +426,7 @@
             state = self.state(backend_id)
             state.consecutive_unreachable = 0
             state.blocked_until_s = 0.0
+            self.blocked_ids.discard(backend_id)
         self.paths.on_opened(backend_id, begun_s)
 
     def on_broken(self, backend: Backend, now_s: float) -> None:
@@ -388,9 +454,11 @@
             return set()
         return {b.id for b in pool if b.id not in trusted}
 
-    def on_load_hint(self, backend: Backend, hint: LoadHint) -> None:
+    def on_load_hint(self, backend: Backend, hint: LoadHint, now_s: float) -> None:
         """Record the load that a backend server reported in a response."""
         backend.record_load(hint.running, hint.waiting)
+        if hint.time_percent is not None:
+            self.speeds.on_report(backend, hint.time_percent, now_s)
 
     def expire(self, now_s: float) -> None:
         """Forget backend servers that were silent for more than `SILENT_MAX_AGE_S`."""
@@ -405,6 +473,8 @@
             if now_s - last_seen_s > SILENT_MAX_AGE_S:
                 self.view.forget(backend.id)
                 self.states.pop(backend.id, None)
+                self.speeds.forget(backend.id)
+                self.blocked_ids.discard(backend.id)
                 self.directly_heard_s.pop(backend.id, None)
                 self.id_by_hash.pop(backend_hash(backend.id), None)
                 self.entry_hashes.pop(backend.id, None)
@@ -429,17 +499,30 @@
             excluded: Ids of backend servers that must not get the request.
             now_s: Current boot-clock time in seconds.
         """
-        excluded_ids = frozenset(excluded)
+        excluded_ids, now_ms = frozenset(excluded), to_ms(now_s)
+        view, outliers = self.view, self.view.outliers
+        avoided = excluded_ids.union(
+            (i for i in self.blocked_ids if now_s < self.state(i).blocked_until_s),
+            (i for i in outliers.health if outliers.is_ejected(i, now_s)),
+        )
+        # Usually some are in best order, which one pass without calls finds.
+        best = [
+            b
+            for b in view.pool(service)
+            if now_ms < b.expires_ms and not b.leaving and b.id not in avoided
+        ]
+        if view.notices:
+            best = [b for b in best if not view.is_leaving(b)]
+        if best:
+            return best
         eligible = [
             b
             for b in self.view.pool(service)
             if b.id not in excluded_ids and not self.view.is_leaving(b)
         ]
-        alive = [b for b in eligible if b.is_alive(to_ms(now_s))] or eligible
+        alive = [b for b in eligible if b.is_alive(now_ms)] or eligible
         unblocked = [b for b in alive if now_s >= self.state(b.id).blocked_until_s]
-        healthy = [
-            b for b in unblocked if not self.view.outliers.is_ejected(b.id, now_s)
-        ]
+        healthy = [b for b in unblocked if not outliers.is_ejected(b.id, now_s)]
         return healthy or unblocked or alive
 
     def is_healthy(self, backend: Backend, now_s: float) -> bool:
--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -13,8 +13,10 @@
     "sent": (
         "A backend attempt starts, before its connection is opened; `running` and "
         "`prompt_tokens` are the known load of the backend server, and `configuration` "
-        "is the version in force. A stream goes on after `after_event`; `resumes` is "
-        "the attempt that began it, if the caller took it up."
+        "is the version in force. `time_factor` is the speed factor that "
+        "`expected_s` includes, 1 unless its service reports speeds. A stream goes on "
+        "after `after_event`; `resumes` is the attempt that began it, if the caller "
+        "took it up."
     ),
     "tried_again": (
         "A backend attempt failed; the request is retried at another backend server."
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -305,6 +305,7 @@
                 await self._wait_for_capacity(run, now_s)
             elif await self.state.backend_limits.acquire(choice.backend, self.links):
                 run.expected_s, run.pace = choice.first_event_s, choice.pace
+                run.time_factor = choice.time_factor
                 return choice.backend
 
     def _select_detour(self, run: RequestRun, now_s: float) -> Backend | PeerGateway:
@@ -359,6 +360,7 @@
             state.excluded_backends(run, now_s),
             state.settings.zone,
             now_s,
+            state.random,
         )
 
     def _reject_if_late(self, run: RequestRun, choice: Choice, now_s: float) -> None:
--- a/src/tanagerturn/gateway/request_run.py
+++ b/src/tanagerturn/gateway/request_run.py
@@ -153,6 +153,9 @@
     pace: float = 1.0
     """Ratio of observed to expected time to the first event at the backend server of
     the last attempt; `expected_s` includes it as a factor."""
+    time_factor: float = 1.0
+    """Factor of the speed of the backend server of the last attempt; `expected_s`
+    includes it as well."""
     first_event_s: float = 0.0
     """Time in seconds from the arrival of the request to the first forwarded event; 0
     before that event."""
--- /dev/null
+++ b/src/tanagerturn/serving/routing/spread.py
@@ -0,0 +1,89 @@
+"""Choice of one of several candidates whose load is known late; without I/O.
+
+Gateways that all know the same outdated load would all choose the candidate with the
+lowest cost. The requests that other gateways are expected to send before their effect
+is known are therefore poured onto the candidates like water into a vessel, the lowest
+cost first. A candidate is chosen with a probability in proportion to its part, after
+which the expected costs of all candidates that got a part are equal. Without such
+requests, the candidate with the lowest cost is chosen.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+CONTENTION: Final = 0.5
+"""Part by which a plain request takes longer if all other slots of its backend server
+are in use."""
+
+
+def spread_choice(
+    costs: Sequence[float], added: Sequence[float], unknown_count: float, draw: float
+) -> int:
+    """Return the index of the chosen candidate.
+
+    Args:
+        costs: Cost of each candidate, at least one.
+        added: Amount by which one more request raises the cost of each candidate.
+        unknown_count: Number of requests of others whose effect is not known yet.
+        draw: Random number, uniformly distributed from 0 up to but excluding 1.
+    """
+    order = sorted(range(len(costs)), key=costs.__getitem__)
+    best = order[0]
+    if unknown_count <= 0 or len(order) == 1:
+        return best
+    inverse_sum = 0.0
+    weighted_sum = 0.0
+    level = costs[best]
+    used = 0
+    for index in order:
+        cost = costs[index]
+        if used and cost >= level:
+            break
+        inverse = 1.0 / added[index]
+        inverse_sum += inverse
+        weighted_sum += cost * inverse
+        level = (unknown_count + weighted_sum) / inverse_sum
+        used += 1
+    remaining = draw * unknown_count
+    for index in order[:used]:
+        remaining -= (level - costs[index]) / added[index]
+        if remaining < 0:
+            return index
+    return best
+
+
+def plain_load(running: float, slots: int) -> float:
+    """Return the expected time at a backend server of a plain service by its load.
+
+    Args:
+        running: Number of requests at the backend server.
+        slots: Number of requests that it runs concurrently.
+
+    Returns:
+        Multiple of the time at an idle one.
+    """
+    slots = max(1, slots)
+    queued = max(0.0, running + 1 - slots)
+    return 1.0 + CONTENTION * running / slots + queued / slots
+
+
+def unknown_share(late_s: float, in_flight_s: float) -> tuple[float, float]:
+    """Return what became of the known requests of others, as shares of their number.
+
+    Args:
+        late_s: Age in seconds of what is known of the requests of others.
+        in_flight_s: Mean time in seconds that a request is in flight; 0 if unknown.
+
+    Returns:
+        Share of the known requests that are still in flight, and the share that others
+        have sent meanwhile to backend servers that are not known.
+    """
+    if late_s <= 0 or in_flight_s <= 0:
+        return 1.0, 0.0
+    lateness = late_s / in_flight_s
+    return math.exp(-lateness), lateness
