Send lasting speeds of backend servers to peer gateways in digests

A gateway with little traffic measures few responses of each engine and would know the slow ones late.

--- a/src/tanagerturn/gateway/backends/speeds.py
+++ b/src/tanagerturn/gateway/backends/speeds.py
@@ -43,6 +43,10 @@
         """Active services by name."""
         self.by_backend: dict[BackendId, EngineSpeed] = {}
         """Speed of the last known start of each backend server of these services."""
+        self.id_by_key: dict[int, BackendId] = {}
+        """Backend servers by the keys of their starts, for digests of peers."""
+        self.next_keys_s = 0.0
+        """Boot-clock time in seconds from which `id_by_key` may be computed again."""
 
     def active(self, service: str) -> ServiceSpeeds | None:
         """Return what the backend servers of an active service have in common.
@@ -60,11 +64,18 @@
             self.by_backend[backend.id] = speed
         return speed
 
+    def activate(self, backend: Backend) -> None:
+        """Activate the services of a backend server that reports its speed."""
+        for name in backend.announcement.services:
+            if name not in self.services:
+                self.services[name] = ServiceSpeeds()
+
     def on_report(self, backend: Backend, percent: int, now_s: float) -> None:
         """Record a reported momentary time, in percent of the usual one."""
-        for name in backend.announcement.services:
-            service = self.services.setdefault(name, ServiceSpeeds())
-            self.of(backend).on_report(percent, service.decay, now_s)
+        self.activate(backend)
+        speed = self.of(backend)
+        for name in backend.announcement.services[:1]:
+            speed.on_report(percent, self.services[name].decay, now_s)
 
     def time_factors(
         self,
--- a/src/tanagerturn/serving/routing/speed.py
+++ b/src/tanagerturn/serving/routing/speed.py
@@ -146,6 +146,8 @@
         """Average of the logarithms of measured to expected times of this gateway."""
         self.samples = 0
         """Number of measurements of this gateway."""
+        self.sent_samples = 0
+        """Value of `samples` when `log_ratio` was last sent to peer gateways."""
         self.peer_log_ratio = 0.0
         """Average of `log_ratio` of peer gateways."""
         self.peer_samples = 0.0
--- a/tests/gateway/spread/digests/digests.feature
+++ b/tests/gateway/spread/digests/digests.feature
@@ -26,3 +26,17 @@
     Then the registry is fetched at most 4 times
     When no backend server joins for 2 s, and peers still report another registry
     Then the registry is fetched again
+
+  # Guards against a gateway with little traffic that does not know which engines are slow.
+  Scenario: Measured speeds reach the other gateways in digests of bounded size
+    Given a gateway with 3 peers that know 60 backend servers
+    When it has measured that "i-00000002" takes 3 times as long as the others
+    Then each digest has at most 8 speeds, in at most 110 bytes
+    And a peer without requests knows after 8 digests that "i-00000002" takes at least 2 times as long
+    And a peer ignores the speed of an earlier start of "i-00000002"
+
+  # Guards against digests that grow where no engine reports its speed.
+  Scenario: Digests have no speeds of services without reported speeds
+    Given a gateway with 3 peers that know 60 backend servers
+    When it gets responses of engines that report three figures
+    Then its digests have no speeds
--- a/tests/gateway/spread/digests/steps/digests_steps.py
+++ b/tests/gateway/spread/digests/steps/digests_steps.py
@@ -14,6 +14,9 @@
 from support.operations import OPERATIONS_PER_S, count_operations
 from tanagerturn.clocks import boot_s
 from tanagerturn.coordination.errors import UnavailableError
+from tanagerturn.gateway.backends.speed_reports import apply_speeds
+from tanagerturn.gateway.fleet import Fleet
+from tanagerturn.gateway.messages import LoadHint
 from tanagerturn.gateway.spread.digests import DigestExchange
 from tanagerturn.gateway.state import make_state
 from tanagerturn.platform.dialect import PlatformDialect
@@ -195,3 +198,89 @@
 @then("the registry is fetched again")
 def fetched_again(context):
     assert context.links.call_count == context.fetched + 1, context.links.call_count
+
+
+def serve_all(context, percent, slow="", ratio=1.0):
+    """Let each backend server answer 12 plain requests, with a load report each."""
+    fleet, now_s = context.state.fleet, boot_s()
+    for number in range(12):
+        for backend in list(fleet.view.backends.values()):
+            attempt = f"r{number}"
+            taken_s = 0.2 * ratio if backend.id == slow else 0.2
+            fleet.on_load_hint(backend, LoadHint(1, 0, 64, percent), now_s)
+            fleet.on_forwarded(backend, attempt, None, now_s - taken_s)
+            fleet.on_whole_response(backend, attempt, now_s)
+            fleet.on_request_ended(backend.id, attempt)
+
+
+@when('it has measured that "{slow}" takes {ratio:g} times as long as the others')
+def measured(context, slow, ratio):
+    serve_all(context, 100, slow, ratio)
+
+
+@when("it gets responses of engines that report three figures")
+def three_figures(context):
+    serve_all(context, None)
+
+
+def filled_digests(context, count):
+    digests = []
+    for sequence in range(count):
+        filled = gpb.Digest(host="g", sequence=sequence)
+        context.exchange.fill_digest(filled, boot_s())
+        digests.append(filled)
+    return digests
+
+
+@then("each digest has at most {count:d} speeds, in at most {limit:d} bytes")
+def digests_are_bounded(context, count, limit):
+    context.filled = filled_digests(context, 8)
+    for filled in context.filled:
+        assert len(filled.speed_backends) <= count
+        size = filled.ByteSize()
+        for field in ("speed_backends", "speed_log_ratios", "speed_samples"):
+            assert len(getattr(filled, field)) == len(filled.speed_backends)
+        without = gpb.Digest.FromString(filled.SerializeToString())
+        for field in ("speed_backends", "speed_log_ratios", "speed_samples"):
+            without.ClearField(field)
+        assert size - without.ByteSize() <= limit, size - without.ByteSize()
+
+
+def factor_at_peer(context, slow, *, restarted):
+    """Return the factor at a peer that only gets the digests."""
+    fleet = Fleet("peer")
+    now_s = boot_s()
+    for backend in context.state.fleet.view.backends.values():
+        announcement = type(backend.announcement)()
+        announcement.CopyFrom(backend.announcement)
+        if restarted and backend.id == slow:
+            announcement.incarnation, announcement.born_ms = "b2", 2
+        fleet.on_announcement(announcement, now_s, heard=True)
+    for filled in context.filled:
+        apply_speeds(fleet, filled, now_s)
+    service = fleet.speeds.active("desk")
+    pool = fleet.view.pool("desk")
+    factors = fleet.speeds.time_factors(service, pool, pool, now_s)
+    return dict(zip((b.id for b in pool), factors, strict=True))[slow]
+
+
+@then(
+    "a peer without requests knows after 8 digests that "
+    '"{slow}" takes at least {ratio:g} times as long'
+)
+def peer_knows(context, slow, ratio):
+    factor = factor_at_peer(context, slow, restarted=False)
+    assert factor >= ratio, factor
+
+
+@then('a peer ignores the speed of an earlier start of "{slow}"')
+def earlier_start_ignored(context, slow):
+    assert factor_at_peer(context, slow, restarted=True) == 1
+
+
+@then("its digests have no speeds")
+def no_speeds(context):
+    for filled in filled_digests(context, 4):
+        assert not filled.speed_backends
+        assert not filled.speed_log_ratios
+        assert not filled.speed_samples
