Order engines by their measured speed where they report it

The planner counts 18,000 tokens a second for every engine and so holds about twice the engines that a service with half of its prompts cached needs.

--- a/src/tanagerturn/gateway/backends/speeds.py
+++ b/src/tanagerturn/gateway/backends/speeds.py
@@ -6,6 +6,7 @@
 
 import xxhash
 
+from tanagerturn.serving.capacity.engine_rate import EngineRate
 from tanagerturn.serving.routing.speed import (
     WEIGHT_STEPS_PER_S,
     EngineSpeed,
@@ -41,6 +42,8 @@
     def __init__(self) -> None:
         self.services: dict[str, ServiceSpeeds] = {}
         """Active services by name."""
+        self.rates: dict[str, EngineRate] = {}
+        """Measurements for the capacity of the engines of active services."""
         self.by_backend: dict[BackendId, EngineSpeed] = {}
         """Speed of the last known start of each backend server of these services."""
         self.id_by_key: dict[int, BackendId] = {}
@@ -69,6 +72,7 @@
         for name in backend.announcement.services:
             if name not in self.services:
                 self.services[name] = ServiceSpeeds()
+                self.rates[name] = EngineRate()
 
     def on_report(self, backend: Backend, percent: int, now_s: float) -> None:
         """Record a reported momentary time, in percent of the usual one."""
@@ -155,7 +159,7 @@
         interval_s = event_s / (event_count - 1)
         speed = self.of(backend)
         expected_s = common.event_s
-        common.on_event_time(interval_s, speed.lasting * speed.mean_report)
+        common.on_event_time(interval_s, speed.mean_factor())
         if expected_s:
             # A stream is longer than the momentary factor lasts, so its mean counts.
             # The common error of first events is added, as `log_ratio` contains it.
--- a/src/tanagerturn/gateway/capacity.py
+++ b/src/tanagerturn/gateway/capacity.py
@@ -4,12 +4,18 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.clocks import to_ms
 from tanagerturn.gateway.logs import component_log
 from tanagerturn.serving.backends.messages import AvailabilityZone
 from tanagerturn.serving.capacity.counts import CountKey, CountPlanner, ZoneOffer
+from tanagerturn.serving.capacity.engine_rate import (
+    EngineCapacity,
+    EngineUse,
+    engines_for,
+)
 from tanagerturn.serving.capacity.messages import Market
 
 if TYPE_CHECKING:
@@ -105,6 +111,7 @@
         ]
         if not offers or not ready:
             return
+        capacity = self._measured_capacity(service, now_s)
         planned = orders.planner.plan(
             self.state.token_demand.total_tokens_per_s(now_s),
             offers,
@@ -112,6 +119,7 @@
             ready,
             now_s,
             initial_demand(self.state),
+            None if capacity is None else partial(engines_for, capacity=capacity),
         )
         # Increases are ordered before decreases, which release backend servers.
         for key, count in sorted(
@@ -136,9 +144,39 @@
                 count=count,
                 ready=ready.get(key, 0),
                 demand=round(self.state.token_demand.total_tokens_per_s(now_s)),
+                engine_tokens=None
+                if capacity is None
+                else round(capacity.tokens_per_s),
+                raised=None if capacity is None else round(capacity.raised, 2),
                 status=status,
             )
 
+    def _measured_capacity(
+        self, service: Service, now_s: float
+    ) -> EngineCapacity | None:
+        """Return the measured capacity of the engines; None if there is none.
+
+        Only engines that report their speed are measured.
+        """
+        fleet = self.state.fleet
+        speeds = fleet.speeds.active(service.name)
+        if speeds is None:
+            return None
+        ready = [
+            backend
+            for backend in fleet.view.pool(service.name)
+            if not backend.leaving and backend.is_alive(to_ms(now_s))
+        ]
+        work = [fleet.state(backend.id).total_work(now_s) for backend in ready]
+        use = EngineUse(
+            sum(each.running for each in work),
+            sum(each.prompt_tokens for each in work),
+            max((backend.slots for backend in ready), default=1),
+            [fleet.speeds.of(backend).mean_factor() for backend in ready],
+            speeds.common_ratio(),
+        )
+        return fleet.speeds.rates[service.name].capacity(use, now_s)
+
 
 def initial_demand(state: GatewayState) -> float:
     """Return the demand in tokens per second to plan for before callers come."""
--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -306,6 +306,10 @@
         tokens_to_read = max(0, prompt.prompt_tokens - cached)
         output = prompt.expected_output_tokens or prompt.max_output_tokens
         kv_tokens = prompt.prompt_tokens + output
+        if speeds is not None:
+            asked_tokens = prompt.prompt_tokens + prompt.max_output_tokens
+            rate = self.speeds.rates[service_of(backend)]
+            rate.on_sent(asked_tokens, tokens_to_read, now_s)
         request = InFlightRequest(
             now_s, tokens_to_read, kv_tokens, expected_s, base_s, momentary
         )
--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -120,7 +120,10 @@
     ),
     "call_refused": "A call of a backend server or an operator can't be decoded.",
     "backends_ordered": (
-        "A number of backend servers was ordered for a zone and market; see `status`."
+        "A number of backend servers was ordered for a zone and market; see `status`. "
+        "`engine_tokens` is the measured capacity of one engine in tokens per second, "
+        "and `raised` the factor on their number because of late requests; both are "
+        "absent unless the engines report their speed."
     ),
     "registry_not_fetched": "The registry of a peer gateway could not be fetched.",
     # Configuration
--- a/src/tanagerturn/gateway/outcomes.py
+++ b/src/tanagerturn/gateway/outcomes.py
@@ -89,6 +89,7 @@
         if run.first_event_s:
             metrics.first_event_s.observe(run.first_event_s)
             metrics.pause_s.observe(run.longest_pause_s)
+    _count_lateness(state, run, outcome)
     log.info(
         outcome,
         request=run.request.attempt_id,
@@ -107,3 +108,15 @@
         cause=run.cause,
         **fields,
     )
+
+
+def _count_lateness(state: GatewayState, run: RequestRun, outcome: str) -> None:
+    """Count whether a generation was late, where the capacity depends on it."""
+    rate = state.fleet.speeds.rates.get(run.service)
+    if rate is None or run.request.prompt is None:
+        return
+    if outcome == "answered":
+        is_late = run.first_event_s > run.route.latency_objective_s
+        rate.on_first_event(boot_s(), is_late=is_late)
+    elif outcome == "refused" and not run.sent_count:
+        rate.on_first_event(boot_s(), is_late=True)
--- a/src/tanagerturn/serving/capacity/counts.py
+++ b/src/tanagerturn/serving/capacity/counts.py
@@ -17,7 +17,7 @@
 from tanagerturn.serving.capacity.messages import Market
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Callable, Mapping, Sequence
 
     from tanagerturn.serving.backends.messages import AvailabilityZone
 
@@ -152,6 +152,7 @@
         ready: Mapping[CountKey, int],
         now_s: float,
         prior_per_s: float = 0.0,
+        engines_for: Callable[[float], float] | None = None,
     ) -> dict[CountKey, int]:
         """Return the number of backend servers to hold by zone and market.
 
@@ -164,13 +165,18 @@
                 market.
             now_s: Monotonic time in seconds.
             prior_per_s: Assumed demand before the first request, in tokens per second.
+            engines_for: Returns the number of engines that meet a demand in tokens per
+                second, from measurements; None if there are none.
         """
         self.has_had_demand |= tokens_per_s > 0
         if not self.has_had_demand:
             self.smoothed_per_s, self.smoothed_updated_s = prior_per_s, now_s
             tokens_per_s = prior_per_s
         smoothed_per_s = self._smooth_demand(tokens_per_s, now_s)
-        needed_count = self._limit_scale_in(needed_engines(smoothed_per_s), now_s)
+        needed_count = needed_engines(smoothed_per_s)
+        if engines_for is not None and self.has_had_demand:
+            needed_count = max(MIN_ENGINES, math.ceil(engines_for(smoothed_per_s)))
+        needed_count = self._limit_scale_in(needed_count, now_s)
         reclaimable: dict[CountKey, int] = {}
         if has_reclaimable:
             reclaimable = self._plan_reclaimable(needed_count, offers, ready)
--- a/src/tanagerturn/serving/routing/speed.py
+++ b/src/tanagerturn/serving/routing/speed.py
@@ -201,6 +201,10 @@
         """
         return self.lasting * self.momentary(decay, now_s)
 
+    def mean_factor(self) -> float:
+        """Return the factor on expected times over a long time."""
+        return self.lasting * self.mean_report
+
     def on_measured(
         self, measured_s: float, expected_s: float, momentary: float
     ) -> None:
--- a/tests/gateway/duties/duties.feature
+++ b/tests/gateway/duties/duties.feature
@@ -25,3 +25,15 @@
     Given a holder that committed and reported 5 requests of a window
     When the process of the holder starts to drain
     Then the lease is free and the process may not call the cloud API
+
+  # Guards against orders by the constant where engines report their speed, and by
+  # measurements where they do not.
+  Scenario Outline: 20 engines serve half of the tokens from their cache and report <report>
+    Given a holder whose 20 engines report <report>
+    When 200 generations were served in time, and 160000 tokens a second are requested
+    Then <least> to <most> engines are ordered
+
+    Examples:
+      | report        | least | most |
+      | three figures | 10    | 10   |
+      | four figures  | 5     | 7    |
--- a/tests/gateway/duties/steps/duties_steps.py
+++ b/tests/gateway/duties/steps/duties_steps.py
@@ -9,11 +9,15 @@
 from behave import given, then, when
 from expression import Error, Ok
 
+from support.digest_messages import announce
 from support.gateway_world import gateway_settings
 from tanagerturn.clocks import boot_s
 from tanagerturn.coordination.errors import UnavailableError
 from tanagerturn.coordination.store import Store
+from tanagerturn.gateway.capacity import CapacityOrders
+from tanagerturn.gateway.configuration import EngineTraits, Scaling, Service
 from tanagerturn.gateway.duties import LEASE_MS, LEASE_NAME, Duties
+from tanagerturn.gateway.messages import LoadHint, Prompt, PromptPart
 from tanagerturn.gateway.settings import DutySettings
 from tanagerturn.gateway.state import make_state
 from tanagerturn.platform.dialect import PlatformDialect
@@ -164,3 +168,55 @@
 def lease_is_free(context):
     assert context.shared_store.store.lease(LEASE_NAME).holder == ""
     assert not context.first_duties.may_call_cloud(boot_s())
+
+
+@given("a holder whose 20 engines report {report}")
+def engines_report(context, report):
+    state = make_state(gateway_settings(), PlatformDialect(1000), 0.0, 1.7e9)
+    scaling = Scaling(0, 30, 4.0, 0.0, {"a": 1.0})
+    engine = EngineTraits(400_000, 0.0, can_move=False, can_back_up=False)
+    service = Service("desk", "", 0, 64, engine, scaling)
+    state.configuration = replace(state.configuration, services={"desk": service})
+    for number in range(20):
+        announce(state, number)
+    percent = 100 if report == "four figures" else None
+    for backend in state.fleet.view.backends.values():
+        state.fleet.on_load_hint(backend, LoadHint(0, 0, 64, percent), boot_s())
+    context.state, context.orders = state, []
+
+    async def send(service, key, count):
+        context.orders.append(count)
+        return 200
+
+    context.capacity = CapacityOrders(state, send, boot_s() - 10.0)
+
+
+@when(
+    "200 generations were served in time, and {tokens:d} tokens a second are requested"
+)
+def generations_served(context, tokens):
+    fleet, now_s = context.state.fleet, boot_s()
+    prompt = Prompt("m", 2_000, 0, (PromptPart("s", 1_000), PromptPart("o", 1_000)))
+    for number in range(10):
+        for backend in fleet.view.backends.values():
+            attempt = f"r{number}"
+            fleet.on_forwarded(backend, attempt, prompt, now_s - 0.2, 0.2)
+            fleet.on_first_event(backend.id, attempt, now_s)
+            fleet.on_request_ended(backend.id, attempt)
+
+    async def plan():
+        for step in range(400):
+            at_s = now_s + 0.25 * step
+            context.state.token_demand.on_peer_report("g2", tokens, at_s)
+            for backend in fleet.view.backends.values():
+                backend.record_heartbeat(int(at_s * 1000))
+                fleet.on_forwarded(backend, "r", prompt, at_s, 0.2)
+                fleet.on_request_ended(backend.id, "r")
+            await context.capacity.step(at_s)
+
+    asyncio.run(plan())
+
+
+@then("{least:d} to {most:d} engines are ordered")
+def engines_ordered(context, least, most):
+    assert least <= context.orders[-1] <= most, context.orders
