Never refuse for a random choice, keep scrapes within 4 KB

A choice among engines of different speed is partly random, and its expected first event decided on admission: a request could be refused although the best engine would serve it in time. The best engine is chosen before a request counts as late. Engines without capacity in their KV cache are left out of the choice while others have some, and nothing is learned from prompts that an engine got as a copy.

--- a/src/tanagerturn/gateway/backends/sender.py
+++ b/src/tanagerturn/gateway/backends/sender.py
@@ -126,7 +126,8 @@
             run.request.prompt,
             now_s,
             run.expected_s / run.pace,
-            run.time_factor,
+            # With a copy of the KV cache, the engine does not read the prompt.
+            run.time_factor if kv_copy is None else 0.0,
         )
         log.info(
             "sent",
--- a/src/tanagerturn/gateway/backends/speed_placement.py
+++ b/src/tanagerturn/gateway/backends/speed_placement.py
@@ -22,7 +22,7 @@
     from tanagerturn.serving.backends.backend import Backend
     from tanagerturn.serving.routing.speed import ServiceSpeeds
 
-SAMPLE_SIZE: Final = 12
+SAMPLE_SIZE: Final = 11
 """Number of candidates whose completion is estimated, beside those that hold a part of
 the prompt; estimates for all of 117 engines would take more than 300 us."""
 
@@ -108,13 +108,14 @@
     draw = 0.0 if random is None else random.random()
     if prompt is None:
         return _choose_plain(rows, zone, unknown_count, draw)
-    free = [row for row in rows if row.known_running < row.backend.slots]
+    capacity = fleet.kv_capacity_of(backends[0])
+    output = prompt.expected_output_tokens or prompt.max_output_tokens
+    kv_left = capacity - prompt.prompt_tokens - output
+    free = _with_capacity(rows, kv_left)
     if not free and len(sampled) < len(backends):
         rows, others = _candidates(fleet, speeds, pool, backends, present, now_s)
-        free = [row for row in rows if row.known_running < row.backend.slots]
+        free = _with_capacity(rows, kv_left)
     rows = free or rows
-    capacity = fleet.kv_capacity_of(rows[0].backend)
-    output = prompt.expected_output_tokens or prompt.max_output_tokens
     engine_rows = [
         (
             row.running,
@@ -138,11 +139,9 @@
     )
     chosen = choose_engine(engine_rows, warmups_ms, need, unknown_count, draw)
     row, engine_row = rows[chosen.row], engine_rows[chosen.row]
-    kv_tokens = engine_row[2] + prompt.prompt_tokens + output
-    lacks_kv_capacity = row.known_running > 0 and kv_tokens > capacity
     return Chosen(
         row.backend,
-        row.known_running >= row.backend.slots or lacks_kv_capacity,
+        not free,
         chosen.first_event_ms / 1000,
         chosen.prefill_ms / 1000,
         engine_row[5],
@@ -224,6 +223,21 @@
     return rows, others_sum
 
 
+def _with_capacity(rows: Sequence[Candidate], kv_left: int) -> list[Candidate]:
+    """Return the candidates with a free slot and capacity in the KV cache.
+
+    Args:
+        rows: Candidates.
+        kv_left: KV cache tokens that may be in use beside the request.
+    """
+    return [
+        row
+        for row in rows
+        if row.known_running < row.backend.slots
+        and (row.kv_tokens <= kv_left or not row.known_running)
+    ]
+
+
 def _choose_plain(
     rows: Sequence[Candidate], zone: str, unknown_count: float, draw: float
 ) -> Chosen:
--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -287,14 +287,14 @@
             expected_s: Expected time to the first event in seconds, at pace 1; 0 if
                 unknown.
             time_factor: Factor of the backend server's speed, which `expected_s`
-                contains.
+                contains; 0 if the time to the first event is not to be learned from.
         """
         state = self.state(backend.id)
         base_s, momentary = 0.0, 0.0
         speeds = self.speeds.active(service_of(backend))
         if speeds is not None:
             momentary = self.speeds.of(backend).momentary(speeds.decay, now_s)
-            base_s = expected_s / time_factor
+            base_s = expected_s / time_factor if time_factor else 0.0
         if prompt is None:
             if speeds is not None:
                 running = state.total_work(now_s).running
--- a/src/tanagerturn/gateway/metrics.py
+++ b/src/tanagerturn/gateway/metrics.py
@@ -63,14 +63,16 @@
     """Corrected wall-clock time minus the host's wall-clock time in seconds."""
     limit_units: Counter
     """Units of requests that were checked against limits of client accounts here, by
-    charge."""
+    charge. The help texts of counters are short: they are exposed twice, and a scrape
+    may be cut after 4 KB."""
 
     backend_limit_requests: Counter
     """Requests that were checked against limits of backend servers here, by charge."""
     quarantine_rejections: Counter
     """Requests that were rejected because of a quarantine, by service."""
-    unknown_load_fields: Counter
-    """Load reports of backend servers with more fields than are known."""
+    unknown_load_fields: Gauge
+    """Number of load reports of backend servers with more fields than are known. Like
+    `connections`, a gauge: the samples of a counter take twice the bytes."""
 
     def update(
         self,
@@ -133,7 +135,7 @@
         backends=gauge("tanager_gateway_backends", "Backend servers known."),
         unreached_backends=gauge(
             "tanager_gateway_unreached_backends",
-            "Backend servers that do not accept connections of this gateway.",
+            "Backend servers that this gateway does not reach.",
         ),
         running=gauge("tanager_gateway_running", "Requests at backend servers."),
         waiting=gauge("tanager_gateway_waiting", "Requests that wait for a place."),
@@ -161,15 +163,13 @@
         ),
         limit_units=Counter(
             "tanager_gateway_limit_units",
-            "Units checked against limits of client accounts here, by charge: as the "
-            "owner (admitted, refused, corrected, refunded) or without its response "
-            "(reserve_admitted, unverified).",
+            "Units checked against limits of client accounts here, by charge.",
             ("charge",),
             registry=registry,
         ),
         backend_limit_requests=Counter(
             "tanager_gateway_backend_limit_requests",
-            "Requests checked against limits of backend servers here, by charge.",
+            "Requests checked against limits of backend servers.",
             ("charge",),
             registry=registry,
         ),
@@ -179,10 +179,8 @@
             ("service",),
             registry=registry,
         ),
-        unknown_load_fields=Counter(
-            "tanager_gateway_unknown_load_fields",
-            "Load reports of backend servers with more fields than are known.",
-            registry=registry,
+        unknown_load_fields=gauge(
+            "tanager_gateway_unknown_load_fields", "Load reports with unknown fields."
         ),
         first_event_s=histogram(
             "tanager_gateway_first_event_seconds", "Time to the first event of streams."
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.clocks import boot_s
@@ -353,15 +353,24 @@
         Those whose own limits are exhausted are left out.
         """
         state = self.state
-        return placement.choose(
+        choose = partial(
+            placement.choose,
             state.fleet,
             run.service,
             run.request.prompt,
             state.excluded_backends(run, now_s),
             state.settings.zone,
             now_s,
-            state.random,
         )
+        choice = choose(state.random)
+        if choice is None or choice.first_event_s <= run.route.latency_objective_s:
+            return choice
+        if state.fleet.speeds.active(run.service) is None:
+            return choice
+        # A choice made partly at random must not refuse a request that the best engine
+        # would serve in time.
+        best = choose(None)
+        return best if best and best.first_event_s < choice.first_event_s else choice
 
     def _reject_if_late(self, run: RequestRun, choice: Choice, now_s: float) -> None:
         """Reject a generation that would be late, before its first attempt."""
--- a/tests/serving/routing/steps/speed_steps.py
+++ b/tests/serving/routing/steps/speed_steps.py
@@ -13,6 +13,7 @@
 from support.operations import OPERATIONS_PER_S, count_operations
 from support.speed_simulation import Setting, simulate
 from tanagerturn.gateway.backends import placement
+from tanagerturn.gateway.backends.speeds import Speeds
 from tanagerturn.gateway.backends.state import Work
 from tanagerturn.gateway.fleet import Fleet, backend_hash
 from tanagerturn.gateway.messages import LoadHint, Prompt, PromptPart
@@ -88,6 +89,11 @@
 def momentary_between(context, low, high):
     factor = context.speed.momentary(context.service.decay, NOW_S)
     assert low <= factor <= high, factor
+    # The choice computes the factors of all candidates without these calls.
+    speeds, backend = Speeds(), SimpleNamespace(id="i-1", incarnation="b1")
+    speeds.by_backend["i-1"] = context.speed
+    (chosen,) = speeds.time_factors(context.service, [backend], [backend], NOW_S)
+    assert low <= chosen <= high, chosen
 
 
 def make_fleet(count, percent=100):
