Keep the known requests of other gateways until their next digest

Requests of others that had probably ended were left out of the load, with which the knowledge was lost that an engine is slow since it has kept many.

--- a/src/tanagerturn/gateway/backends/speed_placement.py
+++ b/src/tanagerturn/gateway/backends/speed_placement.py
@@ -9,7 +9,7 @@
 from tanagerturn.serving.routing.spread import (
     plain_load,
     spread_choice,
-    unknown_share,
+    unknown_requests,
 )
 
 if TYPE_CHECKING:
@@ -59,16 +59,12 @@
     backend: Backend
     state: BackendState
     time_factor: float
-    known_running: int
-    """Known number of requests of all gateways."""
-    running: float
-    """Expected number of them that are still in flight."""
-    own_tokens: int
-    """Unread prompt tokens of this gateway's requests."""
-    others_tokens: float
-    """Expected unread prompt tokens of the requests of other gateways."""
+    running: int
+    """Number of requests of all gateways."""
+    unread_tokens: int
+    """Unread prompt tokens of these requests."""
     kv_tokens: int
-    """Tokens in use in the KV cache by the known requests."""
+    """Tokens in use in the KV cache by these requests."""
 
 
 def choose_by_speed(
@@ -101,10 +97,11 @@
         sampled += [b for b in holders if b not in sampled]
     # A digest is known until the next one, so half of the interval on average.
     late_s = fleet.digest_interval_s / 2
-    present, sent_share = unknown_share(late_s, speeds.in_flight_s)
     pool = fleet.view.pool(service)
-    rows, others = _candidates(fleet, speeds, pool, sampled, present, now_s)
-    unknown_count = 0.0 if random is None else sent_share * others
+    rows, others = _candidates(fleet, speeds, pool, sampled, now_s)
+    unknown_count = unknown_requests(others, late_s, speeds.in_flight_s)
+    if random is None:
+        unknown_count = 0.0
     draw = 0.0 if random is None else random.random()
     if prompt is None:
         return _choose_plain(rows, zone, unknown_count, draw)
@@ -113,13 +110,13 @@
     kv_left = capacity - prompt.prompt_tokens - output
     free = _with_capacity(rows, kv_left)
     if not free and len(sampled) < len(backends):
-        rows, others = _candidates(fleet, speeds, pool, backends, present, now_s)
+        rows, others = _candidates(fleet, speeds, pool, backends, now_s)
         free = _with_capacity(rows, kv_left)
     rows = free or rows
     engine_rows = [
         (
             row.running,
-            row.own_tokens + row.others_tokens,
+            row.unread_tokens,
             row.kv_tokens,
             capacity,
             row.state.cached_tokens(prompt.parts, parts)
@@ -184,7 +181,6 @@
     speeds: ServiceSpeeds,
     pool: Sequence[Backend],
     backends: Sequence[Backend],
-    present: float,
     now_s: float,
 ) -> tuple[list[Candidate], float]:
     """Return the candidates, and the number of requests of others at all of the pool.
@@ -194,7 +190,6 @@
         speeds: What the backend servers of the service have in common.
         pool: All backend servers of the service.
         backends: Candidates.
-        present: Share of the known requests of others that are still in flight.
         now_s: Current boot-clock time in seconds.
     """
     factors = fleet.speeds.time_factors(speeds, pool, backends, now_s)
@@ -214,9 +209,7 @@
                 state,
                 factor,
                 own.running + others.running,
-                own.running + present * others.running,
-                own.prompt_tokens,
-                present * others.prompt_tokens,
+                own.prompt_tokens + others.prompt_tokens,
                 own.kv_tokens + others.kv_tokens,
             )
         )
@@ -233,8 +226,8 @@
     return [
         row
         for row in rows
-        if row.known_running < row.backend.slots
-        and (row.kv_tokens <= kv_left or not row.known_running)
+        if row.running < row.backend.slots
+        and (row.kv_tokens <= kv_left or not row.running)
     ]
 
 
@@ -249,5 +242,5 @@
         costs.append(row.time_factor * load)
         added.append(row.time_factor / max(1, row.backend.slots))
     row = rows[spread_choice(costs, added, unknown_count, draw)]
-    is_full = row.known_running >= MAX_REQUESTS_PER_SLOT * row.backend.slots
+    is_full = row.running >= MAX_REQUESTS_PER_SLOT * row.backend.slots
     return Chosen(row.backend, is_full, 0.0, 0.0, 1.0, row.time_factor)
--- a/src/tanagerturn/serving/routing/completion.py
+++ b/src/tanagerturn/serving/routing/completion.py
@@ -22,8 +22,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-EngineRow = tuple[float, float, int, int, int, float, float, int, bool, bool]
-"""Expected running requests and unread prompt tokens of all gateways, tokens in use in
+EngineRow = tuple[int, int, int, int, int, float, float, int, bool, bool]
+"""Running requests and unread prompt tokens of all gateways, tokens in use in
 the KV cache and its capacity, cached tokens of the prompt, pace, speed factor, slots,
 whether the engine is in another zone, and whether gateways prefer it for the prompt."""
 
--- a/src/tanagerturn/serving/routing/spread.py
+++ b/src/tanagerturn/serving/routing/spread.py
@@ -10,7 +10,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
@@ -57,7 +56,7 @@
     return best
 
 
-def plain_load(running: float, slots: int) -> float:
+def plain_load(running: int, slots: int) -> float:
     """Return the expected time at a backend server of a plain service by its load.
 
     Args:
@@ -68,22 +67,21 @@
         Multiple of the time at an idle one.
     """
     slots = max(1, slots)
-    queued = max(0.0, running + 1 - slots)
+    queued = max(0, running + 1 - slots)
     return 1.0 + CONTENTION * running / slots + queued / slots
 
 
-def unknown_share(late_s: float, in_flight_s: float) -> tuple[float, float]:
-    """Return what became of the known requests of others, as shares of their number.
+def unknown_requests(others_running: float, late_s: float, in_flight_s: float) -> float:
+    """Return the number of requests that others send before their effect is known.
+
+    As many requests end meanwhile, but a backend server that has kept many in flight
+    probably still does, since it is slow.
 
     Args:
+        others_running: Number of requests that others are known to have in flight.
         late_s: Age in seconds of what is known of the requests of others.
         in_flight_s: Mean time in seconds that a request is in flight; 0 if unknown.
-
-    Returns:
-        Share of the known requests that are still in flight, and the share that others
-        have sent meanwhile to backend servers that are not known.
     """
     if late_s <= 0 or in_flight_s <= 0:
-        return 1.0, 0.0
-    lateness = late_s / in_flight_s
-    return math.exp(-lateness), lateness
+        return 0.0
+    return others_running * late_s / in_flight_s
--- a/tests/support/speed_simulation.py
+++ b/tests/support/speed_simulation.py
@@ -18,7 +18,7 @@
 from tanagerturn.serving.routing.spread import (
     plain_load,
     spread_choice,
-    unknown_share,
+    unknown_requests,
 )
 
 SLOTS = 8
@@ -236,11 +236,11 @@
                 factors.append(engine.lasting * engine.momentary(now_s))
             else:
                 factors.append(speed.time_factor(service.decay, middle_s))
-        share, sent_share = unknown_share(self.setting.age_s, service.response_s)
-        loads = [plain_load(own + share * others, SLOTS) for own, others in known]
+        loads = [plain_load(own + others, SLOTS) for own, others in known]
         costs = [f * load for f, load in zip(factors, loads, strict=True)]
         added = [f / SLOTS for f in factors]
-        unknown = sent_share * sum(others for _, others in known)
+        others_sum = sum(others for _, others in known)
+        unknown = unknown_requests(others_sum, self.setting.age_s, service.response_s)
         return spread_choice(costs, added, unknown, self.random.random())
 
 
