--- a/src/tanagerturn/gateway/backends/speed_placement.py
+++ b/src/tanagerturn/gateway/backends/speed_placement.py
@@ -8,6 +8,7 @@
 from tanagerturn.serving.routing.completion import PromptNeed, choose_engine
 from tanagerturn.serving.routing.spread import (
     plain_load,
+    sample_size,
     spread_choice,
     unknown_requests,
 )
@@ -22,10 +23,6 @@
     from tanagerturn.serving.backends.backend import Backend
     from tanagerturn.serving.routing.speed import ServiceSpeeds
 
-SAMPLE_SIZE: Final = 11
-"""Number of candidates whose completion is estimated, beside those that hold a part of
-the prompt; estimates for all of 117 engines would take more than 300 us."""
-
 MAX_HOLDERS: Final = 2
 """Number of candidates that are added because they hold most of the prompt."""
 
@@ -92,8 +89,9 @@
     parts = [part_hash(part.id) for part in prompt.parts] if prompt else []
     holders, preferred = _affine(fleet, backends, prompt, parts)
     sampled: Sequence[Backend] = backends
-    if random is not None and len(backends) > SAMPLE_SIZE:
-        sampled = random.sample(backends, SAMPLE_SIZE)
+    size = sample_size(len(backends))
+    if random is not None and len(backends) > size:
+        sampled = random.sample(backends, size)
         sampled += [b for b in holders if b not in sampled]
     # A digest is known until the next one, so half of the interval on average.
     late_s = fleet.digest_interval_s / 2
--- a/src/tanagerturn/serving/routing/spread.py
+++ b/src/tanagerturn/serving/routing/spread.py
@@ -15,6 +15,15 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+MIN_SAMPLE_SIZE: Final = 8
+"""Smallest number of candidates whose completion is estimated."""
+
+MAX_SAMPLE_SIZE: Final = 23
+"""Number of candidates, with few of them, whose completion is estimated."""
+
+CANDIDATES_PER_SAMPLED: Final = 9
+"""Number of further candidates for which one less is estimated."""
+
 CONTENTION: Final = 0.5
 """Part by which a plain request takes longer if all other slots of its backend server
 are in use."""
@@ -56,6 +65,15 @@
     return best
 
 
+def sample_size(count: int) -> int:
+    """Return for how many of a number of candidates the completion is estimated.
+
+    Finding candidates takes longer the more there are; with these sizes, a choice takes
+    at most 300 us.
+    """
+    return max(MIN_SAMPLE_SIZE, MAX_SAMPLE_SIZE - count // CANDIDATES_PER_SAMPLED)
+
+
 def plain_load(running: int, slots: int) -> float:
     """Return the expected time at a backend server of a plain service by its load.
 
--- a/tests/serving/routing/speed.feature
+++ b/tests/serving/routing/speed.feature
@@ -57,14 +57,16 @@
       | 1000   | 3.0    | i-00000001 |
 
   # Guards against a choice that takes too much of a gateway's processor.
-  Scenario Outline: A choice among 117 engines takes at most 300 us for <kind> requests
-    Given a gateway among 86 that knows the speeds of 117 engines
+  Scenario Outline: A choice among <engines> engines takes at most 300 us for a <kind>
+    Given a gateway among 86 that knows the speeds of <engines> engines
     Then a choice for a <kind> request takes at most 300 us
 
     Examples:
-      | kind       |
-      | plain      |
-      | generation |
+      | engines | kind       |
+      | 117     | plain      |
+      | 117     | generation |
+      | 60      | generation |
+      | 30      | generation |
 
   # Guards against a policy that gains at one size of the deployment and loses at another.
   Scenario Outline: <gateways> gateways with reports <age> ms old
--- a/tests/support/speed_simulation.py
+++ b/tests/support/speed_simulation.py
@@ -17,6 +17,7 @@
 from tanagerturn.serving.routing.speed import EngineSpeed, ServiceSpeeds
 from tanagerturn.serving.routing.spread import (
     plain_load,
+    sample_size,
     spread_choice,
     unknown_requests,
 )
@@ -239,9 +240,17 @@
         loads = [plain_load(own + others, SLOTS) for own, others in known]
         costs = [f * load for f, load in zip(factors, loads, strict=True)]
         added = [f / SLOTS for f in factors]
-        others_sum = sum(others for _, others in known)
+        size = sample_size(len(costs))
+        sample = self.random.sample(range(len(costs)), min(len(costs), size))
+        others_sum = sum(known[index][1] for index in sample)
         unknown = unknown_requests(others_sum, self.setting.age_s, service.response_s)
-        return spread_choice(costs, added, unknown, self.random.random())
+        chosen = spread_choice(
+            [costs[index] for index in sample],
+            [added[index] for index in sample],
+            unknown,
+            self.random.random(),
+        )
+        return sample[chosen]
 
 
 POLICIES = (
