--- a/tests/gateway/relay/relay.feature
+++ b/tests/gateway/relay/relay.feature
@@ -327,3 +327,10 @@
       | 404    |
       | 500    |
       | 503    |
+
+  # Guards against a refusal because of an engine that was chosen partly at random.
+  Scenario: A draft that one of two engines would serve in time is never refused
+    Given a backend server that resumes after the last event and ends with event 2
+    And a backend server that resumes after the last event and ends with event 2
+    When 60000 prompt tokens wait at the first of them, both report their speed, and a caller posts 12 prompts
+    Then all 12 prompts are answered
--- a/tests/gateway/relay/steps/relay_steps.py
+++ b/tests/gateway/relay/steps/relay_steps.py
@@ -25,6 +25,7 @@
 from tanagerturn.gateway.configuration import empty_configuration
 from tanagerturn.gateway.connection import TcpConnection
 from tanagerturn.gateway.fleet import backend_hash
+from tanagerturn.gateway.messages import LoadHint
 
 
 def add_backend(context, *scripts):
@@ -931,3 +932,33 @@
     assert context.answer.status == 200
     assert context.answer.body == stream_of(first, last), context.answer
     assert not context.answer.is_whole
+
+
+@when(
+    "{tokens:d} prompt tokens wait at the first of them, both report their speed, and "
+    "a caller posts {count:d} prompts"
+)
+def posts_prompts_at_speeds(context, tokens, count):
+    async def action(world):
+        fleet, now_s = world.state.fleet, boot_s()
+        for backend in list(fleet.view.backends.values()):
+            fleet.on_load_hint(backend, LoadHint(1, 0, 6, 100), now_s)
+        work = [(backend_hash("i-1"), Work(2, tokens, tokens))]
+        work.append((backend_hash("i-2"), Work(2, 0, 0)))
+        fleet.on_peer_work("g2", work, now_s)
+        statuses = []
+        for number in range(count):
+            # Others are expected to fill both engines before their next digest.
+            fleet.digest_interval_s = 2.0
+            fleet.speeds.active("desk").in_flight_s = 0.005
+            headers = {**PROMPT_HEADERS, "X-Request-Id": f"p{number}"}
+            answer = await world.send_request("/draft/1", headers=headers)
+            statuses.append(answer.status)
+        return statuses
+
+    context.statuses = run_logged(context, action)
+
+
+@then("all {count:d} prompts are answered")
+def prompts_answered(context, count):
+    assert context.statuses == [200] * count, context.statuses
