--- a/src/tanagerturn/gateway/backends/speed_placement.py
+++ b/src/tanagerturn/gateway/backends/speed_placement.py
@@ -89,7 +89,7 @@
     parts = [part_hash(part.id) for part in prompt.parts] if prompt else []
     holders, preferred = _affine(fleet, backends, prompt, parts)
     sampled: Sequence[Backend] = backends
-    size = sample_size(len(backends))
+    size = sample_size(len(backends), is_plain=prompt is None)
     if random is not None and len(backends) > size:
         sampled = random.sample(backends, size)
         sampled += [b for b in holders if b not in sampled]
--- a/src/tanagerturn/serving/routing/spread.py
+++ b/src/tanagerturn/serving/routing/spread.py
@@ -24,6 +24,9 @@
 CANDIDATES_PER_SAMPLED: Final = 9
 """Number of further candidates for which one less is estimated."""
 
+PLAIN_SAMPLE_FACTOR: Final = 1.4
+"""Factor on the number of estimated candidates for plain requests."""
+
 CONTENTION: Final = 0.5
 """Part by which a plain request takes longer if all other slots of its backend server
 are in use."""
@@ -65,13 +68,18 @@
     return best
 
 
-def sample_size(count: int) -> int:
+def sample_size(count: int, *, is_plain: bool) -> int:
     """Return for how many of a number of candidates the completion is estimated.
 
     Finding candidates takes longer the more there are; with these sizes, a choice takes
     at most 300 us.
+
+    Args:
+        count: Number of candidates.
+        is_plain: The request is plain, whose estimate takes less than that of a prompt.
     """
-    return max(MIN_SAMPLE_SIZE, MAX_SAMPLE_SIZE - count // CANDIDATES_PER_SAMPLED)
+    size = max(MIN_SAMPLE_SIZE, MAX_SAMPLE_SIZE - count // CANDIDATES_PER_SAMPLED)
+    return int(PLAIN_SAMPLE_FACTOR * size) if is_plain else size
 
 
 def plain_load(running: int, slots: int) -> float:
--- a/tests/serving/routing/speed.feature
+++ b/tests/serving/routing/speed.feature
@@ -66,6 +66,7 @@
       | 117     | plain      |
       | 117     | generation |
       | 60      | generation |
+      | 30      | plain      |
       | 30      | generation |
 
   # Guards against a policy that gains at one size of the deployment and loses at another.
