Count cached parts at all candidates, and add equal holders at random

Of the engines that hold the first part of a prompt, the two that hold most were added to the candidates, and only there cached tokens counted. Where all engines hold a shared part these were the same two at all gateways: in the new scenario 86 of 86 gateways chose them. Cached tokens count at each candidate, and holders of equal parts are added at random, at most 9 of 86 gateways choose the same engine.

--- a/src/tanagerturn/gateway/backends/speed_placement.py
+++ b/src/tanagerturn/gateway/backends/speed_placement.py
@@ -14,18 +14,22 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Sequence
+    from collections.abc import Sequence
     from random import Random
 
     from tanagerturn.gateway.backends.state import BackendState
     from tanagerturn.gateway.fleet import Fleet
     from tanagerturn.gateway.messages import Prompt
     from tanagerturn.serving.backends.backend import Backend
+    from tanagerturn.serving.backends.messages import BackendId
     from tanagerturn.serving.routing.speed import ServiceSpeeds
 
 MAX_HOLDERS: Final = 2
 """Number of candidates that are added because they hold most of the prompt."""
 
+MAX_COMPARED_HOLDERS: Final = 6
+"""Number of holders of a part of the prompt that are compared by how much they hold."""
+
 HASH_FACTOR: Final = 0x9E3779B97F4A7C15
 """Odd number whose products spread the hashes of an engine and a prompt part."""
 
@@ -87,7 +91,7 @@
         now_s: Current boot-clock time in seconds.
     """
     parts = [part_hash(part.id) for part in prompt.parts] if prompt else []
-    holders, preferred = _affine(fleet, backends, prompt, parts)
+    holders, preferred = _affine(fleet, backends, prompt, parts, random)
     sampled: Sequence[Backend] = backends
     size = sample_size(len(backends), is_plain=prompt is None)
     if random is not None and len(backends) > size:
@@ -110,7 +114,7 @@
     if not free and len(sampled) < len(backends):
         rows, others = _candidates(fleet, speeds, pool, backends, now_s)
         free = _with_capacity(rows, kv_left)
-    rows = free or rows
+    rows, first = free or rows, parts[0] if parts else -1
     engine_rows = [
         (
             row.running,
@@ -118,7 +122,7 @@
             row.kv_tokens,
             capacity,
             row.state.cached_tokens(prompt.parts, parts)
-            if row.backend in holders
+            if first in row.state.cached_parts
             else 0,
             row.state.pace.time_factor(now_s) if row.state.pace.excess else 1.0,
             row.time_factor,
@@ -145,23 +149,55 @@
 
 
 def _affine(
-    fleet: Fleet, backends: Sequence[Backend], prompt: Prompt | None, parts: list[int]
-) -> tuple[Collection[Backend], Backend | None]:
-    """Return the engines that hold a prompt's first part, and the preferred one.
+    fleet: Fleet,
+    backends: Sequence[Backend],
+    prompt: Prompt | None,
+    parts: list[int],
+    random: Random | None,
+) -> tuple[list[Backend], Backend | None]:
+    """Return some engines that hold most of a prompt, and the preferred one.
 
     Gateways agree on an engine for a shared part that none holds, so that it is
     computed once.
     """
     if prompt is None or not parts:
-        return (), None
-    states, first = fleet.states, parts[0]
-    ids = [i for i, state in states.items() if first in state.cached_parts]
-    holders = [b for b in backends if b.id in ids] if ids else []
+        return [], None
+    ids = _holder_ids(fleet, parts[-1], parts[-2] if len(parts) > 1 else parts[-1])
+    if not ids and len(parts) > 2:
+        ids = _holder_ids(fleet, parts[0], parts[0])
+    if not ids:
+        return _preferred(fleet, backends, parts)
+    if len(ids) > MAX_COMPARED_HOLDERS:
+        # Engines that all hold the shared part differ only in the last one.
+        states = fleet.states
+        last = [i for i in ids if parts[-1] in states[i].cached_parts]
+        if random is not None and len(ids) > MAX_COMPARED_HOLDERS:
+            ids = random.sample(ids, MAX_COMPARED_HOLDERS)
+        ids = last[:MAX_COMPARED_HOLDERS] or ids
+    holders = [b for b in backends if b.id in ids]
     if len(holders) > MAX_HOLDERS:
-        holders.sort(key=lambda b: -states[b.id].cached_tokens(prompt.parts, parts))
+        if random is not None:
+            # Otherwise all gateways would add the same ones of equal holders.
+            random.shuffle(holders)
+        holders.sort(key=lambda b: -fleet.states[b.id].cached_tokens(prompt.parts))
         del holders[MAX_HOLDERS:]
-    if holders or len(parts) < 2:
-        return holders, None
+    return holders, None
+
+
+def _holder_ids(fleet: Fleet, one: int, other: int) -> list[BackendId]:
+    """Return the engines that are expected to hold one of two prompt parts."""
+    return [
+        i
+        for i, state in fleet.states.items()
+        if one in state.cached_parts or other in state.cached_parts
+    ]
+
+
+def _preferred(
+    fleet: Fleet, backends: Sequence[Backend], parts: list[int]
+) -> tuple[list[Backend], Backend | None]:
+    if len(parts) < 2:
+        return [], None
     speeds, shared = fleet.speeds.by_backend, parts[-2]
     preferred, best = None, -1
     for backend in backends:
--- a/src/tanagerturn/serving/routing/spread.py
+++ b/src/tanagerturn/serving/routing/spread.py
@@ -18,13 +18,13 @@
 MIN_SAMPLE_SIZE: Final = 8
 """Smallest number of candidates whose completion is estimated."""
 
-MAX_SAMPLE_SIZE: Final = 23
+MAX_SAMPLE_SIZE: Final = 21
 """Number of candidates, with few of them, whose completion is estimated."""
 
 CANDIDATES_PER_SAMPLED: Final = 9
 """Number of further candidates for which one less is estimated."""
 
-PLAIN_SAMPLE_FACTOR: Final = 1.4
+PLAIN_SAMPLE_FACTOR: Final = 1.55
 """Factor on the number of estimated candidates for plain requests."""
 
 CONTENTION: Final = 0.5
--- a/tests/serving/routing/speed.feature
+++ b/tests/serving/routing/speed.feature
@@ -40,6 +40,11 @@
     Then at most half of the gateways choose "i-00000003" for a plain request
     And "i-00000003" is chosen more often than any other
 
+  # Guards against gateways that all add the same ones of engines that hold a part.
+  Scenario: Gateways spread prompts whose shared part all engines hold
+    Given 86 gateways that know 30 engines, which all hold the shared part of a prompt
+    Then at most 9 of the gateways choose the same engine for the prompt
+
   # Guards against a changed selection for engines that report three figures.
   Scenario: Without a fourth figure, the selection is that of earlier releases
     Given a gateway whose 12 engines report three figures
--- a/tests/serving/routing/steps/speed_steps.py
+++ b/tests/serving/routing/steps/speed_steps.py
@@ -283,3 +283,28 @@
     for policy, times_s in context.times_s.items():
         pairs = zip(both, times_s, strict=True)
         assert all(mine <= theirs for mine, theirs in pairs), (policy, both, times_s)
+
+
+@given(
+    "{gateways:d} gateways that know {count:d} engines, which all hold the shared part "
+    "of a prompt"
+)
+def all_hold(context, gateways, count):
+    context.chosen = Counter()
+    parts = (PromptPart("shared", 6_000), PromptPart("own", 1_500))
+    for number in range(gateways):
+        fleet = make_fleet(count)
+        for backend in list(fleet.view.backends.values()):
+            held = Prompt("m", 6_000, 0, parts[:1])
+            fleet.on_forwarded(backend, "r1", held, time_of(fleet))
+            fleet.on_request_ended(backend.id, "r1")
+            work = [(backend_hash(backend.id), Work(3, 1_000, 9_000))]
+            fleet.on_peer_work(f"of {backend.id}", work, time_of(fleet))
+        fleet.speeds.active("desk").in_flight_s = 0.5
+        prompt = Prompt("m", 7_500, 0, parts)
+        context.chosen[choose(fleet, prompt, Random(number)).backend.id] += 1
+
+
+@then("at most {count:d} of the gateways choose the same engine for the prompt")
+def choices_spread(context, count):
+    assert max(context.chosen.values()) <= count, context.chosen
