--- a/src/tanagerturn/gateway/backends/speed_placement.py
+++ b/src/tanagerturn/gateway/backends/speed_placement.py
@@ -8,27 +8,28 @@
 from tanagerturn.serving.routing.completion import PromptNeed, choose_engine
 from tanagerturn.serving.routing.spread import (
     plain_load,
+    sample_size,
     spread_choice,
-    unknown_share,
+    unknown_requests,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Sequence
+    from collections.abc import Sequence
     from random import Random
 
     from tanagerturn.gateway.backends.state import BackendState
     from tanagerturn.gateway.fleet import Fleet
     from tanagerturn.gateway.messages import Prompt
     from tanagerturn.serving.backends.backend import Backend
+    from tanagerturn.serving.backends.messages import BackendId
     from tanagerturn.serving.routing.speed import ServiceSpeeds
 
-SAMPLE_SIZE: Final = 12
-"""Number of candidates whose completion is estimated, beside those that hold a part of
-the prompt; estimates for all of 117 engines would take more than 300 us."""
-
 MAX_HOLDERS: Final = 2
 """Number of candidates that are added because they hold most of the prompt."""
 
+MAX_COMPARED_HOLDERS: Final = 6
+"""Number of holders of a part of the prompt that are compared by how much they hold."""
+
 HASH_FACTOR: Final = 0x9E3779B97F4A7C15
 """Odd number whose products spread the hashes of an engine and a prompt part."""
 
@@ -59,16 +60,12 @@
     backend: Backend
     state: BackendState
     time_factor: float
-    known_running: int
-    """Known number of requests of all gateways."""
-    running: float
-    """Expected number of them that are still in flight."""
-    own_tokens: int
-    """Unread prompt tokens of this gateway's requests."""
-    others_tokens: float
-    """Expected unread prompt tokens of the requests of other gateways."""
+    running: int
+    """Number of requests of all gateways."""
+    unread_tokens: int
+    """Unread prompt tokens of these requests."""
     kv_tokens: int
-    """Tokens in use in the KV cache by the known requests."""
+    """Tokens in use in the KV cache by these requests."""
 
 
 def choose_by_speed(
@@ -94,35 +91,38 @@
         now_s: Current boot-clock time in seconds.
     """
     parts = [part_hash(part.id) for part in prompt.parts] if prompt else []
-    holders, preferred = _affine(fleet, backends, prompt, parts)
+    holders, preferred = _affine(fleet, backends, prompt, parts, random)
     sampled: Sequence[Backend] = backends
-    if random is not None and len(backends) > SAMPLE_SIZE:
-        sampled = random.sample(backends, SAMPLE_SIZE)
+    size = sample_size(len(backends), is_plain=prompt is None)
+    if random is not None and len(backends) > size:
+        sampled = random.sample(backends, size)
         sampled += [b for b in holders if b not in sampled]
     # A digest is known until the next one, so half of the interval on average.
     late_s = fleet.digest_interval_s / 2
-    present, sent_share = unknown_share(late_s, speeds.in_flight_s)
     pool = fleet.view.pool(service)
-    rows, others = _candidates(fleet, speeds, pool, sampled, present, now_s)
-    unknown_count = 0.0 if random is None else sent_share * others
+    rows, others = _candidates(fleet, speeds, pool, sampled, now_s)
+    unknown_count = unknown_requests(others, late_s, speeds.in_flight_s)
+    if random is None:
+        unknown_count = 0.0
     draw = 0.0 if random is None else random.random()
     if prompt is None:
         return _choose_plain(rows, zone, unknown_count, draw)
-    free = [row for row in rows if row.known_running < row.backend.slots]
-    if not free and len(sampled) < len(backends):
-        rows, others = _candidates(fleet, speeds, pool, backends, present, now_s)
-        free = [row for row in rows if row.known_running < row.backend.slots]
-    rows = free or rows
-    capacity = fleet.kv_capacity_of(rows[0].backend)
+    capacity = fleet.kv_capacity_of(backends[0])
     output = prompt.expected_output_tokens or prompt.max_output_tokens
+    kv_left = capacity - prompt.prompt_tokens - output
+    free = _with_capacity(rows, kv_left)
+    if not free and len(sampled) < len(backends):
+        rows, others = _candidates(fleet, speeds, pool, backends, now_s)
+        free = _with_capacity(rows, kv_left)
+    rows, first = free or rows, parts[0] if parts else -1
     engine_rows = [
         (
             row.running,
-            row.own_tokens + row.others_tokens,
+            row.unread_tokens,
             row.kv_tokens,
             capacity,
             row.state.cached_tokens(prompt.parts, parts)
-            if row.backend in holders
+            if first in row.state.cached_parts
             else 0,
             row.state.pace.time_factor(now_s) if row.state.pace.excess else 1.0,
             row.time_factor,
@@ -138,11 +138,9 @@
     )
     chosen = choose_engine(engine_rows, warmups_ms, need, unknown_count, draw)
     row, engine_row = rows[chosen.row], engine_rows[chosen.row]
-    kv_tokens = engine_row[2] + prompt.prompt_tokens + output
-    lacks_kv_capacity = row.known_running > 0 and kv_tokens > capacity
     return Chosen(
         row.backend,
-        row.known_running >= row.backend.slots or lacks_kv_capacity,
+        not free,
         chosen.first_event_ms / 1000,
         chosen.prefill_ms / 1000,
         engine_row[5],
@@ -151,23 +149,55 @@
 
 
 def _affine(
-    fleet: Fleet, backends: Sequence[Backend], prompt: Prompt | None, parts: list[int]
-) -> tuple[Collection[Backend], Backend | None]:
-    """Return the engines that hold a prompt's first part, and the preferred one.
+    fleet: Fleet,
+    backends: Sequence[Backend],
+    prompt: Prompt | None,
+    parts: list[int],
+    random: Random | None,
+) -> tuple[list[Backend], Backend | None]:
+    """Return some engines that hold most of a prompt, and the preferred one.
 
     Gateways agree on an engine for a shared part that none holds, so that it is
     computed once.
     """
     if prompt is None or not parts:
-        return (), None
-    states, first = fleet.states, parts[0]
-    ids = [i for i, state in states.items() if first in state.cached_parts]
-    holders = [b for b in backends if b.id in ids] if ids else []
+        return [], None
+    ids = _holder_ids(fleet, parts[-1], parts[-2] if len(parts) > 1 else parts[-1])
+    if not ids and len(parts) > 2:
+        ids = _holder_ids(fleet, parts[0], parts[0])
+    if not ids:
+        return _preferred(fleet, backends, parts)
+    if len(ids) > MAX_COMPARED_HOLDERS:
+        # Engines that all hold the shared part differ only in the last one.
+        states = fleet.states
+        last = [i for i in ids if parts[-1] in states[i].cached_parts]
+        if random is not None and len(ids) > MAX_COMPARED_HOLDERS:
+            ids = random.sample(ids, MAX_COMPARED_HOLDERS)
+        ids = last[:MAX_COMPARED_HOLDERS] or ids
+    holders = [b for b in backends if b.id in ids]
     if len(holders) > MAX_HOLDERS:
-        holders.sort(key=lambda b: -states[b.id].cached_tokens(prompt.parts, parts))
+        if random is not None:
+            # Otherwise all gateways would add the same ones of equal holders.
+            random.shuffle(holders)
+        holders.sort(key=lambda b: -fleet.states[b.id].cached_tokens(prompt.parts))
         del holders[MAX_HOLDERS:]
-    if holders or len(parts) < 2:
-        return holders, None
+    return holders, None
+
+
+def _holder_ids(fleet: Fleet, one: int, other: int) -> list[BackendId]:
+    """Return the engines that are expected to hold one of two prompt parts."""
+    return [
+        i
+        for i, state in fleet.states.items()
+        if one in state.cached_parts or other in state.cached_parts
+    ]
+
+
+def _preferred(
+    fleet: Fleet, backends: Sequence[Backend], parts: list[int]
+) -> tuple[list[Backend], Backend | None]:
+    if len(parts) < 2:
+        return [], None
     speeds, shared = fleet.speeds.by_backend, parts[-2]
     preferred, best = None, -1
     for backend in backends:
@@ -185,7 +215,6 @@
     speeds: ServiceSpeeds,
     pool: Sequence[Backend],
     backends: Sequence[Backend],
-    present: float,
     now_s: float,
 ) -> tuple[list[Candidate], float]:
     """Return the candidates, and the number of requests of others at all of the pool.
@@ -195,7 +224,6 @@
         speeds: What the backend servers of the service have in common.
         pool: All backend servers of the service.
         backends: Candidates.
-        present: Share of the known requests of others that are still in flight.
         now_s: Current boot-clock time in seconds.
     """
     factors = fleet.speeds.time_factors(speeds, pool, backends, now_s)
@@ -215,15 +243,28 @@
                 state,
                 factor,
                 own.running + others.running,
-                own.running + present * others.running,
-                own.prompt_tokens,
-                present * others.prompt_tokens,
+                own.prompt_tokens + others.prompt_tokens,
                 own.kv_tokens + others.kv_tokens,
             )
         )
     return rows, others_sum
 
 
+def _with_capacity(rows: Sequence[Candidate], kv_left: int) -> list[Candidate]:
+    """Return the candidates with a free slot and capacity in the KV cache.
+
+    Args:
+        rows: Candidates.
+        kv_left: KV cache tokens that may be in use beside the request.
+    """
+    return [
+        row
+        for row in rows
+        if row.running < row.backend.slots
+        and (row.kv_tokens <= kv_left or not row.running)
+    ]
+
+
 def _choose_plain(
     rows: Sequence[Candidate], zone: str, unknown_count: float, draw: float
 ) -> Chosen:
@@ -235,5 +276,5 @@
         costs.append(row.time_factor * load)
         added.append(row.time_factor / max(1, row.backend.slots))
     row = rows[spread_choice(costs, added, unknown_count, draw)]
-    is_full = row.known_running >= MAX_REQUESTS_PER_SLOT * row.backend.slots
+    is_full = row.running >= MAX_REQUESTS_PER_SLOT * row.backend.slots
     return Chosen(row.backend, is_full, 0.0, 0.0, 1.0, row.time_factor)
--- a/src/tanagerturn/serving/routing/spread.py
+++ b/src/tanagerturn/serving/routing/spread.py
@@ -10,12 +10,23 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+MIN_SAMPLE_SIZE: Final = 8
+"""Smallest number of candidates whose completion is estimated."""
+
+MAX_SAMPLE_SIZE: Final = 21
+"""Number of candidates, with few of them, whose completion is estimated."""
+
+CANDIDATES_PER_SAMPLED: Final = 9
+"""Number of further candidates for which one less is estimated."""
+
+PLAIN_SAMPLE_FACTOR: Final = 1.55
+"""Factor on the number of estimated candidates for plain requests."""
+
 CONTENTION: Final = 0.5
 """Part by which a plain request takes longer if all other slots of its backend server
 are in use."""
@@ -57,7 +68,21 @@
     return best
 
 
-def plain_load(running: float, slots: int) -> float:
+def sample_size(count: int, *, is_plain: bool) -> int:
+    """Return for how many of a number of candidates the completion is estimated.
+
+    Finding candidates takes longer the more there are; with these sizes, a choice takes
+    at most 300 us.
+
+    Args:
+        count: Number of candidates.
+        is_plain: The request is plain, whose estimate takes less than that of a prompt.
+    """
+    size = max(MIN_SAMPLE_SIZE, MAX_SAMPLE_SIZE - count // CANDIDATES_PER_SAMPLED)
+    return int(PLAIN_SAMPLE_FACTOR * size) if is_plain else size
+
+
+def plain_load(running: int, slots: int) -> float:
     """Return the expected time at a backend server of a plain service by its load.
 
     Args:
@@ -68,22 +93,21 @@
         Multiple of the time at an idle one.
     """
     slots = max(1, slots)
-    queued = max(0.0, running + 1 - slots)
+    queued = max(0, running + 1 - slots)
     return 1.0 + CONTENTION * running / slots + queued / slots
 
 
-def unknown_share(late_s: float, in_flight_s: float) -> tuple[float, float]:
-    """Return what became of the known requests of others, as shares of their number.
+def unknown_requests(others_running: float, late_s: float, in_flight_s: float) -> float:
+    """Return the number of requests that others send before their effect is known.
+
+    As many requests end meanwhile, but a backend server that has kept many in flight
+    probably still does, since it is slow.
 
     Args:
+        others_running: Number of requests that others are known to have in flight.
         late_s: Age in seconds of what is known of the requests of others.
         in_flight_s: Mean time in seconds that a request is in flight; 0 if unknown.
-
-    Returns:
-        Share of the known requests that are still in flight, and the share that others
-        have sent meanwhile to backend servers that are not known.
     """
     if late_s <= 0 or in_flight_s <= 0:
-        return 1.0, 0.0
-    lateness = late_s / in_flight_s
-    return math.exp(-lateness), lateness
+        return 0.0
+    return others_running * late_s / in_flight_s
--- a/tests/serving/routing/steps/speed_steps.py
+++ b/tests/serving/routing/steps/speed_steps.py
@@ -13,6 +13,7 @@
 from support.operations import OPERATIONS_PER_S, count_operations
 from support.speed_simulation import Setting, simulate
 from tanagerturn.gateway.backends import placement
+from tanagerturn.gateway.backends.speeds import Speeds
 from tanagerturn.gateway.backends.state import Work
 from tanagerturn.gateway.fleet import Fleet, backend_hash
 from tanagerturn.gateway.messages import LoadHint, Prompt, PromptPart
@@ -88,6 +89,11 @@
 def momentary_between(context, low, high):
     factor = context.speed.momentary(context.service.decay, NOW_S)
     assert low <= factor <= high, factor
+    # The choice computes the factors of all candidates without these calls.
+    speeds, backend = Speeds(), SimpleNamespace(id="i-1", incarnation="b1")
+    speeds.by_backend["i-1"] = context.speed
+    (chosen,) = speeds.time_factors(context.service, [backend], [backend], NOW_S)
+    assert low <= chosen <= high, chosen
 
 
 def make_fleet(count, percent=100):
@@ -277,3 +283,28 @@
     for policy, times_s in context.times_s.items():
         pairs = zip(both, times_s, strict=True)
         assert all(mine <= theirs for mine, theirs in pairs), (policy, both, times_s)
+
+
+@given(
+    "{gateways:d} gateways that know {count:d} engines, which all hold the shared part "
+    "of a prompt"
+)
+def all_hold(context, gateways, count):
+    context.chosen = Counter()
+    parts = (PromptPart("shared", 6_000), PromptPart("own", 1_500))
+    for number in range(gateways):
+        fleet = make_fleet(count)
+        for backend in list(fleet.view.backends.values()):
+            held = Prompt("m", 6_000, 0, parts[:1])
+            fleet.on_forwarded(backend, "r1", held, time_of(fleet))
+            fleet.on_request_ended(backend.id, "r1")
+            work = [(backend_hash(backend.id), Work(3, 1_000, 9_000))]
+            fleet.on_peer_work(f"of {backend.id}", work, time_of(fleet))
+        fleet.speeds.active("desk").in_flight_s = 0.5
+        prompt = Prompt("m", 7_500, 0, parts)
+        context.chosen[choose(fleet, prompt, Random(number)).backend.id] += 1
+
+
+@then("at most {count:d} of the gateways choose the same engine for the prompt")
+def choices_spread(context, count):
+    assert max(context.chosen.values()) <= count, context.chosen
