Hold cheap reclaimable engines for the loss of two zones, in place of on-demand ones

Where spares for the loss of two zones cost at most half of on-demand engines, that many are held in advance, kept while a zone is without offers, and on-demand engines only fill what they lack. Only services whose engines report their speed are planned so; all others as before.

--- a/src/tanagerturn/gateway/capacity.py
+++ b/src/tanagerturn/gateway/capacity.py
@@ -10,13 +10,13 @@
 from tanagerturn.clocks import to_ms
 from tanagerturn.gateway.logs import component_log
 from tanagerturn.serving.backends.messages import AvailabilityZone
-from tanagerturn.serving.capacity.counts import CountKey, CountPlanner, ZoneOffer
+from tanagerturn.serving.capacity.counts import CountPlanner
 from tanagerturn.serving.capacity.engine_rate import (
     EngineCapacity,
     EngineUse,
     engines_for,
 )
-from tanagerturn.serving.capacity.messages import Market
+from tanagerturn.serving.capacity.messages import CountKey, Market, ZoneOffer
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -112,6 +112,7 @@
         if not offers or not ready:
             return
         capacity = self._measured_capacity(service, now_s)
+        holds_spares = self.state.fleet.speeds.active(service.name) is not None
         planned = orders.planner.plan(
             self.state.token_demand.total_tokens_per_s(now_s),
             offers,
@@ -120,6 +121,7 @@
             now_s,
             initial_demand(self.state),
             None if capacity is None else partial(engines_for, capacity=capacity),
+            scaling.reclaimable_price if holds_spares else 0.0,
         )
         # Increases are ordered before decreases, which release backend servers.
         for key, count in sorted(
--- a/src/tanagerturn/gateway/duties.py
+++ b/src/tanagerturn/gateway/duties.py
@@ -35,7 +35,7 @@
     from tanagerturn.gateway.state import GatewayState
     from tanagerturn.gateway.state_group.member import StateMember
     from tanagerturn.gateway.state_group.replicated_store import ReplicatedStore
-    from tanagerturn.serving.capacity.counts import CountKey
+    from tanagerturn.serving.capacity.messages import CountKey
 
 LEASE_NAME: Final = "cloud-duties"
 """Name of the lease in the state group."""
--- a/src/tanagerturn/serving/capacity/counts.py
+++ b/src/tanagerturn/serving/capacity/counts.py
@@ -11,10 +11,13 @@
 
 import math
 from collections import Counter
-from dataclasses import dataclass
-from typing import TYPE_CHECKING, Final, NamedTuple
+from typing import TYPE_CHECKING, Final
 
-from tanagerturn.serving.capacity.messages import Market
+from tanagerturn.serving.capacity.messages import CountKey, Market, ZoneOffer
+from tanagerturn.serving.capacity.zone_spares import (
+    are_spares_cheap,
+    plan_with_spares,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping, Sequence
@@ -69,33 +72,14 @@
 REFUSAL_PAUSE_S: Final = 2.0
 """Seconds for which a refused zone and market is not ordered again."""
 
+KEEP_AFTER_REFUSAL_S: Final = 30.0
+"""Seconds after a refusal for which ready reclaimable engines are kept where spares are
+held: a shortage in one zone is followed by others within some seconds."""
+
 RETRY_MARGIN_S: Final = 1.0
 """Seconds after `REFUSAL_PAUSE_S` within which the refused order is repeated."""
 
 
-class CountKey(NamedTuple):
-    """Availability zone and market of an order for backend servers."""
-
-    zone: AvailabilityZone
-    """Availability zone."""
-    market: Market
-    """Market on which the backend servers are rented."""
-
-
-@dataclass(frozen=True)
-class ZoneOffer:
-    """Price and limits of the backend servers in one availability zone."""
-
-    zone: AvailabilityZone
-    """The availability zone."""
-    price: float
-    """Price of an on-demand backend server, to compare zones."""
-    min_count: int
-    """Minimum number of backend servers in the zone, of both markets together."""
-    max_count: int
-    """Maximum number of backend servers in the zone, of both markets together."""
-
-
 class CountPlanner:
     """Plans the number of backend servers of one service.
 
@@ -124,6 +108,8 @@
         self.scale_in_since_s: float | None = None
         """Monotonic time in seconds since which fewer engines would suffice; None if
         they would not."""
+        self.refused_s = -math.inf
+        """Monotonic time of the last refusal in seconds; -inf before one."""
         self.release_since_s: float | None = None
         """Monotonic time in seconds since which on-demand engines could be released;
         None if none could."""
@@ -141,6 +127,7 @@
 
     def on_refused(self, key: CountKey, now_s: float) -> None:
         """Record that the cloud has no capacity in a zone and market now."""
+        self.refused_s = now_s
         self.refused_until_s[key] = now_s + REFUSAL_PAUSE_S
         self.accepted_orders.pop(key, None)
 
@@ -153,6 +140,7 @@
         now_s: float,
         prior_per_s: float = 0.0,
         engines_for: Callable[[float], float] | None = None,
+        spares_price: float = 0.0,
     ) -> dict[CountKey, int]:
         """Return the number of backend servers to hold by zone and market.
 
@@ -167,6 +155,8 @@
             prior_per_s: Assumed demand before the first request, in tokens per second.
             engines_for: Returns the number of engines that meet a demand in tokens per
                 second, from measurements; None if there are none.
+            spares_price: Price of a reclaimable backend server as a fraction of the
+                on-demand price, if spares may be held for the loss of zones; else 0.
         """
         self.has_had_demand |= tokens_per_s > 0
         if not self.has_had_demand:
@@ -178,9 +168,18 @@
             needed_count = max(MIN_ENGINES, math.ceil(engines_for(smoothed_per_s)))
         needed_count = self._limit_scale_in(needed_count, now_s)
         reclaimable: dict[CountKey, int] = {}
-        if has_reclaimable:
-            reclaimable = self._plan_reclaimable(needed_count, offers, ready)
-        wanted_count = self._plan_on_demand(needed_count, reclaimable, ready, now_s)
+        if has_reclaimable and are_spares_cheap(spares_price, len(offers)):
+            keeps_ready = now_s - self.refused_s < KEEP_AFTER_REFUSAL_S
+            reclaimable = plan_with_spares(
+                needed_count, offers, ready, keeps_ready=keeps_ready
+            )
+            wanted_count = self._plan_beside_spares(
+                needed_count, reclaimable, ready, now_s
+            )
+        else:
+            if has_reclaimable:
+                reclaimable = self._plan_reclaimable(needed_count, offers, ready)
+            wanted_count = self._plan_on_demand(needed_count, reclaimable, ready, now_s)
         on_demand = self._divide_on_demand(wanted_count, offers, ready, now_s)
         max_by_zone = {offer.zone: offer.max_count for offer in offers}
         for key, count in reclaimable.items():
@@ -268,17 +267,53 @@
         required = BASE_ON_DEMAND_ENGINES + max(
             0, wanted_count + at_risk - expected_reclaimable
         )
-        keys = {*ready, *self.accepted_orders}
-        held = sum(
-            self._running_or_booting(key, ready, now_s)
-            for key in keys
-            if key.market is Market.ON_DEMAND
-        )
+        held = self._held_on_demand(ready, now_s)
         # On-demand engines may use the capacity of reclaimable ones in their zone.
         surplus = running + held - needed_count - SPARE_ENGINES
         sufficient = (
             required if running >= wanted_count else max(required, held - surplus)
         )
+        return self._release_slowly(required, sufficient, held, now_s)
+
+    def _plan_beside_spares(
+        self,
+        needed_count: int,
+        reclaimable: Mapping[CountKey, int],
+        ready: Mapping[CountKey, int],
+        now_s: float,
+    ) -> int:
+        """Return the total number of on-demand backend servers beside spares.
+
+        They only fill what the reclaimable ones lack.
+        """
+        running = sum(min(n, ready.get(key, 0)) for key, n in reclaimable.items())
+        expected = sum(
+            self._expected_reclaimable(key, n, ready, now_s)
+            for key, n in reclaimable.items()
+        )
+        required = max(0, needed_count - expected)
+        sufficient = max(required, needed_count - running)
+        held = self._held_on_demand(ready, now_s)
+        return self._release_slowly(required, sufficient, held, now_s)
+
+    def _held_on_demand(self, ready: Mapping[CountKey, int], now_s: float) -> int:
+        return sum(
+            self._running_or_booting(key, ready, now_s)
+            for key in {*ready, *self.accepted_orders}
+            if key.market is Market.ON_DEMAND
+        )
+
+    def _release_slowly(
+        self, required: int, sufficient: int, held: int, now_s: float
+    ) -> int:
+        """Return the number of on-demand backend servers to hold.
+
+        Args:
+            required: Number that the need requires, booting ones included.
+            sufficient: Number that suffices while others boot.
+            held: Number that is ready or booting.
+            now_s: Monotonic time in seconds.
+        """
         if sufficient >= held:
             self.release_since_s = None
         elif self.release_since_s is None:
--- a/src/tanagerturn/serving/capacity/messages.py
+++ b/src/tanagerturn/serving/capacity/messages.py
@@ -145,3 +145,26 @@
     """Number of required slots that no offer can provide now."""
     cost_per_hour: float
     """Total price of the hosts to hold per hour."""
+
+
+class CountKey(NamedTuple):
+    """Availability zone and market of an order for backend servers."""
+
+    zone: AvailabilityZone
+    """Availability zone."""
+    market: Market
+    """Market on which the backend servers are rented."""
+
+
+@dataclass(frozen=True)
+class ZoneOffer:
+    """Price and limits of the backend servers in one availability zone."""
+
+    zone: AvailabilityZone
+    """The availability zone."""
+    price: float
+    """Price of an on-demand backend server, to compare zones."""
+    min_count: int
+    """Minimum number of backend servers in the zone, of both markets together."""
+    max_count: int
+    """Maximum number of backend servers in the zone, of both markets together."""
--- a/tests/serving/capacity/counts.feature
+++ b/tests/serving/capacity/counts.feature
@@ -75,3 +75,31 @@
     Given a cloud with 4 zones, 5 on-demand engines and none reclaimable
     When 70000 tokens a second are requested for 20 s
     Then 5 on-demand engines are ready
+
+  # Guards against on-demand engines, at several times the price, in place of reclaimable
+  # ones that no zone offers after a reclaim.
+  Scenario: Cheap reclaimable engines are held for the loss of two zones
+    Given a cloud with 4 zones, 5 on-demand engines and spare reclaimable ones at 0.15
+    When 90000 tokens a second are requested for 20 s
+    And two zones are reclaimed and no reclaimable engines are available for 15 s
+    Then at least 5 engines are ready at once
+    And no on-demand engine is ordered or left within 15 s
+    And in these 15 s the cost is below 0.5 of that without spares
+
+  Scenario: On-demand engines fill what the spares lack, and are released afterwards
+    Given a cloud with 4 zones, 5 on-demand engines and spare reclaimable ones at 0.15
+    When 90000 tokens a second are requested for 20 s
+    And all zones are reclaimed and no reclaimable engines are available for 15 s
+    Then within 6 s 5 engines are ready again
+    And after 30 s more no on-demand engine is left
+
+  Scenario Outline: Spares are held only where they cost less than on-demand engines
+    Then spares at <price> in <zones> zones are <held>
+
+    Examples:
+      | price | zones | held     |
+      | 0.15  | 4     | held     |
+      | 0.25  | 4     | held     |
+      | 0.3   | 4     | not held |
+      | 0.15  | 2     | not held |
+      | 0     | 4     | not held |
--- a/tests/serving/capacity/steps/counts_steps.py
+++ b/tests/serving/capacity/steps/counts_steps.py
@@ -9,20 +9,23 @@
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
-from tanagerturn.serving.capacity.counts import CountKey, CountPlanner, ZoneOffer
-from tanagerturn.serving.capacity.messages import Market
+from tanagerturn.serving.capacity.counts import CountPlanner
+from tanagerturn.serving.capacity.messages import CountKey, Market, ZoneOffer
 from tanagerturn.serving.capacity.token_demand import TokenDemand
+from tanagerturn.serving.capacity.zone_spares import are_spares_cheap
 
 BOOT_S, STEP_S = 4.0, 0.2
 PRICES = {"a": 1.0, "b": 0.8, "c": 1.25, "d": 0.9}
+CHEAP_PRICE = 0.15
 OFFERS = [ZoneOffer(zone, price, 1, 3) for zone, price in PRICES.items()]
 
 
 class Cloud:
     """Simulated cloud with ready and booting engines by zone and market."""
 
-    def __init__(self, has_reclaimable):
+    def __init__(self, has_reclaimable, spares_price=0.0):
         self.has_reclaimable = has_reclaimable
+        self.spares_price = spares_price
         self.planner = CountPlanner(BOOT_S)
         first = zip("abcd", (2, 1, 1, 1), strict=True)
         self.ready = Counter({CountKey(z, Market.ON_DEMAND): n for z, n in first})
@@ -36,6 +39,8 @@
         one per engine."""
         self.cancelled_boots = 0
         self.prior_per_s = 0.0
+        self.cost = 0.0
+        """Price of the engines so far: on-demand seconds of the cheapest zone."""
 
     def order(self, key, count):
         """Accept or refuse an order for a number of engines in a zone and market."""
@@ -76,11 +81,16 @@
                 ready,
                 self.now_s,
                 self.prior_per_s,
+                spares_price=self.spares_price,
             )
             for key, count in plan.items():
                 accepted = self.planner.accepted_orders.get(key)
                 if accepted is None or accepted[0] != count or count != ready[key]:
                     self.order(key, count)
+            for key, count in self.ready.items():
+                reclaimable = key.market is Market.RECLAIMABLE
+                factor = CHEAP_PRICE if reclaimable else 1.0
+                self.cost += STEP_S * count * factor * PRICES[key.zone]
             self.min_ready = min(self.min_ready, self.count_ready())
             on_demand = sum(self.count_by_zone(Market.ON_DEMAND).values())
             self.max_on_demand = max(self.max_on_demand, on_demand)
@@ -99,6 +109,11 @@
     context.cloud = Cloud(True)
 
 
+@given("a cloud with 4 zones, 5 on-demand engines and spare reclaimable ones at 0.15")
+def cloud_with_spares(context):
+    context.cloud = Cloud(True, CHEAP_PRICE)
+
+
 @given("a cloud with 4 zones, 5 on-demand engines and none reclaimable")
 def cloud_on_demand(context):
     context.cloud = Cloud(False)
@@ -258,3 +273,34 @@
 @then("{count:d} or more engines are ready")
 def at_least_ready(context, count):
     assert context.cloud.count_ready() >= count, context.cloud.ready
+
+
+@then("no on-demand engine is ordered or left within 15 s")
+def none_on_demand(context):
+    cloud = context.cloud
+    cloud.max_on_demand, cloud.cost = 0, 0.0
+    cloud.run(context.tokens, 15.0)
+    assert cloud.max_on_demand == 0, cloud.ready
+
+
+@then("after {seconds:d} s more no on-demand engine is left")
+def no_on_demand_left(context, seconds):
+    context.cloud.run(context.tokens, seconds)
+    assert not context.cloud.count_by_zone(Market.ON_DEMAND), context.cloud.ready
+
+
+@then("in these 15 s the cost is below 0.5 of that without spares")
+def cheaper_with_spares(context):
+    other = Cloud(True)
+    other.run(context.tokens, 20.0)
+    other.refused_until_s = other.now_s + 15.0
+    for zone in list(other.count_by_zone(Market.RECLAIMABLE))[:2]:
+        other.ready[CountKey(zone, Market.RECLAIMABLE)] = 0
+    other.cost = 0.0
+    other.run(context.tokens, 15.0)
+    assert context.cloud.cost < 0.5 * other.cost, (context.cloud.cost, other.cost)
+
+
+@then("spares at {price:g} in {zones:d} zones are {held}")
+def spares_held(context, price, zones, held):
+    assert are_spares_cheap(price, zones) == (held == "held")
