--- a/src/tanagerturn/serving/capacity/engine_rate.py
+++ b/src/tanagerturn/serving/capacity/engine_rate.py
@@ -51,7 +51,7 @@
 MAX_RAISE: Final = 2.5
 """Largest factor on the planned engines because of late requests."""
 
-MIN_REQUESTS: Final = 30
+MIN_REQUESTS: Final = 10
 """Number of own requests from which the measurements of a gateway count."""
 
 REQUESTS_TIME_CONSTANT_S: Final = 10.0
