Test gateways and entry processes under callers that exhaust memory

The bounds are fixed here, before any change of the product: a gateway with limits.memory_mb=128 has a budget of 32 MB, an entry process one of 64 MB.

--- a/tests/support/gateway_programs.py
+++ b/tests/support/gateway_programs.py
@@ -6,7 +6,7 @@
 import random
 import subprocess
 import sys
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -50,6 +50,8 @@
     """Import path of the build that the process runs; None for that of the tests."""
     starts: int = 0
     """Number of starts of the process."""
+    limits: dict[str, int] = field(default_factory=dict)
+    """Further `limits.*` fields of the settings file and their values."""
 
     @property
     def settings_path(self) -> Path:
@@ -73,6 +75,7 @@
             f"bootstrap={str(is_first_start).lower()}",
             "fault_tolerance.machines=1",
         ]
+        lines += [f"limits.{name}={value}" for name, value in self.limits.items()]
         if self.has_disk:
             lines += [f"data_dir={self.folder / self.name}", "limits.disk_mb=64"]
         self.settings_path.write_text("\n".join(lines), encoding="utf-8")
