Bound the memory and descriptors that callers of a gateway take

Cause: request bodies were kept as one object per chunk, copied as a whole into write buffers, and nothing accounted for what all connections hold together.

Change: callers/memory_budget.py accounts for requests, bodies and responses in a budget of half of what 64 MB for the process leave of the host's memory. When it is used up, reading pauses; then what holds most and progresses least is refused with 503. Bodies are one buffer each, chunked ones are decoded without h11, and large bodies are written in windows of 64 KiB to backend servers, peers and callers. Refused callers can read their 413 or 503. Near the descriptor limit the connections idle longest are closed. limits.memory_mb and limits.max_fds are read from the settings file.

The load generator of the tests aborted connections that were closed already, which failed in asyncio; loads and bounds are unchanged.

--- a/src/tanagerturn/gateway/backends/detours.py
+++ b/src/tanagerturn/gateway/backends/detours.py
@@ -140,6 +140,7 @@
                 self.state.peer_paths.on_failed(peer.host, boot_s())
             return AttemptOutcome.BROKEN
         finally:
+            exchange.stop_writing()
             connection.close()
 
     def _time_left_s(self, run: RequestRun, now_s: float) -> float:
@@ -182,7 +183,9 @@
         if run.exchange.status:
             run.cause = f"gateway {peer.host}: resuming failed with {reply.status}"
             return AttemptOutcome.REJECTED
-        body = await read_whole(exchange, RESPONSE_LIMIT_BYTES)
+        body = await read_whole(
+            exchange, RESPONSE_LIMIT_BYTES, run.exchange.hold_response
+        )
         if not reply.has_backend_proof:
             if reply.status in NOT_RUN_STATUSES:
                 self.refund(run)
--- a/src/tanagerturn/gateway/backends/exchange.py
+++ b/src/tanagerturn/gateway/backends/exchange.py
@@ -4,16 +4,16 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, cast
 
 import h11
 
-from tanagerturn.gateway.connection import end_to_end_headers
+from tanagerturn.gateway.connection import WRITE_WINDOW_BYTES, end_to_end_headers
 from tanagerturn.gateway.http_reader import MIN_PART_BYTES, HttpReader
 from tanagerturn.gateway.logs import component_log
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from tanagerturn.gateway.backends.pool import BackendConnection
     from tanagerturn.gateway.dialect import Dialect
@@ -27,6 +27,9 @@
 SKIPPED_BODY_LIMIT_BYTES: Final = 64 * 1024
 """Maximum size in bytes of the body of a late response, which is not forwarded."""
 
+HOLD_STEP_BYTES: Final = 16 * 1024
+"""Number of bytes of a response after which they are counted against the budget."""
+
 log = component_log("relay")
 
 
@@ -87,9 +90,20 @@
         announced none."""
         self.closes_connection = False
         """Whether the backend server closes the connection after its response."""
+        self.writing_task: asyncio.Task[None] | None = None
+        """Sends a large body as the backend server reads it; None for other bodies."""
 
-    def send(self, method: str, target: str, headers: RawHeaders, body: bytes) -> None:
-        """Send the head and the whole body of the request."""
+    def send(
+        self,
+        method: str,
+        target: str,
+        headers: RawHeaders,
+        body: bytes | bytearray,
+    ) -> None:
+        """Send the head and the whole body of the request.
+
+        A large body is sent by a task, since a write of the whole would copy it.
+        """
         if body or method not in ("GET", "HEAD", "DELETE"):
             headers = [*headers, (b"Content-Length", str(len(body)).encode())]
         self.request = h11.Request(
@@ -98,10 +112,21 @@
         tcp = self.connection.tcp
         http = self.reader.http
         head = http.send(self.request) or b""
-        data = http.send(h11.Data(data=body)) or b"" if body else b""
+        if len(body) > WRITE_WINDOW_BYTES:
+            http.send_with_data_passthrough(_data(body))
+            http.send(h11.EndOfMessage())
+            tcp.write(head)
+            self.writing_task = asyncio.create_task(tcp.write_body(memoryview(body)))
+            return
+        data = http.send(_data(body)) or b"" if body else b""
         http.send(h11.EndOfMessage())
         tcp.write(head + data)
 
+    def stop_writing(self) -> None:
+        """Send no more of a large body; its connection can't be reused then."""
+        if self.writing_task is not None:
+            self.writing_task.cancel()
+
     async def read_head(self) -> ResponseHead:
         """Read the head of the response.
 
@@ -186,6 +211,8 @@
         tcp = self.connection.tcp
         if not self.is_response_complete or self.closes_connection:
             return False
+        if self.writing_task is not None and not self.writing_task.done():
+            return False
         if not tcp.is_usable or tcp.has_unread:
             return False
         http = self.reader.http
@@ -215,7 +242,8 @@
         if http.our_state is h11.SEND_BODY:
             length = dict(self.request.headers).get(b"content-length", b"0")
             if int(length):
-                http.send(h11.Data(data=bytes(int(length))))
+                # Only the length of the data counts, which is not sent again.
+                http.send_with_data_passthrough(_data(range(int(length))))
             http.send(h11.EndOfMessage())
         if unread_bytes:
             http.receive_data(unread_bytes)
@@ -223,25 +251,39 @@
             http.receive_data(b"")
 
 
-async def read_whole(exchange: BackendExchange, limit_bytes: int) -> bytes:
+def _data(body: bytes | bytearray | range) -> h11.Data:
+    """Return an h11 event; h11 takes any object that has a length."""
+    return h11.Data(data=cast("bytes", body))
+
+
+async def read_whole(
+    exchange: BackendExchange,
+    limit_bytes: int,
+    hold: Callable[[int], Awaitable[None]] | None = None,
+) -> bytearray:
     """Return the whole body of a response.
 
     Args:
         exchange: Exchange whose response head has been read.
         limit_bytes: Maximum size of the body in bytes.
+        hold: Counts the size of a body that is large so far, and returns once there is
+            memory for more; None for bodies with a small limit.
 
     Raises:
         ResponseError: The body is incomplete, malformed or larger than the limit.
     """
-    parts: list[bytes] = []
-    size = 0
+    body = bytearray()
+    size = held_bytes = 0
     async for body_part in exchange.body_parts():
         size += max(len(body_part), MIN_PART_BYTES)
         if size > limit_bytes:
             raise ResponseError(
                 f"the response body exceeds the limit of {limit_bytes} bytes"
             )
-        parts.append(body_part)
+        body += body_part
+        if hold is not None and len(body) - held_bytes > HOLD_STEP_BYTES:
+            held_bytes = len(body)
+            await hold(held_bytes)
     # Lets the event loop receive a duplicate response before the connection is reused.
     await asyncio.sleep(0)
-    return b"".join(parts)
+    return body
--- a/src/tanagerturn/gateway/backends/sender.py
+++ b/src/tanagerturn/gateway/backends/sender.py
@@ -176,6 +176,7 @@
         except (ResponseError, BackendTimeout, TimeoutError) as error:
             return self._on_response_error(run, backend, error)
         finally:
+            exchange.stop_writing()
             if exchange.is_reusable:
                 state.pool.release(connection, exchange.keep_alive_s, boot_s())
             elif exchange.request is None or exchange.has_head:
@@ -310,7 +311,9 @@
             if run.route.kind is RequestKind.STREAM and reply.status < 300:
                 await self._forward_stream(run, backend, exchange, head)
                 return None
-            body = await read_whole(exchange, RESPONSE_LIMIT_BYTES)
+            body = await read_whole(
+                exchange, RESPONSE_LIMIT_BYTES, run.exchange.hold_response
+            )
         count_run_start(self.state, run)
         if reply.status >= 500:
             run.may_have_run = True
--- a/src/tanagerturn/gateway/connection.py
+++ b/src/tanagerturn/gateway/connection.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import socket
+import threading
+from collections import deque
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.clocks import boot_s
@@ -14,6 +16,13 @@
 READ_AHEAD_LIMIT_BYTES: Final = 64 * 1024
 """Number of unread bytes of one connection above which reading pauses."""
 
+READ_BYTES: Final = 64 * 1024
+"""Maximum number of bytes that are read from a socket at once."""
+
+WRITE_WINDOW_BYTES: Final = 64 * 1024
+"""Number of bytes of a large body that are written at once; the rest waits until the
+write buffer has emptied."""
+
 USER_TIMEOUT_MS: Final = 4_000
 """Time in milliseconds without an acknowledgement of sent bytes after which the kernel
 closes a connection; a network partition leaves connections open without a reset. With
@@ -43,16 +52,32 @@
 """Headers that apply to a single connection and are not forwarded."""
 
 
-class TcpConnection(asyncio.Protocol):
+class _ReadBuffer(threading.local):
+    """Buffer into which all connections of a thread read.
+
+    asyncio allocates 256 KiB for each read of a connection without such a buffer.
+    """
+
+    def __init__(self) -> None:
+        self.view = memoryview(bytearray(READ_BYTES))
+
+
+_read_buffer = _ReadBuffer()
+
+
+class TcpConnection(asyncio.BufferedProtocol):
     """One TCP connection with buffered reads that reports when the peer closes it.
 
     Args:
         on_connected: Called with the connection once it is open; None on the client
             side.
+        read_ahead_bytes: Number of unread bytes above which reading pauses.
     """
 
     def __init__(
-        self, on_connected: Callable[[TcpConnection], None] | None = None
+        self,
+        on_connected: Callable[[TcpConnection], None] | None = None,
+        read_ahead_bytes: int = READ_AHEAD_LIMIT_BYTES,
     ) -> None:
         self.on_connected = on_connected
         """Called with the connection once it is open; None on the client side."""
@@ -71,9 +96,13 @@
         self.read_since_s = 0.0
         """Boot-clock time in seconds at which the first byte of the last read
         arrived."""
+        self.read_ahead_bytes = read_ahead_bytes
+        """Number of unread bytes above which reading pauses."""
         self._read_buffer = bytearray()
         self._read_waiter: asyncio.Future[None] | None = None
-        self._drain_waiter: asyncio.Future[None] | None = None
+        self._drain_waiters: deque[asyncio.Future[None]] = deque()
+        self._interruption: Exception | None = None
+        self._discard_left: int | None = None
         self._is_reading_paused = False
         self._can_write = True
 
@@ -87,13 +116,27 @@
         if self.on_connected is not None:
             self.on_connected(self)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next bytes, which are copied at once."""
+        del sizehint
+        return _read_buffer.view
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take the received bytes out of the buffer."""
+        self.data_received(_read_buffer.view[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Buffer received bytes until they are read."""
+        if self._discard_left is not None:
+            self._discard_left -= len(data)
+            if self._discard_left <= 0:
+                self._wake_reader()
+            return
         if not self._read_buffer:
             self.read_since_s = boot_s()
         self._read_buffer += data
         if (
-            len(self._read_buffer) > READ_AHEAD_LIMIT_BYTES
+            len(self._read_buffer) > self.read_ahead_bytes
             and self.transport is not None
         ):
             self.transport.pause_reading()
@@ -107,9 +150,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Record that the connection is closed."""
-        self._can_write = True
-        if self._drain_waiter is not None and not self._drain_waiter.done():
-            self._drain_waiter.set_result(None)
+        self.resume_writing()
         self._on_end(exc)
 
     def pause_writing(self) -> None:
@@ -119,8 +160,9 @@
     def resume_writing(self) -> None:
         """Let `drain` return, because the write buffer has emptied."""
         self._can_write = True
-        if self._drain_waiter is not None and not self._drain_waiter.done():
-            self._drain_waiter.set_result(None)
+        for waiter in self._drain_waiters:
+            if not waiter.done():
+                waiter.set_result(None)
 
     @property
     def has_unread(self) -> bool:
@@ -146,8 +188,11 @@
 
         Raises:
             ConnectionError: The connection broke.
+            Exception: That of `interrupt`.
         """
-        while not self._read_buffer:
+        while not self._read_buffer or self._interruption is not None:
+            if self._interruption is not None:
+                raise self._interruption
             if self.at_eof:
                 if self.error is not None:
                     raise ConnectionResetError(str(self.error))
@@ -156,13 +201,37 @@
             await self._read_waiter
         data = bytes(self._read_buffer[:limit_bytes])
         del self._read_buffer[:limit_bytes]
-        is_low = len(self._read_buffer) <= READ_AHEAD_LIMIT_BYTES
-        if self._is_reading_paused and is_low and self.transport is not None:
-            self._is_reading_paused = False
-            self.transport.resume_reading()
+        if len(self._read_buffer) <= self.read_ahead_bytes:
+            self._resume_reading()
         return data
 
-    def write(self, data: bytes) -> None:
+    def interrupt(self, error: Exception) -> None:
+        """Let the present or next `read` raise an exception."""
+        self._interruption = error
+        self._wake_reader()
+
+    async def discard(self, limit_bytes: int, timeout_s: float) -> None:
+        """Drop input until the peer closes, for a bounded time and number of bytes.
+
+        The kernel resets a connection that is closed with unread input, and the peer
+        then may not get the last response.
+
+        Args:
+            limit_bytes: Number of bytes after which this gives up.
+            timeout_s: Time in seconds after which this gives up.
+        """
+        self._discard_left = limit_bytes - len(self._read_buffer)
+        self._read_buffer.clear()
+        self._resume_reading()
+        try:
+            async with asyncio.timeout(timeout_s):
+                while not self.at_eof and self._discard_left > 0:
+                    self._read_waiter = asyncio.get_running_loop().create_future()
+                    await self._read_waiter
+        except TimeoutError:
+            pass
+
+    def write(self, data: bytes | memoryview) -> None:
         """Send bytes; they are dropped if the connection is closed."""
         if data and self.transport is not None and not self.transport.is_closing():
             self.transport.write(data)
@@ -171,8 +240,25 @@
         """Wait until the write buffer can take more bytes."""
         if self._can_write:
             return
-        self._drain_waiter = asyncio.get_running_loop().create_future()
-        await self._drain_waiter
+        waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._drain_waiters.append(waiter)
+        try:
+            await waiter
+        finally:
+            self._drain_waiters.remove(waiter)
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether nothing can be written any more."""
+        return self.transport is None or self.transport.is_closing()
+
+    async def write_body(self, body: memoryview) -> None:
+        """Write a large body as the peer reads it, without a copy of the whole."""
+        for start in range(0, len(body), WRITE_WINDOW_BYTES):
+            if self.is_closing:
+                return
+            self.write(body[start : start + WRITE_WINDOW_BYTES])
+            await self.drain()
 
     def set_idle(self, *, is_idle: bool) -> None:
         """Set how long the peer may be silent before the connection is closed."""
@@ -204,6 +290,11 @@
         if not was_at_eof and self.on_disconnect is not None:
             self.on_disconnect()
 
+    def _resume_reading(self) -> None:
+        if self._is_reading_paused and self.transport is not None:
+            self._is_reading_paused = False
+            self.transport.resume_reading()
+
     def _wake_reader(self) -> None:
         if self._read_waiter is not None and not self._read_waiter.done():
             self._read_waiter.set_result(None)
--- a/src/tanagerturn/gateway/control.py
+++ b/src/tanagerturn/gateway/control.py
@@ -22,9 +22,9 @@
 
 if TYPE_CHECKING:
     from tanagerturn.gateway.backends.departures import DepartureTracker
+    from tanagerturn.gateway.callers.exchange import Exchange
     from tanagerturn.gateway.configuration_distributor import ConfigurationDistributor
     from tanagerturn.gateway.messages import RawHeaders
-    from tanagerturn.gateway.server import Exchange
     from tanagerturn.gateway.spread.mesh import Mesh
     from tanagerturn.gateway.state import GatewayState
 
@@ -70,7 +70,7 @@
     async def handle(self, exchange: Exchange) -> None:
         """Execute one control call and send its response."""
         call = self.state.dialect.decode_control(
-            exchange.method, exchange.target, exchange.body
+            exchange.method, exchange.target, bytes(exchange.body)
         )
         try:
             status, body = await self.execute(call)
--- a/src/tanagerturn/gateway/fingerprints.py
+++ b/src/tanagerturn/gateway/fingerprints.py
@@ -15,7 +15,7 @@
 
 
 def fingerprint_of(
-    request: InboundRequest, account: Account | None, body: bytes
+    request: InboundRequest, account: Account | None, body: bytes | bytearray
 ) -> Fingerprint:
     """Return the hash of a request's client account, method, host, target and body.
 
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -14,6 +14,8 @@
 from tanagerturn.gateway.backends import indirect_checks
 from tanagerturn.gateway.backends.brittle import encode_brittle
 from tanagerturn.gateway.backends.departures import DepartureTracker
+from tanagerturn.gateway.callers.descriptors import connection_limits
+from tanagerturn.gateway.callers.memory_budget import Purpose
 from tanagerturn.gateway.callers.stopping import STOPPING_RETRY_S, Shutdown
 from tanagerturn.gateway.configuration import IngressLimits
 from tanagerturn.gateway.configuration_distributor import ConfigurationDistributor
@@ -40,9 +42,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from tanagerturn.gateway.callers.exchange import Exchange
     from tanagerturn.gateway.dialect import Dialect
     from tanagerturn.gateway.limits import AccountLimits
-    from tanagerturn.gateway.server import Exchange
     from tanagerturn.gateway.settings import GatewaySettings
     from tanagerturn.schema import coordination_pb2 as pb
     from tanagerturn.serving.quarantine.evidence import Fingerprint
@@ -127,7 +129,7 @@
         """Boot-clock time of the process start in seconds."""
         self.state = make_state(settings, dialect, self.started_s, wall_ms() / 1000)
         """State that the components of the gateway share."""
-        self.links = Links(self.on_frame)
+        self.links = Links(self.on_frame, self.state.memory)
         """Links to peer gateways."""
         self.member: StateMember | None = None
         """Member of the state group; None on hosts without a disk, and until the
@@ -164,17 +166,48 @@
         """Handles calls of backend servers and operators."""
         self.duties = Duties(self.state, self.store, self.member)
         """Calls to the cloud API."""
-        self.caller_server = HttpServer(self.relay.handle, self._ingress_limits)
+        memory, most = self.state.memory, connection_limits(settings.max_fds)
+        refusals = self.state.metrics.refusals
+        memory.refusals.on_refused = lambda kind: refusals.labels(kind).inc()
+        self.caller_server = HttpServer(
+            self.relay.handle,
+            self._ingress_limits,
+            memory,
+            Purpose.CALLER,
+            most.callers,
+        )
         """Listener for callers."""
         self.forwarding_server = HttpServer(
-            self.relay.handle_forwarded, self._forwarding_limits
+            self.relay.handle_forwarded,
+            self._forwarding_limits,
+            memory,
+            Purpose.PEER,
+            most.peers,
         )
         """Listener for requests that peers forward."""
-        self.readiness_server = HttpServer(self.on_readiness, self._ingress_limits)
+        self.readiness_server = HttpServer(
+            self.on_readiness,
+            self._ingress_limits,
+            memory,
+            Purpose.CONTROL,
+            most.checks,
+        )
         """Listener for the load balancer."""
-        self.control_server = HttpServer(self.control.handle, lambda: CONTROL_LIMITS)
+        self.control_server = HttpServer(
+            self.control.handle,
+            lambda: CONTROL_LIMITS,
+            memory,
+            Purpose.CONTROL,
+            most.control,
+        )
         """Listener for backend servers and operators."""
-        self.metrics_server = HttpServer(self.on_metrics, self._ingress_limits)
+        self.metrics_server = HttpServer(
+            self.on_metrics,
+            self._ingress_limits,
+            memory,
+            Purpose.CONTROL,
+            most.checks,
+        )
         """Listener for metrics."""
         self.group_initializer = GroupInitializer()
         """Decides which gateway initializes the state group."""
--- a/src/tanagerturn/gateway/http_reader.py
+++ b/src/tanagerturn/gateway/http_reader.py
@@ -47,8 +47,8 @@
                 return event
             await self.receive()
 
-    async def receive(self) -> None:
-        """Pass the next bytes of the connection to the parser.
+    async def receive(self) -> int:
+        """Pass the next bytes of the connection to the parser; return their number.
 
         Raises:
             ConnectionError: The connection broke.
@@ -57,4 +57,6 @@
         if self.tcp.has_unread:
             # Other tasks run between two pieces.
             await asyncio.sleep(0)
-        self.http.receive_data(await self.tcp.read(PIECE_BYTES))
+        data = await self.tcp.read(PIECE_BYTES)
+        self.http.receive_data(data)
+        return len(data)
--- a/src/tanagerturn/gateway/intake.py
+++ b/src/tanagerturn/gateway/intake.py
@@ -25,10 +25,10 @@
 
 if TYPE_CHECKING:
     from tanagerturn.gateway.backends.forwarded import ForwardedCall
+    from tanagerturn.gateway.callers.exchange import Exchange
     from tanagerturn.gateway.configuration import Account, Route
     from tanagerturn.gateway.links import Links
     from tanagerturn.gateway.messages import InboundRequest
-    from tanagerturn.gateway.server import Exchange
     from tanagerturn.gateway.state import GatewayState
     from tanagerturn.serving.quarantine.evidence import Fingerprint, PartId
 
--- a/src/tanagerturn/gateway/links.py
+++ b/src/tanagerturn/gateway/links.py
@@ -11,6 +11,8 @@
 
 from tanagerturn.clocks import boot_s
 from tanagerturn.coordination.errors import StepError, UnavailableError
+from tanagerturn.gateway.callers.memory_budget import Purpose
+from tanagerturn.gateway.callers.memory_gate import MemoryRefused
 from tanagerturn.gateway.connection import TcpConnection, connect
 from tanagerturn.gateway.link_liveness import LinkLiveness
 from tanagerturn.gateway.logs import component_log
@@ -19,6 +21,9 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
+    from tanagerturn.gateway.callers.memory_budget import Reservation
+    from tanagerturn.gateway.callers.memory_gate import MemoryGate
+
     FrameHandler = Callable[[gpb.Frame, str], Awaitable[gpb.Frame | None]]
 
 FRAME_LIMIT_BYTES: Final = 16 * 1024 * 1024
@@ -36,6 +41,13 @@
 """Number of unsent bytes of a link from which on one-way frames are dropped; the
 replicated log of the state group sends its messages again."""
 
+SMALL_FRAME_BYTES: Final = 64 * 1024
+"""Number of bytes of an incomplete frame from which on they are counted against the
+memory budget."""
+
+FRAME_COPIES: Final = 3
+"""Number of times that a large frame is in memory while it is decoded."""
+
 FRAME_LENGTH_HEADER: Final = struct.Struct("!I")
 
 log = component_log("links")
@@ -196,11 +208,14 @@
 
     Args:
         handler: Handles a frame of a peer; returns the response to a call.
+        memory: Memory budget for large frames that peers send; None for no limit.
     """
 
-    def __init__(self, handler: FrameHandler) -> None:
+    def __init__(self, handler: FrameHandler, memory: MemoryGate | None = None) -> None:
         self.handler = handler
         """Handles a frame of a peer; returns the response to a call."""
+        self.memory = memory
+        """Memory budget for large frames that peers send; None for no limit."""
         self.links: dict[str, Link] = {}
         """Outgoing links by IP address and port of the peer."""
         self.listener: asyncio.Server | None = None
@@ -249,11 +264,15 @@
 
     async def _serve(self, tcp: TcpConnection) -> None:
         try:
-            async for frame in read_frames(tcp):
+            async for frame in read_frames(tcp, self.memory):
                 if frame.call:
                     self._track(asyncio.create_task(self._respond(tcp, frame)))
                 else:
                     await self.handler(frame, tcp.peer)
+                # A peer that does not read responses gets no further ones.
+                await tcp.drain()
+        except MemoryRefused:
+            log.debug("incoming_link_broke", peer=tcp.peer, reason="no memory")
         except (ConnectionError, DecodeError, ValueError) as error:
             log.debug("incoming_link_broke", peer=tcp.peer, reason=str(error))
         tcp.abort()
@@ -280,26 +299,67 @@
     return FRAME_LENGTH_HEADER.pack(len(body)) + body
 
 
-async def read_frames(tcp: TcpConnection) -> AsyncIterator[gpb.Frame]:
+async def read_frames(
+    tcp: TcpConnection, memory: MemoryGate | None = None
+) -> AsyncIterator[gpb.Frame]:
     """Yield received frames until the other side closes the connection.
 
+    Args:
+        tcp: Connection that carries the frames.
+        memory: Memory budget for large frames; None for no limit.
+
     Raises:
         ConnectionError: The connection broke.
         DecodeError: The bytes are not a valid frame.
         ValueError: A frame exceeds the size limit.
+        MemoryRefused: A frame is refused for want of memory.
     """
     buffered = bytearray()
-    while data := await tcp.read():
-        buffered += data
-        while len(buffered) >= FRAME_LENGTH_HEADER.size:
-            (size,) = FRAME_LENGTH_HEADER.unpack_from(buffered)
-            if size > FRAME_LIMIT_BYTES:
-                raise ValueError(
-                    f"a frame of {size} bytes exceeds the limit of"
-                    f" {FRAME_LIMIT_BYTES} bytes"
+    frame_memory = _FrameMemory(memory, tcp)
+    try:
+        while data := await tcp.read():
+            buffered += data
+            await frame_memory.hold(len(buffered), len(data))
+            while len(buffered) >= FRAME_LENGTH_HEADER.size:
+                (size,) = FRAME_LENGTH_HEADER.unpack_from(buffered)
+                if size > FRAME_LIMIT_BYTES:
+                    raise ValueError(
+                        f"a frame of {size} bytes exceeds the limit of"
+                        f" {FRAME_LIMIT_BYTES} bytes"
+                    )
+                end = FRAME_LENGTH_HEADER.size + size
+                if len(buffered) < end:
+                    break
+                yield gpb.Frame.FromString(
+                    bytes(buffered[FRAME_LENGTH_HEADER.size : end])
                 )
-            end = FRAME_LENGTH_HEADER.size + size
-            if len(buffered) < end:
-                break
-            yield gpb.Frame.FromString(bytes(buffered[FRAME_LENGTH_HEADER.size : end]))
-            del buffered[:end]
+                del buffered[:end]
+            if len(buffered) <= SMALL_FRAME_BYTES:
+                frame_memory.release()
+    finally:
+        frame_memory.release()
+
+
+class _FrameMemory:
+    """What an incomplete frame holds of the memory budget; nothing if it is small."""
+
+    def __init__(self, gate: MemoryGate | None, tcp: TcpConnection) -> None:
+        self.gate = gate
+        self.tcp = tcp
+        self.reservation: Reservation | None = None
+
+    async def hold(self, size_bytes: int, received_bytes: int) -> None:
+        if self.gate is None or size_bytes <= SMALL_FRAME_BYTES:
+            return
+        if self.reservation is None:
+            self.reservation = self.gate.open(
+                Purpose.PEER, lambda: self.tcp.interrupt(MemoryRefused())
+            )
+        held_bytes = FRAME_COPIES * size_bytes
+        if not self.gate.hold(self.reservation, held_bytes, received_bytes):
+            await self.gate.wait(self.reservation)
+
+    def release(self) -> None:
+        if self.gate is not None and self.reservation is not None:
+            self.gate.release(self.reservation)
+            self.reservation = None
--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -44,6 +44,11 @@
     ),
     "caller_left": "The caller closed its connection before its response was complete.",
     "caller_fault": "A caller violated the protocol or a limit.",
+    "overload_refused": (
+        "Requests or connections were refused or closed for want of memory or "
+        "descriptors; `count` of this `kind` since its last line, at most one line a "
+        "second."
+    ),
     "handler_failed": (
         "A request handler raised an unexpected error; its connection was closed."
     ),
--- a/src/tanagerturn/gateway/metrics.py
+++ b/src/tanagerturn/gateway/metrics.py
@@ -69,6 +69,11 @@
     """Requests that were checked against limits of backend servers here, by charge."""
     quarantine_rejections: Counter
     """Requests that were rejected because of a quarantine, by service."""
+    refusals: Counter
+    """Requests and connections that were refused or closed for want of memory or
+    descriptors, by kind."""
+    memory_held: Gauge
+    """Memory in bytes that requests and responses hold."""
 
     def update(
         self,
@@ -102,6 +107,7 @@
         self.quarantined_parts.set(len(state.quarantine.quarantined))
         self.quarantined_requests.set(len(state.repeats.quarantined()))
         self.connections.set(state.pool.opened_count)
+        self.memory_held.set(state.memory.budget.used_bytes)
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -147,6 +153,10 @@
             "tanager_gateway_connections_opened",
             "Connections to backend servers opened since the start.",
         ),
+        memory_held=gauge(
+            "tanager_gateway_memory_held_bytes",
+            "Memory that requests and responses hold.",
+        ),
         clock_offset_s=gauge(
             "tanager_gateway_clock_offset_seconds",
             "Corrected wall clock less the host's clock.",
@@ -177,6 +187,13 @@
             ("service",),
             registry=registry,
         ),
+        refusals=Counter(
+            "tanager_gateway_overload_refusals",
+            "Requests and connections refused or closed for want of memory or "
+            "descriptors, by kind: memory or descriptors, and whose.",
+            ("kind",),
+            registry=registry,
+        ),
         first_event_s=histogram(
             "tanager_gateway_first_event_seconds", "Time to the first event of streams."
         ),
--- a/src/tanagerturn/gateway/outcomes.py
+++ b/src/tanagerturn/gateway/outcomes.py
@@ -8,8 +8,8 @@
 from tanagerturn.gateway.logs import component_log
 
 if TYPE_CHECKING:
+    from tanagerturn.gateway.callers.exchange import Exchange
     from tanagerturn.gateway.request_run import Refusal, RequestRun
-    from tanagerturn.gateway.server import Exchange
     from tanagerturn.gateway.state import GatewayState
 
 RETRY_AFTER_JITTER: Final = 0.5
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -45,8 +45,8 @@
 
 if TYPE_CHECKING:
     from tanagerturn.gateway.backends.placement import Choice
+    from tanagerturn.gateway.callers.exchange import Exchange
     from tanagerturn.gateway.links import Links
-    from tanagerturn.gateway.server import Exchange
     from tanagerturn.gateway.state import GatewayState
 
 NO_BACKEND_RETRY_S: Final = 0.4
--- a/src/tanagerturn/gateway/request_run.py
+++ b/src/tanagerturn/gateway/request_run.py
@@ -14,10 +14,10 @@
 
     from tanagerturn.gateway.backends.exchange import ResponseHead
     from tanagerturn.gateway.backends.forwarded import ForwardedCall
+    from tanagerturn.gateway.callers.exchange import Exchange
     from tanagerturn.gateway.configuration import Account, Route, ServiceName
     from tanagerturn.gateway.event_stream import StreamProgress
     from tanagerturn.gateway.messages import InboundRequest, KvCopy
-    from tanagerturn.gateway.server import Exchange
     from tanagerturn.serving.backends.backend import Backend
     from tanagerturn.serving.backends.messages import BackendId
     from tanagerturn.serving.quarantine.evidence import Fingerprint
@@ -145,7 +145,7 @@
     body; 0 before it."""
     migration_task: asyncio.Task[Migration | None] | None = None
     """Task that migrates the request to another engine; None if none was started."""
-    backend_failure: tuple[ResponseHead, bytes] | None = None
+    backend_failure: tuple[ResponseHead, bytes | bytearray] | None = None
     """Response head and body of a backend server that failed the request, forwarded if
     no other attempt succeeds; None if there is none."""
     expected_s: float = 0.0
--- a/src/tanagerturn/gateway/settings.py
+++ b/src/tanagerturn/gateway/settings.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from tanagerturn.gateway.callers.descriptors import DEFAULT_MAX_FDS
+from tanagerturn.gateway.callers.memory_budget import DEFAULT_MEMORY_BYTES
+
 if TYPE_CHECKING:
     from pathlib import Path
 
@@ -85,6 +88,10 @@
     """Time after the end of a window in seconds from which its report is late."""
     duties: DutySettings | None
     """Calls to the cloud API; None if gateways make none."""
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
+    """Memory of the host in bytes."""
+    max_fds: int = DEFAULT_MAX_FDS
+    """Largest number of descriptors that the process may open."""
 
     @property
     def link_address(self) -> str:
--- a/src/tanagerturn/gateway/state.py
+++ b/src/tanagerturn/gateway/state.py
@@ -9,6 +9,8 @@
 from tanagerturn.clocks import boot_s, to_ms
 from tanagerturn.gateway.backends.limits import BackendLimits
 from tanagerturn.gateway.backends.pool import ConnectionPool
+from tanagerturn.gateway.callers.memory_budget import MemoryBudget, budget_bytes
+from tanagerturn.gateway.callers.memory_gate import MemoryGate
 from tanagerturn.gateway.callers.service_times import ServiceTimes
 from tanagerturn.gateway.configuration import (
     Configuration,
@@ -81,6 +83,8 @@
     """State of the backend servers."""
     usage: UsageCounts
     """Counts of started requests by report window and client account."""
+    memory: MemoryGate
+    """Memory budget of requests and responses."""
     configuration: Configuration = field(default_factory=empty_configuration)
     """The configuration in force."""
     pool: ConnectionPool = field(default_factory=ConnectionPool)
@@ -349,4 +353,5 @@
         fleet=Fleet(settings.host),
         wall_clock=CorrectedWallClock(now_s, wall_s),
         usage=UsageCounts(settings.report_window_s),
+        memory=MemoryGate(MemoryBudget(budget_bytes(settings.memory_bytes))),
     )
--- a/src/tanagerturn/platform/main.py
+++ b/src/tanagerturn/platform/main.py
@@ -8,6 +8,7 @@
 
 from tanagerturn.clocks import to_ms
 from tanagerturn.coordination.errors import StepError
+from tanagerturn.gateway.callers.heap import set_up_heap
 from tanagerturn.gateway.gateway import run_gateway
 from tanagerturn.gateway.logs import component_log, set_up_logs
 from tanagerturn.platform.dialect import PlatformDialect
@@ -21,6 +22,7 @@
         Exit code: 0 after a graceful stop, 1 if the gateway could not start.
     """
     try:
+        set_up_heap()
         settings = read_settings()
         set_up_logs(settings.host)
         # Imported modules live as long as the process; the garbage collector does
--- a/src/tanagerturn/platform/settings.py
+++ b/src/tanagerturn/platform/settings.py
@@ -7,6 +7,12 @@
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.coordination.errors import RefusedError
+from tanagerturn.gateway.callers.descriptors import DEFAULT_MAX_FDS
+from tanagerturn.gateway.callers.memory_budget import (
+    DEFAULT_MEMORY_BYTES,
+    MIB,
+    PROCESS_BYTES,
+)
 from tanagerturn.gateway.settings import DutySettings, GatewaySettings
 from tanagerturn.serving.limits.terms import Tolerance
 
@@ -27,6 +33,10 @@
 """TCP port for metrics; `deploy/system.toml` states the same port, which is the default
 of common metrics exporters."""
 
+MIN_FDS: Final = 128
+"""Smallest permitted descriptor limit; a gateway without callers opens about 30, and
+more with each peer and backend server."""
+
 DEFAULT_BOUNDS: Final[Mapping[str, str]] = {
     "drain_ms": "2000",
     "grace_s": "8",
@@ -140,9 +150,39 @@
         # usage_late_s is counted from the end of the reporting window.
         report_due_s=bound("usage_late_s"),
         duties=_decode_duties(fields, bound("lease_ms")),
+        memory_bytes=_decode_memory(fields),
+        max_fds=_decode_max_fds(fields),
     )
 
 
+def _decode_memory(fields: Mapping[str, str]) -> int:
+    """Return the memory of the host in bytes.
+
+    Raises:
+        ValueError: It is less than a gateway needs without callers.
+    """
+    text = fields.get("limits.memory_mb")
+    size_bytes = int(float(text) * MIB) if text else DEFAULT_MEMORY_BYTES
+    if size_bytes <= PROCESS_BYTES:
+        raise ValueError(
+            f"limits.memory_mb is {text}, expected more than {PROCESS_BYTES // MIB}"
+        )
+    return size_bytes
+
+
+def _decode_max_fds(fields: Mapping[str, str]) -> int:
+    """Return the descriptor limit.
+
+    Raises:
+        ValueError: It is less than a gateway needs.
+    """
+    text = fields.get("limits.max_fds")
+    max_fds = int(float(text)) if text else DEFAULT_MAX_FDS
+    if max_fds < MIN_FDS:
+        raise ValueError(f"limits.max_fds is {text}, expected at least {MIN_FDS}")
+    return max_fds
+
+
 def _decode_duties(fields: Mapping[str, str], lease_ms: float) -> DutySettings | None:
     address = fields.get("cloud.address", "")
     duties = fields.get("cloud.duties", "").split(",")
--- a/tests/support/process_load.py
+++ b/tests/support/process_load.py
@@ -155,7 +155,7 @@
         for task in tasks:
             task.cancel()
         for caller in callers:
-            if hasattr(caller, "transport"):
+            if hasattr(caller, "transport") and not caller.is_closed:
                 caller.transport.abort()
         await asyncio.sleep(0.1)
 
