Bound the wait for memory, and return freed memory to the system

Cause, from trials with 300 callers of 4 MiB on a host with 160 MB: a transfer that was refused just before it began to wait was never woken; woken transfers started a new wait of 2 s each time; connections were freed by the garbage collector only; growing bodies left holes in the heap; a reset connection raised in write_eof.

Change: the wait of a transfer is limited in total, the oldest go on first, buffers from 32 KiB on are mappings of their own, closed connections leave no reference cycles, peers and control calls get 90% of the budget.

--- a/src/tanagerturn/gateway/callers/body_reader.py
+++ b/src/tanagerturn/gateway/callers/body_reader.py
@@ -21,10 +21,10 @@
     from tanagerturn.gateway.configuration import IngressLimits
     from tanagerturn.gateway.http_reader import HttpReader
 
-READ_AHEAD_BYTES: Final = 8 * 1024
+READ_AHEAD_BYTES: Final = 16 * 1024
 """Number of unread bytes of a caller above which reading pauses."""
 
-SIZED_PIECE_BYTES: Final = 64 * 1024
+SIZED_PIECE_BYTES: Final = READ_AHEAD_BYTES
 """Number of bytes of a body of known length that are copied in one turn of the event
 loop."""
 
@@ -32,7 +32,7 @@
 """Number of bytes of a chunked body that are decoded in one turn of the event loop;
 1,360 of the smallest chunks take about 1 ms."""
 
-BUFFER_BYTES: Final = 32 * 1024
+BUFFER_BYTES: Final = 48 * 1024
 """What an unfinished request holds besides its body: unread bytes and the parser."""
 
 MANY_HEADERS: Final = 64
--- a/src/tanagerturn/gateway/callers/http_connection.py
+++ b/src/tanagerturn/gateway/callers/http_connection.py
@@ -46,6 +46,10 @@
 log = component_log("server")
 
 
+def _closed() -> Reservation:
+    raise ConnectionResetError("the connection is closed")
+
+
 class HttpConnection:
     """One connection of a client of the server.
 
@@ -107,6 +111,10 @@
             self.is_receiving = False
             self.tcp.close()
             self.server.on_closed(self)
+            # Without these references, the buffers are freed before the garbage
+            # collector finds them.
+            self.tcp.on_disconnect = self.tcp.on_connected = None
+            self.memory.open_reservation = _closed
 
     async def _serve_all(self) -> tuple[int, str] | None:
         """Serve requests; return status and reason of the refusal that ends this.
@@ -269,3 +277,5 @@
     def _on_disconnect(self) -> None:
         if self.handler_task is not None and not self.handler_task.done():
             self.handler_task.cancel()
+        elif self.memory.reservation is not None:
+            self.server.memory.resume(self.memory.reservation)
--- a/src/tanagerturn/gateway/callers/memory_budget.py
+++ b/src/tanagerturn/gateway/callers/memory_budget.py
@@ -36,20 +36,21 @@
 makes progress: none has ended meanwhile, so they may all wait for each other."""
 
 MAX_WAIT_S: Final = 2.0
-"""Longest time in seconds that a request body waits for memory. Callers of other
-gateways are answered sooner than by waiting longer."""
+"""Longest time in seconds that a transfer waits for memory in total. Another gateway
+serves its caller sooner than a longer wait, and a caller that has disconnected is not
+noticed before its bytes have been read."""
 
 
 class Purpose(Enum):
-    """What the memory is held for: its value are the shares of the budget.
+    """What memory is held for; the value gives two shares of the budget.
 
     The first one applies to holders of more than `SMALL_BYTES`, the second to the
     others. What lies above the shares of callers is the reserve.
     """
 
     CALLER = (0.7, 0.85)
-    PEER = (0.8, 0.95)
-    CONTROL = (0.8, 1.0)
+    PEER = (0.9, 0.95)
+    CONTROL = (0.9, 1.0)
     RESPONSE = (0.95, 0.95)
 
 
@@ -71,9 +72,12 @@
         self.is_refusable = True
         """Whether the transfer may be ended to get its memory: not while a request
         runs."""
+        self.is_refused = False
+        """Whether the transfer was chosen to be ended."""
         self.waits_since_s: float | None = None
         """Boot-clock time in seconds since which the transfer waits for memory; None
         if it does not wait."""
+        self._waited_s = 0.0
         self._mark_s = now_s
         self._mark_bytes = 0
         self._last_rate = math.inf
@@ -103,8 +107,14 @@
             return
         if self.waits_since_s is not None:
             self._mark_s += now_s - self.waits_since_s
+            self._waited_s += now_s - self.waits_since_s
             self.waits_since_s = None
 
+    def waited_s(self, now_s: float) -> float:
+        """Return the total time in seconds for which the transfer has waited."""
+        since_s = now_s if self.waits_since_s is None else self.waits_since_s
+        return self._waited_s + now_s - since_s
+
     def _window_rate(self, end_s: float) -> float:
         passed_s = max(RATE_WINDOW_S, end_s - self._mark_s)
         return (self.moved_bytes - self._mark_bytes) / passed_s
@@ -122,8 +132,8 @@
         """Size of the budget in bytes."""
         self.used_bytes = 0
         """Number of bytes held by all reservations."""
-        self.reservations: set[Reservation] = set()
-        """Reservations in force."""
+        self.reservations: dict[Reservation, None] = {}
+        """Reservations in force, the oldest first."""
 
     def __repr__(self) -> str:
         return f"MemoryBudget({self.used_bytes} of {self.size_bytes} bytes)"
@@ -131,7 +141,7 @@
     def open(self, purpose: Purpose, now_s: float) -> Reservation:
         """Return a new reservation of no bytes."""
         reservation = Reservation(purpose, now_s)
-        self.reservations.add(reservation)
+        self.reservations[reservation] = None
         return reservation
 
     def hold(self, reservation: Reservation, held_bytes: int) -> bool:
@@ -166,7 +176,7 @@
     def release(self, reservation: Reservation) -> None:
         """Remove a reservation; nothing happens if it was removed before."""
         if reservation in self.reservations:
-            self.reservations.discard(reservation)
+            del self.reservations[reservation]
             self.used_bytes -= reservation.held_bytes
             reservation.held_bytes = 0
 
@@ -180,18 +190,22 @@
         waiting = [r for r in self.reservations if r.waits_since_s is not None]
         if not waiting:
             return []
-        refusable = [r for r in self.reservations if r.is_refusable and r.held_bytes]
+        refusable = [
+            r
+            for r in self.reservations
+            if r.is_refusable and r.held_bytes and not r.is_refused
+        ]
         overdue = [
             r
             for r in refusable
-            if r.waits_since_s is not None and now_s - r.waits_since_s >= MAX_WAIT_S
+            if r.waits_since_s is not None and r.waited_s(now_s) >= MAX_WAIT_S
         ]
         if overdue or not refusable:
             return overdue
-        worst = max(refusable, key=lambda r: _cost(r, now_s))
         slowest = [r for r in refusable if r.bytes_per_s(now_s) < SLOW_BYTES_PER_S]
         if slowest:
             return [max(slowest, key=lambda r: _cost(r, now_s))]
+        worst = max(refusable, key=lambda r: _cost(r, now_s))
         longest_s = max(now_s - (r.waits_since_s or now_s) for r in waiting)
         has_running = any(
             r.held_bytes > SMALL_BYTES and r.waits_since_s is None
--- a/src/tanagerturn/gateway/callers/memory_gate.py
+++ b/src/tanagerturn/gateway/callers/memory_gate.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.clocks import boot_s
-from tanagerturn.gateway.callers.heap import trim_heap
 from tanagerturn.gateway.logs import component_log
+from tanagerturn.shared.heap import trim_heap
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,12 +24,15 @@
 LOG_INTERVAL_S: Final = 1.0
 """Shortest interval in seconds between two log lines of one kind of refusal."""
 
-TRIM_SHARE: Final = 0.25
+TRIM_SHARE: Final = 0.1
 """Share of the budget that has to be freed before the heap is trimmed."""
 
-TRIM_DELAY_S: Final = 0.5
-"""Time in seconds after which the heap is trimmed, so that one trim serves for many
-transfers that end together; a trim takes some milliseconds."""
+TRIM_INTERVAL_S: Final = 1.0
+"""Interval in seconds between two trims; one takes some milliseconds."""
+
+TRIM_TIME_S: Final = 4.0
+"""Time in seconds for which the heap is trimmed after memory was freed: buffers of
+refused callers stay open for some seconds, and keep the heap from shrinking."""
 
 STEP_BYTES: Final = 64 * 1024
 """Number of bytes that a transfer which goes on is expected to take before the next
@@ -77,7 +80,7 @@
         self.refusals = RefusalLog()
         """Counts and logs refusals."""
         self.waiters: dict[Reservation, asyncio.Future[None]] = {}
-        """Transfers that wait for memory, in the order of their arrival."""
+        """Transfers that wait for memory."""
         self.refusers: dict[Reservation, Callable[[], None]] = {}
         """Called to refuse a transfer that does not wait for memory."""
         self.timer: asyncio.TimerHandle | None = None
@@ -85,7 +88,9 @@
         self.trim_timer: asyncio.TimerHandle | None = None
         """Next trim of the heap; None if none is due."""
         self.freed_bytes = 0
-        """Number of bytes released since the last trim of the heap."""
+        """Number of bytes released since trims of the heap were last planned."""
+        self.trims_until_s = 0.0
+        """Boot-clock time in seconds until which the heap is trimmed repeatedly."""
 
     def open(self, purpose: Purpose, refuse: Callable[[], None]) -> Reservation:
         """Return a new reservation.
@@ -122,7 +127,8 @@
         Raises:
             MemoryRefused: The transfer is refused.
         """
-        if reservation not in self.budget.reservations:
+        if reservation.is_refused:
+            # It was refused as it was about to wait.
             raise MemoryRefused
         loop = asyncio.get_running_loop()
         waiter: asyncio.Future[None] = loop.create_future()
@@ -142,22 +148,34 @@
         if waiter is not None and not waiter.done():
             waiter.set_exception(MemoryRefused())
 
+    def resume(self, reservation: Reservation) -> None:
+        """End the wait of a transfer whose peer sends no more."""
+        waiter = self.waiters.get(reservation)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
     def release(self, reservation: Reservation) -> None:
         """Release what a transfer holds, and let others go on."""
         self.freed_bytes += reservation.held_bytes
         self.refusers.pop(reservation, None)
         self.budget.release(reservation)
         self._wake()
-        is_much = self.freed_bytes >= TRIM_SHARE * self.budget.size_bytes
-        if is_much and self.trim_timer is None:
-            loop = asyncio.get_running_loop()
-            self.trim_timer = loop.call_later(TRIM_DELAY_S, self._trim)
+        if self.freed_bytes >= TRIM_SHARE * self.budget.size_bytes:
+            self.freed_bytes = 0
+            self.trims_until_s = boot_s() + TRIM_TIME_S
+            if self.trim_timer is None:
+                self._plan_trim()
 
     def _wake(self) -> None:
-        """Let the transfers go on that may, in the order of their arrival."""
+        """Let the transfers go on that may, the oldest first, so that some end."""
         planned_bytes = 0
-        for reservation, waiter in self.waiters.items():
-            if not waiter.done() and self.budget.may_go_on(reservation, planned_bytes):
+        if not self.waiters:
+            return
+        for reservation in self.budget.reservations:
+            waiter = self.waiters.get(reservation)
+            if waiter is None or waiter.done():
+                continue
+            if self.budget.may_go_on(reservation, planned_bytes):
                 planned_bytes += STEP_BYTES
                 waiter.set_result(None)
 
@@ -173,10 +191,10 @@
                 budget_bytes=self.budget.size_bytes,
                 waited=reservation.waits_since_s is not None,
             )
+            reservation.is_refused = True
             if reservation in self.waiters:
                 self.interrupt(reservation)
             else:
-                reservation.is_refusable = False
                 self.refusers[reservation]()
         if self.waiters:
             loop = asyncio.get_running_loop()
@@ -184,5 +202,10 @@
 
     def _trim(self) -> None:
         self.trim_timer = None
-        self.freed_bytes = 0
         trim_heap()
+        if boot_s() < self.trims_until_s:
+            self._plan_trim()
+
+    def _plan_trim(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.trim_timer = loop.call_later(TRIM_INTERVAL_S, self._trim)
--- a/src/tanagerturn/gateway/connection.py
+++ b/src/tanagerturn/gateway/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import threading
 from collections import deque
@@ -16,9 +17,6 @@
 READ_AHEAD_LIMIT_BYTES: Final = 64 * 1024
 """Number of unread bytes of one connection above which reading pauses."""
 
-READ_BYTES: Final = 64 * 1024
-"""Maximum number of bytes that are read from a socket at once."""
-
 WRITE_WINDOW_BYTES: Final = 64 * 1024
 """Number of bytes of a large body that are written at once; the rest waits until the
 write buffer has emptied."""
@@ -59,7 +57,7 @@
     """
 
     def __init__(self) -> None:
-        self.view = memoryview(bytearray(READ_BYTES))
+        self.view = memoryview(bytearray(READ_AHEAD_LIMIT_BYTES))
 
 
 _read_buffer = _ReadBuffer()
@@ -97,7 +95,8 @@
         """Boot-clock time in seconds at which the first byte of the last read
         arrived."""
         self.read_ahead_bytes = read_ahead_bytes
-        """Number of unread bytes above which reading pauses."""
+        """Number of unread bytes above which reading pauses, and that are read at
+        once."""
         self._read_buffer = bytearray()
         self._read_waiter: asyncio.Future[None] | None = None
         self._drain_waiters: deque[asyncio.Future[None]] = deque()
@@ -119,7 +118,7 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next bytes, which are copied at once."""
         del sizehint
-        return _read_buffer.view
+        return _read_buffer.view[: self.read_ahead_bytes]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Take the received bytes out of the buffer."""
@@ -270,7 +269,9 @@
     def end_writing(self) -> None:
         """Close the connection in this direction once the written bytes are sent."""
         if self.transport is not None and not self.transport.is_closing():
-            self.transport.write_eof()
+            # The peer may have reset the connection just now.
+            with contextlib.suppress(OSError):
+                self.transport.write_eof()
 
     def close(self) -> None:
         """Close the connection once the written bytes are sent."""
--- a/src/tanagerturn/gateway/links.py
+++ b/src/tanagerturn/gateway/links.py
@@ -45,8 +45,8 @@
 """Number of bytes of an incomplete frame from which on they are counted against the
 memory budget."""
 
-FRAME_COPIES: Final = 3
-"""Number of times that a large frame is in memory while it is decoded."""
+FRAME_COPIES: Final = 2
+"""Number of times that a large frame is held: as received, and decoded."""
 
 FRAME_LENGTH_HEADER: Final = struct.Struct("!I")
 
--- a/src/tanagerturn/platform/main.py
+++ b/src/tanagerturn/platform/main.py
@@ -8,11 +8,11 @@
 
 from tanagerturn.clocks import to_ms
 from tanagerturn.coordination.errors import StepError
-from tanagerturn.gateway.callers.heap import set_up_heap
 from tanagerturn.gateway.gateway import run_gateway
 from tanagerturn.gateway.logs import component_log, set_up_logs
 from tanagerturn.platform.dialect import PlatformDialect
 from tanagerturn.platform.settings import read_settings
+from tanagerturn.shared.heap import set_up_heap
 
 
 def main() -> int:
--- a/src/tanagerturn/gateway/callers/heap.py
+++ b/src/tanagerturn/shared/heap.py
@@ -10,10 +10,11 @@
 M_MMAP_THRESHOLD: Final = -3
 """Parameters of glibc's `mallopt`."""
 
-MMAP_THRESHOLD_BYTES: Final = 128 * 1024
+MMAP_THRESHOLD_BYTES: Final = 32 * 1024
 """Size from which a buffer is a mapping of its own, which is returned when it is freed.
 glibc raises its threshold to the size of the largest freed buffer unless it is set:
-memory stayed at 288 MB after all callers had disconnected."""
+memory stayed at 288 MB after all callers had disconnected. With 128 KiB, growing
+bodies left holes of about 20 MB in the heap."""
 
 
 def set_up_heap() -> None:
