Admit generations of paced services by a shared price of engine time

Cause: a generation is admitted if its own first event is expected within a fraction of its own objective, at one gateway alone, so large prompts are refused first whatever their priority. Active for services of which Fleet.reports_pace is true, at present none.

--- a/src/tanagerturn/gateway/backends/placement.py
+++ b/src/tanagerturn/gateway/backends/placement.py
@@ -5,7 +5,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from tanagerturn.serving.routing.prompt_parts import CandidateEngine, place_prompt
+from tanagerturn.serving.routing.prompt_parts import (
+    PER_QUEUED_REQUEST_MS,
+    PREFILL_TOKENS_PER_MS,
+    CandidateEngine,
+    place_prompt,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
@@ -41,6 +46,11 @@
     plain requests."""
     pace: float = 1.0
     """Ratio of observed to expected times to the first event at this engine."""
+    backlog_s: float = 0.0
+    """Part of `first_event_s` in which the request waits for other prompts and for a
+    slot, in seconds; 0 for plain requests."""
+    nothing_waits: bool = False
+    """The engine has a free slot and, as far as is known, no other prompt to read."""
 
 
 def choose(
@@ -108,7 +118,19 @@
         chosen.first_event_ms / 1000,
         chosen.prefill_ms / 1000,
     )
-    return Choice(backend, is_full, first_event_s, prompt_read_s, view.pace)
+    waiting_ms = view.prompt_tokens / PREFILL_TOKENS_PER_MS
+    waiting_ms += PER_QUEUED_REQUEST_MS * max(0, view.running + 1 - view.slots)
+    backlog_s = min(first_event_s - prompt_read_s, waiting_ms * view.pace / 1000)
+    nothing_waits = not view.prompt_tokens and not is_full
+    return Choice(
+        backend,
+        is_full,
+        first_event_s,
+        prompt_read_s,
+        view.pace,
+        backlog_s,
+        nothing_waits,
+    )
 
 
 def _engine_view(
--- a/src/tanagerturn/gateway/backends/sender.py
+++ b/src/tanagerturn/gateway/backends/sender.py
@@ -20,6 +20,7 @@
     new_data,
     stream_headers,
 )
+from tanagerturn.gateway.callers import scarcity
 from tanagerturn.gateway.configuration import RequestKind
 from tanagerturn.gateway.fleet import service_of
 from tanagerturn.gateway.logs import component_log
@@ -385,6 +386,7 @@
         count_run_start(self.state, run)
         run.may_have_run = True
         run.writing_since_s = boot_s()
+        scarcity.on_first_event(self.state, run, run.writing_since_s)
         self.state.fleet.on_first_event(
             backend.id, run.request.attempt_id, run.writing_since_s
         )
--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -101,6 +101,8 @@
         never said that they leave, until `take_replaced`."""
         self.change_count = 0
         """Number of announcements that were new or changed where requests may go."""
+        self.paced_services: set[str] = set()
+        """Services of which a backend server has reported its pace."""
         self.kv_capacity_tokens: dict[str, int] = {}
         """KV cache capacity of one engine in tokens by service, as configured; 0 if not
         stated."""
@@ -480,6 +482,13 @@
             if backend.is_alive(to_ms(now_s)) and not backend.leaving
         )
 
+    def reports_pace(self, service: str) -> bool:
+        """Return whether a backend server of a service has reported its pace.
+
+        The shared price decides the admission of the generations of such services.
+        """
+        return service in self.paced_services
+
     def kv_capacity_of(self, backend: Backend) -> int:
         """Return the KV cache capacity of an engine in tokens."""
         return (
--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -34,8 +34,16 @@
         "The error response of a backend server was sent to the caller."
     ),
     "refused": (
-        "The gateway itself responded with an error; see `status` and `cause`."
+        "The gateway itself responded with an error; see `status` and `cause`. "
+        "`scarcity` is `price`, `late` or `unservable` if the shared price decided it."
     ),
+    "capacity_scarce": (
+        "The price of engine time of a service has risen above 0: requests are served "
+        "up to `level` (all priorities below it, and its fraction of the next one); "
+        "`demand` and `engines` are engine seconds per second, `reports` the peers "
+        "heard from."
+    ),
+    "capacity_sufficient": "The price of engine time of a service is 0 again.",
     "refused_at_once": (
         "The request was refused before it had a route and a client account."
     ),
--- a/src/tanagerturn/gateway/metrics.py
+++ b/src/tanagerturn/gateway/metrics.py
@@ -67,6 +67,10 @@
 
     backend_limit_requests: Counter
     """Requests that were checked against limits of backend servers here, by charge."""
+    price: Gauge
+    """Price of engine time by service, in priority steps that are not served."""
+    price_refusals: Counter
+    """Requests that the shared price refused, by service and reason."""
     quarantine_rejections: Counter
     """Requests that were rejected because of a quarantine, by service."""
 
@@ -171,6 +175,20 @@
             ("charge",),
             registry=registry,
         ),
+        price=Gauge(
+            "tanager_gateway_engine_time_price",
+            "Shared price of engine time by service, in priority steps, counted from "
+            "the least urgent one, that are not served; 0 while capacity suffices.",
+            ("service",),
+            registry=registry,
+        ),
+        price_refusals=Counter(
+            "tanager_gateway_price_refusals",
+            "Requests refused since capacity is scarce, by service and reason: price, "
+            "late or unservable.",
+            ("service", "reason"),
+            registry=registry,
+        ),
         quarantine_rejections=Counter(
             "tanager_gateway_quarantine_rejections",
             "Requests rejected by a quarantine, by service.",
--- a/src/tanagerturn/gateway/outcomes.py
+++ b/src/tanagerturn/gateway/outcomes.py
@@ -105,5 +105,6 @@
         longest_pause_s=round(run.longest_pause_s, 4),
         taken_s=round(taken_s, 4),
         cause=run.cause,
+        **({"scarcity": run.price_reason} if run.price_reason else {}),
         **fields,
     )
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -12,6 +12,7 @@
 from tanagerturn.gateway.backends.forwarded import InvalidForwarding, decode_request
 from tanagerturn.gateway.backends.sender import Sender
 from tanagerturn.gateway.backends.statements import read_call_statements
+from tanagerturn.gateway.callers.scarcity import reject_if_priced_out
 from tanagerturn.gateway.callers.stopping import (
     refusal_of_stopping,
     reject_if_unfinishable,
@@ -90,8 +91,9 @@
         """Makes the backend attempts."""
         self.detours = Detours(state, self.intake.refund)
         """Serves requests through peers where this gateway has no path."""
-        self.capacity_waiters: set[asyncio.Future[None]] = set()
-        """Futures of requests that wait for capacity at a backend server."""
+        self.capacity_waiters: dict[asyncio.Future[None], int] = {}
+        """Futures of requests that wait for capacity at a backend server, with the
+        priority in which they are woken; equal where no price is shared."""
 
     async def handle(self, exchange: Exchange) -> None:
         """Proxy one request and respond to its caller."""
@@ -145,7 +147,8 @@
 
     def wake(self) -> None:
         """Let waiting requests check for capacity again."""
-        for waiter in self.capacity_waiters:
+        waiters = self.capacity_waiters
+        for waiter in sorted(waiters, key=waiters.__getitem__):
             if not waiter.done():
                 waiter.set_result(None)
 
@@ -365,6 +368,9 @@
         """Reject a generation that would be late, before its first attempt."""
         if run.request.prompt is None or run.sent_count:
             return
+        if self.state.fleet.reports_pace(run.service):
+            reject_if_priced_out(self.state, run, choice, now_s)
+            return
         earlier_attempts_s = earlier_wait_s(run.request, run.route)
         admitted = admit(
             choice.first_event_s,
@@ -425,7 +431,8 @@
         max_wait_s: float = CAPACITY_CHECK_INTERVAL_S,
     ) -> None:
         waiter = asyncio.get_running_loop().create_future()
-        self.capacity_waiters.add(waiter)
+        is_priced = self.state.fleet.reports_pace(run.service)
+        self.capacity_waiters[waiter] = request_priority(run) if is_priced else 0
         try:
             async with asyncio.timeout(
                 min(CAPACITY_CHECK_INTERVAL_S, max_wait_s, run.time_left_s(now_s))
@@ -434,7 +441,7 @@
         except TimeoutError:
             return
         finally:
-            self.capacity_waiters.discard(waiter)
+            self.capacity_waiters.pop(waiter, None)
 
     def _no_backend(self, run: RequestRun, now_s: float) -> Refusal:
         """Return the refusal of a request that no backend server may get."""
--- a/src/tanagerturn/gateway/request_run.py
+++ b/src/tanagerturn/gateway/request_run.py
@@ -153,6 +153,12 @@
     pace: float = 1.0
     """Ratio of observed to expected time to the first event at the backend server of
     the last attempt; `expected_s` includes it as a factor."""
+    unqueued_s: float = 0.0
+    """Part of `expected_s` in which the request does not wait for others."""
+    is_price_paid: bool = False
+    """Whether the shared price of engine time has admitted the request."""
+    price_reason: str = ""
+    """Why the shared price refused the request; empty if it did not."""
     first_event_s: float = 0.0
     """Time in seconds from the arrival of the request to the first forwarded event; 0
     before that event."""
--- a/src/tanagerturn/gateway/spread/digests.py
+++ b/src/tanagerturn/gateway/spread/digests.py
@@ -7,6 +7,7 @@
 from tanagerturn.clocks import boot_s
 from tanagerturn.gateway.backends.brittle import apply_brittle, encode_brittle
 from tanagerturn.gateway.backends.state import Work
+from tanagerturn.gateway.callers import scarcity
 from tanagerturn.gateway.fleet import backend_hash
 from tanagerturn.gateway.logs import component_log
 from tanagerturn.gateway.quarantine import (
@@ -155,6 +156,7 @@
             digest.brittle.CopyFrom(
                 encode_brittle(state.fleet, state.fleet.brittle.statements, (), now_s)
             )
+        scarcity.fill_digest(state, digest, now_s)
         is_extended = digest.sequence % EXTENDED_DIGEST_INTERVAL == 0
         window_count = (
             WINDOWS_PER_EXTENDED_DIGEST if is_extended else WINDOWS_PER_DIGEST
@@ -196,6 +198,7 @@
         apply_suspect_requests(state.repeats, digest.suspect_requests, now_s)
         state.backend_limits.on_reported(digest.named_limits.limits, now_s)
         apply_brittle(state.fleet, digest.brittle, now_s)
+        scarcity.on_digest(state, digest, now_s)
         gateway_start = f"{digest.host}@{digest.started_ms}"
         for window in digest.windows:
             counts = {each.client_account: each.count for each in window.counts}
--- a/src/tanagerturn/gateway/state.py
+++ b/src/tanagerturn/gateway/state.py
@@ -9,6 +9,7 @@
 from tanagerturn.clocks import boot_s, to_ms
 from tanagerturn.gateway.backends.limits import BackendLimits
 from tanagerturn.gateway.backends.pool import ConnectionPool
+from tanagerturn.gateway.callers.scarcity import ScarceServices
 from tanagerturn.gateway.callers.service_times import ServiceTimes
 from tanagerturn.gateway.configuration import (
     Configuration,
@@ -120,6 +121,8 @@
     """That time has come: the remaining requests are answered at once."""
     service_times: ServiceTimes = field(default_factory=ServiceTimes)
     """How long the requests of each route lately took."""
+    scarcity: ScarceServices = field(default_factory=ScarceServices)
+    """Shared prices of engine time."""
 
     def __post_init__(self) -> None:
         """Make the quarantines, which use the same log of crashes."""
