--- a/src/tanagerturn/serving/admission/price.py
+++ b/src/tanagerturn/serving/admission/price.py
@@ -40,20 +40,20 @@
 STEP_INTERVAL_S: Final = 0.1
 """Shortest time in seconds between two computations of the level."""
 
-TARGET_BACKLOG_SHARE: Final = 0.3
+TARGET_BACKLOG_SHARE: Final = 0.15
 """Backlog at the best engine that the level aims at, as a share of the time that the
 requests can wait within their objectives. Some backlog keeps all engines busy; the rest
 of the time covers reports that are up to 2 s old."""
 
-CORRECTION_TIME_S: Final = 1.5
-"""Time in seconds within which the admitted work corrects the backlog. Shorter than the
-age of digests, gateways would correct the same backlog several times and the level
+CORRECTION_TIME_S: Final = 1.0
+"""Time in seconds within which the admitted work corrects the backlog. With less than the
+mean age of digests, gateways would correct the same backlog twice and the level
 would oscillate."""
 
-LEARNING_TIME_S: Final = 4.0
+LEARNING_TIME_S: Final = 6.0
 """Factor on `CORRECTION_TIME_S` for lasting errors of the capacity."""
 
-LEVEL_TIME_CONSTANT_S: Final = 0.6
+LEVEL_TIME_CONSTANT_S: Final = 0.3
 """Time constant in seconds with which the level follows its computed value."""
 
 PEER_WEIGHT: Final = 0.5
@@ -274,14 +274,14 @@
         if slack_s < math.inf:
             target_s = TARGET_BACKLOG_SHARE * slack_s
             # A single late observation must not stop all admissions.
-            surplus_s = max(-2.0 * target_s, target_s - self._wait_s(now_s))
+            surplus_s = max(-2.0 * target_s, target_s - self.wait_s(now_s))
         self._learn_capacity(surplus_s, elapsed_s)
         factor = self.capacity_factor + surplus_s / CORRECTION_TIME_S
         budget = capacity * max(MIN_BUDGET_SHARE, factor)
         self._move_level(budget, elapsed_s)
         self.shares = self._account_shares()
 
-    def _wait_s(self, now_s: float) -> float:
+    def wait_s(self, now_s: float) -> float:
         """Return how long requests of all gateways lately waited at engines."""
         own_s = self.waits.read(now_s)
         own_s += KNOWN_WEIGHT * (self.known.read(now_s) - own_s)
--- a/src/tanagerturn/serving/admission/scarcity.py
+++ b/src/tanagerturn/serving/admission/scarcity.py
@@ -23,6 +23,10 @@
 """Least slack of a request, as a share of its objective; the prompt of some requests
 takes longer than their objective on any engine."""
 
+NOTHING_WAITS_S: Final = 0.02
+"""Mean wait in seconds at which nothing counts as waiting at the engines; a step of an
+engine, which a request joins at its end, takes about this time."""
+
 MIN_RETRY_AFTER_S: Final = 0.25
 """Shortest retry delay in seconds; after it, this gateway knows the requests that peer
 gateways sent in the meantime."""
@@ -141,7 +145,11 @@
     # All gateways see the same idle engine until their next digests: together they must
     # not send it more than the capacity.
     if request.nothing_waits and price.has_part_left(now_s):
-        return ""
+        # An engine that is idle now is used for a request that is late in any case only
+        # if others, which can still be in time, do not wait either.
+        is_idle = not price.is_scarce or price.wait_s(now_s) <= NOTHING_WAITS_S
+        if is_idle or not request.is_late_anyway:
+            return ""
     if request.expected_s > request.time_left_s:
         return "unservable"
     if price.is_scarce and price.is_below_level(request.key.priority):
