Explain where a request would go now, without sending it

Change: tanager preview asks the metrics listener of a gateway (/preview), which makes the relay's decisions on its present state and returns route, account, price, verdict and candidates with their figures and ages. Measured: tests/gateway/callers/preview passes; it fails if the preview records a backlog or leaves entries of engines behind.

--- a/src/tanagerturn/gateway/backends/placement.py
+++ b/src/tanagerturn/gateway/backends/placement.py
@@ -9,6 +9,7 @@
     PER_QUEUED_REQUEST_MS,
     PREFILL_TOKENS_PER_MS,
     CandidateEngine,
+    Placement,
     place_prompt,
 )
 
@@ -109,7 +110,24 @@
     chosen = place_prompt(views, prompt.prompt_tokens, output, last_shared_id)
     view = next(view for view in views if view.id == chosen.id)
     backend = next(backend for backend in backends if backend.id == chosen.id)
-    needed_tokens = prompt.prompt_tokens + output
+    return _choice_of(backend, view, chosen, prompt.prompt_tokens + output)
+
+
+def choice_at(
+    fleet: Fleet, backend: Backend, prompt: Prompt | None, zone: str, now_s: float
+) -> Choice:
+    """Return the choice if a backend server were the only one; see `choose`."""
+    if prompt is None:
+        return _least_loaded(fleet, [backend], zone, now_s)
+    view = _engine_view(fleet, backend, prompt, zone, now_s)
+    output = prompt.expected_output_tokens or prompt.max_output_tokens
+    chosen = place_prompt([view], prompt.prompt_tokens, output, "")
+    return _choice_of(backend, view, chosen, prompt.prompt_tokens + output)
+
+
+def _choice_of(
+    backend: Backend, view: CandidateEngine, chosen: Placement, needed_tokens: int
+) -> Choice:
     lacks_kv_capacity = (
         view.running > 0 and view.kv_tokens + needed_tokens > view.kv_capacity_tokens
     )
@@ -121,7 +139,6 @@
     waiting_ms = view.prompt_tokens / PREFILL_TOKENS_PER_MS
     waiting_ms += PER_QUEUED_REQUEST_MS * max(0, view.running + 1 - view.slots)
     backlog_s = min(first_event_s - prompt_read_s, waiting_ms * view.pace / 1000)
-    nothing_waits = not view.prompt_tokens and not is_full
     return Choice(
         backend,
         is_full,
@@ -129,7 +146,7 @@
         prompt_read_s,
         view.pace,
         backlog_s,
-        nothing_waits,
+        nothing_waits=not view.prompt_tokens and not is_full,
     )
 
 
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -8,12 +8,15 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
+import orjson
+
 from tanagerturn.clocks import boot_s, wall_ms
 from tanagerturn.coordination.errors import StepError
 from tanagerturn.gateway import stream_origins
 from tanagerturn.gateway.backends import indirect_checks
 from tanagerturn.gateway.backends.brittle import encode_brittle
 from tanagerturn.gateway.backends.departures import DepartureTracker
+from tanagerturn.gateway.callers import preview
 from tanagerturn.gateway.callers.stopping import STOPPING_RETRY_S, Shutdown
 from tanagerturn.gateway.configuration import IngressLimits
 from tanagerturn.gateway.configuration_distributor import ConfigurationDistributor
@@ -94,6 +97,7 @@
 MAX_URGENT_REQUESTS: Final = 256
 """Maximum number of suspected requests that are sent to peers at once, 12 KB."""
 
+JSON_TYPE: Final = [(b"Content-Type", b"application/json")]
 METRICS_TYPE: Final = [(b"Content-Type", b"text/plain; version=0.0.4")]
 
 log = component_log("gateway")
@@ -284,7 +288,10 @@
         await exchange.respond(status, [], b"")
 
     async def on_metrics(self, exchange: Exchange) -> None:
-        """Respond with all metrics in the Prometheus text format."""
+        """Respond with all metrics in the Prometheus text format, or a preview."""
+        if exchange.target.partition("?")[0] == preview.PATH:
+            await self._on_preview(exchange)
+            return
         metrics = self.state.metrics
         running, waiting = (
             len(self.relay.sender.running),
@@ -293,6 +300,14 @@
         metrics.update(self.state, running, waiting, boot_s(), wall_ms() / 1000)
         await exchange.respond(200, METRICS_TYPE, metrics.text())
 
+    async def _on_preview(self, exchange: Exchange) -> None:
+        try:
+            explained = preview.preview(self.state, exchange.target, boot_s())
+        except ValueError as error:
+            await exchange.respond(400, [], str(error).encode())
+            return
+        await exchange.respond(200, JSON_TYPE, orjson.dumps(explained))
+
     async def on_frame(self, frame: gpb.Frame, peer: str) -> gpb.Frame | None:
         """Handle a frame of a peer gateway; return the response to a call."""
         kind = frame.WhichOneof("kind")
--- a/src/tanagerturn/operator/main.py
+++ b/src/tanagerturn/operator/main.py
@@ -13,6 +13,7 @@
 from tanagerturn.operator.deployment import account, service
 from tanagerturn.operator.explain import explain
 from tanagerturn.operator.output import Output
+from tanagerturn.operator.preview import preview
 from tanagerturn.operator.processes import drain, dump, member, status
 from tanagerturn.operator.requests import request
 from tanagerturn.operator.session import Session
@@ -70,5 +71,6 @@
     drain,
     dump,
     explain,
+    preview,
 ):
     main.add_command(command)
--- a/src/tanagerturn/serving/admission/price.py
+++ b/src/tanagerturn/serving/admission/price.py
@@ -46,8 +46,8 @@
 of the time covers reports that are up to 2 s old."""
 
 CORRECTION_TIME_S: Final = 1.0
-"""Time in seconds within which the admitted work corrects the backlog. With less than the
-mean age of digests, gateways would correct the same backlog twice and the level
+"""Time in seconds within which the admitted work corrects the backlog. With less than
+the mean age of digests, gateways would correct the same backlog twice and the level
 would oscillate."""
 
 LEARNING_TIME_S: Final = 6.0
--- a/src/tanagerturn/serving/admission/scarcity.py
+++ b/src/tanagerturn/serving/admission/scarcity.py
@@ -131,15 +131,15 @@
         now_s: Current boot-clock time in seconds.
     """
     price.on_backlog(request.backlog_s, now_s)
-    reason = _refusal(price, request, now_s)
+    reason = refusal_reason(price, request, now_s)
     if reason:
         return Refuse(_retry_after_s(price, request), reason)
     price.on_sent(request.work_s, now_s)
     return Wait() if request.is_full else Send()
 
 
-def _refusal(price: ServicePrice, request: ScarceRequest, now_s: float) -> str:
-    """Return why a request is refused; empty if it is admitted."""
+def refusal_reason(price: ServicePrice, request: ScarceRequest, now_s: float) -> str:
+    """Return why a request is refused, empty if admitted; changes nothing."""
     if request.is_started:
         return ""
     # All gateways see the same idle engine until their next digests: together they must
