Order, permit and observe rollouts at gateways

Operators order rollouts at the control listener where contracts contains rollout. Orders are stored in the state group; the holder of the lease rollouts runs the controller, and gateways keep requests from versions that no permission allows.

--- a/src/tanagerturn/gateway/backends/forwarded.py
+++ b/src/tanagerturn/gateway/backends/forwarded.py
@@ -10,6 +10,7 @@
 from google.protobuf.message import DecodeError
 
 from tanagerturn.clocks import to_ms
+from tanagerturn.gateway.rollouts.codec import SIDES, SIDES_BY_NUMBER
 from tanagerturn.schema import gateway_pb2 as gpb
 from tanagerturn.serving.backends.messages import BackendId, SoftwareVersion
 from tanagerturn.serving.streams.origins import StreamOrigin
@@ -19,6 +20,7 @@
 
     from tanagerturn.gateway.messages import RawHeaders
     from tanagerturn.gateway.request_run import RequestRun
+    from tanagerturn.serving.rollouts.messages import Side
 
 REQUEST_HEADER: Final = b"tanagerturn-forwarded-request"
 """Header with the `ForwardedRequest`, in base64."""
@@ -55,6 +57,13 @@
         version = SoftwareVersion(self.request.origin_version)
         return StreamOrigin(self.request.service, version)
 
+    @property
+    def rollout_side(self) -> Side | None:
+        """Versions at which the request may run during a rollout; None without one."""
+        if not self.request.HasField("rollout_side"):
+            return None
+        return SIDES_BY_NUMBER[self.request.rollout_side]
+
     @property
     def tried_backend_ids(self) -> set[BackendId]:
         """Backend servers with an attempt at the peer."""
@@ -83,6 +92,7 @@
         may_have_run=run.may_have_run,
         start_counted=run.is_start_counted,
         trial=run.is_trial,
+        rollout_side=None if run.rollout_side is None else SIDES[run.rollout_side],
     )
     return REQUEST_HEADER, _encode(message)
 
--- a/src/tanagerturn/gateway/backends/sender.py
+++ b/src/tanagerturn/gateway/backends/sender.py
@@ -45,6 +45,7 @@
     from tanagerturn.gateway.links import Links
     from tanagerturn.gateway.messages import BackendReply, KvCopy, RawHeaders
     from tanagerturn.gateway.request_run import RequestRun
+    from tanagerturn.gateway.rollouts.attempts import AttemptCounter
     from tanagerturn.gateway.state import GatewayState
     from tanagerturn.serving.backends.backend import Backend
 
@@ -160,6 +161,11 @@
             run.cause = f"{backend.id} asked for a pause while a connection opened"
             self._on_attempt_finished(backend, attempt)
             return AttemptOutcome.NOT_SENT
+        if not state.may_send(run, backend, boot_s()):
+            state.pool.release(connection, None, boot_s())
+            run.cause = f"{backend.id} may not get it any more during a rollout"
+            self._on_attempt_finished(backend, attempt)
+            return AttemptOutcome.NOT_SENT
         sent_s = boot_s()
 
         def on_reply(reply: BackendReply, is_own: bool) -> None:
@@ -171,11 +177,21 @@
         if run.forwarded is not None:
             run.forwarded.answer.backend = backend.id
         self.running[run] = exchange
+        outcome, is_harmless = None, True
         try:
-            return await self._run_exchange(run, backend, exchange, kv_copy)
+            outcome = await self._run_exchange(run, backend, exchange, kv_copy)
+            is_harmless = False
+            return outcome
         except (ResponseError, BackendTimeout, TimeoutError) as error:
-            return self._on_response_error(run, backend, error)
+            outcome = self._on_response_error(run, backend, error)
+            is_harmless = (
+                run.is_withdrawn or run.migration_task is not None or backend.leaving
+            )
+            return outcome
         finally:
+            counter = self._rollout_counter(run)
+            if counter is not None:
+                counter.on_finished(run, outcome, boot_s(), is_harmless=is_harmless)
             if exchange.is_reusable:
                 state.pool.release(connection, exchange.keep_alive_s, boot_s())
             elif exchange.request is None or exchange.has_head:
@@ -223,6 +239,11 @@
                 run.is_withdrawn = True
                 exchange.connection.close()
 
+    def _rollout_counter(self, run: RequestRun) -> AttemptCounter | None:
+        """Return what counts a request as evidence; None without rollouts."""
+        rollouts = self.state.rollouts
+        return None if rollouts is None else rollouts.service(run.service).counter
+
     def _on_attempt_finished(self, backend: Backend, attempt: str) -> None:
         self.state.fleet.on_request_ended(backend.id, attempt)
         self.on_attempt_finished()
@@ -288,6 +309,9 @@
         exchange.send(request.method, request.target, headers, run.exchange.body)
         run.sent_count += 1
         run.is_in_flight = True
+        counter = self._rollout_counter(run)
+        if counter is not None:
+            counter.on_sent(run, backend, sent_s)
         if run.is_trial:
             state.quarantine.on_tried(shared_parts(request.prompt), sent_s)
             state.repeats.on_tried(run.fingerprint, sent_s)
@@ -385,6 +409,9 @@
         count_run_start(self.state, run)
         run.may_have_run = True
         run.writing_since_s = boot_s()
+        counter = self._rollout_counter(run)
+        if counter is not None:
+            counter.on_first_data(run, run.writing_since_s)
         self.state.fleet.on_first_event(
             backend.id, run.request.attempt_id, run.writing_since_s
         )
--- a/src/tanagerturn/gateway/control.py
+++ b/src/tanagerturn/gateway/control.py
@@ -13,8 +13,10 @@
     Announce,
     ControlCall,
     GetConfiguration,
+    GetRollout,
     MalformedCall,
     PutConfiguration,
+    StartRollout,
     Withdraw,
 )
 from tanagerturn.schema import gateway_pb2 as gpb
@@ -24,6 +26,7 @@
     from tanagerturn.gateway.backends.departures import DepartureTracker
     from tanagerturn.gateway.configuration_distributor import ConfigurationDistributor
     from tanagerturn.gateway.messages import RawHeaders
+    from tanagerturn.gateway.rollouts.rollouts import Rollouts
     from tanagerturn.gateway.server import Exchange
     from tanagerturn.gateway.spread.mesh import Mesh
     from tanagerturn.gateway.state import GatewayState
@@ -46,6 +49,7 @@
         configurations: Stores, distributes and applies configurations.
         departures: Queries leaving backend servers for their departure time.
         started_s: Boot-clock time of the process start in seconds.
+        rollouts: Rollouts of services; None unless the settings allow them.
     """
 
     def __init__(
@@ -55,6 +59,7 @@
         configurations: ConfigurationDistributor,
         departures: DepartureTracker,
         started_s: float,
+        rollouts: Rollouts | None = None,
     ) -> None:
         self.state = state
         """State that the components of the gateway share."""
@@ -66,6 +71,8 @@
         """Queries leaving backend servers for their departure time."""
         self.started_s = started_s
         """Boot-clock time of the process start in seconds."""
+        self.rollouts = rollouts
+        """Rollouts of services; None unless the settings allow them."""
 
     async def handle(self, exchange: Exchange) -> None:
         """Execute one control call and send its response."""
@@ -147,3 +154,13 @@
             log.info("read_refused", reason=str(newest.error))
             return 503, b"{}"
         return 200, newest.ok
+
+    @execute.register
+    async def _(self, call: StartRollout) -> tuple[int, bytes]:
+        return (
+            (404, b"{}") if self.rollouts is None else await self.rollouts.start(call)
+        )
+
+    @execute.register
+    async def _(self, call: GetRollout) -> tuple[int, bytes]:
+        return (404, b"{}") if self.rollouts is None else await self.rollouts.get(call)
--- a/src/tanagerturn/gateway/dialect.py
+++ b/src/tanagerturn/gateway/dialect.py
@@ -88,6 +88,15 @@
         """Decode a control call of a backend server or an operator."""
         ...
 
+    def encode_rollout(self, state: str, target: str) -> bytes:
+        """Return the body of the response to a request for a rollout.
+
+        Args:
+            state: State of the rollout.
+            target: Software version that the service is moved to.
+        """
+        ...
+
     def decode_configuration(self, document: bytes) -> Result[Configuration, StepError]:
         """Validate and decode a configuration document of an operator."""
         ...
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -24,6 +24,7 @@
 from tanagerturn.gateway.quarantine import crash_id, encode_suspects, log_changes
 from tanagerturn.gateway.relay import Relay
 from tanagerturn.gateway.repeats import encode_suspect_requests, log_repeat_changes
+from tanagerturn.gateway.rollouts.rollouts import make_rollouts
 from tanagerturn.gateway.server import HttpServer
 from tanagerturn.gateway.spread.digests import DigestExchange
 from tanagerturn.gateway.spread.mesh import BATCH_INTERVAL_S, TICK_S, Mesh
@@ -154,12 +155,19 @@
             self.state, self.store, self.links, self.mesh, self.relay.wake
         )
         """Stores, distributes and applies configurations."""
+        self.rollouts = make_rollouts(
+            self.state, self.store, self.configurations, self.mesh
+        )
+        """Rollouts of services; None unless the settings allow them."""
+        if self.rollouts is not None:
+            self.digests.rollouts = self.rollouts.spread
         self.control = Control(
             self.state,
             self.mesh,
             self.configurations,
             DepartureTracker(self.state, self.mesh.send_update),
             self.started_s,
+            self.rollouts,
         )
         """Handles calls of backend servers and operators."""
         self.duties = Duties(self.state, self.store, self.member)
@@ -228,6 +236,7 @@
             ),
             self.loop.create_task(self.duties.run()),
             self.loop.create_task(self._run_member()),
+            *self._rollout_tasks(),
             self.loop.create_task(self._confirm_configuration()),
             self.loop.create_task(self.startup.fetch_from_seeds(self.seed_ips)),
         ]
@@ -242,8 +251,10 @@
         """Return whether the load balancer may send callers to this gateway."""
         if self.state.is_draining or not self.state.configuration.version:
             return False
-        in_startup_grace = boot_s() - self.started_s < READY_UNCONFIRMED_AFTER_S
-        return self.is_configuration_confirmed or not in_startup_grace
+        if boot_s() - self.started_s >= READY_UNCONFIRMED_AFTER_S:
+            return True
+        may_run = self.rollouts is None or self.rollouts.is_ready()
+        return self.is_configuration_confirmed and may_run
 
     def on_terminate(self) -> None:
         """Start to drain: accept no new callers and respond to running requests."""
@@ -309,7 +320,7 @@
             vote = await self.member.agreement.serve(frame.founding)
             return gpb.Frame(founding_vote=vote)
         elif kind == "ask_news":
-            return gpb.Frame(news=self.state.fleet.backend_updates(boot_s()))
+            return gpb.Frame(news=self.digests.backend_updates(boot_s()))
         elif kind == "correction":
             limits = self._limits(is_backend=frame.correction.backend_limit)
             limits.on_correction(frame.correction, self.links)
@@ -368,6 +379,8 @@
         self._update_quarantine(now_s)
         self.relay.start_migrations(now_s)
         self.relay.sender.path_checker.tick(now_s)
+        if self.rollouts is not None:
+            self.rollouts.tick(now_s)
         self.state.pool.expire(set(self.state.fleet.view.backends), now_s)
 
     def _update_quarantine(self, now_s: float) -> None:
@@ -404,6 +417,8 @@
         self.mesh.receive()
         now_s = boot_s()
         self.mesh.send_next_batch(now_s)
+        if self.rollouts is not None:
+            self.rollouts.exchange(now_s)
         fleet = self.state.fleet
         if fleet.stated_departures:
             leaving, fleet.stated_departures = fleet.stated_departures, []
@@ -490,6 +505,13 @@
 
     def _on_batch(self, batch: pb.WatchBatch) -> None:
         self.configurations.on_batch(batch)
+        if self.rollouts is not None:
+            self.rollouts.on_batch(batch)
+
+    def _rollout_tasks(self) -> list[asyncio.Task[None]]:
+        if self.rollouts is None:
+            return []
+        return [self.loop.create_task(self.rollouts.holder.run())]
 
     async def _run_member(self) -> None:
         """Open the state group member, if the host has a disk, and run its timers.
--- a/src/tanagerturn/gateway/intake.py
+++ b/src/tanagerturn/gateway/intake.py
@@ -366,6 +366,7 @@
         is_trial=stated.trial,
         origin=forwarded.origin,
         forwarded=forwarded,
+        rollout_side=forwarded.rollout_side,
     )
 
 
--- a/src/tanagerturn/gateway/messages.py
+++ b/src/tanagerturn/gateway/messages.py
@@ -206,6 +206,26 @@
     """An operator requests the newest configuration."""
 
 
+@dataclass(frozen=True)
+class StartRollout:
+    """An operator orders to move a service to another software version."""
+
+    service: str
+    """Service to move."""
+    target: str
+    """Software version to move it to."""
+    duration_ms: int
+    """Time in milliseconds within which the rollout has to end."""
+
+
+@dataclass(frozen=True)
+class GetRollout:
+    """An operator requests the state of the newest rollout of a service."""
+
+    service: str
+    """Name of the service."""
+
+
 @dataclass(frozen=True)
 class MalformedCall:
     """A control call that can't be decoded."""
@@ -216,5 +236,13 @@
     """Why the call can't be decoded, as logged."""
 
 
-ControlCall = Announce | Withdraw | PutConfiguration | GetConfiguration | MalformedCall
+ControlCall = (
+    Announce
+    | Withdraw
+    | PutConfiguration
+    | GetConfiguration
+    | StartRollout
+    | GetRollout
+    | MalformedCall
+)
 """Calls at the listener for backend servers and operators."""
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -297,6 +297,8 @@
                 continue
             if choice is None:
                 raise self._no_backend(run, now_s)
+            if choice.is_full and self.state.give_up_target(run, now_s):
+                continue
             self._reject_if_late(run, choice, now_s)
             if choice.is_full:
                 peer = self._peer_with_slots(run, now_s)
@@ -442,6 +444,7 @@
         if origin is not None:
             version = origin.software_version
             unfit = fleet.unfit_ids(run.service, version, now_s)
+            unfit |= self.state.kept_by_rollout(run, now_s)
             if not fleet.candidates(run.service, unfit, now_s):
                 cause = (
                     f"the stream began at software version {version} of service"
--- a/src/tanagerturn/gateway/request_run.py
+++ b/src/tanagerturn/gateway/request_run.py
@@ -21,6 +21,7 @@
     from tanagerturn.serving.backends.backend import Backend
     from tanagerturn.serving.backends.messages import BackendId
     from tanagerturn.serving.quarantine.evidence import Fingerprint
+    from tanagerturn.serving.rollouts.messages import Side
     from tanagerturn.serving.streams.origins import StreamOrigin
 
 MIN_FIRST_EVENT_TIMEOUT_S: Final = 0.25
@@ -111,6 +112,10 @@
     included."""
     sent_count: int = 0
     """Number of backend servers that the request was sent to."""
+    rollout_side: Side | None = None
+    """Versions at which it may run during a rollout; None before that was drawn."""
+    rollout_number: int = 0
+    """Number of the order for which `rollout_side` was drawn; 0 before."""
     tried_peers: set[str] = field(default_factory=set)
     """Hosts of the peer gateways that the request was forwarded to."""
     forwarded: ForwardedCall | None = None
--- /dev/null
+++ b/src/tanagerturn/gateway/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Rollouts at a gateway: orders, permissions, evidence and the lease holder."""
--- a/src/tanagerturn/gateway/settings.py
+++ b/src/tanagerturn/gateway/settings.py
@@ -9,6 +9,7 @@
     from pathlib import Path
 
     from tanagerturn.serving.limits.terms import Tolerance
+    from tanagerturn.serving.rollouts.messages import ExposureBound
 
 
 @dataclass(frozen=True)
@@ -85,6 +86,8 @@
     """Time after the end of a window in seconds from which its report is late."""
     duties: DutySettings | None
     """Calls to the cloud API; None if gateways make none."""
+    rollouts: ExposureBound | None = None
+    """Limits on what a bad version receives; None if there are no rollouts."""
 
     @property
     def link_address(self) -> str:
--- a/src/tanagerturn/gateway/spread/digests.py
+++ b/src/tanagerturn/gateway/spread/digests.py
@@ -26,6 +26,7 @@
     from collections.abc import Callable
 
     from tanagerturn.gateway.links import Links
+    from tanagerturn.gateway.rollouts.spread import RolloutSpread
     from tanagerturn.gateway.state import GatewayState
     from tanagerturn.gateway.state_group.member import StateMember
 
@@ -100,6 +101,8 @@
         self.member: StateMember | None = None
         """Local member of the state group; None on hosts without a disk, and until the
         member is open."""
+        self.rollouts: RolloutSpread | None = None
+        """Permissions and evidence of rollouts; None unless the settings allow them."""
         self.registry_fetched_at_s = 0.0
         """Boot-clock time in seconds at which the last registry fetch started; 0 before
         the first one."""
@@ -175,6 +178,9 @@
                 digest.term = member.core.term
                 digest.leader_address = member.leader_address
 
+        if self.rollouts is not None:
+            self.rollouts.fill_digest(digest, now_s)
+
     def stamp_digest(self, digest: gpb.Digest, now_s: float) -> None:
         """Set the send time of a digest to the corrected wall-clock time."""
         digest.sent_at_ms = int(self.state.wall_clock.read(now_s) * 1000)
@@ -205,6 +211,9 @@
             # A member that was just added learns the addresses of the other members
             # only from digests.
             self.member.transport.update_addresses([digest.member])
+        if self.rollouts is not None:
+            self.rollouts.on_permissions(digest.rollouts, now_s)
+            self.rollouts.on_reports(digest.rollout_reports)
         self._compare_registries(digest, now_s)
 
     def _compare_registries(self, digest: gpb.Digest, now_s: float) -> None:
@@ -262,8 +271,21 @@
             apply_brittle(state.fleet, datagram.brittle, now_s)
         elif kind == "named_limits":
             state.backend_limits.on_reported(datagram.named_limits.limits, now_s)
+        elif kind == "rollouts" and self.rollouts is not None:
+            self.rollouts.on_permissions(datagram.rollouts, now_s)
+        elif kind == "rollout_reports" and self.rollouts is not None:
+            self.rollouts.on_reports(datagram.rollout_reports)
+
+    def backend_updates(self, now_s: float) -> gpb.BackendNews:
+        """Return what a starting gateway needs to know of the backend servers."""
+        news = self.state.fleet.backend_updates(now_s)
+        if self.rollouts is not None:
+            self.rollouts.add_knowledge(news)
+        return news
 
     def on_backend_updates(self, news: gpb.BackendNews, now_s: float) -> None:
         """Apply backend server updates from a peer gateway."""
+        if self.rollouts is not None:
+            self.rollouts.apply_knowledge(news, now_s)
         if self.state.fleet.on_backend_updates(news, now_s):
             self.on_changed()
--- a/src/tanagerturn/gateway/spread/mesh.py
+++ b/src/tanagerturn/gateway/spread/mesh.py
@@ -237,6 +237,13 @@
         """Send news to all peers once; digests repeat it."""
         self._broadcast(datagram.SerializeToString(), now_s)
 
+    def send_to(self, datagram: gpb.Datagram, host: str) -> None:
+        """Send news to one peer once; nothing is sent to an unknown one."""
+        member = self.core.table.members.get(ProcessId(host))
+        if member is not None and member.info.address:
+            ip = member.info.address.rpartition(":")[0]
+            self._send_all(datagram.SerializeToString(), [ip])
+
     def send_version(self, version: int) -> None:
         """Send a newer configuration version to all peers twice, some 0.1 s apart."""
         data = gpb.Datagram(configuration_version=version).SerializeToString()
--- a/src/tanagerturn/gateway/startup.py
+++ b/src/tanagerturn/gateway/startup.py
@@ -92,6 +92,8 @@
         self.mesh.set_seeds([*seed_ips, *warm_start.gateway_ips])
         if warm_start.configuration.version:
             self.configurations.adopt_stored(warm_start.configuration)
+        if self.digests.rollouts is not None:
+            self.digests.rollouts.apply_knowledge(warm_start.backends, boot_s())
         self.state.fleet.on_backend_updates(
             aged_backends(warm_start, wall_ms()), boot_s()
         )
@@ -113,7 +115,7 @@
             return
         now_s = boot_s()
         addresses = [digest.link_address for digest in self.mesh.recent_digests(now_s)]
-        news = self.state.fleet.backend_updates(now_s)
+        news = self.digests.backend_updates(now_s)
         quarantine = self.state.quarantine
         parts = reported_parts(quarantine, now_s)
         suspects = encode_suspects(quarantine, parts, now_s)
--- a/src/tanagerturn/gateway/state.py
+++ b/src/tanagerturn/gateway/state.py
@@ -20,6 +20,7 @@
 from tanagerturn.gateway.logs import component_log
 from tanagerturn.gateway.metrics import GatewayMetrics, make_gateway_metrics
 from tanagerturn.gateway.quarantine_share import QuarantineShare
+from tanagerturn.gateway.rollouts.table import RolloutTable
 from tanagerturn.gateway.spread.peer_paths import PeerPaths
 from tanagerturn.gateway.usage import UsageCounts
 from tanagerturn.gateway.wall_clock import CorrectedWallClock
@@ -38,6 +39,7 @@
     from tanagerturn.gateway.dialect import Dialect
     from tanagerturn.gateway.request_run import RequestRun
     from tanagerturn.gateway.settings import GatewaySettings
+    from tanagerturn.serving.backends.backend import Backend
     from tanagerturn.serving.backends.messages import BackendId
 
 LIFE_PER_TIMEOUT: Final = 1.5
@@ -81,6 +83,8 @@
     """State of the backend servers."""
     usage: UsageCounts
     """Counts of started requests by report window and client account."""
+    rollouts: RolloutTable | None = None
+    """Rollouts of services; None unless the settings allow them."""
     configuration: Configuration = field(default_factory=empty_configuration)
     """The configuration in force."""
     pool: ConnectionPool = field(default_factory=ConnectionPool)
@@ -310,11 +314,40 @@
         """Return the backend servers that were tried, and those of another version.
 
         A stream that has begun may go on only at the software version that began it.
+        Those that a rollout keeps from the request are unfit as well.
         """
+        kept = self.kept_by_rollout(run, now_s)
         if run.origin is None:
-            return run.tried_backend_ids
+            return run.tried_backend_ids | kept if kept else run.tried_backend_ids
         version = run.origin.software_version
-        return run.tried_backend_ids | self.fleet.unfit_ids(run.service, version, now_s)
+        unfit = self.fleet.unfit_ids(run.service, version, now_s)
+        return run.tried_backend_ids | unfit | kept
+
+    def kept_by_rollout(self, run: RequestRun, now_s: float) -> set[BackendId]:
+        """Return the backend servers that a rollout keeps from a request."""
+        if self.rollouts is None:
+            return set()
+        settled = self.stream_origins.settled_versions(run.service, now_s)
+        now_ms = to_ms(self.wall_clock.read(now_s))
+        return self.rollouts.excluded_ids(run, self.fleet, settled, now_s, now_ms)
+
+    def may_send(self, run: RequestRun, backend: Backend, now_s: float) -> bool:
+        """Return whether a rollout still allows a request at a backend server."""
+        if self.rollouts is None:
+            return True
+        now_ms = to_ms(self.wall_clock.read(now_s))
+        return self.rollouts.allows(run, backend, self.fleet, now_s, now_ms)
+
+    def give_up_target(self, run: RequestRun, now_s: float) -> bool:
+        """Let a request use old versions whose rollout's target has no room.
+
+        Returns:
+            Whether it was to use the target.
+        """
+        if self.rollouts is None:
+            return False
+        now_ms = to_ms(self.wall_clock.read(now_s))
+        return self.rollouts.give_up_target(run, now_ms)
 
     def retry_window(self, service: str) -> RetryWindow:
         """Return the retry budget of a service; one is added if missing."""
@@ -339,6 +372,7 @@
         now_s: Current boot-clock time in seconds.
         wall_s: Current wall-clock time of the host in seconds.
     """
+    random = Random()
     return GatewayState(
         settings=settings,
         dialect=dialect,
@@ -349,4 +383,6 @@
         fleet=Fleet(settings.host),
         wall_clock=CorrectedWallClock(now_s, wall_s),
         usage=UsageCounts(settings.report_window_s),
+        rollouts=RolloutTable(to_ms(wall_s), random) if settings.rollouts else None,
+        random=random,
     )
--- a/src/tanagerturn/platform/control_calls.py
+++ b/src/tanagerturn/platform/control_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Any, Final
 from urllib.parse import unquote
 
@@ -11,8 +12,10 @@
     Announce,
     ControlCall,
     GetConfiguration,
+    GetRollout,
     MalformedCall,
     PutConfiguration,
+    StartRollout,
     Withdraw,
 )
 from tanagerturn.schema import serving_pb2
@@ -25,6 +28,13 @@
 
 INSTANCES_PREFIX: Final = "/v1/instances/"
 CONFIG_PATH: Final = "/v1/config"
+ROLLOUTS_PATH: Final = "/v1/rollouts"
+
+MAX_DURATION_S: Final = 1e9
+"""Longest duration of a rollout in seconds; a longer one is shortened to it."""
+
+MAX_VERSION_LENGTH: Final = 256
+"""Maximum number of characters of a version in an order: datagrams repeat it."""
 
 BACKEND_ROLES: Final = {
     "both": serving_pb2.BOTH,
@@ -34,7 +44,13 @@
 
 
 def decode_control(
-    method: str, target: str, body: bytes, heartbeat_ms: int, drain_ms: int
+    method: str,
+    target: str,
+    body: bytes,
+    heartbeat_ms: int,
+    drain_ms: int,
+    *,
+    has_rollouts: bool = False,
 ) -> ControlCall:
     """Decode a call at the listener for backend servers and operators.
 
@@ -46,6 +62,7 @@
             milliseconds.
         drain_ms: Time for which a draining backend server keeps serving, in
             milliseconds, if its announcement does not state one.
+        has_rollouts: Whether operators may start rollouts.
 
     Returns:
         The call; a `MalformedCall` with the HTTP status of the response if path,
@@ -60,6 +77,8 @@
             if method == "GET"
             else MalformedCall(405, f"{method} {path}: expected GET or PUT")
         )
+    if has_rollouts and (path + "/").startswith(ROLLOUTS_PATH + "/"):
+        return _decode_rollout_call(method, path, body)
     if not path.startswith(INSTANCES_PREFIX):
         return MalformedCall(404, f"unknown path {path}")
     backend_id = unquote(path.removeprefix(INSTANCES_PREFIX))
@@ -70,6 +89,50 @@
     return MalformedCall(405, f"{method} {path}: expected PUT or DELETE")
 
 
+def _decode_rollout_call(method: str, path: str, body: bytes) -> ControlCall:
+    service = unquote(path.removeprefix(ROLLOUTS_PATH).removeprefix("/"))
+    if not service:
+        if method != "POST":
+            return MalformedCall(405, f"{method} {path}: expected POST")
+        try:
+            return _decode_rollout(orjson.loads(body))
+        except KeyError as error:
+            return MalformedCall(400, f"rollout without {error}")
+        except (orjson.JSONDecodeError, TypeError, ValueError) as error:
+            return MalformedCall(400, f"invalid rollout: {error!r}")
+    if method != "GET":
+        return MalformedCall(405, f"{method} {path}: expected GET")
+    return GetRollout(service)
+
+
+def _decode_rollout(fields: object) -> StartRollout:
+    if not isinstance(fields, dict):
+        raise TypeError("expected an object")
+    for name in ("service", "target"):
+        value = fields[name]
+        if not isinstance(value, str) or not value:
+            raise ValueError(f"{name} is {value!r}, expected a name")
+    if len(fields["target"]) > MAX_VERSION_LENGTH:
+        raise ValueError(f"target has more than {MAX_VERSION_LENGTH} characters")
+    duration_s = fields["duration_s"]
+    if isinstance(duration_s, bool) or not isinstance(duration_s, int | float):
+        raise ValueError(f"duration_s is {duration_s!r}, expected a number")
+    duration_ms = math.ceil(min(duration_s, MAX_DURATION_S) * 1000)
+    if duration_ms <= 0:
+        raise ValueError(f"duration_s is {duration_s!r}, expected a positive number")
+    return StartRollout(fields["service"], fields["target"], duration_ms)
+
+
+def encode_rollout(state: str, target: str) -> bytes:
+    """Return the body of the response to a request for a rollout.
+
+    Args:
+        state: State of the rollout.
+        target: Software version that the service is moved to.
+    """
+    return orjson.dumps({"state": state, "target": target})
+
+
 def _decode_announce(
     backend_id: str, body: bytes, heartbeat_ms: int, drain_ms: int
 ) -> ControlCall:
--- a/src/tanagerturn/platform/dialect.py
+++ b/src/tanagerturn/platform/dialect.py
@@ -32,17 +32,22 @@
             milliseconds.
         drain_ms: Time for which a draining backend server keeps serving, in
             milliseconds, if its announcement does not state one.
+        has_rollouts: Whether operators may start rollouts.
     """
 
     readiness_path = "/v1/readyz"
     report_path = "/v1/report"
 
-    def __init__(self, heartbeat_ms: int, drain_ms: int = 2000) -> None:
+    def __init__(
+        self, heartbeat_ms: int, drain_ms: int = 2000, *, has_rollouts: bool = False
+    ) -> None:
         self.heartbeat_ms = heartbeat_ms
         """Time between two announcements of a backend server, in milliseconds."""
         self.drain_ms = drain_ms
         """Default time for which a draining backend server keeps serving, in
         milliseconds."""
+        self.has_rollouts = has_rollouts
+        """Whether operators may start rollouts."""
 
     def decode_request(
         self, method: str, target: str, headers: RawHeaders
@@ -85,9 +90,18 @@
     def decode_control(self, method: str, target: str, body: bytes) -> ControlCall:
         """Decode a call of a backend server or an operator."""
         return control_calls.decode_control(
-            method, target, body, self.heartbeat_ms, self.drain_ms
+            method,
+            target,
+            body,
+            self.heartbeat_ms,
+            self.drain_ms,
+            has_rollouts=self.has_rollouts,
         )
 
+    def encode_rollout(self, state: str, target: str) -> bytes:
+        """Return the body of the response to a request for a rollout."""
+        return control_calls.encode_rollout(state, target)
+
     def decode_configuration(self, document: bytes) -> Result[Configuration, StepError]:
         """Validate a manifest and decode it into a configuration."""
         return manifests.decode_manifest(document)
--- a/src/tanagerturn/platform/main.py
+++ b/src/tanagerturn/platform/main.py
@@ -26,7 +26,11 @@
         # Imported modules live as long as the process; the garbage collector does
         # not scan frozen objects.
         gc.freeze()
-        dialect = PlatformDialect(settings.heartbeat_ms, to_ms(settings.drain_s))
+        dialect = PlatformDialect(
+            settings.heartbeat_ms,
+            to_ms(settings.drain_s),
+            has_rollouts=settings.rollouts is not None,
+        )
         asyncio.run(run_gateway(settings, dialect, read_settings))
     except (StepError, OSError) as error:
         component_log("main").error("not_started", reason=str(error))
--- a/src/tanagerturn/platform/settings.py
+++ b/src/tanagerturn/platform/settings.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import os
+import re
 from pathlib import Path
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.coordination.errors import RefusedError
 from tanagerturn.gateway.settings import DutySettings, GatewaySettings
 from tanagerturn.serving.limits.terms import Tolerance
+from tanagerturn.serving.rollouts.messages import ExposureBound
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -23,6 +25,12 @@
 """Offsets of the gateway's ports from the first port of `internal_ports`, which is
 the same on all machines."""
 
+ROLLOUT_CONTRACT: Final = "rollout"
+"""Name in `contracts` that asks for rollouts."""
+
+CONTRACT_NAME: Final = re.compile(r"[\w-]+")
+"""A name in `contracts`; commas and spaces separate them."""
+
 METRICS_PORT: Final = 9464
 """TCP port for metrics; `deploy/system.toml` states the same port, which is the default
 of common metrics exporters."""
@@ -39,6 +47,9 @@
     "report_window_s": "5",
     "usage_late_s": "10",
     "lease_ms": "3000",
+    "exposure_share": "0.1",
+    "exposure_allowance": "50",
+    "rollback_ms": "5000",
 }
 """Values of the `bounds.*` fields that a settings file leaves out: the strictest values
 of all known deployments."""
@@ -140,6 +151,13 @@
         # usage_late_s is counted from the end of the reporting window.
         report_due_s=bound("usage_late_s"),
         duties=_decode_duties(fields, bound("lease_ms")),
+        rollouts=ExposureBound(
+            share=bound("exposure_share"),
+            allowance=bound("exposure_allowance"),
+            rollback_ms=int(bound("rollback_ms")),
+        )
+        if ROLLOUT_CONTRACT in CONTRACT_NAME.findall(fields.get("contracts", ""))
+        else None,
     )
 
 
