--- a/src/tanagerturn/serving/rollouts/messages.py
+++ b/src/tanagerturn/serving/rollouts/messages.py
@@ -42,7 +42,8 @@
     """Limits on the requests that a bad version may receive."""
 
     share: float = 0.1
-    """Share of all requests of the service from the order to the end of its duration."""
+    """Share of all requests of the service from the order to the end of its
+    duration."""
     allowance: float = 50.0
     """Number of requests beyond `share`."""
     rollback_ms: int = 5000
@@ -85,8 +86,8 @@
 class Decision:
     """What the controller has decided; a changed state is committed before it is sent.
 
-    The caller commits `state` and `share` when either differs from what is committed, and
-    then issues a permission with them, with `issued_ms` the time of the step.
+    The caller commits `state` and `share` when either differs from what is committed,
+    and then issues a permission with them, with `issued_ms` the time of the step.
     """
 
     state: RolloutState
