--- a/src/tanagerturn/gateway/rollouts/attempts.py
+++ b/src/tanagerturn/gateway/rollouts/attempts.py
@@ -7,7 +7,7 @@
 
 from tanagerturn.gateway.configuration import RequestKind
 from tanagerturn.gateway.retry_policy import AttemptOutcome
-from tanagerturn.serving.rollouts.evidence import BUCKET_BOUNDS, CellKey
+from tanagerturn.serving.rollouts.evidence import CellKey
 
 if TYPE_CHECKING:
     from tanagerturn.gateway.request_run import RequestRun
@@ -20,9 +20,6 @@
 MIN_PACE_EVENTS: Final = 3
 """Number of pauses between events from which their mean is counted."""
 
-LATE_RATIO: Final = BUCKET_BOUNDS[-1]
-"""Multiple of the objective after which a missing response is counted as a time."""
-
 
 @dataclass
 class Attempt:
@@ -145,13 +142,15 @@
             pace_ratio=attempt.pace_ratio() if outcome is None else None,
         )
 
-    def tick(self, now_s: float) -> None:
-        """Count responses that are missing for long."""
+    def update_waiting(self, now_s: float) -> None:
+        """Set the ages of the requests that have no response yet."""
         if self.evidence is None:
             return
-        for attempt in self.running.values():
-            if not attempt.is_timed and attempt.time_ratio(now_s) >= LATE_RATIO:
-                self._count_time(attempt, now_s)
+        self.evidence.set_waiting(
+            (attempt.key(self.target), attempt.time_ratio(now_s))
+            for attempt in self.running.values()
+            if not attempt.is_timed and self._is_counted(attempt)
+        )
 
     def _is_counted(self, attempt: Attempt) -> bool:
         return self.evidence is not None and attempt.number == self.evidence.number
@@ -167,5 +166,4 @@
             return
         assert self.evidence is not None
         attempt.is_timed = True
-        ratio = min(attempt.time_ratio(now_s), LATE_RATIO)
-        self.evidence.on_time(attempt.key(self.target), ratio)
+        self.evidence.on_time(attempt.key(self.target), attempt.time_ratio(now_s))
--- a/src/tanagerturn/gateway/rollouts/codec.py
+++ b/src/tanagerturn/gateway/rollouts/codec.py
@@ -149,6 +149,7 @@
         cell = evidence.cells[key]
         first_time, times = _trimmed(cell.times)
         first_pace, paces = _trimmed(cell.paces)
+        first_waiting, waiting = _trimmed(cell.waiting)
         message.cells.add(
             route=key.route,
             version=key.version,
@@ -161,6 +162,8 @@
             times=times,
             first_pace=first_pace,
             paces=paces,
+            first_waiting=first_waiting,
+            waiting=waiting,
         )
     return message
 
@@ -177,6 +180,7 @@
             times=_whole(each.first_time, each.times),
             paces=_whole(each.first_pace, each.paces),
             ended=each.ended,
+            waiting=_whole(each.first_waiting, each.waiting),
         )
     return evidence
 
--- a/src/tanagerturn/gateway/rollouts/holder.py
+++ b/src/tanagerturn/gateway/rollouts/holder.py
@@ -45,6 +45,7 @@
     from tanagerturn.gateway.state import GatewayState
     from tanagerturn.gateway.state_group.member import StateMember
     from tanagerturn.gateway.state_group.replicated_store import ReplicatedStore
+    from tanagerturn.schema import gateway_pb2 as gpb
     from tanagerturn.serving.rollouts.evidence import VersionEvidence
     from tanagerturn.serving.rollouts.messages import Decision, ExposureBound
 
@@ -80,6 +81,8 @@
 
     def must_issue(self, decision: Decision, now_ms: int) -> bool:
         """Return whether the permission has to be issued again to go on."""
+        if not decision.valid_ms:
+            return False
         renew_ms = RENEW_FRACTION * min(self.valid_ms, decision.valid_ms)
         return now_ms >= self.issued_ms + renew_ms
 
@@ -212,6 +215,8 @@
                 stored.share,
             )
             self.controlled[service] = ControlledRollout(read.ok, controller)
+            # Expired from the start: it tells gateways where to send their evidence.
+            self._issue(stored, state_of(stored), stored.share, self._now_ms(), 0)
         return True
 
     async def _control(self, service: str) -> None:
@@ -219,6 +224,7 @@
         controlled = self.controlled[service]
         known = self.table.service(service)
         settings, now_ms = self.state.settings, self._now_ms()
+        known.counter.update_waiting(boot_s())
         if known.counter.evidence is not None:
             controlled.controller.on_evidence(
                 settings.host, known.counter.evidence, now_ms
@@ -241,27 +247,33 @@
             )
         elif not controlled.must_issue(decision, now_ms):
             return
+        if decision.state is RolloutState.ACTIVE and not decision.valid_ms:
+            return
         # The commit may have taken longer than the lease is valid.
         if not self.lease.held(to_ms(boot_s())):
             return
+        controlled.issued_ms, controlled.valid_ms = now_ms, decision.valid_ms
+        self._issue(stored, decision.state, decision.share, now_ms, decision.valid_ms)
+        if decision.state is not RolloutState.ACTIVE:
+            del self.controlled[service]
+
+    def _issue(
+        self,
+        stored: gpb.StoredRollout,
+        state: RolloutState,
+        share: float,
+        now_ms: int,
+        valid_ms: int,
+    ) -> None:
+        """Apply a permission, and send it to all gateways."""
+        number, target = stored.number, stored.target
         issued = IssuedPermission(
-            Permission(
-                service,
-                stored.target,
-                stored.number,
-                decision.state,
-                decision.share,
-                now_ms,
-                decision.valid_ms,
-            ),
+            Permission(stored.service, target, number, state, share, now_ms, valid_ms),
             self.lease.fencing_number,
-            settings.host,
+            self.state.settings.host,
         )
-        controlled.issued_ms, controlled.valid_ms = now_ms, decision.valid_ms
         self.table.on_issued(issued, self._now_ms())
         self.spread.send_permission(issued, boot_s())
-        if decision.state is not RolloutState.ACTIVE:
-            del self.controlled[service]
 
     async def _commit(
         self, service: str, controlled: ControlledRollout, decision: Decision
--- a/src/tanagerturn/gateway/rollouts/rollouts.py
+++ b/src/tanagerturn/gateway/rollouts/rollouts.py
@@ -123,9 +123,8 @@
         return self.table.is_confirmed(self.state.fleet)
 
     def tick(self, now_s: float) -> None:
-        """Look orders up, and count responses that are missing for long."""
+        """Look up the orders of new versions."""
         self.lookups.tick(now_s)
-        self.table.tick(now_s)
 
     def exchange(self, now_s: float) -> None:
         """Send the evidence that is due, and log changes."""
--- a/src/tanagerturn/gateway/rollouts/spread.py
+++ b/src/tanagerturn/gateway/rollouts/spread.py
@@ -95,7 +95,7 @@
             if issued.is_finished and now_ms - known.received_ms > FINISHED_MS:
                 continue
             digest.rollouts.permissions.append(encode_permission(issued))
-            report = self._report(service, known, DIGEST_CELLS)
+            report = self._report(service, known, DIGEST_CELLS, now_s)
             if report is not None:
                 digest.rollout_reports.reports.append(report)
 
@@ -111,7 +111,7 @@
             holder = known.issued.holder if known.issued is not None else ""
             if known.active is None or holder in ("", self.state.settings.host):
                 continue
-            report = self._report(service, known, REPORT_CELLS)
+            report = self._report(service, known, REPORT_CELLS, now_s)
             if report is not None:
                 by_host.setdefault(holder, gpb.RolloutReports()).reports.append(report)
         for host, reports in by_host.items():
@@ -165,12 +165,13 @@
         self.table.changed.clear()
 
     def _report(
-        self, service: str, known: ServiceRollout, limit: int
+        self, service: str, known: ServiceRollout, limit: int, now_s: float
     ) -> gpb.RolloutEvidence | None:
         """Return the counters to report; None if the rollout has ended."""
         evidence = known.counter.evidence
         if evidence is None:
             return None
+        known.counter.update_waiting(now_s)
         cursor = self.cursors.get((service, limit))
         if cursor is None or cursor.number != evidence.number:
             cursor = self.cursors[service, limit] = CellCursor(evidence.number)
@@ -213,7 +214,7 @@
         """
         changed = []
         for key, cell in evidence.cells.items():
-            counts = (cell.started, cell.ended, sum(cell.times))
+            counts = (cell.started, cell.ended, sum(cell.times), *cell.waiting)
             previous, times = self.reported.get(key, ((), 0))
             if counts != previous:
                 times = 0
--- a/src/tanagerturn/gateway/rollouts/table.py
+++ b/src/tanagerturn/gateway/rollouts/table.py
@@ -284,11 +284,6 @@
         run.rollout_side = Side.OLD
         return True
 
-    def tick(self, now_s: float) -> None:
-        """Count responses that are missing for long."""
-        for known in self.services.values():
-            known.counter.tick(now_s)
-
     def _may_use_target(
         self,
         known: ServiceRollout,
