--- a/src/tanagerturn/gateway/rollouts/attempts.py
+++ b/src/tanagerturn/gateway/rollouts/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
@@ -75,6 +76,8 @@
         """Requests at backend servers."""
         self.evidence: VersionEvidence | None = None
         """Counters of the order in progress; None without one."""
+        self.sent_to: Counter[str] = Counter()
+        """Number of requests sent to each backend server since the order."""
         self.target = ""
         """Target version of that order."""
 
@@ -86,6 +89,7 @@
             evidence: New counters.
         """
         self.target, self.evidence = target, evidence
+        self.sent_to.clear()
         for attempt in self.running.values():
             self._count_start(attempt)
 
@@ -159,6 +163,7 @@
         if self.evidence is None:
             return
         attempt.number = self.evidence.number
+        self.sent_to[attempt.backend.id] += 1
         self.evidence.on_started(attempt.key(self.target))
 
     def _count_time(self, attempt: Attempt, now_s: float) -> None:
--- a/src/tanagerturn/gateway/rollouts/table.py
+++ b/src/tanagerturn/gateway/rollouts/table.py
@@ -21,7 +21,7 @@
 from tanagerturn.serving.rollouts.splitter import Splitter
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Sequence
     from random import Random
 
     from tanagerturn.gateway.fleet import Fleet
@@ -237,9 +237,12 @@
         first_left = fleet.candidates(
             run.service, run.tried_backend_ids | second | others, now_s
         )
-        if any(fleet.is_healthy(backend, now_s) for backend in first_left):
-            return others | second
-        return others
+        healthy = [b for b in first_left if fleet.is_healthy(b, now_s)]
+        if not healthy:
+            return others
+        if second is old and not is_whole:
+            return others | old | targets - {self._next_target(known, healthy, fleet)}
+        return others | second
 
     def allows(
         self, run: RequestRun, backend: Backend, fleet: Fleet, now_s: float, now_ms: int
@@ -284,6 +287,22 @@
         run.rollout_side = Side.OLD
         return True
 
+    def _next_target(
+        self, known: ServiceRollout, healthy: Sequence[Backend], fleet: Fleet
+    ) -> BackendId:
+        """Return the backend server of the target for the next request.
+
+        A few requests per second would all go to the same one, by its id, and a fault
+        of the version could not be told from one of its host.
+        """
+        sent_to = known.counter.sent_to
+
+        def order(backend: Backend) -> tuple[int, int, float]:
+            running = len(fleet.state(backend.id).in_flight)
+            return running, sent_to[backend.id], self.random.random()
+
+        return min(healthy, key=order).id
+
     def _may_use_target(
         self,
         known: ServiceRollout,
--- a/tests/support/gateway_cluster.py
+++ b/tests/support/gateway_cluster.py
@@ -64,7 +64,8 @@
         """Start the gateway with this number."""
         settings = replace(self.settings(number), is_first_start=is_first_start)
         loop = asyncio.get_running_loop()
-        gateway = Gateway(settings, PlatformDialect(1000), loop, lambda: settings)
+        dialect = PlatformDialect(1000, has_rollouts=settings.rollouts is not None)
+        gateway = Gateway(settings, dialect, loop, lambda: settings)
         self.gateways[settings.host] = gateway
         context = copy_context()
         context.run(RUNNING_HOST.set, settings.host)
@@ -112,6 +113,7 @@
         gateway.mesh.close()
         if gateway.member is not None and gateway.member.actor is not None:
             gateway.member.actor.stop()
+            gateway.member.folder.close()
         if wipe:
             shutil.rmtree(self.folder / host, ignore_errors=True)
 
