--- a/src/tanagerturn/serving/rollouts/controller.py
+++ b/src/tanagerturn/serving/rollouts/controller.py
@@ -56,6 +56,10 @@
 SUSPICION: Final = 0.5
 """Level of the test from which the share is not raised."""
 
+STRONG_SUSPICION: Final = 0.85
+"""Level from which the target does not get all requests at all. Two defective backend
+servers of a good version reach 0.7."""
+
 COMMIT_MS: Final = 300
 """Time in milliseconds reserved for the commit of `COMPLETED` before the duration
 ends."""
@@ -229,7 +233,7 @@
         return loop_ms + SETTLE_MS + STEP_MS
 
     def _is_full_due(self, loop_ms: int, now_ms: int) -> bool:
-        if self.test.responses < MIN_RESPONSES or self.test.level >= SUSPICION:
+        if self.test.responses < MIN_RESPONSES or self.test.level >= STRONG_SUSPICION:
             return self.full_since_ms is not None
         latest_ms = self.end_ms - self._full_ms(loop_ms)
         if now_ms >= latest_ms:
@@ -237,12 +241,15 @@
             return is_small or self.test.responses >= START_RESPONSES
         if self.full_since_ms is not None:
             return self.budget.allows_full(STEP_MS)
-        if now_ms < latest_ms - self._spare_ms():
+        if self.test.level >= SUSPICION or now_ms < latest_ms - self._spare_ms():
             return False
         if self.budget.allows_full(self.end_ms + COMMIT_MS - now_ms):
             return True
+        exposed_ms = self._full_ms(loop_ms) + loop_ms
+        if now_ms < latest_ms - self._spare_ms() + self._test_ms():
+            exposed_ms += self._test_ms()
         is_known = self.test.responses >= WANTED_RESPONSES
-        return is_known and self.budget.allows_full(self._full_ms(loop_ms) + loop_ms)
+        return is_known and self.budget.allows_full(exposed_ms)
 
     def _spare_ms(self) -> float:
         """Return the time in milliseconds by which the last stage begins early."""
