--- a/src/tanagerturn/gateway/rollouts/holder.py
+++ b/src/tanagerturn/gateway/rollouts/holder.py
@@ -52,9 +52,9 @@
 LEASE_NAME: Final = "rollouts"
 """Name of the lease in the state group."""
 
-LEASE_MS: Final = 2_400
-"""Duration of the lease in milliseconds: a rollout of 12 s has to end in time although
-its holder is killed."""
+LEASE_MS: Final = 1_200
+"""Duration of the lease in milliseconds. With 2,400 ms, a rollout of 12 s whose holder
+led the state group stood still for 3.8 s when that host was killed."""
 
 PROPOSE_TIMEOUT_S: Final = 0.8
 """Timeout of one commit in the state group in seconds."""
--- a/src/tanagerturn/gateway/rollouts/table.py
+++ b/src/tanagerturn/gateway/rollouts/table.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from tanagerturn.gateway.fleet import service_of
 from tanagerturn.gateway.rollouts.attempts import AttemptCounter
 from tanagerturn.gateway.rollouts.codec import (
     IssuedPermission,
@@ -197,10 +198,11 @@
 
     def is_confirmed(self, fleet: Fleet) -> bool:
         """Return whether each known version has been looked up once."""
-        return all(
-            known.issued is not None or not (_versions(fleet, name) - known.confirmed)
-            for name, known in self.services.items()
-        )
+        for backend in fleet.view.backends.values():
+            known = self.service(service_of(backend))
+            if known.issued is None and backend.software_version not in known.confirmed:
+                return False
+        return True
 
     def excluded_ids(
         self,
@@ -360,8 +362,3 @@
         permission.state,
         permission.share,
     )
-
-
-def _versions(fleet: Fleet, service: str) -> set[str]:
-    """Return the versions of a service's backend servers."""
-    return {backend.software_version for backend in fleet.view.pool(service)}
