Test the target of a rollout at the end of a window with the others of the same window

A burst that slowed all versions took back 3 good versions of 80: the target's slow responses were compared with a reference of the time before, and its waiting requests with none.

--- a/src/tanagerturn/serving/rollouts/_budget.py
+++ b/src/tanagerturn/serving/rollouts/_budget.py
@@ -15,7 +15,7 @@
 RATE_MARGIN: Final = 1.15
 """Factor on the measured rate for what is still to come, for bursts."""
 
-NEEDED_PART: Final = 1.0
+NEEDED_PART: Final = 0.75
 WANTED_PART: Final = 0.5
 """Highest parts of the budget that are kept for the last stage, and for its tests."""
 
--- a/src/tanagerturn/serving/rollouts/_reports.py
+++ b/src/tanagerturn/serving/rollouts/_reports.py
@@ -1,12 +1,11 @@
-"""Latest reports of all gateways on one rollout, as its controller has received
-them."""
+"""Latest reports of all gateways on one rollout."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from tanagerturn.serving.rollouts.evidence import BUCKETS, Cell, VersionEvidence
+from tanagerturn.serving.rollouts.evidence import Cell, VersionEvidence
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -137,16 +136,23 @@
                 return False
         return bool(self.latest)
 
-    def waiting(self) -> dict[CellKey, list[int]]:
-        """Return histograms of the ages of the target's requests without a response."""
-        waiting: dict[CellKey, list[int]] = {}
+    def waiting(self) -> tuple[dict[str, list[int]], dict[CellKey, list[int]]]:
+        """Return histograms of the ages of the requests without a response.
+
+        Returns:
+            Those of the other versions by route, and of the target by cell.
+        """
+        others: dict[str, list[int]] = {}
+        target: dict[CellKey, list[int]] = {}
         for report in self.latest.values():
             for key, cell in report.evidence.cells.items():
-                if key.version == self.order.target and any(cell.waiting):
-                    known = waiting.get(key, [0] * BUCKETS)
-                    added = zip(known, cell.waiting, strict=True)
-                    waiting[key] = [a + b for a, b in added]
-        return waiting
+                if not any(cell.waiting):
+                    continue
+                if key.version == self.order.target:
+                    target[key] = _sum(target.get(key), cell.waiting)
+                else:
+                    others[key.route] = _sum(others.get(key.route), cell.waiting)
+        return others, target
 
     def runs_old(self, now_ms: int) -> bool:
         """Return whether requests still run on other versions, as far as reported."""
@@ -157,3 +163,9 @@
             for key, cell in report.evidence.cells.items()
             if key.version != self.order.target
         )
+
+
+def _sum(known: list[int] | None, added: list[int]) -> list[int]:
+    if known is None:
+        return added
+    return [a + b for a, b in zip(known, added, strict=True)]
--- a/src/tanagerturn/serving/rollouts/controller.py
+++ b/src/tanagerturn/serving/rollouts/controller.py
@@ -56,9 +56,9 @@
 SUSPICION: Final = 0.5
 """Level of the test from which the share is not raised."""
 
-STRONG_SUSPICION: Final = 0.85
-"""Level from which the target does not get all requests at all. Two defective backend
-servers of a good version reach 0.7."""
+STRONG_SUSPICION: Final = 0.75
+"""Level from which the target neither gets all requests nor is completed. Two defective
+backend servers of a good version reach 0.7."""
 
 COMMIT_MS: Final = 300
 """Time in milliseconds reserved for the commit of `COMPLETED` before the duration
@@ -154,7 +154,7 @@
             return
         others, target = self.reports.add(sender, evidence, now_ms)
         for route, counts in others.items():
-            self.test.add_others(route, counts, now_ms)
+            self.test.add_others(route, counts)
         self.test.add_target(target)
 
     def step(
@@ -166,16 +166,18 @@
         """Return the decision that is due now; call it every `STEP_MS`.
 
         Args:
-            now_ms: Current time in milliseconds. ready_versions: Versions with at least
-                one ready backend server. gateways: Hosts of the gateways that are known
-                to be alive. A completion waits for the reports of all of them; if
-                empty, of those that have reported.
+            now_ms: Current time in milliseconds.
+            ready_versions: Versions with at least one ready backend server.
+            gateways: Hosts of the gateways that are known to be alive. A completion
+                waits for the reports of all of them; if empty, of those that have
+                reported.
         """
         if self.state is not RolloutState.ACTIVE:
             return self._decide(self.state, self.share, "ended")
         was_paused = now_ms - self.stepped_ms > PAUSE_MS
         self.stepped_ms = now_ms
-        self.test.add_waiting(self.reports.waiting())
+        self.test.step(now_ms)
+        self.test.test_waiting(*self.reports.waiting())
         if self.test.finding:
             return self._decide(RolloutState.ROLLED_BACK, 0.0, self.test.finding)
         loop_ms = self.reports.loop_ms(gateways, now_ms)
@@ -189,9 +191,7 @@
             return Decision(self.state, self.share, "waiting for reports", 0)
         if self._is_full_due(loop_ms, now_ms):
             return self._step_full(gateways, now_ms, loop_ms)
-        self._leave_full()
-        share = self._partial_share(loop_ms, now_ms)
-        return self._decide(self.state, share, "collecting evidence", loop_ms)
+        return self._step_partial(loop_ms, now_ms)
 
     def valid_ms(self, loop_ms: int) -> int:
         """Return the validity of a permission in milliseconds.
@@ -241,20 +241,20 @@
             return is_small or self.test.responses >= START_RESPONSES
         if self.full_since_ms is not None:
             return self.budget.allows_full(STEP_MS)
-        if self.test.level >= SUSPICION or now_ms < latest_ms - self._spare_ms():
+        begin_ms = latest_ms - self._spare_ms()
+        if self.test.level >= SUSPICION or now_ms < begin_ms - self._test_ms():
             return False
         if self.budget.allows_full(self.end_ms + COMMIT_MS - now_ms):
             return True
-        exposed_ms = self._full_ms(loop_ms) + loop_ms
-        if now_ms < latest_ms - self._spare_ms() + self._test_ms():
+        exposed_ms = float(self._full_ms(loop_ms) + loop_ms)
+        if now_ms < begin_ms:
             exposed_ms += self._test_ms()
         is_known = self.test.responses >= WANTED_RESPONSES
         return is_known and self.budget.allows_full(exposed_ms)
 
     def _spare_ms(self) -> float:
-        """Return the time in milliseconds by which the last stage begins early."""
-        spare_ms = min(MAX_SPARE_MS, SPARE_SHARE * self.order.duration_ms)
-        return spare_ms + self._test_ms()
+        """Return the time in milliseconds that is kept for a change of the holder."""
+        return min(MAX_SPARE_MS, SPARE_SHARE * self.order.duration_ms)
 
     def _test_ms(self) -> float:
         """Return the time in milliseconds in which `FULL_RESPONSES` should arrive."""
@@ -274,25 +274,35 @@
             self.settled_ms = now_ms
             self.responses_before = self.test.responses
         settled_ms = 0 if self.settled_ms is None else now_ms - self.settled_ms
+        is_suspect = self.test.level >= STRONG_SUSPICION
         # Old requests that still run and responses under load are waited for while the
         # budget lasts; the time is bounded by the end of the duration.
         is_tested = self.test.responses - self.responses_before >= FULL_RESPONSES
         is_waiting = settled_ms < WANTED_SETTLE_MS or not is_tested
         is_waiting = is_waiting or self.reports.runs_old(now_ms)
         may_wait = is_waiting and self.budget.allows_full(loop_ms)
-        if settled_ms >= SETTLE_MS and not may_wait:
+        begin_ms = self.end_ms - self._full_ms(loop_ms) - self._spare_ms()
+        if not may_wait and not is_tested and now_ms < begin_ms:
+            # There is time to try again with more budget, or at the end.
+            return self._step_partial(loop_ms, now_ms)
+        if settled_ms >= SETTLE_MS and not may_wait and not is_suspect:
             return self._decide(
                 RolloutState.COMPLETED, 1.0, "all requests at the target"
             )
         return self._decide(self.state, 1.0, "moving all requests", loop_ms)
 
+    def _step_partial(self, loop_ms: int, now_ms: int) -> Decision:
+        self._leave_full()
+        share = self._partial_share(loop_ms, now_ms)
+        return self._decide(self.state, share, "collecting evidence", loop_ms)
+
     def _leave_full(self) -> None:
         self.full_since_ms = self.settled_ms = None
 
     def _partial_share(self, loop_ms: int, now_ms: int) -> float:
         full_ms = self._full_ms(loop_ms)
-        left_ms = self.end_ms - full_ms - self._spare_ms() - now_ms
-        left_ms = max(left_ms, 2.0 * loop_ms)
+        reserve_ms = full_ms + self._spare_ms() + self._test_ms()
+        left_ms = max(self.end_ms - reserve_ms - now_ms, 2.0 * loop_ms)
         exposed_ms = full_ms + self._test_ms() + loop_ms
         planned = self.budget.planned_share(left_ms, full_ms + loop_ms, exposed_ms)
         # Evidence comes before a reserve for the last stage that may never be used.
@@ -319,7 +329,8 @@
         A version without a finding is completed if all requests were being moved to it,
         even if some gateways have not reported that; all others are rolled back.
         """
-        if self.full_since_ms is not None:
+        is_suspect = self.test.level >= STRONG_SUSPICION
+        if self.full_since_ms is not None and not is_suspect:
             return self._decide(RolloutState.COMPLETED, 1.0, "the duration has ended")
         reason = "not enough evidence in time"
         if not self.test.responses:
--- a/src/tanagerturn/serving/rollouts/verdict.py
+++ b/src/tanagerturn/serving/rollouts/verdict.py
@@ -8,8 +8,8 @@
 its sum falls below zero (Page's test), so that a version that becomes bad late is found
 as fast as one that is bad from the start.
 
-A version is bad when the sum without the worst third of its backend servers passes
-`THRESHOLD`: a bad version is bad everywhere, while a defective host or a slow zone
+A version is bad when the sum passes
+`THRESHOLD` although the part of each backend server is limited: a bad version is bad everywhere, while a defective host or a slow zone
 affects some backend servers only.
 """
 
@@ -52,9 +52,9 @@
 do not hide that the version became bad."""
 
 PART_CAPS: Final = (1.0, 1.0, 0.6, 0.35)
-"""Highest part of a backend server over the threshold if there are 0, 1, 2, 3 or more. One
-of two, or two of more, do not suffice. Leaving out the worst third instead needed twice
-the responses (58 bad ones of 200 at 6 backend servers without a finding)."""
+"""Highest part of a backend server over the threshold if there are 0, 1, 2, 3 or more.
+One of two, or two of more, do not suffice. Leaving out the worst third instead missed a
+version at 6 backend servers with 16 bad responses of 58."""
 
 PRIOR_RESPONSES: Final = 50.0
 """Number of responses that the prior of a reference share counts as."""
@@ -62,6 +62,9 @@
 PRIOR_BAD: Final = 1.0
 """Number of bad ones among them. Without any other response, 2 % bad ones are usual."""
 
+PRIOR_WAITING: Final = 10.0
+"""The same for requests that have no response yet, of which there are few."""
+
 SLOW_BUCKETS: Final = 3
 """Buckets above the median of the other versions from which a response is slow: 2 to
 2.8 times the median, as faults make responses several times slower."""
@@ -69,10 +72,13 @@
 MIN_REFERENCE: Final = 10
 """Number of the other versions' responses from which their median is used."""
 
-WINDOW_MS: Final = 500
-"""Length of the windows in which the other versions' responses are counted."""
+WINDOW_MS: Final = 400
+"""Length of the windows in which responses are counted. Those of the target are tested
+at the end of a window, against the others of the same window too: tested at once, a
+burst that slowed all versions took back good ones, as the target was compared with the
+time before."""
 
-WINDOWS: Final = 6
+WINDOWS: Final = 8
 """Number of the latest windows that form the reference of the same period."""
 
 
@@ -84,8 +90,6 @@
     """All of them."""
     windows: deque[Cell]
     """Those of the latest windows, the current one last."""
-    window_ms: int
-    """Start of the current window in milliseconds."""
 
 
 @dataclass(frozen=True)
@@ -104,6 +108,10 @@
     def __init__(self) -> None:
         self.references: dict[str, Reference] = {}
         """Responses of the other versions, by route."""
+        self.pending: dict[CellKey, Cell] = {}
+        """Responses of the target in the current window."""
+        self.window_ms = 0
+        """Start of the current window in milliseconds."""
         self.walks: dict[tuple[str, str, float], dict[str, float]] = {}
         """Parts of the walks by backend server; a walk is of a respect, a route (empty
         for all together) and an excess."""
@@ -118,30 +126,44 @@
         sums = (capped_sum(parts) for parts in self.walks.values())
         return max(sums, default=0.0) / THRESHOLD
 
-    def add_others(self, route: str, counts: Cell, now_ms: int) -> None:
+    def add_others(self, route: str, counts: Cell) -> None:
         """Add responses of the other versions.
 
         Args:
             route: Route of the requests.
             counts: What was counted since the last call.
-            now_ms: Current time in milliseconds.
         """
         reference = self.references.get(route)
         if reference is None:
-            reference = Reference(Cell(), deque([Cell()], maxlen=WINDOWS), now_ms)
+            reference = Reference(Cell(), deque([Cell()], maxlen=WINDOWS))
             self.references[route] = reference
-        if now_ms >= reference.window_ms + WINDOW_MS:
-            reference.windows.append(Cell())
-            reference.window_ms = now_ms
         reference.total.add(counts)
         reference.windows[-1].add(counts)
 
     def add_target(self, counts: Mapping[CellKey, Cell]) -> None:
-        """Add responses of the target, after those of the others in the same reports.
+        """Add responses of the target.
 
         Args:
             counts: What was counted since the last call.
         """
+        for key, cell in counts.items():
+            self.pending.setdefault(key, Cell()).add(cell)
+
+    def step(self, now_ms: int) -> None:
+        """Test the responses of the current window if it has ended.
+
+        Args:
+            now_ms: Current time in milliseconds.
+        """
+        if now_ms < self.window_ms + WINDOW_MS:
+            return
+        self.window_ms = now_ms
+        self._test(self.pending)
+        self.pending = {}
+        for reference in self.references.values():
+            reference.windows.append(Cell())
+
+    def _test(self, counts: Mapping[CellKey, Cell]) -> None:
         increments: dict[tuple[str, str, float], dict[str, float]] = {}
         for key, cell in counts.items():
             self.responses += max(sum(cell.times), cell.failed)
@@ -154,23 +176,29 @@
         for walk, rises in increments.items():
             self._advance(walk, rises)
 
-    def add_waiting(self, waiting: Mapping[CellKey, list[int]]) -> None:
-        """Test the target with its requests that already are slow without a response.
+    def test_waiting(
+        self, others: Mapping[str, list[int]], target: Mapping[CellKey, list[int]]
+    ) -> None:
+        """Test the target with its requests that have no response yet.
 
-        They are not kept, as they will be counted with their responses.
+        The result is not kept, as they will be counted with their responses.
 
         Args:
-            waiting: Histograms of the ages of all such requests of the target.
+            others: Histograms of the ages of such requests of other versions, by route.
+            target: The same of the target, by cell.
         """
         walks: dict[tuple[str, float], dict[str, float]] = {}
-        for key, histogram in waiting.items():
+        for key, histogram in target.items():
             reference = self.references.get(key.route)
             usual = _usual_times(reference, "late") if reference else None
-            slow = sum(histogram[usual.slow_from :]) if usual else 0
-            if usual is None or not slow:
+            if usual is None:
                 continue
+            ages = others.get(key.route, [])
+            slow = sum(ages[usual.slow_from :]) + PRIOR_BAD
+            share = slow / (sum(ages) + PRIOR_WAITING)
+            bad, count = sum(histogram[usual.slow_from :]), sum(histogram)
             for excess in EXCESSES:
-                rise = log_ratio(usual.share, excess, slow, slow)
+                rise = log_ratio(share, excess, bad, count)
                 for route in (key.route, ""):
                     parts = walks.get((route, excess))
                     if parts is None:
@@ -195,8 +223,7 @@
             self.finding = f"{respect} responses, {route or 'all routes'}"
 
     def _outcomes(self, route: str, cell: Cell) -> list[tuple[str, Usual, int, int]]:
-        """Return respect, reference, bad responses and all of them, for each
-        respect."""
+        """Return for each respect what is usual, the bad and all responses."""
         reference = self.references.get(route)
         outcomes = []
         # A stream that fails after its first event is counted in both.
@@ -241,7 +268,7 @@
     if reference is None:
         return PRIOR_BAD / PRIOR_RESPONSES
     shares = []
-    for cells in (list(reference.windows), [reference.total]):
+    for cells in _periods(reference):
         failed = sum(cell.failed for cell in cells)
         ended = sum(cell.ended - cell.cancelled for cell in cells)
         shares.append((failed + PRIOR_BAD) / (max(failed, ended) + PRIOR_RESPONSES))
@@ -253,15 +280,24 @@
     if sum(total) < MIN_REFERENCE:
         return None
     slow_from = min(BUCKETS - 1, _median(total) + SLOW_BUCKETS)
-    recent = [_histogram(cell, respect) for cell in reference.windows]
     shares = []
-    for histograms in ([total], recent):
+    for cells in _periods(reference):
+        histograms = [_histogram(cell, respect) for cell in cells]
         slow = sum(sum(histogram[slow_from:]) for histogram in histograms)
         responses = sum(sum(histogram) for histogram in histograms)
         shares.append((slow + PRIOR_BAD) / (responses + PRIOR_RESPONSES))
     return Usual(max(shares), slow_from)
 
 
+def _periods(reference: Reference) -> list[list[Cell]]:
+    """Return the periods whose highest share of bad responses is the usual one.
+
+    Single windows are among them, as a burst that slows all versions may be short.
+    """
+    windows = list(reference.windows)
+    return [[reference.total], windows, *([window] for window in windows)]
+
+
 def _histogram(cell: Cell, respect: str) -> list[int]:
     return cell.times if respect == "late" else cell.paces
 
