--- a/tests/soak/upgrade.py
+++ b/tests/soak/upgrade.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import shutil
-import subprocess
-from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -16,15 +14,16 @@
     record_cut_responses,
 )
 from soak.world import World
+from support.gateway_programs import ROOT, extract_build
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from support.gateway_programs import GatewayProgram
 
 EARLIER_COMMIT = "2fb1666"
 """Commit of the build that this one replaces."""
 
-ROOT = Path(__file__).parents[2]
-
 DISKS = 4
 """Number of gateways with a disk: three voters and a spare."""
 
@@ -36,19 +35,6 @@
 once they have been silent."""
 
 
-def extract_build(commit: str, folder: Path) -> Path:
-    """Extract the source of a commit below a folder; return its import path."""
-    archive = subprocess.run(
-        ["git", "-C", str(ROOT), "archive", commit, "src"],
-        check=True,
-        capture_output=True,
-    )
-    target = folder / "earlier-build"
-    target.mkdir()
-    subprocess.run(["tar", "-x", "-C", str(target)], input=archive.stdout, check=True)
-    return target / "src"
-
-
 def run_upgrade(seed: int, *, to_earlier: bool) -> Outcome:
     """Replace all gateways under traffic and return the result.
 
--- a/tests/support/gateway_programs.py
+++ b/tests/support/gateway_programs.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+ROOT = Path(__file__).parents[2]
 SCRIPT = Path(platform.__file__).with_name("run.py")
 CALLERS_PORT = 8221
 READINESS_PORT = 8224
@@ -48,6 +49,8 @@
     """Python script that the process runs."""
     source: Path | None = None
     """Import path of the build that the process runs; None for that of the tests."""
+    contracts: str = ""
+    """Optional behaviour that the settings ask for; empty for none."""
     starts: int = 0
     """Number of starts of the process."""
 
@@ -75,6 +78,8 @@
         ]
         if self.has_disk:
             lines += [f"data_dir={self.folder / self.name}", "limits.disk_mb=64"]
+        if self.contracts:
+            lines.append(f"contracts={self.contracts}")
         self.settings_path.write_text("\n".join(lines), encoding="utf-8")
 
     def start(self, *, is_first_start: bool = True) -> None:
@@ -120,6 +125,19 @@
         self.popen.send_signal(number)
 
 
+def extract_build(commit: str, folder: Path) -> Path:
+    """Extract the source of a commit below a folder; return its import path."""
+    archive = subprocess.run(
+        ["git", "-C", str(ROOT), "archive", commit, "src"],
+        check=True,
+        capture_output=True,
+    )
+    target = folder / "earlier-build"
+    target.mkdir()
+    subprocess.run(["tar", "-x", "-C", str(target)], input=archive.stdout, check=True)
+    return target / "src"
+
+
 def make_programs(folder: Path, with_disk: int, diskless: int) -> list[GatewayProgram]:
     """Return gateways h1, h2, ..., of which the first ones have a disk."""
     subnet = f"127.{random.randrange(2, 250)}.{random.randrange(1, 250)}"
