--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -210,6 +210,34 @@
     "order_not_answered": (
         "The cloud API did not respond to an order for backend servers."
     ),
+    # Rollouts
+    "rollout_ordered": "An order for a rollout was accepted here and is durable.",
+    "rollout_refused": (
+        "An order for a rollout was refused; with `status` 503 it may be durable, or "
+        "`reason` names hosts that are not known to support rollouts."
+    ),
+    "rollout_permission": (
+        "This gateway applies another permission of a rollout; `share` of the requests "
+        "may use the target. It expires unless `holder` renews it; without a holder it "
+        "allows none."
+    ),
+    "rollouts_taken": (
+        "This gateway now holds the lease for rollouts and reads their orders."
+    ),
+    "rollout_decided": (
+        "The holder has committed a state and a share; see `reason`. A share below the "
+        "previous one, or `rolled_back`, follows from evidence or missing time."
+    ),
+    "rollout_not_committed": (
+        "A state of a rollout, or an order, was not committed by the state group."
+    ),
+    "rollout_not_read": (
+        "An order could not be read with a majority's confirmation; versions that are "
+        "new to this gateway get no requests meanwhile."
+    ),
+    "rollout_step_failed": (
+        "A step of the holder raised an unexpected error; the next step retries."
+    ),
     # The process
     "not_remembered": "The warm-start file for the next start could not be written.",
     "warm_start_unreadable": (
--- a/src/tanagerturn/gateway/metrics.py
+++ b/src/tanagerturn/gateway/metrics.py
@@ -8,6 +8,8 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
+from tanagerturn.clocks import to_ms
+
 if TYPE_CHECKING:
     from tanagerturn.gateway.state import GatewayState
 
@@ -69,6 +71,12 @@
     """Requests that were checked against limits of backend servers here, by charge."""
     quarantine_rejections: Counter
     """Requests that were rejected because of a quarantine, by service."""
+    rollout_share: Gauge
+    """Share of the requests that may use the target of a rollout in progress, by
+    service."""
+    rollout_requests: Gauge
+    """Requests sent to backend servers since the order, by service and by whether they
+    are of the target."""
 
     def update(
         self,
@@ -102,6 +110,13 @@
         self.quarantined_parts.set(len(state.quarantine.quarantined))
         self.quarantined_requests.set(len(state.repeats.quarantined()))
         self.connections.set(state.pool.opened_count)
+        if state.rollouts is not None:
+            now_ms = to_ms(state.wall_clock.read(now_s))
+            for service, known in state.rollouts.services.items():
+                self.rollout_share.labels(service).set(known.share(now_ms))
+                old, target = known.counter.sent_counts()
+                self.rollout_requests.labels(service, "old").set(old)
+                self.rollout_requests.labels(service, "target").set(target)
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -177,6 +192,19 @@
             ("service",),
             registry=registry,
         ),
+        rollout_share=Gauge(
+            "tanager_gateway_rollout_share",
+            "Share of requests that may use the target of a rollout.",
+            ("service",),
+            registry=registry,
+        ),
+        rollout_requests=Gauge(
+            "tanager_gateway_rollout_requests",
+            "Requests sent here since the order of a rollout in progress, by service "
+            "and versions (old, target).",
+            ("service", "versions"),
+            registry=registry,
+        ),
         first_event_s=histogram(
             "tanager_gateway_first_event_seconds", "Time to the first event of streams."
         ),
--- a/src/tanagerturn/gateway/rollouts/attempts.py
+++ b/src/tanagerturn/gateway/rollouts/attempts.py
@@ -156,6 +156,15 @@
             if not attempt.is_timed and self._is_counted(attempt)
         )
 
+    def sent_counts(self) -> tuple[int, int]:
+        """Return how many requests the old versions and the target got here."""
+        if self.evidence is None:
+            return 0, 0
+        counts = [0, 0]
+        for key, cell in self.evidence.cells.items():
+            counts[key.version == self.target] += cell.started
+        return counts[0], counts[1]
+
     def _is_counted(self, attempt: Attempt) -> bool:
         return self.evidence is not None and attempt.number == self.evidence.number
 
--- a/src/tanagerturn/gateway/rollouts/table.py
+++ b/src/tanagerturn/gateway/rollouts/table.py
@@ -63,6 +63,15 @@
             return None
         return self.issued.permission
 
+    def share(self, now_ms: int) -> float:
+        """Return the share of the requests that may use the target now."""
+        permission = self.issued.permission if self.issued is not None else None
+        if permission is None or not permission.side_allowed(
+            now_ms + self.clock_lead_ms
+        ):
+            return 0.0
+        return permission.share
+
     def may_run(self, version: str) -> bool:
         """Return whether a version may get requests, other than a target's share."""
         if self.issued is None:
