--- a/src/tanagerturn/serving/rollouts/controller.py
+++ b/src/tanagerturn/serving/rollouts/controller.py
@@ -54,7 +54,12 @@
 services with short rollouts reach no more."""
 
 SUSPICION: Final = 0.5
-"""Level of the test from which the share is not raised."""
+"""Level of the test from which the last stage does not begin early, and the share is
+one that soon gives `SUSPECT_RESPONSES`. With a lower share a good version stayed
+suspect after a burst until the duration ended."""
+
+SUSPECT_RESPONSES: Final = 20
+"""Number of responses within `START_MS` that settle a suspicion."""
 
 STRONG_SUSPICION: Final = 0.75
 """Level from which the target neither gets all requests nor is completed. Two defective
@@ -313,7 +318,8 @@
             soon = self.budget.share_for(START_RESPONSES, START_MS)
             share = min(share, max(START_SHARE, soon))
         if self.test.level >= SUSPICION:
-            share = min(share, self.share or START_SHARE)
+            share = self.budget.share_for(SUSPECT_RESPONSES, START_MS)
+            share = max(share, min(self.share, STAGES[-1]))
         share = max(share, STAGES[0])
         if left_ms <= 2.0 * loop_ms and self.test.responses >= START_RESPONSES:
             share = min(share, self.share)
--- a/src/tanagerturn/serving/rollouts/splitter.py
+++ b/src/tanagerturn/serving/rollouts/splitter.py
@@ -20,7 +20,8 @@
     at the target, at a random place within it. Of any n successive requests fewer than
     `share * n + 2` go to the target, and gateways with few requests each send as many
     as they should on average. Single independent draws would keep the average only; a
-    fixed place would coincide with a regular order of routes.
+    fixed place would coincide with a regular order of routes. Of two alternating
+    routes, one may still get up to an eighth more than its half.
     """
 
     def __init__(self) -> None:
--- a/src/tanagerturn/serving/rollouts/verdict.py
+++ b/src/tanagerturn/serving/rollouts/verdict.py
@@ -8,9 +8,9 @@
 its sum falls below zero (Page's test), so that a version that becomes bad late is found
 as fast as one that is bad from the start.
 
-A version is bad when the sum passes
-`THRESHOLD` although the part of each backend server is limited: a bad version is bad everywhere, while a defective host or a slow zone
-affects some backend servers only.
+A version is bad when the sum passes `THRESHOLD` although the part of each backend
+server is limited: a bad version is bad everywhere, while a defective host or a slow
+zone affects some backend servers only.
 """
 
 from __future__ import annotations
--- a/tests/support/rollout_schedule.py
+++ b/tests/support/rollout_schedule.py
@@ -1,5 +1,4 @@
-"""Seeded simulation of one rollout: callers, gateways, backend servers and the
-holder."""
+"""Seeded simulation of one rollout with gateways, backend servers and the holder."""
 
 from __future__ import annotations
 
@@ -46,6 +45,47 @@
     backends: int = 6
 
 
+FAULTS = tuple(
+    f"{kind}-{when}"
+    for kind in ("failures", "slow")
+    for when in ("start", "late", "load", "route")
+)
+DISTURBANCES = (
+    "grey old",
+    "grey new",
+    "burst",
+    "slow zone",
+    "kill",
+    "pause",
+    "partition",
+)
+
+
+def draw_scenario(seed: int, gateways: int, is_good: bool) -> Scenario:
+    """Return a random rollout in which the last stage fits the bound.
+
+    Its duration is long enough for two exchanges with all gateways, and the budget
+    covers the exposure until a fault under full load is known.
+    """
+    random = Random(seed)
+    late_ms = max(200.0, 1000 * gateways / 120 if gateways > 30 else 0.0)
+    while True:
+        scenario = Scenario(
+            seed,
+            gateways,
+            random.choice((5, 20, 60, 150, 300, 600)),
+            random.choice((6000, 12000, 20000, 30000, 60000)),
+            int(random.uniform(late_ms, 2000)),
+            "" if is_good else random.choice(FAULTS),
+            tuple(word for word in DISTURBANCES if random.random() < 0.2),
+        )
+        loop_ms = 0.6 * scenario.late_ms + 0.6 * (100 + 9 * gateways) + 200
+        is_long = 0.8 * scenario.duration_ms >= 2.5 * loop_ms + 1500
+        budget_ms = 0.1 * scenario.duration_ms + 50_000 / scenario.rate
+        if is_long and budget_ms >= 2 * loop_ms + 700:
+            return scenario
+
+
 @dataclass
 class Outcome:
     """What a rollout came to."""
@@ -56,16 +96,21 @@
     seen: int = 0
     exposed: int = 0
     bad: int = 0
+    bad_before_end: int = 0
+    """Number of bad responses before the rollout ended."""
     fiftieth_ms: float = float("inf")
     late_sends: int = 0
     shares: list[tuple[int, float]] = field(default_factory=list)
 
     def within_bound(self, bound: ExposureBound) -> bool:
+        """Return whether a bad version stayed within the bound."""
         allowed = bound.share * self.seen + bound.allowance
         return self.exposed <= allowed and not self.late_sends
 
 
 class Gateway:
+    """A gateway's counters and its permission."""
+
     def __init__(self, name: str, started_ms: int, spread_ms: float) -> None:
         self.name = name
         self.evidence = VersionEvidence(1, started_ms)
@@ -105,50 +150,51 @@
         self.burst_ms = random.uniform(0.2, 0.8) * s.duration_ms
         self.recent: list[float] = []
         self.committed = (RolloutState.ACTIVE, 0.0)
-        self.controller: RolloutController | None = self.take_over()
+        self.controller: RolloutController | None = self._take_over()
         self.paused_until = 0.0
         for gateway in self.gateways:
             if "partition" in s.disturbances and random.random() < 0.1:
                 start = random.uniform(0, s.duration_ms)
                 gateway.cut_off = (start, start + random.uniform(1000, 5000))
-            self.after(random.uniform(0, self.interval_ms), self.report, gateway)
-        for kind, action in (("kill", self.kill), ("pause", self.pause)):
+            self._after(random.uniform(0, self.interval_ms), self._report, gateway)
+        for kind, action in (("kill", self._kill), ("pause", self._pause)):
             if kind in s.disturbances:
-                self.after(random.uniform(0.1, 0.6) * s.duration_ms, action)
-        self.after(0, self.step)
-        self.after(0, self.renew)
-        self.after(0, self.arrive)
+                self._after(random.uniform(0.1, 0.6) * s.duration_ms, action)
+        self._after(0, self._step)
+        self._after(0, self._renew)
+        self._after(0, self._arrive)
 
     def run(self) -> Outcome:
+        """Run until the duration ends."""
         while self.events and self.events[0][0] < self.scenario.duration_ms:
             self.now, _, action = heapq.heappop(self.events)
             action()
         return self.outcome
 
-    def after(self, delay_ms: float, action: Callable[..., None], *args) -> None:
+    def _after(self, delay_ms: float, action: Callable[..., None], *args) -> None:
         self.count += 1
         at = self.now + delay_ms
         heapq.heappush(self.events, (at, self.count, lambda: action(*args)))
 
     # The holder of the lease
 
-    def take_over(self) -> RolloutController:
+    def _take_over(self) -> RolloutController:
         state, share = self.committed
         return RolloutController(self.order, self.bound, int(self.now), state, share)
 
-    def kill(self) -> None:
+    def _kill(self) -> None:
         self.controller = None
 
         def start() -> None:
-            self.controller = self.take_over()
+            self.controller = self._take_over()
 
-        self.after(self.random.uniform(500, 2500), start)
+        self._after(self.random.uniform(500, 2500), start)
 
-    def pause(self) -> None:
+    def _pause(self) -> None:
         self.paused_until = self.now + self.random.uniform(300, 2500)
 
-    def step(self) -> None:
-        self.after(STEP_MS, self.step)
+    def _step(self) -> None:
+        self._after(STEP_MS, self._step)
         controller = self.controller
         if controller is None or self.now < self.paused_until:
             return
@@ -156,29 +202,30 @@
         names = [g.name for g in self.gateways]
         decision = controller.step(int(self.now), ready, names)
         if (decision.state, decision.share) != self.committed:
-            self.after(COMMIT_MS, self.commit, controller, decision)
+            self._after(COMMIT_MS, self._commit, controller, decision)
         else:
             self.decision = decision
 
-    def commit(self, controller, decision) -> None:
+    def _commit(self, controller, decision) -> None:
         if controller is not self.controller:
             return
         if self.committed[0] is RolloutState.ACTIVE is not decision.state:
             self.outcome.state, self.outcome.reason = decision.state, decision.reason
             self.outcome.ended_ms = int(self.now)
+            self.outcome.bad_before_end = self.outcome.bad
         self.committed = (decision.state, decision.share)
         self.outcome.shares.append((int(self.now), decision.share))
         self.decision = decision
-        self.issue()
+        self._issue()
 
     decision = None
 
-    def renew(self) -> None:
-        self.after(RENEWAL_MS, self.renew)
+    def _renew(self) -> None:
+        self._after(RENEWAL_MS, self._renew)
         if self.controller is not None and self.now >= self.paused_until:
-            self.issue()
+            self._issue()
 
-    def issue(self) -> None:
+    def _issue(self) -> None:
         decision = self.decision
         if decision is None or not decision.valid_ms:
             return
@@ -188,21 +235,21 @@
             "rosters", "v2", 1, *self.committed, int(self.now), decision.valid_ms
         )
         for gateway in self.gateways:
-            if self.random.random() < 0.95 and not self.is_cut_off(gateway):
-                self.after(gateway.spread_ms, self.apply, gateway, permission)
+            if self.random.random() < 0.95 and not self._is_cut_off(gateway):
+                self._after(gateway.spread_ms, self._apply, gateway, permission)
 
-    def apply(self, gateway: Gateway, permission: Permission) -> None:
+    def _apply(self, gateway: Gateway, permission: Permission) -> None:
         known = gateway.permission
         if known is None or known.issued_ms < permission.issued_ms:
             gateway.permission = permission
             gateway.evidence.permission_ms = permission.issued_ms
 
-    def is_cut_off(self, gateway: Gateway) -> bool:
+    def _is_cut_off(self, gateway: Gateway) -> bool:
         return gateway.cut_off[0] <= self.now < gateway.cut_off[1]
 
-    def report(self, gateway: Gateway) -> None:
-        self.after(self.interval_ms, self.report, gateway)
-        if self.is_cut_off(gateway) or self.random.random() < 0.05:
+    def _report(self, gateway: Gateway) -> None:
+        self._after(self.interval_ms, self._report, gateway)
+        if self._is_cut_off(gateway) or self.random.random() < 0.05:
             return
         latest = max(150.0, self.scenario.late_ms - self.interval_ms)
         gateway.evidence.set_waiting(
@@ -212,23 +259,23 @@
         evidence = VersionEvidence(1, 0)
         evidence.merge(gateway.evidence)
         delay = self.random.uniform(50, latest)
-        self.after(delay, self.receive, gateway.name, evidence)
+        self._after(delay, self._receive, gateway.name, evidence)
 
-    def receive(self, name: str, evidence: VersionEvidence) -> None:
+    def _receive(self, name: str, evidence: VersionEvidence) -> None:
         if self.now < self.paused_until:
-            self.after(self.paused_until - self.now, self.receive, name, evidence)
+            self._after(self.paused_until - self.now, self._receive, name, evidence)
         elif self.controller is not None:
             self.controller.on_evidence(name, evidence, int(self.now))
 
     # Callers and backend servers
 
-    def in_burst(self) -> bool:
+    def _in_burst(self) -> bool:
         is_burst = "burst" in self.scenario.disturbances
         return is_burst and 0 <= self.now - self.burst_ms < 1500
 
-    def arrive(self) -> None:
-        rate = self.scenario.rate * (3 if self.in_burst() else 1)
-        self.after(self.random.expovariate(rate / 1000.0), self.arrive)
+    def _arrive(self) -> None:
+        rate = self.scenario.rate * (3 if self._in_burst() else 1)
+        self._after(self.random.expovariate(rate / 1000.0), self._arrive)
         self.outcome.seen += 1
         gateway = self.random.choice(self.gateways)
         permission, now = gateway.permission, int(self.now)
@@ -239,22 +286,22 @@
         version = "v2" if is_target else "v1"
         key = CellKey(route, version, f"b{backend}" if is_target else "")
         gateway.evidence.on_started(key)
-        failed, ratio = self.usual(is_target, backend)
+        failed, ratio = self._usual(is_target, backend)
         if is_target:
             self.outcome.exposed += 1
             self.outcome.late_sends += self.now > self.outcome.fiftieth_ms + 5000
             self.recent = [t for t in self.recent if t > self.now - 500]
             self.recent.append(self.now)
-            if self.is_bad(route) and self.random.random() < self.fraction:
+            if self._is_bad(route) and self.random.random() < self.fraction:
                 failed = failed or self.scenario.fault.startswith("failures")
                 if self.scenario.fault.startswith("slow"):
                     ratio *= self.slowness
-                self.after(ratio * OBJECTIVE_MS, self.count_bad)
+                self._after(ratio * OBJECTIVE_MS, self._count_bad)
         number = self.outcome.seen
         gateway.running[number] = (key, self.now)
-        self.after(ratio * OBJECTIVE_MS, self.end, gateway, number, failed, ratio)
+        self._after(ratio * OBJECTIVE_MS, self._end, gateway, number, failed, ratio)
 
-    def usual(self, is_target: bool, backend: int) -> tuple[bool, float]:
+    def _usual(self, is_target: bool, backend: int) -> tuple[bool, float]:
         words = self.scenario.disturbances
         ratio = self.random.lognormvariate(-1.2, 0.4)
         failed = self.random.random() < 0.003
@@ -263,9 +310,9 @@
             ratio *= 4
         if "slow zone" in words and backend % 3 == 1:
             ratio *= 3
-        return failed, ratio * (2 if self.in_burst() else 1)
+        return failed, ratio * (2 if self._in_burst() else 1)
 
-    def is_bad(self, route: str) -> bool:
+    def _is_bad(self, route: str) -> bool:
         fault = self.scenario.fault
         if fault.endswith("late"):
             return self.now >= self.onset_ms
@@ -275,12 +322,12 @@
             return route == self.bad_route
         return bool(fault)
 
-    def count_bad(self) -> None:
+    def _count_bad(self) -> None:
         self.outcome.bad += 1
         if self.outcome.bad == 50:
             self.outcome.fiftieth_ms = self.now
 
-    def end(self, gateway: Gateway, number: int, failed: bool, ratio: float) -> None:
+    def _end(self, gateway: Gateway, number: int, failed: bool, ratio: float) -> None:
         key, _ = gateway.running.pop(number)
         if not failed:
             gateway.evidence.on_time(key, ratio)
