Bound reports of evidence to what small links carry; test settings and orders of rollouts

A report always held 32 cells, 1.5 KB: with 200 gateways and 400 reports a second, 4.8 Mbit/s at the holder. Unchanged cells are at most 4 now, and reports 200 a second. Backend servers of the target get requests after their warm-up.

--- a/src/tanagerturn/gateway/rollouts/holder.py
+++ b/src/tanagerturn/gateway/rollouts/holder.py
@@ -30,6 +30,7 @@
     state_of,
 )
 from tanagerturn.gateway.rollouts.orders import StoredOrder, with_decision
+from tanagerturn.gateway.rollouts.table import is_warm
 from tanagerturn.schema import coordination_pb2 as pb
 from tanagerturn.serving.rollouts.controller import STEP_MS, RolloutController
 from tanagerturn.serving.rollouts.messages import Permission, RolloutState
@@ -309,6 +310,7 @@
             for backend in self.state.fleet.view.pool(service)
             if service_of(backend) == service
             and not backend.leaving
+            and is_warm(backend)
             and backend.is_alive(to_ms(now_s))
         }
 
--- a/src/tanagerturn/gateway/rollouts/spread.py
+++ b/src/tanagerturn/gateway/rollouts/spread.py
@@ -29,9 +29,10 @@
 MIN_REPORT_INTERVAL_S: Final = 0.1
 """Interval in seconds at which a gateway reports evidence in a small deployment."""
 
-REPORTS_PER_S: Final = 400.0
+REPORTS_PER_S: Final = 200.0
 """Maximum number of reports of all gateways per second that reach the evaluating host;
-with more gateways each reports less often."""
+with more gateways each reports less often. With 13 requests per second and gateway a
+report has about 20 cells then, 0.9 KB, and all take 1.4 of 3.75 Mbit/s."""
 
 REPORT_CELLS: Final = 32
 """Maximum number of cells in a report at once, about 1.5 KB."""
@@ -40,6 +41,9 @@
 """Maximum number of cells in a digest, about 0.4 KB; digests to all peers carry them in
 case that those to the evaluating host are lost or another host takes over."""
 
+REPEATED_CELLS: Final = 4
+"""Maximum number of unchanged cells in a report, which repair lost ones."""
+
 CHANGE_REPORTS: Final = 2
 """Number of reports that include a cell after it changed; a datagram may get lost."""
 
@@ -226,7 +230,8 @@
         for times, key, counts in changed[:limit]:
             self.reported[key] = counts, times + 1
         all_keys = list(evidence.cells)
-        for _ in range(min(limit - len(chosen), len(all_keys))):
+        repeated = min(limit - len(chosen), REPEATED_CELLS, len(all_keys))
+        for _ in range(repeated):
             key = all_keys[self.next_index % len(all_keys)]
             self.next_index += 1
             if key not in chosen:
--- a/src/tanagerturn/gateway/rollouts/table.py
+++ b/src/tanagerturn/gateway/rollouts/table.py
@@ -249,6 +249,8 @@
             run.service, run.tried_backend_ids | second | others, now_s
         )
         healthy = [b for b in first_left if fleet.is_healthy(b, now_s)]
+        if second is old:
+            healthy = [b for b in healthy if is_warm(b)]
         if not healthy:
             return others
         if second is old and not is_whole:
@@ -278,6 +280,7 @@
             for b in fleet.view.pool(run.service)
             if b.software_version == permission.target
             and b.id not in run.tried_backend_ids
+            and is_warm(b)
         ]
         return not any(fleet.is_healthy(b, now_s) for b in targets)
 
@@ -347,6 +350,14 @@
         return run.rollout_side is Side.TARGET
 
 
+def is_warm(backend: Backend) -> bool:
+    """Return whether a backend server of a target is past its warm-up.
+
+    Before, it is slower than those that have run for long, whatever its version.
+    """
+    return not backend.announcement.warmup_left_ms
+
+
 def rolled_back_targets(stored: gpb.StoredRollout) -> set[str]:
     """Return the targets whose newest order was rolled back."""
     states: dict[str, RolloutState] = {}
--- a/tests/platform/platform.feature
+++ b/tests/platform/platform.feature
@@ -135,3 +135,39 @@
 
   Scenario: No foreign entry hides what an engine says of itself
     Then with any fields missing, retyped or foreign, an engine can still state its departure
+
+  # Guards against rollouts that are offered to deployments that do not ask for them.
+  Scenario Outline: Settings with contracts "<contracts>" <support> rollouts
+    When a settings file has the contracts "<contracts>"
+    Then its gateways <support> rollouts, and a call for one is decoded accordingly
+
+    Examples:
+      | contracts          | support        |
+      | none               | do not support |
+      | rollouts           | do not support |
+      | rollout            | support        |
+      | memory, rollout    | support        |
+      | memory rollout,a-b | support        |
+
+  # Guards against orders that end a gateway's handler, or that are taken for other ones.
+  Scenario Outline: An order for a rollout with <field> set to <value> gets <status>
+    When an order for a rollout with <field> set to <value> is decoded
+    Then the order is <status>
+
+    Examples:
+      | field      | value                | status  |
+      | duration_s | 12                   | decoded |
+      | duration_s | 0.001                | decoded |
+      | duration_s | 1e300                | decoded |
+      | duration_s | 0                    | 400     |
+      | duration_s | -0.5                 | 400     |
+      | duration_s | null                 | 400     |
+      | duration_s | true                 | 400     |
+      | duration_s | "12"                 | 400     |
+      | duration_s | 1e999                | 400     |
+      | service    | 7                    | 400     |
+      | service    | ""                   | 400     |
+      | service    | null                 | 400     |
+      | target     | ["v2"]               | 400     |
+      | target     | ""                   | 400     |
+      | extra      | 1                    | decoded |
--- a/tests/platform/steps/platform_steps.py
+++ b/tests/platform/steps/platform_steps.py
@@ -18,7 +18,13 @@
 from tanagerturn.coordination.errors import RefusedError
 from tanagerturn.gateway.configuration import RequestKind
 from tanagerturn.gateway.fleet import Fleet
-from tanagerturn.gateway.messages import Announce, MalformedCall, Withdraw
+from tanagerturn.gateway.messages import (
+    Announce,
+    GetRollout,
+    MalformedCall,
+    StartRollout,
+    Withdraw,
+)
 from tanagerturn.platform import control_calls, manifests, requests
 from tanagerturn.platform.settings import decode_settings, parse_fields
 
@@ -462,3 +468,55 @@
         assert fleet.view.backends["i-1"].leaving
 
     check()
+
+
+ORDER = {"service": "desk", "target": "v2", "duration_s": 12}
+
+
+@when('a settings file has the contracts "{contracts}"')
+def settings_with_contracts(context, contracts):
+    line = "" if contracts == "none" else f"contracts={contracts}\n"
+    text = f"{SETTINGS}{line}bounds.exposure_share=0.2\n"
+    context.settings = decode_settings(parse_fields(text), "file")
+
+
+@then("its gateways {support} rollouts, and a call for one is decoded accordingly")
+def rollouts_supported(context, support):
+    bound = context.settings.rollouts
+    call = control_calls.decode_control(
+        "POST",
+        "/v1/rollouts",
+        orjson.dumps(ORDER),
+        1000,
+        2000,
+        has_rollouts=bound is not None,
+    )
+    read = control_calls.decode_control(
+        "GET", "/v1/rollouts/a%2Fb", b"", 1000, 2000, has_rollouts=bound is not None
+    )
+    if support == "support":
+        assert (bound.share, bound.allowance, bound.rollback_ms) == (0.2, 50, 5000)
+        assert call == StartRollout("desk", "v2", 12_000)
+        assert read == GetRollout("a/b")
+    else:
+        assert bound is None
+        assert (call.status, read.status) == (404, 404)
+
+
+@when("an order for a rollout with {field} set to {value} is decoded")
+def rollout_decoded(context, field, value):
+    fields = {key: orjson.dumps(each).decode() for key, each in ORDER.items()}
+    fields[field] = value
+    body = ",".join(f'"{key}":{each}' for key, each in fields.items())
+    context.call = control_calls.decode_control(
+        "POST", "/v1/rollouts", f"{{{body}}}".encode(), 1000, 2000, has_rollouts=True
+    )
+
+
+@then("the order is {status}")
+def call_decoded(context, status):
+    if status == "decoded":
+        assert isinstance(context.call, StartRollout), context.call
+        assert context.call.duration_ms > 0
+    else:
+        assert context.call.status == int(status), context.call
