--- a/src/tanagerturn/serving/rollouts/_budget.py
+++ b/src/tanagerturn/serving/rollouts/_budget.py
@@ -17,7 +17,7 @@
 
 NEEDED_PART: Final = 0.75
 WANTED_PART: Final = 0.5
-"""Highest parts of the budget that are kept for the last stage, and for its tests."""
+"""Highest parts of the whole budget that are kept for the last stage and its tests."""
 
 RATE_WINDOW_MS: Final = 3000
 """Time in milliseconds over which the rate is measured."""
@@ -35,11 +35,14 @@
 
     Args:
         bound: The bound.
+        duration_ms: Duration of the rollout in milliseconds.
     """
 
-    def __init__(self, bound: ExposureBound) -> None:
+    def __init__(self, bound: ExposureBound, duration_ms: int) -> None:
         self.bound = bound
         """The bound."""
+        self.duration_ms = duration_ms
+        """Duration of the rollout in milliseconds."""
         self.rate_per_ms = 0.0
         """Requests of the service per millisecond."""
         self.left = 0.0
@@ -95,8 +98,11 @@
             return 0.0
         total = self.left + self.bound.share * expected
         per_ms = RATE_MARGIN * self.rate_per_ms
-        needed = min(per_ms * needed_ms, NEEDED_PART * total)
-        kept = max(needed, min(per_ms * wanted_ms, WANTED_PART * total))
+        # A part of what is left instead of the whole would be spent bit by bit.
+        whole = self.bound.share * self.rate_per_ms * self.duration_ms
+        whole += USED_ALLOWANCE * self.bound.allowance
+        needed = min(per_ms * needed_ms, NEEDED_PART * whole)
+        kept = max(needed, min(per_ms * wanted_ms, WANTED_PART * whole))
         return max(0.0, min(1.0, (total - kept) / expected))
 
     def share_for(self, responses: int, left_ms: float) -> float:
--- a/src/tanagerturn/serving/rollouts/controller.py
+++ b/src/tanagerturn/serving/rollouts/controller.py
@@ -77,7 +77,11 @@
 """Upper bound on the time that this takes, as a share of the duration."""
 
 SETTLE_MS: Final = 300
-"""Time in milliseconds with all requests at the target before `COMPLETED`."""
+"""Least time in milliseconds with all requests at the target before `COMPLETED`; it is
+as long as reports take, so that they show faults under load."""
+
+MAX_SETTLE_SHARE: Final = 0.1
+"""Upper bound on that time as a share of the duration."""
 
 WANTED_SETTLE_MS: Final = 1500
 """The same while the budget lasts: slow responses are noticed by their age."""
@@ -123,7 +127,7 @@
         """Latest reports of the gateways."""
         self.test = VersionTest()
         """Test of the target."""
-        self.budget = ExposureBudget(bound)
+        self.budget = ExposureBudget(bound, order.duration_ms)
         """Requests that the target may still get."""
         self.is_new = share == 0.0
         """Whether the target has not received requests before."""
@@ -235,7 +239,11 @@
 
     def _full_ms(self, loop_ms: int) -> int:
         """Return the time in milliseconds that the last stage takes."""
-        return loop_ms + SETTLE_MS + STEP_MS
+        return loop_ms + self._settle_ms(loop_ms) + STEP_MS
+
+    def _settle_ms(self, loop_ms: int) -> int:
+        longest_ms = int(MAX_SETTLE_SHARE * self.order.duration_ms)
+        return max(SETTLE_MS, min(loop_ms, longest_ms))
 
     def _is_full_due(self, loop_ms: int, now_ms: int) -> bool:
         if self.test.responses < MIN_RESPONSES or self.test.level >= STRONG_SUSPICION:
@@ -290,7 +298,7 @@
         if not may_wait and not is_tested and now_ms < begin_ms:
             # There is time to try again with more budget, or at the end.
             return self._step_partial(loop_ms, now_ms)
-        if settled_ms >= SETTLE_MS and not may_wait and not is_suspect:
+        if settled_ms >= self._settle_ms(loop_ms) and not may_wait and not is_suspect:
             return self._decide(
                 RolloutState.COMPLETED, 1.0, "all requests at the target"
             )
--- a/tests/serving/rollouts/rollouts.feature
+++ b/tests/serving/rollouts/rollouts.feature
@@ -53,6 +53,11 @@
     Given rollouts whose target never becomes ready
     Then each is rolled back in time without a request at the target
 
+  # Guards against gateways that are partitioned for long and go on using the target.
+  Scenario: Gateways that are cut off from the holder return to the old versions
+    Given rollouts whose gateways are cut off after half of the duration
+    Then the target gets no request later than 2500 ms after that
+
   # Guards against good versions that are taken back or late, and against bad ones that
   # receive more than the bound: with kills, pauses and partitions.
   Scenario Outline: <count> good and bad versions at <gateways> gateways
--- a/tests/serving/rollouts/steps/rollouts_steps.py
+++ b/tests/serving/rollouts/steps/rollouts_steps.py
@@ -177,6 +177,20 @@
         assert outcome.exposed == 0, outcome
 
 
+@given("rollouts whose gateways are cut off after half of the duration")
+def cut_off_given(context):
+    context.outcomes = [
+        RolloutSimulation(Scenario(s, 9, 60, 20000, 500, "", ("cut off",))).run()
+        for s in range(5)
+    ]
+
+
+@then("the target gets no request later than {most_ms:d} ms after that")
+def cut_off_then(context, most_ms):
+    for outcome in context.outcomes:
+        assert 0 < outcome.last_exposed_ms <= 10_000 + most_ms, outcome
+
+
 @given("{count:d} random rollouts of good and bad versions at {gateways:d} gateways")
 def rollouts_given(context, count, gateways):
     count *= LONG_FACTOR if long_run() else 1
--- a/tests/support/rollout_schedule.py
+++ b/tests/support/rollout_schedule.py
@@ -41,7 +41,8 @@
     """Empty for a good version, or KIND-WHEN: failures or slow; start, late, load,
     route."""
     disturbances: tuple[str, ...] = ()
-    """Of grey old, grey new, burst, slow zone, kill, pause, partition, not ready."""
+    """Of grey old, grey new, burst, slow zone, kill, pause, partition, not ready, cut
+    off."""
     backends: int = 6
 
 
@@ -100,6 +101,8 @@
     """Number of bad responses before the rollout ended."""
     fiftieth_ms: float = float("inf")
     late_sends: int = 0
+    last_exposed_ms: float = 0.0
+    """Time of the last request to the target."""
     shares: list[tuple[int, float]] = field(default_factory=list)
 
     def within_bound(self, bound: ExposureBound) -> bool:
@@ -153,6 +156,8 @@
         self.controller: RolloutController | None = self._take_over()
         self.paused_until = 0.0
         for gateway in self.gateways:
+            if "cut off" in s.disturbances:
+                gateway.cut_off = (0.5 * s.duration_ms, float("inf"))
             if "partition" in s.disturbances and random.random() < 0.1:
                 start = random.uniform(0, s.duration_ms)
                 gateway.cut_off = (start, start + random.uniform(1000, 5000))
@@ -289,6 +294,7 @@
         failed, ratio = self._usual(is_target, backend)
         if is_target:
             self.outcome.exposed += 1
+            self.outcome.last_exposed_ms = self.now
             self.outcome.late_sends += self.now > self.outcome.fiftieth_ms + 5000
             self.recent = [t for t in self.recent if t > self.now - 500]
             self.recent.append(self.now)
