--- a/src/tanagerturn/gateway/rollouts/spread.py
+++ b/src/tanagerturn/gateway/rollouts/spread.py
@@ -143,7 +143,9 @@
             number = 0
             if each.HasField("permission"):
                 number = each.permission.number
-                self.table.on_issued(decode_permission(each.permission), now_ms)
+                if self.table.on_issued(decode_permission(each.permission), now_ms):
+                    # The rollout may have ended meanwhile: it is read at once.
+                    self.table.service(each.service).received_ms = 0
             self.table.on_known(each.service, number, set(each.confirmed_versions))
 
     def on_reports(self, message: gpb.RolloutReports) -> None:
--- a/tests/gateway/rollouts/cluster/cluster.feature
+++ b/tests/gateway/rollouts/cluster/cluster.feature
@@ -23,6 +23,14 @@
       | failing later  | the holder is killed       | 12       | rolled_back | 0.95   |
       | slow to buy    | nothing happens            | 8        | rolled_back | 0.95   |
 
+  # Guards against a gateway that uses the target since it has not heard of the order.
+  Scenario: A gateway that is cut off uses the old version only
+    Given 4 gateways with rollouts and backend servers of v1
+    And g4 is cut off from its peers
+    When v2, whose responses are good, is ordered in 8 s, and 4 s later nothing happens
+    Then the rollout is completed in time
+    And v1 got requests of g1,g2,g3,g4, and v2 of g1,g2,g3
+
   # Guards against requests that must not run twice and are cut with the old version.
   Scenario: Long requests of the old version are finished before it stops
     Given 4 gateways with rollouts and backend servers of v1
--- a/tests/gateway/rollouts/cluster/steps/cluster_steps.py
+++ b/tests/gateway/rollouts/cluster/steps/cluster_steps.py
@@ -99,6 +99,19 @@
     await asyncio.sleep(max(1.5, end_s - boot_s()))
 
 
+@given("{host} is cut off from its peers")
+def cut_off(context, host):
+    context.fleet.cut_off(host)
+
+
+@then("v1 got requests of {old_hosts}, and v2 of {target_hosts}")
+def hosts_of_versions(context, old_hosts, target_hosts):
+    arrivals = context.fleet.arrivals
+    assert arrivals[OLD].hosts == set(old_hosts.split(",")), arrivals[OLD].hosts
+    hosts = arrivals[TARGET].hosts
+    assert hosts == set(target_hosts.split(",")), hosts
+
+
 @then("the rollout is {state} in time")
 def rollout_ended(context, state):
     assert context.state == state, context.state
--- a/tests/support/rollout_fleet.py
+++ b/tests/support/rollout_fleet.py
@@ -7,11 +7,13 @@
 from typing import Final
 
 import orjson
+from expression import Error
 
 from support.engine_fleet import HEARTBEAT_S, WORK_S, EngineFleet, FleetEngine
 from support.gateway_cluster import Cluster
 from support.gateway_world import KEY, CallerResponse, route
 from tanagerturn.clocks import boot_s
+from tanagerturn.coordination.errors import UnavailableError
 from tanagerturn.serving.rollouts.messages import ExposureBound
 
 BOUND: Final = ExposureBound()
@@ -73,6 +75,8 @@
 
     at_s: list[float] = field(default_factory=list)
     """Boot-clock time in seconds of each."""
+    hosts: set[str] = field(default_factory=set)
+    """Gateways that sent them."""
     bad_s: list[float] = field(default_factory=list)
     """Boot-clock time in seconds of each bad response."""
 
@@ -91,6 +95,7 @@
         fleet, now_s = self.fleet, boot_s()
         arrivals = fleet.arrivals.setdefault(self.software_version, Arrivals())
         arrivals.at_s.append(now_s)
+        arrivals.hosts.add(headers["x-test-host"])
         fleet.paths.append(headers["x-test-path"] + headers["x-test-number"])
         fault = fleet.fault if self.software_version == TARGET else Fault()
         is_faulty = (
@@ -133,6 +138,8 @@
         path, if not the usual one."""
         self.answers: list[tuple[float, CallerResponse]] = []
         """Responses to callers, with the time of the request."""
+        self.cut_off_host = ""
+        """Gateway that is cut off and that operators do not call; empty for none."""
         self.paths: list[str] = []
         """Path of each request that a backend server received."""
         self.ordered_s = 0.0
@@ -148,7 +155,8 @@
         self, method: str, path: str, body: object = b"", host: str = ""
     ) -> CallerResponse:
         """Send one call of an operator to a gateway, a random one if none is given."""
-        host = host or self.random.choice(list(self.cluster.gateways))
+        reached = [h for h in self.cluster.gateways if h != self.cut_off_host]
+        host = host or self.random.choice(reached)
         address = self.cluster.gateways[host].settings.control_address
         ip, _, port = address.rpartition(":")
         data = body if isinstance(body, bytes) else orjson.dumps(body)
@@ -234,16 +242,32 @@
         self.request_count += 1
         path, number = target.split(" ")[1], self.request_count
         try:
-            answer = await self.request(
-                host or self.random.choice(list(self.cluster.gateways)),
-                f"{target}{self.request_count}",
-                KEY,
-                headers=f"X-Test-Path: {path}\r\nX-Test-Number: {number}\r\n",
+            host = host or self.random.choice(list(self.cluster.gateways))
+            headers = (
+                f"X-Test-Path: {path}\r\nX-Test-Number: {number}\r\n"
+                f"X-Test-Host: {host}\r\n"
             )
+            call = f"{target}{number}"
+            answer = await self.request(host, call, KEY, headers=headers)
         except (ConnectionError, KeyError, IndexError):
             answer = CallerResponse(0, {}, b"", False)
         self.answers.append((sent_s, answer))
 
+    def cut_off(self, host: str) -> None:
+        """Cut a gateway off from its peers, not from backend servers and callers."""
+        gateway, self.cut_off_host = self.cluster.gateways[host], host
+
+        async def unavailable(frame: object, timeout_s: float):
+            await asyncio.sleep(timeout_s)
+            return Error(UnavailableError("call state group", "", "cut off"))
+
+        gateway.store._call = unavailable
+        gateway.relay.detours.choose = lambda run, now_s: None
+        gateway.mesh.receive = lambda: None
+        gateway.mesh._send_all = lambda data, ips: None
+        gateway.mesh.core.receive = lambda packet, address, now_ms: []
+        gateway.mesh.probe_socket.send = lambda data, ip, port: None
+
     def holder(self) -> str:
         """Return the host that holds the lease of rollouts; empty if none."""
         for host, gateway in self.cluster.gateways.items():
