--- a/src/tanagerturn/gateway/metrics.py
+++ b/src/tanagerturn/gateway/metrics.py
@@ -8,6 +8,8 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
+from tanagerturn.clocks import to_ms
+
 if TYPE_CHECKING:
     from tanagerturn.gateway.state import GatewayState
 
@@ -82,6 +84,12 @@
     descriptors, by kind."""
     memory_held: Gauge
     """Memory in bytes that requests and responses hold."""
+    rollout_share: Gauge
+    """Share of the requests that may use the target of a rollout in progress, by
+    service."""
+    rollout_requests: Gauge
+    """Requests sent to backend servers since the order, by service and by whether they
+    are of the target."""
 
     def update(
         self,
@@ -116,6 +124,13 @@
         self.quarantined_requests.set(len(state.repeats.quarantined()))
         self.connections.set(state.pool.opened_count)
         self.memory_held.set(state.memory.budget.used_bytes)
+        if state.rollouts is not None:
+            now_ms = to_ms(state.wall_clock.read(now_s))
+            for service, known in state.rollouts.services.items():
+                self.rollout_share.labels(service).set(known.share(now_ms))
+                old, target = known.counter.sent_counts()
+                self.rollout_requests.labels(service, "old").set(old)
+                self.rollout_requests.labels(service, "target").set(target)
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -189,15 +204,13 @@
         ),
         price=Gauge(
             "tanager_gateway_engine_time_price",
-            "Shared price of engine time by service, in priority steps, counted from "
-            "the least urgent one, that are not served; 0 while capacity suffices.",
+            "Priority steps that are not served for want of engines.",
             ("service",),
             registry=registry,
         ),
         price_refusals=Counter(
             "tanager_gateway_price_refusals",
-            "Requests refused since capacity is scarce, by service and reason: price, "
-            "late or unservable.",
+            "Requests refused since capacity is scarce.",
             ("service", "reason"),
             registry=registry,
         ),
@@ -212,11 +225,22 @@
         ),
         refusals=Counter(
             "tanager_gateway_overload_refusals",
-            "Requests and connections refused or closed for want of memory or "
-            "descriptors, by kind: memory or descriptors, and whose.",
+            "Refusals for want of memory or descriptors.",
             ("kind",),
             registry=registry,
         ),
+        rollout_share=Gauge(
+            "tanager_gateway_rollout_share",
+            "Share of requests for the target of a rollout.",
+            ("service",),
+            registry=registry,
+        ),
+        rollout_requests=Gauge(
+            "tanager_gateway_rollout_requests",
+            "Requests sent since the order of a rollout.",
+            ("service", "versions"),
+            registry=registry,
+        ),
         first_event_s=histogram(
             "tanager_gateway_first_event_seconds", "Time to the first event of streams."
         ),
--- a/src/tanagerturn/gateway/settings.py
+++ b/src/tanagerturn/gateway/settings.py
@@ -12,6 +12,7 @@
     from pathlib import Path
 
     from tanagerturn.serving.limits.terms import Tolerance
+    from tanagerturn.serving.rollouts.messages import ExposureBound
 
 
 @dataclass(frozen=True)
@@ -92,6 +93,8 @@
     """Memory of the host in bytes."""
     max_fds: int = DEFAULT_MAX_FDS
     """Largest number of descriptors that the process may open."""
+    rollouts: ExposureBound | None = None
+    """Limits on what a bad version receives; None if there are no rollouts."""
 
     @property
     def link_address(self) -> str:
--- a/tests/gateway/callers/preview/steps/preview_steps.py
+++ b/tests/gateway/callers/preview/steps/preview_steps.py
@@ -148,7 +148,7 @@
         names = [f.name for f in fields(value) if f.name not in DERIVED]
         return {n: dump(getattr(value, n, None), depth + 1) for n in names}
     if type(value).__module__.startswith("tanagerturn") and hasattr(value, "__dict__"):
-        names = [n for n in vars(value) if n != "_pools"]
+        names = [n for n in vars(value) if n not in ("_pools", *DERIVED)]
         return {n: dump(getattr(value, n), depth + 1) for n in names}
     return repr(value)
 
