Free the buffers of refused requests at once, and check limits of the host

Cause: a stored exception kept the frames that it had passed, and with them up to 32 KiB of each refused request until the garbage collector ran. A value of limits.memory_mb that is no number was refused without its field's name.

Change: waits and reads are ended with a flag and a class, and raise a new exception. Both fields are checked against a range and named in the error.

--- a/src/tanagerturn/gateway/callers/http_connection.py
+++ b/src/tanagerturn/gateway/callers/http_connection.py
@@ -229,7 +229,7 @@
 
     def _open_reservation(self) -> Reservation:
         return self.server.memory.open(
-            self.server.purpose, lambda: self.tcp.interrupt(MemoryRefused())
+            self.server.purpose, lambda: self.tcp.interrupt(MemoryRefused)
         )
 
     def _send_continue(self) -> None:
--- a/src/tanagerturn/gateway/callers/memory_gate.py
+++ b/src/tanagerturn/gateway/callers/memory_gate.py
@@ -79,8 +79,9 @@
         """The account."""
         self.refusals = RefusalLog()
         """Counts and logs refusals."""
-        self.waiters: dict[Reservation, asyncio.Future[None]] = {}
-        """Transfers that wait for memory."""
+        self.waiters: dict[Reservation, asyncio.Future[bool]] = {}
+        """Transfers that wait for memory; the result is whether they may go on. An
+        exception would keep the buffers of the frames that it passed."""
         self.refusers: dict[Reservation, Callable[[], None]] = {}
         """Called to refuse a transfer that does not wait for memory."""
         self.timer: asyncio.TimerHandle | None = None
@@ -131,13 +132,14 @@
             # It was refused as it was about to wait.
             raise MemoryRefused
         loop = asyncio.get_running_loop()
-        waiter: asyncio.Future[None] = loop.create_future()
+        waiter: asyncio.Future[bool] = loop.create_future()
         self.waiters[reservation] = waiter
         reservation.set_waiting(boot_s(), is_waiting=True)
         if self.timer is None:
             self.timer = loop.call_later(CHECK_INTERVAL_S, self._check)
         try:
-            await waiter
+            if not await waiter:
+                raise MemoryRefused
         finally:
             self.waiters.pop(reservation, None)
             reservation.set_waiting(boot_s(), is_waiting=False)
@@ -146,13 +148,13 @@
         """End the wait of a transfer, if it waits for memory."""
         waiter = self.waiters.get(reservation)
         if waiter is not None and not waiter.done():
-            waiter.set_exception(MemoryRefused())
+            waiter.set_result(False)
 
     def resume(self, reservation: Reservation) -> None:
         """End the wait of a transfer whose peer sends no more."""
         waiter = self.waiters.get(reservation)
         if waiter is not None and not waiter.done():
-            waiter.set_result(None)
+            waiter.set_result(True)
 
     def release(self, reservation: Reservation) -> None:
         """Release what a transfer holds, and let others go on."""
@@ -177,7 +179,7 @@
                 continue
             if self.budget.may_go_on(reservation, planned_bytes):
                 planned_bytes += STEP_BYTES
-                waiter.set_result(None)
+                waiter.set_result(True)
 
     def _check(self) -> None:
         self.timer = None
--- a/src/tanagerturn/gateway/connection.py
+++ b/src/tanagerturn/gateway/connection.py
@@ -100,7 +100,7 @@
         self._read_buffer = bytearray()
         self._read_waiter: asyncio.Future[None] | None = None
         self._drain_waiters: deque[asyncio.Future[None]] = deque()
-        self._interruption: Exception | None = None
+        self._interruption: type[Exception] | None = None
         self._discard_left: int | None = None
         self._is_reading_paused = False
         self._can_write = True
@@ -204,8 +204,12 @@
             self._resume_reading()
         return data
 
-    def interrupt(self, error: Exception) -> None:
-        """Let the present or next `read` raise an exception."""
+    def interrupt(self, error: type[Exception]) -> None:
+        """Let the present or next `read` raise an exception.
+
+        A class, since a stored exception would keep the buffers of the frames that it
+        passed.
+        """
         self._interruption = error
         self._wake_reader()
 
--- a/src/tanagerturn/gateway/links.py
+++ b/src/tanagerturn/gateway/links.py
@@ -353,7 +353,7 @@
             return
         if self.reservation is None:
             self.reservation = self.gate.open(
-                Purpose.PEER, lambda: self.tcp.interrupt(MemoryRefused())
+                Purpose.PEER, lambda: self.tcp.interrupt(MemoryRefused)
             )
         held_bytes = FRAME_COPIES * size_bytes
         if not self.gate.hold(self.reservation, held_bytes, received_bytes):
--- a/src/tanagerturn/platform/settings.py
+++ b/src/tanagerturn/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 from pathlib import Path
 from typing import TYPE_CHECKING, Final
@@ -33,6 +34,12 @@
 """TCP port for metrics; `deploy/system.toml` states the same port, which is the default
 of common metrics exporters."""
 
+MIN_MEMORY_MB: Final = PROCESS_BYTES // MIB + 1
+MAX_MEMORY_MB: Final = 1024 * 1024
+"""Permitted memory of a host in MiB: more than a gateway takes without callers."""
+
+MAX_FDS: Final = 1_000_000
+
 MIN_FDS: Final = 128
 """Smallest permitted descriptor limit; a gateway without callers opens about 30, and
 more with each peer and backend server."""
@@ -150,37 +157,38 @@
         # usage_late_s is counted from the end of the reporting window.
         report_due_s=bound("usage_late_s"),
         duties=_decode_duties(fields, bound("lease_ms")),
-        memory_bytes=_decode_memory(fields),
-        max_fds=_decode_max_fds(fields),
+        memory_bytes=MIB
+        * _decode_limit(
+            fields,
+            "limits.memory_mb",
+            DEFAULT_MEMORY_BYTES // MIB,
+            MIN_MEMORY_MB,
+            MAX_MEMORY_MB,
+        ),
+        max_fds=_decode_limit(
+            fields, "limits.max_fds", DEFAULT_MAX_FDS, MIN_FDS, MAX_FDS
+        ),
     )
 
 
-def _decode_memory(fields: Mapping[str, str]) -> int:
-    """Return the memory of the host in bytes.
+def _decode_limit(
+    fields: Mapping[str, str], name: str, default: int, least: int, most: int
+) -> int:
+    """Return a limit of the host; the default if the file does not state it.
 
     Raises:
-        ValueError: It is less than a gateway needs without callers.
+        ValueError: It is no number, or outside the permitted range.
     """
-    text = fields.get("limits.memory_mb")
-    size_bytes = int(float(text) * MIB) if text else DEFAULT_MEMORY_BYTES
-    if size_bytes <= PROCESS_BYTES:
-        raise ValueError(
-            f"limits.memory_mb is {text}, expected more than {PROCESS_BYTES // MIB}"
-        )
-    return size_bytes
-
-
-def _decode_max_fds(fields: Mapping[str, str]) -> int:
-    """Return the descriptor limit.
-
-    Raises:
-        ValueError: It is less than a gateway needs.
-    """
-    text = fields.get("limits.max_fds")
-    max_fds = int(float(text)) if text else DEFAULT_MAX_FDS
-    if max_fds < MIN_FDS:
-        raise ValueError(f"limits.max_fds is {text}, expected at least {MIN_FDS}")
-    return max_fds
+    text = fields.get(name)
+    if not text:
+        return default
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not least <= value <= most:
+        raise ValueError(f"{name} is {text!r}, expected {least} to {most}")
+    return int(value)
 
 
 def _decode_duties(fields: Mapping[str, str], lease_ms: float) -> DutySettings | None:
--- a/tests/platform/platform.feature
+++ b/tests/platform/platform.feature
@@ -17,6 +17,21 @@
       | internal_ports |
       | seeds          |
 
+  # Guards against a memory budget or shares of descriptors that make no sense.
+  Scenario Outline: Limits of the host are read from the settings file, and checked
+    Given the platform's settings file with "<field>" as "<value>"
+    Then the gateway has <decoded>, or the error names "<field>"
+
+    Examples:
+      | field            | value | decoded           |
+      | limits.memory_mb |       | 314572800 bytes   |
+      | limits.memory_mb | 160   | 167772160 bytes   |
+      | limits.memory_mb | 64    | nothing           |
+      | limits.memory_mb | much  | nothing           |
+      | limits.max_fds   |       | 1024 descriptors  |
+      | limits.max_fds   | 10250 | 10250 descriptors |
+      | limits.max_fds   | 100   | nothing           |
+
   Scenario: A manifest is decoded into a configuration
     Given a valid manifest
     Then routes, client accounts and limits have the values of the manifest
--- a/tests/platform/steps/platform_steps.py
+++ b/tests/platform/steps/platform_steps.py
@@ -107,6 +107,27 @@
     assert field in context.refusal.reason, context.refusal
 
 
+@given('the platform\'s settings file with "{field}" as "{value}"')
+@given('the platform\'s settings file with "{field}" as ""')
+def settings_with_limit(context, field, value=""):
+    context.settings, context.refusal = None, None
+    try:
+        fields = {**parse_fields(SETTINGS), field: value}
+        context.settings = decode_settings(fields, "file")
+    except RefusedError as error:
+        context.refusal = error
+
+
+@then('the gateway has {decoded}, or the error names "{field}"')
+def has_limit(context, decoded, field):
+    if decoded == "nothing":
+        assert field.partition(".")[2] in context.refusal.reason, context.refusal
+        return
+    settings = context.settings
+    found = (f"{settings.memory_bytes} bytes", f"{settings.max_fds} descriptors")
+    assert decoded in found, found
+
+
 @given("a valid manifest")
 def valid_manifest(context):
     context.manifest = manifest()
