Forward the number of the order with the side of a request

A peer drew the side of a forwarded request again, since it knew no number of the order for which it had been drawn, so the target could get up to twice its share of forwarded ones. The scenario of a request forwarded as OLD now passes the header between gateways.

--- a/src/tanagerturn/gateway/backends/forwarded.py
+++ b/src/tanagerturn/gateway/backends/forwarded.py
@@ -93,6 +93,7 @@
         start_counted=run.is_start_counted,
         trial=run.is_trial,
         rollout_side=None if run.rollout_side is None else SIDES[run.rollout_side],
+        rollout_number=run.rollout_number,
     )
     return REQUEST_HEADER, _encode(message)
 
--- a/src/tanagerturn/gateway/intake.py
+++ b/src/tanagerturn/gateway/intake.py
@@ -367,6 +367,7 @@
         origin=forwarded.origin,
         forwarded=forwarded,
         rollout_side=forwarded.rollout_side,
+        rollout_number=stated.rollout_number,
     )
 
 
--- a/tests/gateway/rollouts/choice/steps/choice_steps.py
+++ b/tests/gateway/rollouts/choice/steps/choice_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 
+from tanagerturn.gateway.backends.forwarded import decode_request, encode_request
 from tanagerturn.gateway.configuration import RequestKind
 from tanagerturn.gateway.fleet import Fleet
 from tanagerturn.gateway.rollouts.codec import (
@@ -155,7 +156,7 @@
     elif request.startswith("a stream that began at "):
         fields = {"origin": StreamOrigin("desk", request.split(" ")[-1])}
     elif request == "a request forwarded as OLD":
-        fields = {"rollout_side": Side.OLD, "rollout_number": 1}
+        fields = forwarded_fields()
     elif request == "a resumable stream, v2 young":
         fields, context.settled = {"is_resumable": True}, {"v1"}
     elif request.startswith("a request without "):
@@ -167,6 +168,23 @@
     context.versions = {backend.software_version for backend in allowed(context)}
 
 
+def forwarded_fields():
+    """Return what a peer learns of the side of a request that it gets forwarded."""
+    run = make_run(
+        rollout_side=Side.OLD,
+        rollout_number=1,
+        progress=SimpleNamespace(last_id=None),
+        may_have_run=False,
+        is_start_counted=False,
+        is_trial=False,
+    )
+    call = decode_request([encode_request(run, 1.0)])
+    return {
+        "rollout_side": call.rollout_side,
+        "rollout_number": call.request.rollout_number,
+    }
+
+
 @then("it may use {versions}")
 def may_use(context, versions):
     expected = set() if versions == "none" else set(versions.split(","))
