--- a/src/tanagerturn/gateway/rollouts/holder.py
+++ b/src/tanagerturn/gateway/rollouts/holder.py
@@ -33,6 +33,7 @@
 from tanagerturn.gateway.rollouts.table import is_warm
 from tanagerturn.schema import coordination_pb2 as pb
 from tanagerturn.serving.rollouts.controller import STEP_MS, RolloutController
+from tanagerturn.serving.rollouts.evidence import VersionEvidence
 from tanagerturn.serving.rollouts.messages import Permission, RolloutState
 
 if TYPE_CHECKING:
@@ -47,7 +48,6 @@
     from tanagerturn.gateway.state_group.member import StateMember
     from tanagerturn.gateway.state_group.replicated_store import ReplicatedStore
     from tanagerturn.schema import gateway_pb2 as gpb
-    from tanagerturn.serving.rollouts.evidence import VersionEvidence
     from tanagerturn.serving.rollouts.messages import Decision, ExposureBound
 
 LEASE_NAME: Final = "rollouts"
@@ -134,6 +134,9 @@
         """Rollouts that this gateway controls, by service; empty without the lease."""
         self.loaded_number = 0
         """Fencing number of the holding in which the orders were read."""
+        self.heard: dict[tuple[str, str, int], VersionEvidence] = {}
+        """Counters in digests, by service, host and start of its process, of the orders
+        in progress: those of a killed holder are lost otherwise."""
 
     async def run(self) -> None:
         """Control rollouts whenever the lease is held, until the task is cancelled."""
@@ -153,6 +156,15 @@
 
     def on_evidence(self, service: str, host: str, evidence: VersionEvidence) -> None:
         """Apply the counters of a gateway."""
+        active = self.table.service(service).active
+        may_hold = bool(self.own_holder_id)
+        if not may_hold or active is None or active.number != evidence.number:
+            return
+        known = self.heard.get((service, host, evidence.started_ms))
+        if known is None or known.number != evidence.number:
+            known = VersionEvidence(evidence.number, evidence.started_ms)
+            self.heard[service, host, evidence.started_ms] = known
+        known.merge(evidence)
         controlled = self.controlled.get(service)
         if controlled is not None:
             controlled.controller.on_evidence(host, evidence, self._now_ms())
@@ -161,6 +173,7 @@
         member = self.store.member
         if self.state.is_draining or not self._active_services():
             self.controlled.clear()
+            self.heard.clear()
             await self._release()
             return
         if not self.lease.granted and not _is_voter(member):
@@ -215,11 +228,19 @@
                 state_of(stored),
                 stored.share,
             )
+            self._feed(controller)
             self.controlled[service] = ControlledRollout(read.ok, controller)
             # Expired from the start: it tells gateways where to send their evidence.
             self._issue(stored, state_of(stored), stored.share, self._now_ms(), 0)
         return True
 
+    def _feed(self, controller: RolloutController) -> None:
+        """Give a new controller what digests have reported, also of lost gateways."""
+        service, number = controller.order.service, controller.order.number
+        for key in sorted(self.heard):
+            if key[0] == service and self.heard[key].number == number:
+                controller.on_evidence(key[1], self.heard[key], self._now_ms())
+
     async def _control(self, service: str) -> None:
         """Make, commit and announce the decision on one rollout that is due."""
         controlled = self.controlled[service]
