Learn the capacity from the work that engines have done

Change: gateways share the engine time of their requests whose prompts were read; the capacity follows it within 3 s, where most gateways are heard from.

--- a/bench/scarce_policies.py
+++ b/bench/scarce_policies.py
@@ -34,7 +34,9 @@
     def on_digest(self, sim: Simulation, gateway: int, now_s: float) -> None:
         """Send a digest to the peers of a gateway."""
 
-    def on_first_event(self, gateway: int, wait_s: float, now_s: float) -> None:
+    def on_first_event(
+        self, gateway: int, wait_s: float, work_s: float, now_s: float
+    ) -> None:
         """Learn how long a request waited at its engine."""
 
     def on_arrival(
@@ -84,9 +86,11 @@
         """Prepare for a simulation."""
         self.prices = [ServicePrice() for _ in range(sim.gateways)]
 
-    def on_first_event(self, gateway: int, wait_s: float, now_s: float) -> None:
+    def on_first_event(
+        self, gateway: int, wait_s: float, work_s: float, now_s: float
+    ) -> None:
         """Learn how long a request waited at its engine."""
-        self.prices[gateway].on_first_event(wait_s, now_s)
+        self.prices[gateway].on_first_event(wait_s, work_s, now_s)
 
     def on_digest(self, sim: Simulation, gateway: int, now_s: float) -> None:
         """Send a digest to the peers of a gateway."""
--- a/bench/scarce_sim.py
+++ b/bench/scarce_sim.py
@@ -276,7 +276,9 @@
             self.abandoned_s += kind.work_s
         self.at(
             first_event_s,
-            lambda now_s: self.policy.on_first_event(gateway, wait_s, now_s),
+            lambda now_s: self.policy.on_first_event(
+                gateway, wait_s, kind.work_s, now_s
+            ),
         )
         self.at(machine.free_s, lambda now_s: self._serve(machine, now_s))
 
--- a/src/tanagerturn/gateway/callers/scarcity.py
+++ b/src/tanagerturn/gateway/callers/scarcity.py
@@ -83,6 +83,7 @@
         )
     service_price = state.scarcity.price(run.service)
     request = scarce_request(run, choice, now_s)
+    run.work_s = request.work_s
     if not request.is_started and not earlier_wait_s(run.request, run.route):
         on_requested(service_price, request, now_s)
     step(state, run.service, now_s)
@@ -185,7 +186,8 @@
     sent = state.fleet.state(run.backend.id).in_flight.get(run.request.attempt_id)
     if sent is not None and not sent.first_event_received:
         wait_s = now_s - sent.sent_at_s - run.unqueued_s
-        state.scarcity.price(run.service).on_first_event(wait_s, now_s)
+        price = state.scarcity.price(run.service)
+        price.on_first_event(wait_s, run.work_s, now_s)
 
 
 def fill_digest(state: GatewayState, digest: gpb.Digest, now_s: float) -> None:
@@ -198,6 +200,7 @@
             level=report.level,
             capacity_factor=report.capacity_factor,
             wait_s=report.wait_s,
+            done=report.done,
         )
         for key, rate in report.demand.items():
             entry.demand.add(
@@ -227,7 +230,7 @@
             return None
         key = DemandKey(each.priority, each.client_account)
         demand[key] = demand.get(key, 0.0) + each.engine_seconds
-    figures = (entry.level, entry.capacity_factor, entry.wait_s)
+    figures = (entry.level, entry.capacity_factor, entry.wait_s, entry.done)
     if not all(0 <= figure <= MAX_REPORTED_RATE for figure in figures):
         return None
     return PriceReport(*figures, demand)
--- a/src/tanagerturn/gateway/request_run.py
+++ b/src/tanagerturn/gateway/request_run.py
@@ -155,6 +155,8 @@
     the last attempt; `expected_s` includes it as a factor."""
     unqueued_s: float = 0.0
     """Part of `expected_s` in which the request does not wait for others."""
+    work_s: float = 0.0
+    """Engine time of the request in seconds; 0 unless its price is shared."""
     is_price_paid: bool = False
     """Whether the shared price of engine time has admitted the request."""
     price_reason: str = ""
--- a/src/tanagerturn/serving/admission/price.py
+++ b/src/tanagerturn/serving/admission/price.py
@@ -53,6 +53,14 @@
 LEARNING_TIME_S: Final = 6.0
 """Factor on `CORRECTION_TIME_S` for lasting errors of the capacity."""
 
+WORK_TIME_CONSTANT_S: Final = 3.0
+"""Time constant in seconds with which the capacity follows the work that engines have
+done; twice that over which the work is measured."""
+
+MIN_HEARD_SHARE: Final = 0.8
+"""Share of the gateways from which the work done is compared with the capacity. A
+gateway that hears from fewer would take what others leave unused as its own part."""
+
 LEVEL_TIME_CONSTANT_S: Final = 0.3
 """Time constant in seconds with which the level follows its computed value."""
 
@@ -94,6 +102,8 @@
     """Learned ratio of the true to the stated capacity."""
     wait_s: float
     """Time in seconds that its requests lately waited at engines."""
+    done: float
+    """Engine seconds per second of its requests that engines lately worked on."""
     demand: Demand
     """Engine seconds per second that its callers ask for."""
 
@@ -143,6 +153,9 @@
     seconds per second; at the last step."""
     sent: DecayingRate = field(default_factory=DecayingRate)
     """Engine seconds per second of the requests that this gateway admitted."""
+    done: DecayingRate = field(default_factory=DecayingRate)
+    """Engine seconds per second of this gateway's requests that engines lately worked
+    on."""
     stepped_s: float = -math.inf
     """Boot-clock time of the last step in seconds."""
 
@@ -183,14 +196,16 @@
         """Record the engine time of a request that was admitted."""
         self.sent.add(work_s, now_s)
 
-    def on_first_event(self, wait_s: float, now_s: float) -> None:
-        """Record how long a request waited at its engine.
+    def on_first_event(self, wait_s: float, work_s: float, now_s: float) -> None:
+        """Record that an engine has read a prompt, and how long the request waited.
 
         Args:
             wait_s: Time from the sending to the first event in seconds, without what it
                 takes at an engine without other prompts.
+            work_s: Engine time of the request in seconds.
             now_s: Current boot-clock time in seconds.
         """
+        self.done.add(work_s, now_s)
         self.waits.add(max(0.0, wait_s), now_s)
 
     def on_report(
@@ -219,7 +234,8 @@
         demand = bounded(self.local.read(now_s))
         own_s = self.waits.read(now_s)
         wait_s = own_s + KNOWN_WEIGHT * (self.known.read(now_s) - own_s)
-        return PriceReport(self.level, self.capacity_factor, wait_s, demand)
+        done = self.done.read(now_s)
+        return PriceReport(self.level, self.capacity_factor, wait_s, done, demand)
 
     def is_below_level(self, priority: int) -> bool:
         """Return whether a priority is served whole."""
@@ -275,6 +291,10 @@
             target_s = TARGET_BACKLOG_SHARE * slack_s
             # A single late observation must not stop all admissions.
             surplus_s = max(-2.0 * target_s, target_s - self.wait_s(now_s))
+        if known_share >= MIN_HEARD_SHARE:
+            peers_done = sum(r.done for r, _ in self.reports.values())
+            done = self.done.read(now_s) + peers_done
+            self._learn_from_work(done / max(1.0, capacity), surplus_s, elapsed_s)
         self._learn_capacity(surplus_s, elapsed_s)
         factor = self.capacity_factor + surplus_s / CORRECTION_TIME_S
         budget = capacity * max(MIN_BUDGET_SHARE, factor)
@@ -289,6 +309,18 @@
             return own_s
         return own_s + PEER_WAIT_WEIGHT * (self.peer_wait_s - own_s)
 
+    def _learn_from_work(
+        self, measured: float, surplus_s: float, elapsed_s: float
+    ) -> None:
+        """Move the capacity factor towards the work that engines have done.
+
+        They have at least the capacity for that; no more if requests wait for long.
+        """
+        error = measured - self.capacity_factor
+        if not self.is_scarce or (error < 0 and surplus_s >= 0):
+            return
+        self.capacity_factor += min(1.0, elapsed_s / WORK_TIME_CONSTANT_S) * error
+
     def _learn_capacity(self, surplus_s: float, elapsed_s: float) -> None:
         if self.is_scarce or surplus_s < 0:
             rate = surplus_s / (CORRECTION_TIME_S * LEARNING_TIME_S)
--- a/tests/serving/admission/steps/scarcity_steps.py
+++ b/tests/serving/admission/steps/scarcity_steps.py
@@ -136,7 +136,7 @@
     "a price at a gateway of 2, whose peer reported {rate:g} engine seconds a second"
 )
 def peer_reported(context, rate):
-    context.report = PriceReport(0.1, 1.0, 1.0, {DemandKey(0, 3): rate})
+    context.report = PriceReport(0.1, 1.0, 1.0, 0.0, {DemandKey(0, 3): rate})
     context.price = ServicePrice()
     context.price.on_report("g2", context.report, 0.0, 0.0)
     on_requested(context.price, REQUEST, 0.0)
@@ -162,7 +162,7 @@
 def scarce_price():
     price = ServicePrice()
     on_requested(price, REQUEST, 0.0)
-    report = PriceReport(0.5, 1.0, 0.1, {DemandKey(0, 3): 100.0})
+    report = PriceReport(0.5, 1.0, 0.1, 0.0, {DemandKey(0, 3): 100.0})
     price.on_report("g2", report, 0.0, 0.0)
     for number in range(30):
         price.step(10, 2, number / 10)
