--- a/src/tanagerturn/gateway/metrics.py
+++ b/src/tanagerturn/gateway/metrics.py
@@ -156,7 +156,7 @@
         return Gauge(name, text, registry=registry)
 
     # The times at which counters were created would take 1 KB of the first 4 KB.
-    disable_created_metrics()
+    disable_created_metrics()  # type: ignore[no-untyped-call]
     # Gauges and counters come first: a scrape that is cut loses the histograms, whose
     # buckets are most of its bytes.
     return GatewayMetrics(
--- a/src/tanagerturn/gateway/request_run.py
+++ b/src/tanagerturn/gateway/request_run.py
@@ -163,6 +163,8 @@
     includes it as well."""
     unqueued_s: float = 0.0
     """Part of `expected_s` in which the request does not wait for others."""
+    work_s: float = 0.0
+    """Engine time of the request in seconds; 0 unless its price is shared."""
     is_price_paid: bool = False
     """Whether the shared price of engine time has admitted the request."""
     price_reason: str = ""
