--- a/src/tanagerturn/gateway/callers/preview.py
+++ b/src/tanagerturn/gateway/callers/preview.py
@@ -234,7 +234,7 @@
     """Return why the admission of generations refuses; empty if it does not."""
     if run.request.prompt is None:
         return ""
-    if not state.fleet.reports_pace(run.service):
+    if not state.shares_price(run.service):
         decision = admit(
             choice.first_event_s,
             choice.prompt_read_s,
@@ -254,7 +254,7 @@
 
 def _explain_capacity(state: GatewayState, service: str, now_s: float) -> Explanation:
     price = state.scarcity.prices.get(service)
-    if price is None or not state.fleet.reports_pace(service):
+    if price is None or not state.shares_price(service):
         return {"is_shared": False}
     ages_s = [now_s - sent_s for _, sent_s in price.reports.values()]
     return {
--- a/src/tanagerturn/gateway/callers/scarcity.py
+++ b/src/tanagerturn/gateway/callers/scarcity.py
@@ -192,7 +192,7 @@
 
 def fill_digest(state: GatewayState, digest: gpb.Digest, now_s: float) -> None:
     """Add the prices of this gateway to a digest."""
-    digest.knows_prices = True
+    digest.knows_prices = state.settings.shares_price
     for service, price in state.scarcity.prices.items():
         report = price.report(now_s)
         entry = digest.prices.add(
--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -567,13 +567,6 @@
             if backend.is_alive(to_ms(now_s)) and not backend.leaving
         )
 
-    def reports_pace(self, service: str) -> bool:
-        """Return whether a backend server of a service has reported its pace.
-
-        The shared price decides the admission of the generations of such services.
-        """
-        return self.speeds.active(service) is not None
-
     def kv_capacity_of(self, backend: Backend) -> int:
         """Return the KV cache capacity of an engine in tokens."""
         return (
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -381,7 +381,7 @@
         """Reject a generation that would be late, before its first attempt."""
         if run.request.prompt is None or run.sent_count:
             return
-        if self.state.fleet.reports_pace(run.service):
+        if self.state.shares_price(run.service):
             reject_if_priced_out(self.state, run, choice, now_s)
             return
         earlier_attempts_s = earlier_wait_s(run.request, run.route)
@@ -444,7 +444,7 @@
         max_wait_s: float = CAPACITY_CHECK_INTERVAL_S,
     ) -> None:
         waiter = asyncio.get_running_loop().create_future()
-        is_priced = self.state.fleet.reports_pace(run.service)
+        is_priced = self.state.shares_price(run.service)
         self.capacity_waiters[waiter] = request_priority(run) if is_priced else 0
         try:
             async with asyncio.timeout(
--- a/src/tanagerturn/gateway/settings.py
+++ b/src/tanagerturn/gateway/settings.py
@@ -93,6 +93,9 @@
     """Memory of the host in bytes."""
     max_fds: int = DEFAULT_MAX_FDS
     """Largest number of descriptors that the process may open."""
+    shares_price: bool = False
+    """Whether a price of engine time, shared by all gateways, decides which generations
+    are admitted to services whose engines report their speed."""
     rollouts: ExposureBound | None = None
     """Limits on what a bad version receives; None if there are no rollouts."""
 
--- a/src/tanagerturn/gateway/state.py
+++ b/src/tanagerturn/gateway/state.py
@@ -209,6 +209,15 @@
                 is_draining=self.is_draining,
             )
 
+    def shares_price(self, service: str) -> bool:
+        """Return whether a shared price decides the admission of generations.
+
+        Its estimates need the speeds that the engines of the service report.
+        """
+        if not self.settings.shares_price:
+            return False
+        return self.fleet.speeds.active(service) is not None
+
     def detect_pause(self, now_s: float) -> None:
         """Give up what may have become wrong if the process was suspended.
 
--- a/src/tanagerturn/platform/settings.py
+++ b/src/tanagerturn/platform/settings.py
@@ -52,6 +52,9 @@
 """Smallest permitted descriptor limit; a gateway without callers opens about 30, and
 more with each peer and backend server."""
 
+SHARED_PRICE_FIELD: Final = "admission.shared_price"
+"""Setting of the system itself: `true` admits generations by a shared price."""
+
 DEFAULT_BOUNDS: Final[Mapping[str, str]] = {
     "drain_ms": "2000",
     "grace_s": "8",
@@ -175,6 +178,7 @@
         )
         if ROLLOUT_CONTRACT in CONTRACT_NAME.findall(fields.get("contracts", ""))
         else None,
+        shares_price=fields.get(SHARED_PRICE_FIELD) == "true",
         memory_bytes=MIB
         * _decode_limit(
             fields,
--- a/tests/gateway/callers/scarcity/steps/scarcity_steps.py
+++ b/tests/gateway/callers/scarcity/steps/scarcity_steps.py
@@ -68,7 +68,7 @@
 def faulty_peers(context, rate, priority, fault):
     def setup(world):
         now_s, state = boot_s(), world.state
-        if state.fleet.reports_pace("desk"):
+        if state.shares_price("desk"):
             state.scarcity.price("desk")
         age_s = 10.0 if fault == "10 s ago" else 0.0
         sent_ms = int((state.wall_clock.read(now_s) - age_s) * 1000)
--- a/tests/support/gateway_world.py
+++ b/tests/support/gateway_world.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 import struct
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 import orjson
@@ -386,7 +386,8 @@
 
 
 def report_paces(world: World) -> None:
-    """Let the world's backend servers have reported their usual pace."""
-    fleet = world.state.fleet
+    """Share a price among gateways whose backend servers report their usual pace."""
+    state, fleet = world.state, world.state.fleet
+    state.settings = replace(state.settings, shares_price=True)
     for backend in fleet.view.pool("desk"):
         fleet.speeds.on_report(backend, 100, boot_s())
