--- a/tests/gateway/rollouts/cluster/steps/cluster_steps.py
+++ b/tests/gateway/rollouts/cluster/steps/cluster_steps.py
@@ -52,9 +52,21 @@
     run(context, begin())
 
 
+async def wait_for_support(fleet):
+    """Wait until each gateway knows that all gateways and voters support rollouts.
+
+    An order that comes earlier is refused with 503, after which operators ask again.
+    """
+    gateways = fleet.cluster.gateways.values()
+    await fleet.cluster.wait_until(
+        lambda: not any(g.rollouts.unsupporting(boot_s()) for g in gateways)
+    )
+
+
 @given("{gateways:d} gateways with rollouts and backend servers of v1")
 def fleet_started(context, gateways):
     start(context, gateways)
+    run(context, wait_for_support(context.fleet))
 
 
 @given(
