Log how responses are delimited and whether their streams were moved

Lines that end a request, and attempt_broke, state framing, move, last_event and max_output_tokens; tanager_gateway_stream_ends counts complete streams by framing and move. No decision changes. tests/gateway/relay, metrics and logs pass.

--- a/src/tanagerturn/gateway/backends/exchange.py
+++ b/src/tanagerturn/gateway/backends/exchange.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING, Final, cast
 
 import h11
@@ -33,6 +34,17 @@
 log = component_log("relay")
 
 
+class Framing(Enum):
+    """How the end of a response body is marked (RFC 9112, section 6.3)."""
+
+    LENGTH = "length"
+    """By the number of bytes that the head states; also for no body."""
+    CHUNKED = "chunked"
+    """By a chunk of size 0."""
+    CLOSE = "close"
+    """By the close of the connection."""
+
+
 class ResponseError(Exception):
     """Raised when a backend server's response is missing, malformed or incomplete.
 
@@ -77,6 +89,8 @@
         """Request id that the response has to repeat."""
         self.on_reply = on_reply
         """Called with the head of each response, and whether it is the request's."""
+        self.framing = Framing.LENGTH
+        """How the end of the response body is marked; known once its head was read."""
         self.has_head = False
         """Whether the head of the response was received."""
         self.reader = HttpReader(connection.tcp, h11.Connection(h11.CLIENT))
@@ -169,6 +183,7 @@
                     " request, so the refusal may belong to another one too"
                 )
             self.has_head = True
+            self.framing = _framing_of(event)
             self.connection.echoes_ids |= bool(reply.attempt_id)
             self.keep_alive_s = reply.keep_alive_s
             self.closes_connection = reply.closes_connection or reply.is_refusal
@@ -251,6 +266,14 @@
             http.receive_data(b"")
 
 
+def _framing_of(response: h11.Response) -> Framing:
+    """Return how the end of a body is marked; h11 has normalized the headers."""
+    names = {name for name, _ in response.headers}
+    if b"transfer-encoding" in names:
+        return Framing.CHUNKED
+    return Framing.LENGTH if b"content-length" in names else Framing.CLOSE
+
+
 def _data(body: bytes | bytearray | range) -> h11.Data:
     """Return an h11 event; h11 takes any object that has a length."""
     return h11.Data(data=cast("bytes", body))
--- a/src/tanagerturn/gateway/backends/sender.py
+++ b/src/tanagerturn/gateway/backends/sender.py
@@ -25,10 +25,11 @@
 from tanagerturn.gateway.fleet import service_of
 from tanagerturn.gateway.logs import component_log
 from tanagerturn.gateway.messages import Forwarding
-from tanagerturn.gateway.outcomes import count_run_start, log_end
+from tanagerturn.gateway.outcomes import count_run_start, framing_name, log_end
 from tanagerturn.gateway.quarantine import CrashDetector, shared_parts
 from tanagerturn.gateway.request_run import (
     BackendTimeout,
+    MoveState,
     engine_priority,
     first_event_timeout_s,
     pause_timeout_s,
@@ -178,6 +179,7 @@
 
         exchange = BackendExchange(connection, state.dialect, attempt, on_reply)
         run.backend, run.writing_since_s, run.has_run_well = backend, 0.0, False
+        run.move, run.framing = MoveState.NONE, None
         if run.forwarded is not None:
             run.forwarded.answer.backend = backend.id
         self.running[run] = exchange
@@ -270,6 +272,8 @@
             parts=[part.id for part in prompt.parts] if prompt else [],
             writing_s=None if writing_s is None else round(writing_s, 3),
             events=run.progress.event_count,
+            framing=framing_name(run),
+            move=run.move.value,
             cause=run.cause,
         )
         if run.is_withdrawn:
@@ -326,7 +330,7 @@
             head = await self._with_timeout(
                 run, exchange.read_head(), first_event_timeout_s(run)
             )
-            reply = head.reply
+            reply, run.framing = head.reply, exchange.framing
             if reply.is_refusal:
                 # The connection is closed with the body unread: on a kept one, a copy
                 # of this refusal could be taken for the answer of the next request.
@@ -409,6 +413,7 @@
         if not run.exchange.status:
             run.exchange.start(head.reply.status, stream_headers(head.headers))
         await run.exchange.finish()
+        self.state.metrics.stream_ends.labels(framing_name(run), run.move.value).inc()
         self._on_ran_well(run, boot_s())
         self.state.fleet.on_success(backend.id, boot_s())
         if run.writing_since_s and run.sent_count == 1:
--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -25,13 +25,20 @@
         "A backend server's response was missing, malformed or incomplete; "
         "`fingerprint` is equal for all attempts of a request at all gateways, `parts` "
         "are the ids of the prompt's parts, and `writing_s` is the time since the "
-        "first data of the response, absent before it."
+        "first data of the response, absent before it. `framing` and `move` are those "
+        "of `answered`."
     ),
     "moved": (
         "A stream was migrated to another engine, or its migration failed; see "
         "`outcome`."
     ),
-    "answered": "The complete response was sent to the caller.",
+    "answered": (
+        "The complete response was sent to the caller. In this and the other events "
+        "that end a request, `framing` is how the last response was delimited "
+        "(`length`, `chunked` or `close`), `move` is the state of its migration "
+        "(`none`, `pending`, `moved` or `failed`), `last_event` is the id of the last "
+        "event and `max_output_tokens` is what the caller allows."
+    ),
     "failed_by_backend": (
         "The error response of a backend server was sent to the caller."
     ),
--- a/src/tanagerturn/gateway/metrics.py
+++ b/src/tanagerturn/gateway/metrics.py
@@ -69,6 +69,9 @@
     """Number of connections to backend servers opened since the process start."""
     clock_offset_s: Gauge
     """Corrected wall-clock time minus the host's wall-clock time in seconds."""
+    stream_ends: Counter
+    """Streams that engines ended, by how the response was delimited and by the state of
+    its migration."""
     limit_units: Counter
     """Units of requests that were checked against limits of client accounts here, by
     charge. The help texts of counters are short: they are exposed twice, and a scrape
@@ -198,6 +201,12 @@
             ("outcome", "status"),
             registry=registry,
         ),
+        stream_ends=Counter(
+            "tanager_gateway_stream_ends",
+            "Complete streams by framing and state of their migration.",
+            ("framing", "migration"),
+            registry=registry,
+        ),
         limit_units=Counter(
             "tanager_gateway_limit_units",
             "Units checked against limits of client accounts here, by charge.",
--- a/src/tanagerturn/gateway/outcomes.py
+++ b/src/tanagerturn/gateway/outcomes.py
@@ -90,6 +90,7 @@
             metrics.first_event_s.observe(run.first_event_s)
             metrics.pause_s.observe(run.longest_pause_s)
     _count_lateness(state, run, outcome)
+    prompt = run.request.prompt
     log.info(
         outcome,
         request=run.request.attempt_id,
@@ -99,6 +100,10 @@
         backends=sorted(run.tried_backend_ids),
         sent=run.sent_count,
         events=run.progress.event_count,
+        last_event=run.progress.last_id,
+        max_output_tokens=prompt.max_output_tokens if prompt else None,
+        framing=framing_name(run),
+        move=run.move.value,
         expected_s=round(run.expected_s, 4),
         held_s=round(run.held_s, 4),
         passed_on_s=round(run.passed_on_s, 4),
@@ -111,6 +116,11 @@
     )
 
 
+def framing_name(run: RequestRun) -> str:
+    """Return how the current attempt's response is delimited; empty before its head."""
+    return run.framing.value if run.framing else ""
+
+
 def _count_lateness(state: GatewayState, run: RequestRun, outcome: str) -> None:
     """Count whether a generation was late, where the capacity depends on it."""
     rate = state.fleet.speeds.rates.get(run.service)
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -24,6 +24,7 @@
 from tanagerturn.gateway.quarantine import shared_parts
 from tanagerturn.gateway.request_run import (
     Migration,
+    MoveState,
     NoPath,
     Refusal,
     RequestRun,
@@ -499,6 +500,7 @@
         path, body = self.state.dialect.encode_migration(
             attempt, target.backend.address
         )
+        run.move = MoveState.PENDING
         result = await call(source.address, path, [], body, MIGRATION_TIMEOUT_S)
         if result.is_ok():
             read_call_statements(self.state, source, result.ok, boot_s())
@@ -507,6 +509,7 @@
                 a.status, a.body, source.address
             )
         )
+        run.move = MoveState.FAILED if migration.is_error() else MoveState.MOVED
         outcome = str(migration.error) if migration.is_error() else "moved"
         log.info(
             "moved",
--- a/src/tanagerturn/gateway/request_run.py
+++ b/src/tanagerturn/gateway/request_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import Enum
 from functools import cached_property
 from typing import TYPE_CHECKING, Final
 
@@ -12,7 +13,7 @@
 if TYPE_CHECKING:
     import asyncio
 
-    from tanagerturn.gateway.backends.exchange import ResponseHead
+    from tanagerturn.gateway.backends.exchange import Framing, ResponseHead
     from tanagerturn.gateway.backends.forwarded import ForwardedCall
     from tanagerturn.gateway.callers.exchange import Exchange
     from tanagerturn.gateway.configuration import Account, Route, ServiceName
@@ -89,6 +90,20 @@
     """Raised when a backend server sent no data within the timeout."""
 
 
+class MoveState(Enum):
+    """State of the order that stops a stream at its engine and copies its KV cache."""
+
+    NONE = "none"
+    """No order was sent."""
+    PENDING = "pending"
+    """The order was sent and is not answered."""
+    MOVED = "moved"
+    """The engine stopped the stream and made the copy."""
+    FAILED = "failed"
+    """The engine answered with an error, or its answer is lost or malformed; it may
+    have stopped the stream."""
+
+
 @dataclass(eq=False)
 class RequestRun:
     """State of a caller's request from its admission until its response is complete."""
@@ -150,6 +165,10 @@
     body; 0 before it."""
     migration_task: asyncio.Task[Migration | None] | None = None
     """Task that migrates the request to another engine; None if none was started."""
+    move: MoveState = MoveState.NONE
+    """State of the order that migrates the current attempt."""
+    framing: Framing | None = None
+    """How the current attempt's response is delimited; None before its head."""
     backend_failure: tuple[ResponseHead, bytes | bytearray] | None = None
     """Response head and body of a backend server that failed the request, forwarded if
     no other attempt succeeds; None if there is none."""
