Reset incomplete responses to callers of HTTP/1.0

What callers saw: a stream that the gateway broke off ended as complete for a caller of HTTP/1.0, since only the end of the connection marks the end of such a response, and the connection was closed in order. The same at each other end of the connection: a handler that failed, the end of the grace period, the end of the event loop, and a process that was killed (the kernel closes its sockets in order).

Change: `ResponseEnd` of a connection knows whether its response is delimited by the close alone. Responses with a length or in chunks are as before.

What stays: a host that loses power sends nothing, which is a silence and no end. A system whose sockets drop received bytes on a reset (none is known here; Linux keeps them) loses the last events with it.

--- a/src/tanagerturn/gateway/callers/exchange.py
+++ b/src/tanagerturn/gateway/callers/exchange.py
@@ -117,7 +117,10 @@
                 gate.hold(memory, memory.held_bytes, len(part))
 
     def start(self, status: int, headers: RawHeaders) -> None:
-        """Send the head of a response; without a length its body is chunked."""
+        """Send the head of a response; without a length its body is chunked.
+
+        For a caller of HTTP/1.0, the end of the connection is then that of the body.
+        """
         self.status = status
         if self.forwarded is not None:
             headers = [*headers, *self.forwarded.answer_headers()]
@@ -136,9 +139,8 @@
 
     async def finish(self) -> None:
         """Complete the response."""
-        self.connection.send_event(h11.EndOfMessage())
-        await self.connection.tcp.drain()
+        await self.connection.finish_response()
 
     def abort(self) -> None:
-        """Close the connection, so that the caller sees an incomplete response."""
-        self.connection.tcp.close()
+        """End the connection, so that the caller sees an incomplete response."""
+        self.connection.break_off_response()
--- a/src/tanagerturn/gateway/callers/http_connection.py
+++ b/src/tanagerturn/gateway/callers/http_connection.py
@@ -19,6 +19,7 @@
 )
 from tanagerturn.gateway.callers.exchange import Exchange
 from tanagerturn.gateway.callers.memory_gate import MemoryRefused
+from tanagerturn.gateway.callers.response_end import ResponseEnd
 from tanagerturn.gateway.http_reader import HttpReader
 from tanagerturn.gateway.logs import component_log
 
@@ -67,6 +68,8 @@
         http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
         self.reader = HttpReader(tcp, http)
         """Reads the events of requests."""
+        self.response_end = ResponseEnd(tcp)
+        """End of a response that has neither a length nor chunks."""
         self.memory = RequestMemory(server.memory, self._open_reservation)
         """What the current request holds of the memory budget."""
         self.handler_task: asyncio.Task[None] | None = None
@@ -97,10 +100,35 @@
 
     def send_event(self, event: h11.Event) -> None:
         """Send one event of a response."""
+        if isinstance(event, h11.Response) and self._is_ended_by_close(event):
+            self.response_end.begin()
         data = self.http.send(event)
         if data:
             self.tcp.write(data)
 
+    async def finish_response(self) -> None:
+        """Send the end of a response, and wait until the caller has read enough."""
+        self.send_event(h11.EndOfMessage())
+        if self.response_end.is_incomplete:
+            await self.response_end.complete()
+        else:
+            await self.tcp.drain()
+
+    def break_off_response(self) -> None:
+        """Close the connection, so that the caller sees an incomplete response.
+
+        One that only the close delimits is reset once its handler has ended.
+        """
+        if not self.response_end.is_incomplete:
+            self.tcp.close()
+
+    def _is_ended_by_close(self, response: h11.Response) -> bool:
+        """Return whether the close of the connection ends a response's body."""
+        version = self.http.their_http_version
+        if version is None or version >= b"1.1":
+            return False
+        return all(name != b"content-length" for name, _ in response.headers)
+
     async def run(self) -> None:
         """Serve requests until the connection closes."""
         try:
@@ -152,7 +180,10 @@
         if self.tcp.at_eof:
             self._on_disconnect()
         try:
-            await self.handler_task
+            try:
+                await self.handler_task
+            finally:
+                await self.response_end.break_off()
         except asyncio.CancelledError:
             if not self.tcp.at_eof:
                 raise
--- a/src/tanagerturn/gateway/connection.py
+++ b/src/tanagerturn/gateway/connection.py
@@ -250,6 +250,12 @@
         finally:
             self._drain_waiters.remove(waiter)
 
+    async def flush(self) -> None:
+        """Wait until the kernel has accepted all written bytes, or it breaks."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.set_write_buffer_limits(high=0)
+            await self.drain()
+
     @property
     def is_closing(self) -> bool:
         """Whether nothing can be written any more."""
