Explain from the logs of one gateway what decided the end of a stream

No test held the lines that extended, and tanager explain did not show them. tanager explain prints for each attempt that was delimited by its connection, or was to be moved, the delimiter, the state of the move, what the end was taken for, and the answer to the order. The tests don't state whether such an end counts as complete, which is the fix's to decide.

--- a/src/tanagerturn/operator/explain.py
+++ b/src/tanagerturn/operator/explain.py
@@ -59,6 +59,32 @@
 request without such an event."""
 
 
+DELIMITERS: Final[dict[str, str]] = {
+    "length": "its length was stated",
+    "chunked": "in chunks",
+    "close": (
+        "by the close of its connection, which looks the same when the backend server "
+        "stops in the middle"
+    ),
+}
+"""How a response was delimited, by the field `framing`."""
+
+MOVE_STATES: Final[dict[str, str]] = {
+    "none": "it had not been ordered to move",
+    "pending": "it had been ordered to move, without an answer until then",
+    "moved": "its backend server had stopped and copied it",
+    "failed": "an order to move it had failed, which may have stopped it",
+}
+"""State of the migration when a stream ended, by the field `move`."""
+
+STREAM_ENDS: Final[dict[str, str]] = {
+    "answered": "counted as its complete end",
+    "attempt_broke": "counted as a failure",
+    "broken_off": "the caller's response was broken off",
+}
+"""What the gateway took the end of a stream for, by the event."""
+
+
 @click.command()
 @click.argument("request_id")
 @click.argument("files", nargs=-1, type=click.Path(exists=True, dir_okay=False))
@@ -110,6 +136,7 @@
     end = next((line for line in request_lines if line["event"] in END_EVENTS), None)
     changes = _recent_changes(ordered, request_lines, request_lines[-1]["at"])
     report += ["", _describe_cause(end)]
+    report += _describe_stream_ends(request_lines)
     timing = _describe_timing(request_lines, end) if end else ""
     if timing:
         report.append(timing)
@@ -158,6 +185,60 @@
     return f"Cause: {meaning}{status} Reason: {reason}."
 
 
+def _describe_stream_ends(request_lines: list[LogLine]) -> list[str]:
+    """Return for each attempt at a stream a sentence on what decided its end.
+
+    Streams that no one ordered to move are described only if their end may also be the
+    stop of the backend server.
+
+    Args:
+        request_lines: All lines of the request, in order of time.
+    """
+    sentences = []
+    for line in request_lines:
+        framing, move = line.get("framing"), line.get("move", "none")
+        if line["event"] not in STREAM_ENDS or not framing:
+            continue
+        if framing != "close" and move == "none":
+            continue
+        backend = line.get("backend") or _last_backend(request_lines, line)
+        sentence = (
+            f"Stream end at {backend}: delimited {DELIMITERS.get(framing, framing)}; "
+            f"{MOVE_STATES.get(move, move)}; {STREAM_ENDS[line['event']]} after event "
+            f"{line.get('last_event', line.get('events'))}"
+        )
+        if line.get("cause") and line["event"] != "answered":
+            sentence += f", since {line['cause']}"
+        order = _move_from(request_lines, backend)
+        if order is not None:
+            after_s = order["at"] - line["at"]
+            relation = "before" if after_s < 0 else "after"
+            sentence += (
+                f". The order to move it to {order['target']} got "
+                f'"{order["outcome"]}" {abs(after_s):.3f} s {relation} that'
+            )
+        sentences.append(f"{sentence}.")
+    return sentences
+
+
+def _last_backend(request_lines: list[LogLine], end: LogLine) -> str:
+    """Return the backend server of the last attempt before the end of a request."""
+    backends = [
+        line["backend"]
+        for line in request_lines
+        if line["event"] == "sent"
+        and line["process"] == end["process"]
+        and line["at"] <= end["at"]
+    ]
+    return backends[-1] if backends else "an unknown backend server"
+
+
+def _move_from(request_lines: list[LogLine], backend: str) -> LogLine | None:
+    """Return the line on the order to move a stream from a backend server, if any."""
+    moves = (line for line in request_lines if line["event"] == "moved")
+    return next((line for line in moves if line.get("source") == backend), None)
+
+
 def _describe_timing(request_lines: list[LogLine], end: LogLine) -> str:
     """Return the time that a request took, and the longest part of that time.
 
--- a/tests/gateway/metrics/steps/metrics_steps.py
+++ b/tests/gateway/metrics/steps/metrics_steps.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
-from behave import given, then
+import asyncio
 
+from behave import given, then, when
+
+from support.framed_streams import FramedStream, event_text
+from support.gateway_world import PROMPT_HEADERS, ScriptedBackend, World
+from tanagerturn.gateway.backends.exchange import Framing
 from tanagerturn.gateway.limit_charges import Charge
 from tanagerturn.gateway.metrics import make_gateway_metrics
 
@@ -24,3 +29,57 @@
         if family.type in ("gauge", "counter"):
             for sample in family.samples:
                 assert f"\n{sample.name}" in head, sample.name
+
+
+@given(
+    "a gateway whose engine sends complete streams with a length, in chunks and neither"
+)
+def sends_complete_streams(context):
+    def script(framing):
+        async def send(call):
+            stream = FramedStream(call, framing, len(event_text(1, "word")))
+            await stream.begin()
+            await stream.event(1, "word")
+            await stream.end()
+
+        return send
+
+    context.scripts = [script(framing) for framing in Framing]
+
+
+@given("an engine that breaks a chunked stream off")
+def breaks_stream_off(context):
+    async def script(call):
+        stream = FramedStream(call, Framing.CHUNKED)
+        await stream.begin()
+        await stream.event(1, "word")
+        stream.close()
+
+    context.scripts.append(script)
+
+
+@when("each stream is requested once")
+def request_streams(context):
+    async def run():
+        world = World(ScriptedBackend("i-1", context.scripts))
+        await world.start()
+        for _ in context.scripts:
+            await world.send_request("/draft/1", headers=PROMPT_HEADERS)
+        context.metrics = world.state.metrics
+
+    asyncio.run(run())
+
+
+@then("its metrics count one stream each as length, chunked and close, none as moved")
+def streams_counted(context):
+    text = context.metrics.text().decode()
+    counted = {
+        line
+        for line in text.splitlines()
+        if line.startswith("tanager_gateway_stream_ends_total{")
+    }
+    assert counted == {
+        f'tanager_gateway_stream_ends_total{{framing="{framing.value}",'
+        'migration="none"} 1.0'
+        for framing in Framing
+    }, counted
--- a/tests/operator/explain/explain.feature
+++ b/tests/operator/explain/explain.feature
@@ -24,6 +24,31 @@
       | 0.0 s held, 0.2 s expected, 1.4 s first | the delay of the first event beyond the expected time       |
       | 0.1 s held, 0.2 s expected, 0.3 s first | the longest pause between events of the stream              |
 
+  # Guards against streams whose end can't be traced from the logs of their gateway.
+  Scenario Outline: What decided the end of a stream: <framing>, move <move>, <event>
+    Given logs of a <framing> stream with move <move> that ends as <event>
+    When the request is explained
+    Then the stream end is explained with "<delimiter>", "<order>" and "<decision>"
+    And the answer to the move is "HTTP status 503, expected 200" at <answered>
+
+    Examples:
+      | framing | move    | event         | delimiter                      | order                           | decision                                      | answered             |
+      | close   | pending | answered      | by the close of its connection | without an answer until then    | counted as its complete end after event 7     | 0.500 s after that   |
+      | close   | failed  | answered      | by the close of its connection | had failed, which may have      | counted as its complete end after event 7     | 0.500 s before that  |
+      | chunked | failed  | attempt_broke | in chunks                      | had failed, which may have      | counted as a failure after event 7, since i-1 | 0.500 s before that  |
+      | close   | moved   | attempt_broke | by the close of its connection | had stopped and copied it       | counted as a failure after event 7, since i-1 | 0.500 s before that  |
+
+  Scenario Outline: A stream that was not moved: <framing>
+    Given logs of a <framing> stream with move none that ends as answered
+    When the request is explained
+    Then the stream end is <explained>
+
+    Examples:
+      | framing | explained     |
+      | close   | explained     |
+      | chunked | not explained |
+      | length  | not explained |
+
   Scenario: The expected time is reported for a request refused before it was sent
     Given logs of a request that was refused before it was sent, with 0.66 s expected
     When the request is explained
--- a/tests/operator/explain/steps/explain_steps.py
+++ b/tests/operator/explain/steps/explain_steps.py
@@ -76,6 +76,56 @@
     assert f"not sent; the first event was expected after {expected:.2f} s" in text
 
 
+@given("logs of a {framing} stream with move {move} that ends as {event}")
+def logs_of_stream_end(context, framing, move, event):
+    end = {"framing": framing, "move": move, "cause": "i-1: the connection broke"}
+    end |= {"backend": "i-1", "events": 7} if event == "attempt_broke" else {}
+    end |= {"last_event": 7, "backends": ["i-1"]} if event == "answered" else {}
+    lines = [log_line(100.0, "sent", request="r1", backend="i-1")]
+    if move != "none":
+        lines.append(
+            log_line(
+                101.5 if move == "pending" else 100.5,
+                "moved",
+                request="r1",
+                source="i-1",
+                target="i-2",
+                outcome="migrate request: HTTP status 503, expected 200",
+            )
+        )
+    lines.append(log_line(101.0, event, request="r1", **end))
+    context.log_text = "\n".join(lines)
+
+
+@then('the stream end is explained with "{delimiter}", "{order}" and "{decision}"')
+def check_stream_end(context, delimiter, order, decision):
+    (context.sentence,) = stream_ends(context)
+    for text in ("Stream end at i-1", delimiter, order, decision):
+        assert text in context.sentence, (text, context.sentence)
+
+
+@then('the answer to the move is "{outcome}" at {answered}')
+def check_move_answer(context, outcome, answered):
+    assert outcome in context.sentence, context.sentence
+    assert answered in context.sentence, context.sentence
+
+
+def stream_ends(context):
+    """Return the lines of the report on the ends of streams."""
+    lines = context.result.output.splitlines()
+    return [line for line in lines if line.startswith("Stream end")]
+
+
+@then("the stream end is explained")
+def check_explained(context):
+    assert len(stream_ends(context)) == 1, context.result.output
+
+
+@then("the stream end is not explained")
+def check_not_explained(context):
+    assert not stream_ends(context), context.result.output
+
+
 @given("logs of a request that was refused before it had a route")
 def logs_of_refusal_without_route(context):
     context.log_text = log_line(
