Report each call that finds no room as a full disk, and never end the writer silently

Only the write itself was checked for ENOSPC and EDQUOT. A sync without room ended the process.

Each call of the storage now goes through one conversion of system errors: without room the file is as before and the write may be repeated, every other error ends the process as before. An unexpected error of the writer is fatal to the process, as one of the group is.

--- a/src/tanagerturn/coordination/storage/files.py
+++ b/src/tanagerturn/coordination/storage/files.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import errno
 import fcntl
 import os
+from contextlib import contextmanager
 from pathlib import Path
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Final, Protocol
 
 from tanagerturn.coordination.errors import StorageError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
+
+DISK_FULL_ERRORS: Final = frozenset({errno.ENOSPC, errno.EDQUOT})
+"""Error numbers of calls that succeed once there is room again."""
 
 
 class DiskFullError(StorageError):
@@ -25,6 +30,26 @@
     """A file is damaged; the reason holds the byte offset and the steps of repair."""
 
 
+@contextmanager
+def storage_errors(step: str, path: str) -> Iterator[None]:
+    """Raise the system error of a call as an error of the storage.
+
+    Args:
+        step: What is attempted, as a short verb phrase.
+        path: Path of the file.
+
+    Raises:
+        DiskFullError: There is no room.
+        SyncFailedError: The call failed otherwise.
+    """
+    try:
+        yield
+    except OSError as error:
+        is_full = error.errno in DISK_FULL_ERRORS
+        kind = DiskFullError if is_full else SyncFailedError
+        raise kind(step, path, str(error)) from error
+
+
 class AppendFile(Protocol):
     """A file opened for appending."""
 
--- a/src/tanagerturn/coordination/storage/folder.py
+++ b/src/tanagerturn/coordination/storage/folder.py
@@ -9,6 +9,7 @@
 import orjson
 
 from tanagerturn.coordination.errors import StorageError
+from tanagerturn.coordination.storage.files import storage_errors
 from tanagerturn.coordination.storage.group import GroupStorage
 
 if TYPE_CHECKING:
@@ -110,15 +111,17 @@
     """Replace a file, so that after a crash it has either content.
 
     Raises:
-        StorageError: The file can't be written.
+        DiskFullError: There is no room; the file has either content.
+        SyncFailedError: The file can't be written.
     """
     temporary = f"{path}.temporary"
-    files.remove(temporary)
-    file = files.append(temporary)
-    try:
-        file.write(data)
-        file.sync()
-    finally:
-        file.close()
-    files.rename(temporary, path)
-    files.sync_folder("")
+    with storage_errors("write file", path):
+        files.remove(temporary)
+        file = files.append(temporary)
+        try:
+            file.write(data)
+            file.sync()
+        finally:
+            file.close()
+        files.rename(temporary, path)
+        files.sync_folder("")
--- a/src/tanagerturn/coordination/storage/group.py
+++ b/src/tanagerturn/coordination/storage/group.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from tanagerturn.coordination.log.ready import RecoveredState
-from tanagerturn.coordination.storage.files import DamageError
+from tanagerturn.coordination.storage.files import DamageError, storage_errors
 from tanagerturn.coordination.storage.segments import REPAIR_STEPS, SegmentedLog
 from tanagerturn.coordination.storage.snapshots import Snapshots
 from tanagerturn.coordination.store import Store
@@ -28,7 +28,8 @@
 
     def __init__(self, files: Files, cluster: ClusterId, group: GroupId) -> None:
         folder = f"group-{group}"
-        files.create_folder(folder)
+        with storage_errors("create folder", folder):
+            files.create_folder(folder)
         self.folder = folder
         """Path of the group's folder, relative to the data folder."""
         self.snapshots = Snapshots(files, folder)
--- a/src/tanagerturn/coordination/storage/segments.py
+++ b/src/tanagerturn/coordination/storage/segments.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-import errno
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.coordination.errors import StorageError
 from tanagerturn.coordination.storage.files import (
+    DISK_FULL_ERRORS,
     DamageError,
     DiskFullError,
     SyncFailedError,
+    storage_errors,
 )
 from tanagerturn.coordination.storage.records import (
     RecordKind,
@@ -156,13 +157,15 @@
             self._open().truncate(segment.size)
         except OSError as failed:
             raise SyncFailedError("truncate log", segment.path, str(failed)) from failed
-        if error.errno in (errno.ENOSPC, errno.EDQUOT):
+        if error.errno in DISK_FULL_ERRORS:
             raise DiskFullError("write log", segment.path, str(error)) from error
         raise SyncFailedError("write log", segment.path, str(error)) from error
 
     def _open(self) -> AppendFile:
         if self._file is None:
-            self._file = self.files.append(self.segments[-1].path)
+            path = self.segments[-1].path
+            with storage_errors("open log", path):
+                self._file = self.files.append(path)
         return self._file
 
     def _start_segment(self, reset_index: int | None) -> None:
--- a/src/tanagerturn/coordination/storage/snapshots.py
+++ b/src/tanagerturn/coordination/storage/snapshots.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import struct
 from typing import TYPE_CHECKING, Final
 
@@ -13,6 +12,7 @@
     DamageError,
     DiskFullError,
     SyncFailedError,
+    storage_errors,
 )
 from tanagerturn.coordination.storage.segments import FORMAT_VERSION, REPAIR_STEPS
 from tanagerturn.coordination.store import restore
@@ -78,10 +78,21 @@
             SyncFailedError: The process must exit.
         """
         path = f"{self.folder}/{TEMPORARY}"
-        self.files.remove(path)
+        try:
+            stored_meta = self._write_data(path, meta, records)
+            self._publish(path, stored_meta)
+        except StorageError:
+            # A part of a snapshot must not take the room that the log needs.
+            self.files.remove(path)
+            raise
+        return stored_meta
+
+    def _write_data(
+        self, path: str, meta: pb.SnapshotMeta, records: Iterable[pb.StoreRecord]
+    ) -> pb.SnapshotMeta:
         checksum = 0
         size = 0
-        file = self.files.append(path)
+        file = self._create(path)
         try:
             for block in _encode_blocks(records):
                 self._write(file, path, block)
@@ -95,7 +106,6 @@
         stored_meta.format_version = FORMAT_VERSION
         stored_meta.size_bytes = size
         stored_meta.checksum = checksum
-        self._publish(path, stored_meta)
         return stored_meta
 
     def load(self, meta: pb.SnapshotMeta) -> Store:
@@ -121,27 +131,33 @@
         """Append a chunk of a snapshot that is being received.
 
         Raises:
-            DiskFullError: The disk is full; the chunk may be stored in part.
+            DiskFullError: The disk is full; the received part is discarded.
         """
         path = f"{self.folder}/{INCOMING}"
-        if chunk.offset == 0 or self._incoming is None:
+        try:
+            if chunk.offset == 0 or self._incoming is None:
+                self.drop_incoming()
+                self._incoming = self._create(path)
+            self._write(self._incoming, path, chunk.data)
+        except DiskFullError:
             self.drop_incoming()
-            self._incoming = self.files.append(path)
-        self._write(self._incoming, path, chunk.data)
+            raise
 
     def load_incoming(self, meta: pb.SnapshotMeta) -> Store:
         """Verify a received snapshot, make it valid and return its store.
 
         Raises:
             DamageError: The received snapshot is damaged.
+            DiskFullError: The disk is full; the received snapshot is discarded.
         """
         path = f"{self.folder}/{INCOMING}"
         store = self._verify_and_load(path, meta)
         assert self._incoming is not None
-        self._sync(self._incoming, path)
-        self._incoming.close()
-        self._incoming = None
-        self._publish(path, meta)
+        try:
+            self._sync(self._incoming, path)
+            self._publish(path, meta)
+        finally:
+            self.drop_incoming()
         return store
 
     def drop_incoming(self) -> None:
@@ -153,26 +169,46 @@
 
     def _publish(self, path: str, meta: pb.SnapshotMeta) -> None:
         temporary = f"{self.folder}/{TEMPORARY}{META_SUFFIX}"
-        self.files.remove(temporary)
-        file = self.files.append(temporary)
+        try:
+            self._write_meta(temporary, meta)
+            self._rename(path, self._data_path(meta))
+            self._sync_folder()
+            final = f"{self.folder}/{_snapshot_name(meta.index)}{META_SUFFIX}"
+            self._rename(temporary, final)
+        except StorageError:
+            self.files.remove(temporary)
+            self._remove_data_without_meta()
+            raise
+        self._sync_folder()
+        for name in self._meta_names()[:-KEPT_SNAPSHOTS]:
+            self.files.remove(f"{self.folder}/{name}")
+        self._remove_data_without_meta()
+
+    def _write_meta(self, path: str, meta: pb.SnapshotMeta) -> None:
+        file = self._create(path)
         payload = meta.SerializeToString()
         checksum = LENGTH_FIELD.pack(google_crc32c.value(payload))
         try:
-            self._write(file, temporary, checksum + payload)
-            self._sync(file, temporary)
+            self._write(file, path, checksum + payload)
+            self._sync(file, path)
         finally:
             file.close()
-        self.files.rename(path, self._data_path(meta))
-        self._sync_folder()
-        self.files.rename(
-            temporary, f"{self.folder}/{_snapshot_name(meta.index)}{META_SUFFIX}"
-        )
-        self._sync_folder()
-        for name in self._meta_names()[:-KEPT_SNAPSHOTS]:
-            self.files.remove(f"{self.folder}/{name}")
-            self.files.remove(
-                f"{self.folder}/{name.removesuffix(META_SUFFIX)}{DATA_SUFFIX}"
-            )
+
+    def _remove_data_without_meta(self) -> None:
+        kept = {name.removesuffix(META_SUFFIX) for name in self._meta_names()}
+        for name in self.files.names(self.folder):
+            is_data = name.startswith(SNAPSHOT_PREFIX) and name.endswith(DATA_SUFFIX)
+            if is_data and name.removesuffix(DATA_SUFFIX) not in kept:
+                self.files.remove(f"{self.folder}/{name}")
+
+    def _create(self, path: str) -> AppendFile:
+        self.files.remove(path)
+        with storage_errors("create snapshot", path):
+            return self.files.append(path)
+
+    def _rename(self, path: str, new_path: str) -> None:
+        with storage_errors("rename snapshot", path):
+            self.files.rename(path, new_path)
 
     def _verify_and_load(self, path: str, meta: pb.SnapshotMeta) -> Store:
         try:
@@ -239,18 +275,12 @@
         return f"{self.folder}/{_snapshot_name(meta.index)}{DATA_SUFFIX}"
 
     def _write(self, file: AppendFile, path: str, data: bytes) -> None:
-        try:
+        with storage_errors("write snapshot", path):
             file.write(data)
-        except OSError as error:
-            if error.errno in (errno.ENOSPC, errno.EDQUOT):
-                raise DiskFullError("write snapshot", path, str(error)) from error
-            raise SyncFailedError("write snapshot", path, str(error)) from error
 
     def _sync(self, file: AppendFile, path: str) -> None:
-        try:
+        with storage_errors("sync snapshot", path):
             file.sync()
-        except OSError as error:
-            raise SyncFailedError("sync snapshot", path, str(error)) from error
 
     def _sync_folder(self) -> None:
         try:
--- a/src/tanagerturn/state/writer.py
+++ b/src/tanagerturn/state/writer.py
@@ -49,6 +49,11 @@
         if isinstance(message, SaveSnapshot):
             self.on_save_snapshot(message)
 
+    def on_failure(self, *failure: object) -> None:
+        """Report an unexpected error as fatal: the group waits for this actor."""
+        reason = f"unexpected error: {failure[1]!r}" if failure else "unexpected error"
+        self.on_fatal(StorageError("write snapshot", "", reason))
+
     def on_save_snapshot(self, message: SaveSnapshot) -> None:
         """Store a snapshot and report the outcome to `on_saved` or `on_fatal`."""
         try:
--- a/tests/coordination/storage/storage.feature
+++ b/tests/coordination/storage/storage.feature
@@ -23,6 +23,21 @@
     When writing a batch fails because the disk is full
     Then writing the batch again succeeds once disk space is available
 
+  # Guards against a snapshot writer that ends, and processes that exit, on a full disk.
+  Scenario Outline: A full disk is reported as full by each write, which then succeeds
+    When <write> is tried 3 times on a disk that is full for each kind of call
+    Then it fails only as on a full disk, leaves no part of a file, and then succeeds
+
+    Examples:
+      | write                     |
+      | a batch                   |
+      | a batch in a new segment  |
+      | a snapshot                |
+      | a received chunk          |
+      | a received snapshot       |
+      | an initial membership     |
+      | the identity of a folder  |
+
   Scenario: A removed segment that reappears after a crash does not change the log
     Given a log with several segments, some of them removed after a snapshot
     When each of the removed segments in turn reappears after a crash
--- a/tests/support/fake_disk.py
+++ b/tests/support/fake_disk.py
@@ -4,6 +4,7 @@
 
 import errno
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from tanagerturn.coordination.errors import StorageError
@@ -18,6 +19,15 @@
     """Simulates a crash of the process at a sync boundary."""
 
 
+class Fullness(Enum):
+    """Which calls of a full disk fail with ENOSPC."""
+
+    WRITES = "writes, after a part of the bytes"
+    NEW_FILES = "writes, and the creation of files and folders"
+    RENAMES = "writes, and the renaming of files"
+    SYNCS = "syncs of files; writes succeed"
+
+
 @dataclass
 class Inode:
     """Content of a file as written (`data`) and as last synced (`synced`)."""
@@ -42,6 +52,10 @@
         """Number of sync boundaries until a crash, None for no crash; a sync has a
         boundary before and after it."""
         self.is_full = False
+        self.fullness = Fullness.WRITES
+        """Which calls fail while the disk is full."""
+        self.full_errno = errno.ENOSPC
+        """Error number of the calls that fail while the disk is full."""
         self.syncs_fail = False
         self.is_locked = False
 
@@ -59,6 +73,11 @@
         self.syncs_fail = False
         self.is_locked = False
 
+    def need_space(self, *kinds: Fullness) -> None:
+        """Raise the error of a full disk if one of these kinds is full now."""
+        if self.is_full and self.fullness in kinds:
+            raise OSError(self.full_errno, "no space left")
+
     def on_sync_boundary(self) -> None:
         """Count a sync boundary, and crash if it is the chosen one."""
         if self.crash_after_boundaries is None:
@@ -73,7 +92,9 @@
         self.name_changes.append((path, inode))
 
     def create_folder(self, path: str) -> None:
-        """Do nothing; folders exist implicitly."""
+        """Do nothing unless the disk is full; folders exist implicitly."""
+        if not self.names(path):
+            self.need_space(Fullness.NEW_FILES)
 
     def names(self, folder: str) -> list[str]:
         """Return the sorted names in a folder."""
@@ -96,11 +117,13 @@
     def append(self, path: str) -> FakeAppendFile:
         """Open a file for appending."""
         if path not in self.inodes:
+            self.need_space(Fullness.NEW_FILES)
             self.set_directory_entry(path, Inode())
         return FakeAppendFile(self, self.inodes[path])
 
     def rename(self, path: str, new_path: str) -> None:
         """Rename a file."""
+        self.need_space(Fullness.RENAMES)
         inode = self.inodes[path]
         self.set_directory_entry(path, None)
         self.set_directory_entry(new_path, inode)
@@ -149,10 +172,10 @@
 
     def write(self, data: bytes) -> None:
         """Append bytes, or only a part of them when the disk is full."""
-        if self.disk.is_full:
+        if self.disk.is_full and self.disk.fullness is not Fullness.SYNCS:
             part = self.disk.random.randint(0, len(data))
             self.inode.data += data[:part]
-            raise OSError(errno.ENOSPC, "no space left")
+            raise OSError(self.disk.full_errno, "no space left")
         self.inode.data += data
 
     def sync(self) -> None:
@@ -160,6 +183,7 @@
         self.disk.on_sync_boundary()
         if self.disk.syncs_fail:
             raise OSError(errno.EIO, "input/output error")
+        self.disk.need_space(Fullness.SYNCS)
         self.inode.synced = bytes(self.inode.data)
         self.disk.on_sync_boundary()
 
