Read no end of a message where this side closed the connection

What callers could get: the part of an answer without a length that had arrived when the gateway itself gave its request up (for instance since it was quarantined meanwhile) came as a complete 200: `abort` and `close` ended the connection without an error, and `read` returned the empty bytes that mark an orderly end by the peer.

Change: a connection that is closed before its peer has ended it has an error (`closed by this side`), so that `read` raises.

--- a/src/tanagerturn/gateway/connection.py
+++ b/src/tanagerturn/gateway/connection.py
@@ -87,8 +87,8 @@
         self.at_eof = False
         """Whether the peer sends no more bytes."""
         self.error: Exception | None = None
-        """Error that broke the connection; None while it is open and after a normal
-        close."""
+        """Error that broke the connection, or that this side closed it before the peer
+        did; None while it is open and after a normal close by the peer."""
         self.peer = ""
         """IP address and port of the peer; empty before the connection is open."""
         self.read_since_s = 0.0
@@ -148,7 +148,12 @@
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Record that the connection is closed."""
+        """Record that the connection is closed.
+
+        A close by this side alone ends no message of the peer.
+        """
+        if exc is None and not self.at_eof:
+            exc = ConnectionAbortedError("closed by this side")
         self.resume_writing()
         self._on_end(exc)
 
