Treat answers with a status above 599 as malformed

What callers saw: an answer with the status 600 or 999 came to them with that status, and its part as a whole body. Statuses 000, 001, 099, 99, 101, 199, 2000, -20, abc, none and another protocol version were 502 before too: h11 rejects them.

Change: `HttpReader`, which reads all answers of backend servers, peers and calls, raises a protocol error for a status above 599 (RFC 9110, section 15). The caller gets 502, and a request that may be repeated goes to another backend server.

Measured, tests/gateway/backends/early_ends: 13 status lines, plain and streams, idempotent and not, with and without a length, 8 requests each: before, 8 of 16 requests with 600 and 999 came through with that status; now 104 of 104 get 502.

--- a/src/tanagerturn/gateway/http_reader.py
+++ b/src/tanagerturn/gateway/http_reader.py
@@ -15,6 +15,9 @@
 6 bytes; parsing and forwarding it takes up to 0.07 ms."""
 
 
+MAX_STATUS: Final = 599
+"""Largest HTTP status (RFC 9110, section 15); h11 rejects only those below 100."""
+
 MIN_PART_BYTES: Final = 256
 """Size in bytes as which a smaller part of a body counts against limits, since parsing
 it takes as long."""
@@ -43,6 +46,8 @@
         """
         while True:
             event = self.http.next_event()
+            if isinstance(event, h11.Response) and event.status_code > MAX_STATUS:
+                raise h11.RemoteProtocolError(f"{event.status_code} is no HTTP status")
             if event is not h11.NEED_DATA:
                 return event
             await self.receive()
