--- a/src/tanagerturn/coordination/log/_replication.py
+++ b/src/tanagerturn/coordination/log/_replication.py
@@ -330,8 +330,6 @@
     received = ReceivedChunk(meta, payload.offset, payload.data, payload.last)
     core.ready.received_chunks.append(received)
     core.incoming_snapshot = (meta, expected + len(payload.data))
-    if not payload.last:
-        core.reply_snapshot(meta, expected + len(payload.data), installed=False)
 
 
 def _expected_offset(core: Core, meta: pb.SnapshotMeta) -> int:
--- a/src/tanagerturn/coordination/log/core.py
+++ b/src/tanagerturn/coordination/log/core.py
@@ -37,7 +37,11 @@
 
     from tanagerturn.coordination.ids import MemberId
     from tanagerturn.coordination.log.progress import Progress
-    from tanagerturn.coordination.log.ready import Options, RecoveredState
+    from tanagerturn.coordination.log.ready import (
+        Options,
+        ReceivedChunk,
+        RecoveredState,
+    )
 
 
 class Core:
@@ -278,6 +282,23 @@
         self.incoming_snapshot = None
         self.reply_snapshot(meta, 0, installed=False)
 
+    def chunk_stored(self, chunk: ReceivedChunk) -> None:
+        """Acknowledge a stored chunk of a snapshot that has more of them."""
+        next_offset = chunk.offset + len(chunk.data)
+        self.reply_snapshot(chunk.meta, next_offset, installed=False)
+
+    def chunk_dropped(self, meta: pb.SnapshotMeta, next_offset: int) -> None:
+        """Record that a chunk of a snapshot can't be stored now, without a response.
+
+        The leader sends it again after an election timeout; a response would let it do
+        so at once.
+
+        Args:
+            meta: Metadata of the snapshot.
+            next_offset: Size in bytes of the part that is stored.
+        """
+        self.incoming_snapshot = (meta, next_offset)
+
     def snapshot_unavailable(self, peer: MemberId) -> None:
         """Record that the snapshot that is being sent to a peer can't be read."""
         progress = self.progress.get(peer)
--- a/src/tanagerturn/coordination/replica.py
+++ b/src/tanagerturn/coordination/replica.py
@@ -341,21 +341,27 @@
 
     def _receive_chunk(self, chunk: ReceivedChunk) -> None:
         if self.is_saving and chunk.last:
-            self.core.snapshot_rejected(chunk.meta)
+            self.core.chunk_dropped(chunk.meta, chunk.offset)
             return
         try:
             self.storage.store_chunk(chunk)
         except DiskFullError as error:
             log.warning("Could not store a snapshot chunk from the leader: {}.", error)
-            self.core.snapshot_rejected(chunk.meta)
+            self.core.chunk_dropped(chunk.meta, 0)
             return
-        if chunk.last and self.core.needs_snapshot(chunk.meta):
+        if not chunk.last:
+            self.core.chunk_stored(chunk)
+        elif self.core.needs_snapshot(chunk.meta):
             self._install(chunk.meta)
 
     def _install(self, meta: pb.SnapshotMeta) -> None:
         try:
             store = self.storage.install(meta)
-        except (DamageError, DiskFullError) as error:
+        except DiskFullError as error:
+            log.warning("No room for the snapshot from the leader: {}.", error)
+            self.core.chunk_dropped(meta, 0)
+            return
+        except DamageError as error:
             log.warning("Could not install the snapshot from the leader: {}.", error)
             self.core.snapshot_rejected(meta)
             return
