--- a/src/tanagerturn/coordination/replica.py
+++ b/src/tanagerturn/coordination/replica.py
@@ -41,6 +41,10 @@
 SNAPSHOT_LIMIT_BYTES: Final = 16 * 1024 * 1024
 """Size in bytes of the applied entries after which a snapshot is due."""
 
+SNAPSHOT_RETRY_S: Final = 1.0
+"""Time in seconds after a snapshot was not stored before another one is begun; a full
+disk has room again after some seconds."""
+
 ISOLATED_AFTER_TIMEOUTS: Final = 4
 """Number of election timeouts without a known leader after which a member is
 isolated."""
@@ -103,6 +107,8 @@
         """Number of entries applied since the start."""
         self._is_disk_full_logged = False
         self._applied_bytes = 0
+        self._is_save_overdue = False
+        self._save_begun_s = 0.0
         self._next_ticket = 1
         self._leader_term = 0
         self._clock = GroupClock()
@@ -217,6 +223,7 @@
             meta: Metadata of the new snapshot; None when the snapshot was not stored.
         """
         self.is_saving = False
+        self._is_save_overdue = meta is None
         if meta is None:
             return
         compact_index = self.snapshot_index
@@ -235,7 +242,7 @@
                 pass
         except DiskFullError as error:
             self._log_disk_full(error)
-        self._snapshot_if_due()
+        self._snapshot_if_due(moment.monotonic_s)
 
     def is_isolated(self, moment: Moment) -> bool:
         """Return whether no leader is known for `ISOLATED_AFTER_TIMEOUTS`."""
@@ -372,16 +379,19 @@
         self._applied_bytes = 0
         log.debug("Installed a snapshot of {} bytes from the leader.", meta.size_bytes)
 
-    def _snapshot_if_due(self) -> None:
+    def _snapshot_if_due(self, now_s: float) -> None:
         if self.is_saving:
             return
+        if self._is_save_overdue and now_s < self._save_begun_s + SNAPSHOT_RETRY_S:
+            return
         unsaved_entries = self.applied_index - self.snapshot_index
-        is_due = unsaved_entries >= self.snapshot_entries
-        if not is_due and (
-            not unsaved_entries or self._applied_bytes < SNAPSHOT_LIMIT_BYTES
-        ):
+        is_due = unsaved_entries >= self.snapshot_entries or self._is_save_overdue
+        if not is_due and self._applied_bytes < SNAPSHOT_LIMIT_BYTES:
+            return
+        if not unsaved_entries:
             return
         self.is_saving = True
+        self._save_begun_s = now_s
         self._applied_bytes = 0
         meta = self.core.snapshot_meta(self.applied_index)
         self.save_snapshot(meta, self.store.image())
--- a/tests/support/log_cluster.py
+++ b/tests/support/log_cluster.py
@@ -64,7 +64,7 @@
         names = [f"v{n}" for n in range(profile.voters)]
         names += [f"l{n}" for n in range(profile.learners)]
         self.initial_membership = pb.Membership(
-            members=[_member(name) for name in names]
+            members=[make_member(name) for name in names]
         )
         names += [f"s{n}" for n in range(profile.spares)]
         self.nodes = {name: node_class(self, name) for name in names}
@@ -237,7 +237,7 @@
         if not self.profile.spares or self.profile.loses_hosts:
             return
         action = self.random.choice([Action.ADD_LEARNER, Action.PROMOTE, Action.REMOVE])
-        target = _member(self.random.choice([n for n in self.nodes if n[0] != "v"]))
+        target = make_member(self.random.choice([n for n in self.nodes if n[0] != "v"]))
         leader = self.leader()
         if leader is not None:
             change = (action, target, leader.moment(), lambda result: None)
@@ -259,7 +259,9 @@
             }
             ready = {p for p in core.progress if is_caught_up(core, p, self.now)}
             known = {m.id for m in membership.members}
-            spares = [_member(n) for n in self.nodes if n[0] == "s" and n not in known]
+            spares = [
+                make_member(n) for n in self.nodes if n[0] == "s" and n not in known
+            ]
             health = GroupHealth(membership, last_response_age_s, ready)
             change = next_membership_change(health, spares, self.profile.voters, 0.6)
             if change is not None:
@@ -339,7 +341,8 @@
 )
 
 
-def _member(name: str) -> pb.Member:
+def make_member(name: str) -> pb.Member:
+    """Return a member of the group by its name."""
     role = pb.LEARNER if name[0] == "l" else pb.VOTER
     return pb.Member(id=name, address=f"{name}:1", role=role, incarnation=name)
 
--- a/tests/support/log_node.py
+++ b/tests/support/log_node.py
@@ -72,9 +72,13 @@
             return
         self.run(lambda: self._open(membership))
 
-    def _open(self, membership: pb.Membership | None) -> None:
+    def open_storage(self) -> GroupStorage:
+        """Open the data folder and return the storage of the group."""
         folder = open_folder(self.disk, CLUSTER, self.member, self.member)
-        storage = self.storage_class(folder.files, CLUSTER, GROUP)
+        return self.storage_class(folder.files, CLUSTER, GROUP)
+
+    def _open(self, membership: pb.Membership | None) -> None:
+        storage = self.open_storage()
         if membership is not None and not storage.has_state:
             storage.initialize(membership)
         recovered, store = storage.recover()
