Start a member on a full disk again, so that no host is lost to its group

A gateway that a leader adds to the state group, or that founds it, opens its files in a thread. If there was no room, the error went nowhere and the start counted as under way for good. The host stayed a learner that never answers; with as many disks as voters the group never was complete, and refused each change with 'the group is not complete'. A founder that was agreed on never founded the group.

A vote that can't be stored is answered as a failure instead of an exception of the link. Opening is a module of its own.

4 gateways as processes, 3 with a disk; that of the second is full from the founding until 1.5 s after it was added.

--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -38,7 +38,8 @@
 from tanagerturn.gateway.state_group import handover
 from tanagerturn.gateway.state_group.group_initializer import GroupInitializer
 from tanagerturn.gateway.state_group.member import TICK_S as MEMBER_TICK_S
-from tanagerturn.gateway.state_group.member import StateMember, open_member
+from tanagerturn.gateway.state_group.member import StateMember
+from tanagerturn.gateway.state_group.opening import open_member
 from tanagerturn.gateway.state_group.replicated_store import ReplicatedStore
 from tanagerturn.schema import gateway_pb2 as gpb
 from tanagerturn.serving.backends.messages import BackendId
@@ -365,8 +366,7 @@
         elif kind == "founding":
             if self.member is None:
                 return gpb.Frame(failure=gpb.Failure(reason="no member here"))
-            vote = await self.member.agreement.serve(frame.founding)
-            return gpb.Frame(founding_vote=vote)
+            return await self.member.agreement.respond(frame.founding)
         elif kind == "ask_news":
             return gpb.Frame(news=self.digests.backend_updates(boot_s()))
         elif kind == "correction":
--- a/src/tanagerturn/gateway/state_group/_member_parts.py
+++ b/src/tanagerturn/gateway/state_group/_member_parts.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import os
 from typing import TYPE_CHECKING
 
 from tanagerturn.clocks import boot_s
+from tanagerturn.gateway.logs import component_log
 from tanagerturn.schema import coordination_pb2 as pb
 from tanagerturn.schema import gateway_pb2 as gpb
 from tanagerturn.state._watches import Watcher
@@ -14,8 +16,11 @@
     import asyncio
     from collections.abc import Callable, Sequence
 
+    from tanagerturn.coordination.errors import StepError
     from tanagerturn.gateway.links import Links
 
+log = component_log("member")
+
 
 class MemberClocks(Clocks):
     """Clocks of the member, which also advance while the host is suspended."""
@@ -90,3 +95,12 @@
     def end(self) -> None:
         """Mark the watch as ended: it missed changes, and a new watch is needed."""
         self.is_ended = True
+
+
+def exit_process(error: StepError) -> None:
+    """Log a fatal error of the member and exit the process immediately.
+
+    No further write may be acknowledged from this disk.
+    """
+    log.error("member_ended", reason=str(error))
+    os._exit(1)
--- a/src/tanagerturn/gateway/state_group/founder.py
+++ b/src/tanagerturn/gateway/state_group/founder.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
+from tanagerturn.coordination.errors import StorageError
 from tanagerturn.coordination.storage.files import DamageError
 from tanagerturn.coordination.storage.folder import write_atomically
 from tanagerturn.gateway.logs import component_log
@@ -85,8 +86,20 @@
         """
         self.hosts = merge_hosts(self.hosts, hosts)
 
+    async def respond(self, call: gpb.FoundingCall) -> gpb.Frame:
+        """Return the response to a peer's call; a failure if nothing can be stored."""
+        try:
+            return gpb.Frame(founding_vote=await self.serve(call))
+        except StorageError as error:
+            log.warning("vote_not_stored", reason=str(error))
+            return gpb.Frame(failure=gpb.Failure(reason=str(error)))
+
     async def serve(self, call: gpb.FoundingCall) -> gpb.FoundingVote:
-        """Promise a round or accept a founder, and return what is stored then."""
+        """Promise a round or accept a founder, and return what is stored then.
+
+        Raises:
+            StorageError: The vote can't be stored.
+        """
         proposed = _decode_round(call.round)
         async with self.lock:
             changed = self._changed_vote(proposed, call.founder)
--- /dev/null
+++ b/tests/gateway/state_group/full_disks/full_disks.feature
@@ -0,0 +1,26 @@
+@gateway
+Feature: Disks of the state group's hosts that are full for seconds
+
+  # Guards against a host that is lost to the group because it was added on a full disk.
+  Scenario Outline: A host that is added while its disk is full joins later: <calls>
+    Given 4 gateway processes, of which 3 have a disk
+    When the disk of the second is full for <calls> until 1.5 s after it was added
+    Then a configuration is confirmed within 7 s and read at all
+
+    Examples:
+      | calls     |
+      | WRITES    |
+      | NEW_FILES |
+      | SYNCS     |
+
+  # Guards against a group that is never founded.
+  Scenario Outline: A founder whose disk is full founds the group later: <calls>
+    Given a host that was agreed on as the founder, with a disk full for <calls>
+    When it founds the group, and its disk has room 1.5 s later
+    Then it leads a group within 7 s
+
+    Examples:
+      | calls     |
+      | WRITES    |
+      | NEW_FILES |
+      | SYNCS     |
--- /dev/null
+++ b/tests/gateway/state_group/full_disks/steps/full_disks_steps.py
@@ -0,0 +1,97 @@
+"""Steps of full_disks.feature."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import tempfile
+import time
+from pathlib import Path
+from unittest import mock
+
+from behave import given, then, when
+
+from soak.faulty_gateway import FullDisk
+from support.full_disk_files import FullDiskFiles
+from support.full_disk_programs import FullDiskPrograms
+from support.gateway_world import gateway_settings
+from support.processes import wait_for
+from tanagerturn.gateway.state_group import opening
+
+
+def make_folder(context):
+    folder = Path(tempfile.mkdtemp())
+    context.closers.append(lambda: shutil.rmtree(folder, ignore_errors=True))
+    return folder
+
+
+@given("{count:d} gateway processes, of which {with_disk:d} have a disk")
+def processes(context, count, with_disk):
+    folder = make_folder(context)
+    context.world = FullDiskPrograms(folder, with_disk, count - with_disk)
+    context.closers.append(context.world.close)
+    for program in context.world.programs:
+        context.world.start(program)
+    context.log_paths += [program.log_path for program in context.world.programs]
+
+
+@when(
+    "the disk of the second is full for {calls} until {after_s:g} s after it was added"
+)
+def full_as_added(context, calls, after_s):
+    world = context.world
+    founder, added = world.programs[:2]
+    # The founder is agreed on only after the added host has voted.
+    wait_for(lambda: founder.events("group_founded"), "the group is founded")
+    world.fill(added, FullDisk[calls])
+    wait_for(lambda: added.events("added_to_group"), "the second is added")
+    time.sleep(after_s)
+    world.fill(added, FullDisk.NO)
+
+
+@then("a configuration is confirmed within {limit_s:g} s and read at all")
+def confirmed(context, limit_s):
+    world = context.world
+    assert world.put_until(world.programs[-1], limit_s), "no change was confirmed"
+    for program in world.programs:
+        wait_for(
+            lambda p=program: world.read(p) >= world.acknowledged_version,
+            f"{program.name} reads it",
+            limit_s,
+        )
+        assert program.alive(), program.name
+
+
+@given("a host that was agreed on as the founder, with a disk full for {calls}")
+def founder(context, calls):
+    context.settings = gateway_settings(make_folder(context))
+    context.fullness = FullDisk[calls]
+
+
+@when("it founds the group, and its disk has room {after_s:g} s later")
+def founds(context, after_s):
+    context.after_s = after_s
+
+
+@then("it leads a group within {limit_s:g} s")
+def leads(context, limit_s):
+    asyncio.run(found(context, limit_s))
+
+
+async def found(context, limit_s):
+    loop = asyncio.get_running_loop()
+    with mock.patch.object(opening, "DiskFiles", FullDiskFiles):
+        member = opening.open_member(
+            context.settings, mock.Mock(), loop, lambda batch: None
+        )
+    member.folder.files.fullness = context.fullness
+    member.initialize_group()
+    await asyncio.sleep(context.after_s)
+    assert not member.is_in_group
+    member.folder.files.fullness = FullDisk.NO
+    async with asyncio.timeout(limit_s):
+        while not member.committed_voters:
+            member.tick()
+            await asyncio.sleep(0.05)
+    assert member.committed_voters == [member.id]
+    member.actor.stop()
