--- a/tests/support/gateway_world.py
+++ b/tests/support/gateway_world.py
@@ -291,9 +291,10 @@
 
         Args:
             engine: The backend server.
-            fields: Further fields of the announcement.
+            fields: Further fields of the announcement; they replace the defaults.
         """
         self.announcement_count += 1
+        stated = {"slots": 6, "heartbeat_ms": 60_000, "born_ms": 1, **fields}
         announcement = serving_pb2.Announcement(
             id=engine.id,
             address=engine.address,
@@ -301,10 +302,7 @@
             sequence=self.announcement_count,
             services=["desk"],
             availability_zone="a",
-            slots=6,
-            heartbeat_ms=60_000,
-            born_ms=1,
-            **fields,
+            **stated,
         )
         self.state.fleet.on_announcement(announcement, boot_s(), heard=True)
 
