Count the close of a connection as the end of a response only with proof

Callers got the first events of a stream, or a part of a body, as a complete response when its engine had stopped it for a move, exited or was killed. Cause: a response without a length and without chunks ends with its connection, h11 reports each close in order as its end, and Sender finished the caller's response whatever else was known: a move under way or answered, the departure of the engine, its death.

serving/streams/endings.py decides what has to show the end. A length and chunks do, and the event whose number is the maximum of tokens. After an order to move the stream its answer is awaited, and then the close is no end, except after 404 (no such run): the stream may have ended while the order was on its way, so the engine's report must not list it with more events. Without an order, a generation of a leaving engine needs the report, anything else a new connection to the engine, which the pool keeps for the next request. Without proof a ResponseError takes the existing course: a copy or another engine goes on after the last event, otherwise the response is broken off. No move is ordered any more for a stream whose connection has closed. HEAD, 204 and 304 have no body and are not verified. A peer gateway always frames, too, so its unframed response is never complete. Nothing changes on the wire. end_checked logs what decided, and tanager_gateway_stream_ends counts it.

What can't be told apart: an engine that cuts a stream off without a move and lives on, and one that ends a response and exits before it is asked; the latter counts as incomplete.

--- a/src/tanagerturn/gateway/backends/detours.py
+++ b/src/tanagerturn/gateway/backends/detours.py
@@ -27,6 +27,7 @@
 from tanagerturn.gateway.request_run import first_event_timeout_s, pause_timeout_s
 from tanagerturn.gateway.retry_policy import AttemptOutcome
 from tanagerturn.serving.backends.messages import BackendId, SoftwareVersion
+from tanagerturn.serving.streams.endings import Framing
 from tanagerturn.serving.streams.origins import StreamOrigin
 
 if TYPE_CHECKING:
@@ -173,6 +174,10 @@
         answer = decode_answer(head.headers)
         if answer.without_path:
             return self._on_not_run(run, peer, "has no path either")
+        if exchange.framing is Framing.CLOSE:
+            # Gateways state a length or send chunks, so its end could not be told from
+            # the death of the peer.
+            raise ResponseError("the response has neither a length nor chunks")
         headers, reply = without_forwarding(head.headers), head.reply
         if reply.is_leaving:
             self._on_leaving(BackendId(answer.backend))
--- a/src/tanagerturn/gateway/backends/exchange.py
+++ b/src/tanagerturn/gateway/backends/exchange.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from dataclasses import dataclass
-from enum import Enum
 from typing import TYPE_CHECKING, Final, cast
 
 import h11
@@ -12,6 +11,7 @@
 from tanagerturn.gateway.connection import WRITE_WINDOW_BYTES, end_to_end_headers
 from tanagerturn.gateway.http_reader import MIN_PART_BYTES, HttpReader
 from tanagerturn.gateway.logs import component_log
+from tanagerturn.serving.streams.endings import Framing
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -31,18 +31,10 @@
 HOLD_STEP_BYTES: Final = 16 * 1024
 """Number of bytes of a response after which they are counted against the budget."""
 
-log = component_log("relay")
-
+STATUSES_WITHOUT_BODY: Final = (204, 304)
+"""Statuses whose responses have no body, whatever their headers state."""
 
-class Framing(Enum):
-    """How the end of a response body is marked (RFC 9112, section 6.3)."""
-
-    LENGTH = "length"
-    """By the number of bytes that the head states; also for no body."""
-    CHUNKED = "chunked"
-    """By a chunk of size 0."""
-    CLOSE = "close"
-    """By the close of the connection."""
+log = component_log("relay")
 
 
 class ResponseError(Exception):
@@ -183,7 +175,8 @@
                     " request, so the refusal may belong to another one too"
                 )
             self.has_head = True
-            self.framing = _framing_of(event)
+            assert self.request is not None
+            self.framing = _framing_of(event, self.request.method)
             self.connection.echoes_ids |= bool(reply.attempt_id)
             self.keep_alive_s = reply.keep_alive_s
             self.closes_connection = reply.closes_connection or reply.is_refusal
@@ -266,8 +259,10 @@
             http.receive_data(b"")
 
 
-def _framing_of(response: h11.Response) -> Framing:
+def _framing_of(response: h11.Response, method: bytes) -> Framing:
     """Return how the end of a body is marked; h11 has normalized the headers."""
+    if method == b"HEAD" or response.status_code in STATUSES_WITHOUT_BODY:
+        return Framing.LENGTH
     names = {name for name, _ in response.headers}
     if b"transfer-encoding" in names:
         return Framing.CHUNKED
--- a/src/tanagerturn/gateway/backends/pool.py
+++ b/src/tanagerturn/gateway/backends/pool.py
@@ -91,6 +91,21 @@
                 connection.tcp.set_idle(is_idle=False)
                 return connection
             connection.close()
+        return await self.open(backend_id, address, timeout_s)
+
+    async def open(
+        self, backend_id: BackendId, address: str, timeout_s: float
+    ) -> BackendConnection:
+        """Open a new connection.
+
+        Args:
+            backend_id: Backend server.
+            address: IP address and port of the backend server.
+            timeout_s: Maximum time for opening the connection in seconds.
+
+        Raises:
+            OSError: The connection could not be opened, or `TimeoutError`.
+        """
         self.opened_count += 1
         tcp = await connect(address, min(timeout_s, CONNECT_TIMEOUT_S))
         return BackendConnection(backend_id, address, tcp)
--- a/src/tanagerturn/gateway/backends/sender.py
+++ b/src/tanagerturn/gateway/backends/sender.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final, TypeVar
 
 from tanagerturn.clocks import boot_s
+from tanagerturn.gateway.backends.endings import EndVerifier
 from tanagerturn.gateway.backends.exchange import (
     BackendExchange,
     ResponseError,
@@ -29,7 +30,6 @@
 from tanagerturn.gateway.quarantine import CrashDetector, shared_parts
 from tanagerturn.gateway.request_run import (
     BackendTimeout,
-    MoveState,
     engine_priority,
     first_event_timeout_s,
     pause_timeout_s,
@@ -37,6 +37,7 @@
 from tanagerturn.gateway.retry_policy import AttemptOutcome
 from tanagerturn.serving.backends.paths import Doubt
 from tanagerturn.serving.quarantine.quarantine import WELL_AFTER_S
+from tanagerturn.serving.streams.endings import MoveState
 from tanagerturn.serving.streams.origins import StreamOrigin
 
 if TYPE_CHECKING:
@@ -94,6 +95,8 @@
         """Requests with an attempt in progress, and its exchange."""
         self.late_answers = LateAnswers()
         """Reads answers to requests that were given up."""
+        self.end_verifier = EndVerifier(state)
+        """Verifies responses that end when their connection closes."""
         self.path_checker = PathChecker(state, on_attempt_finished)
         """Checks which backend servers this gateway reaches."""
         state.pool.on_idle_broken = lambda backend_id: self.path_checker.on_doubted(
@@ -346,6 +349,7 @@
             body = await read_whole(
                 exchange, RESPONSE_LIMIT_BYTES, run.exchange.hold_response
             )
+            await self.end_verifier.verify(run, backend, exchange, is_stream=False)
         count_run_start(self.state, run)
         if reply.status >= 500:
             run.may_have_run = True
@@ -410,10 +414,10 @@
                 waited_s = boot_s() - exchange.connection.tcp.read_since_s
                 run.passed_on_s = max(run.passed_on_s, waited_s)
                 await run.exchange.drain()
+        await self.end_verifier.verify(run, backend, exchange, is_stream=True)
         if not run.exchange.status:
             run.exchange.start(head.reply.status, stream_headers(head.headers))
         await run.exchange.finish()
-        self.state.metrics.stream_ends.labels(framing_name(run), run.move.value).inc()
         self._on_ran_well(run, boot_s())
         self.state.fleet.on_success(backend.id, boot_s())
         if run.writing_since_s and run.sent_count == 1:
--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -83,6 +83,10 @@
         "A backend server sent a response to another request than the pending one, "
         "`answers`; it is skipped."
     ),
+    "end_checked": (
+        "A response without length and chunks ended with its connection; `proof` is "
+        "what shows that it is `complete`, or `reason` why it may not be."
+    ),
     # Backend servers
     "paths_lost": (
         "None of the checked backend servers accepts a connection: this gateway is cut "
--- a/src/tanagerturn/gateway/messages.py
+++ b/src/tanagerturn/gateway/messages.py
@@ -8,7 +8,11 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final, NewType
 
+from tanagerturn.coordination.errors import RefusedError
+
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from tanagerturn.schema import serving_pb2
     from tanagerturn.serving.backends.messages import BackendId
 
@@ -89,6 +93,13 @@
 
     leaving_in_ms: int | None
     """Time in milliseconds until the backend server stops; None if it is unknown."""
+    runs: Mapping[str, int] | None = None
+    """Number of events made of each running generation, by attempt id; None if the
+    report has no valid list. It is some hundred ms old."""
+
+
+class UnknownRunError(RefusedError):
+    """The backend server runs no request with the id that a call named."""
 
 
 @dataclass(frozen=True)
--- a/src/tanagerturn/gateway/metrics.py
+++ b/src/tanagerturn/gateway/metrics.py
@@ -70,8 +70,8 @@
     clock_offset_s: Gauge
     """Corrected wall-clock time minus the host's wall-clock time in seconds."""
     stream_ends: Counter
-    """Streams that engines ended, by how the response was delimited and by the state of
-    its migration."""
+    """Streams whose responses ended, by how they were delimited, the state of their
+    migration and what shows that they are complete."""
     limit_units: Counter
     """Units of requests that were checked against limits of client accounts here, by
     charge. The help texts of counters are short: they are exposed twice, and a scrape
@@ -203,8 +203,9 @@
         ),
         stream_ends=Counter(
             "tanager_gateway_stream_ends",
-            "Complete streams by framing and state of their migration.",
-            ("framing", "migration"),
+            "Ends of streams by framing, state of their migration and the proof that "
+            "they are complete; none if they may not be.",
+            ("framing", "migration", "proof"),
             registry=registry,
         ),
         limit_units=Counter(
--- a/src/tanagerturn/gateway/relay.py
+++ b/src/tanagerturn/gateway/relay.py
@@ -20,11 +20,11 @@
 from tanagerturn.gateway.calls import call
 from tanagerturn.gateway.intake import Intake
 from tanagerturn.gateway.logs import component_log
+from tanagerturn.gateway.messages import UnknownRunError
 from tanagerturn.gateway.outcomes import log_end, refuse
 from tanagerturn.gateway.quarantine import shared_parts
 from tanagerturn.gateway.request_run import (
     Migration,
-    MoveState,
     NoPath,
     Refusal,
     RequestRun,
@@ -44,11 +44,17 @@
 from tanagerturn.serving.admission.first_event import Deferred, admit
 from tanagerturn.serving.backends.backend import Backend
 from tanagerturn.serving.backends.paths import PathFailure
+from tanagerturn.serving.streams.endings import MoveState
 
 if TYPE_CHECKING:
+    from expression import Result
+
+    from tanagerturn.coordination.errors import StepError
     from tanagerturn.gateway.backends.placement import Choice
+    from tanagerturn.gateway.backends.pool import BackendConnection
     from tanagerturn.gateway.callers.exchange import Exchange
     from tanagerturn.gateway.links import Links
+    from tanagerturn.gateway.messages import KvCopy
     from tanagerturn.gateway.state import GatewayState
 
 NO_BACKEND_RETRY_S: Final = 0.4
@@ -484,12 +490,15 @@
 
     def start_migrations(self, now_s: float) -> None:
         """Start to migrate streams off engines that are about to stop."""
-        for run in self.sender.running:
+        for run, exchange in self.sender.running.items():
             source = run.backend
             if run.migration_task is None and source and must_migrate(run, now_s):
-                run.migration_task = asyncio.create_task(self._migrate(run, source))
+                migration = self._migrate(run, source, exchange.connection)
+                run.migration_task = asyncio.create_task(migration)
 
-    async def _migrate(self, run: RequestRun, source: Backend) -> Migration | None:
+    async def _migrate(
+        self, run: RequestRun, source: Backend, connection: BackendConnection
+    ) -> Migration | None:
         """Stop a stream at its engine and copy its KV cache to another engine."""
         if self.state.backend_limits.is_paused(source.id, boot_s()):
             return None
@@ -500,6 +509,9 @@
         path, body = self.state.dialect.encode_migration(
             attempt, target.backend.address
         )
+        if connection.tcp.at_eof:
+            # The stream has ended, and an order would only make its end doubtful.
+            return None
         run.move = MoveState.PENDING
         result = await call(source.address, path, [], body, MIGRATION_TIMEOUT_S)
         if result.is_ok():
@@ -509,7 +521,7 @@
                 a.status, a.body, source.address
             )
         )
-        run.move = MoveState.FAILED if migration.is_error() else MoveState.MOVED
+        run.move = _move_state(migration)
         outcome = str(migration.error) if migration.is_error() else "moved"
         log.info(
             "moved",
@@ -540,6 +552,14 @@
         return await migration_task
 
 
+def _move_state(migration: Result[KvCopy, StepError]) -> MoveState:
+    """Return the state of an order to move a stream that was answered."""
+    if migration.is_ok():
+        return MoveState.MOVED
+    is_unknown = isinstance(migration.error, UnknownRunError)
+    return MoveState.UNKNOWN_RUN if is_unknown else MoveState.FAILED
+
+
 def _name_of(target: Backend | Migration | PeerGateway) -> str:
     """Return the id or host that names the target of an attempt in logs."""
     if isinstance(target, PeerGateway):
--- a/src/tanagerturn/gateway/request_run.py
+++ b/src/tanagerturn/gateway/request_run.py
@@ -3,17 +3,17 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import Enum
 from functools import cached_property
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.gateway.configuration import RequestKind
 from tanagerturn.gateway.fingerprints import fingerprint_of
+from tanagerturn.serving.streams.endings import MoveState
 
 if TYPE_CHECKING:
     import asyncio
 
-    from tanagerturn.gateway.backends.exchange import Framing, ResponseHead
+    from tanagerturn.gateway.backends.exchange import ResponseHead
     from tanagerturn.gateway.backends.forwarded import ForwardedCall
     from tanagerturn.gateway.callers.exchange import Exchange
     from tanagerturn.gateway.configuration import Account, Route, ServiceName
@@ -23,6 +23,7 @@
     from tanagerturn.serving.backends.messages import BackendId
     from tanagerturn.serving.quarantine.evidence import Fingerprint
     from tanagerturn.serving.rollouts.messages import Side
+    from tanagerturn.serving.streams.endings import Framing
     from tanagerturn.serving.streams.origins import StreamOrigin
 
 MIN_FIRST_EVENT_TIMEOUT_S: Final = 0.25
@@ -90,20 +91,6 @@
     """Raised when a backend server sent no data within the timeout."""
 
 
-class MoveState(Enum):
-    """State of the order that stops a stream at its engine and copies its KV cache."""
-
-    NONE = "none"
-    """No order was sent."""
-    PENDING = "pending"
-    """The order was sent and is not answered."""
-    MOVED = "moved"
-    """The engine stopped the stream and made the copy."""
-    FAILED = "failed"
-    """The engine answered with an error, or its answer is lost or malformed; it may
-    have stopped the stream."""
-
-
 @dataclass(eq=False)
 class RequestRun:
     """State of a caller's request from its admission until its response is complete."""
--- a/src/tanagerturn/platform/requests.py
+++ b/src/tanagerturn/platform/requests.py
@@ -21,6 +21,7 @@
     Prompt,
     PromptPart,
     PromptPartId,
+    UnknownRunError,
 )
 
 if TYPE_CHECKING:
@@ -53,6 +54,12 @@
 """HTTP status by which a backend server refuses, without running it, a request that was
 meant for an earlier backend server at the same address."""
 
+UNKNOWN_RUN_STATUS: Final = 404
+"""HTTP status by which an engine states that it runs no request with an id."""
+
+RUN_FIELDS: Final = 3
+"""Least number of fields of a running request in a report."""
+
 MIN_RETRY_AFTER_S: Final = 0.01
 """Smallest value of the header `Retry-After`, in seconds."""
 
@@ -202,6 +209,9 @@
     Returns:
         The copy of the KV cache; a `RefusedError` if the engine made no copy.
     """
+    if status == UNKNOWN_RUN_STATUS:
+        reason = f"HTTP status {status}, no such request runs"
+        return Error(UnknownRunError("migrate request", source_address, reason))
     if status != 200:
         return Error(
             RefusedError(
@@ -240,15 +250,36 @@
     try:
         # leaves_ms is the time until the backend server stops; announcements of a
         # backend server that is being reclaimed do not state it.
-        leaves_ms = orjson.loads(body).get("leaves_ms")
+        fields = orjson.loads(body)
+        leaves_ms = fields.get("leaves_ms")
         leaving_in_ms = None if leaves_ms is None else max(0, int(leaves_ms))
-        return Ok(BackendReport(leaving_in_ms))
+        return Ok(BackendReport(leaving_in_ms, _decode_runs(fields.get("runs"))))
     except (orjson.JSONDecodeError, AttributeError, TypeError, ValueError) as error:
         return Error(
             RefusedError("read backend report", address, f"invalid body: {error!r}")
         )
 
 
+def _decode_runs(entries: object) -> dict[str, int] | None:
+    """Decode the list of running requests, `[ID, TOKENS, EVENTS, PRIORITY]` each.
+
+    Returns:
+        Number of events made by id; None if the list or an entry is invalid, since that
+        entry could be any request's.
+    """
+    if not isinstance(entries, list):
+        return None
+    runs = {}
+    for entry in entries:
+        if not isinstance(entry, list) or len(entry) < RUN_FIELDS:
+            return None
+        run_id, events = entry[0], entry[2]
+        if not isinstance(run_id, str) or type(events) is not int:
+            return None
+        runs[run_id] = events
+    return runs
+
+
 def decode_reply(status: int, headers: RawHeaders) -> BackendReply:
     """Decode status and headers of a backend server's response."""
     fields = _header_fields(headers)
--- /dev/null
+++ b/src/tanagerturn/serving/streams/endings.py
@@ -0,0 +1,135 @@
+"""Decides what may count as the end of a backend server's response; no I/O.
+
+A response without a length and without chunks ends when its connection closes (RFC
+9112, section 6.3). The connection also closes when the backend server stops the request
+for a move, exits or is killed, so the close alone does not show that the response is
+complete.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+MAX_REPORTS: Final = 4
+"""Maximum number of reports that are read for one response; with pauses between them,
+the last one is of a time after the end, since reports are some hundred ms old."""
+
+
+class Framing(Enum):
+    """How the end of a response body is marked (RFC 9112, section 6.3)."""
+
+    LENGTH = "length"
+    """By the number of bytes that the head states; also for no body."""
+    CHUNKED = "chunked"
+    """By a chunk of size 0."""
+    CLOSE = "close"
+    """By the close of the connection."""
+
+
+class MoveState(Enum):
+    """State of the order that stops a stream at its engine and copies its KV cache."""
+
+    NONE = "none"
+    """No order was sent."""
+    PENDING = "pending"
+    """The order was sent and is not answered."""
+    MOVED = "moved"
+    """The engine stopped the stream and made the copy."""
+    UNKNOWN_RUN = "unknown_run"
+    """The engine answered that it runs no such request."""
+    FAILED = "failed"
+    """The engine answered with another error, or its answer is lost or malformed; it
+    may have stopped the stream."""
+
+
+class EndProof(Enum):
+    """What shows, or has to show, that a response is complete."""
+
+    FRAMING = "framing"
+    """The length or the last chunk: complete."""
+    COUNT = "count"
+    """The number of events, which allows no further one: complete."""
+    MOVE = "move"
+    """The answer to the order to move the stream has to be awaited."""
+    REPORT = "report"
+    """A report of the backend server has to be read, which lists its requests."""
+    CONNECTION = "connection"
+    """The backend server has to accept a new connection."""
+    NONE = "none"
+    """Nothing can show it: incomplete."""
+
+
+class ReportVerdict(Enum):
+    """What a report shows of a response whose connection has closed."""
+
+    COMPLETE = "complete"
+    INCOMPLETE = "incomplete"
+    UNDECIDED = "undecided"
+    """The report may be older than the end of the response."""
+
+
+@dataclass(frozen=True)
+class ResponseEnd:
+    """The end of a response, as it was received."""
+
+    framing: Framing
+    """How the end of the body is marked."""
+    is_generation: bool = False
+    """Whether the response is the event stream of a generation."""
+    move: MoveState = MoveState.NONE
+    """State of the order to move the stream."""
+    is_leaving: bool = False
+    """Whether the backend server is known to be about to stop."""
+    last_event_id: int | None = None
+    """Id of the last event that the caller has; None before the first. Ids count the
+    events from 1."""
+    max_output_tokens: int = 0
+    """Maximum number of tokens of the generation, each event having one or more; 0 if
+    it is unknown."""
+
+
+def required_proof(end: ResponseEnd) -> EndProof:
+    """Return what shows, or has to show, that a response is complete."""
+    if end.framing is not Framing.CLOSE:
+        return EndProof.FRAMING
+    if end.is_generation and 0 < end.max_output_tokens <= (end.last_event_id or 0):
+        return EndProof.COUNT
+    if end.move is MoveState.PENDING:
+        return EndProof.MOVE
+    if end.move is MoveState.UNKNOWN_RUN:
+        # The stream may have ended while the order was on its way.
+        return EndProof.REPORT
+    if end.move is not MoveState.NONE:
+        return EndProof.NONE
+    if end.is_leaving and end.is_generation:
+        return EndProof.REPORT
+    return EndProof.CONNECTION
+
+
+def judge_report(
+    runs: Mapping[str, int] | None, attempt_id: str, event_count: int, move: MoveState
+) -> ReportVerdict:
+    """Return what a report shows that was requested after the end of a response.
+
+    Args:
+        runs: Number of events made of each request that the report lists, by attempt
+            id; None if it has no valid list.
+        attempt_id: Id of the attempt.
+        event_count: Number of events of the stream that the caller has.
+        move: State of the order to move the stream.
+    """
+    if runs is None:
+        # Without an order, it is enough that the backend server has not exited.
+        is_enough = move is MoveState.NONE
+        return ReportVerdict.COMPLETE if is_enough else ReportVerdict.INCOMPLETE
+    made = runs.get(attempt_id)
+    if made is None:
+        return ReportVerdict.COMPLETE
+    if made > event_count:
+        return ReportVerdict.INCOMPLETE
+    return ReportVerdict.UNDECIDED
--- a/tests/platform/platform.feature
+++ b/tests/platform/platform.feature
@@ -220,3 +220,11 @@
       | target     | ["v2"]               | 400     |
       | target     | ""                   | 400     |
       | extra      | 1                    | decoded |
+
+  Scenario: The running requests of a report are read, and an invalid list is none
+    Then reports with valid lists of running requests state the events of each
+    And reports with invalid lists of running requests are read without them
+
+  # Guards against a stream that has ended before its move and counts as stopped by it.
+  Scenario: The answer that an engine runs no such request differs from other errors
+    Then of the answers to a move with status 404, 409, 500 and 503 only 404 states no run
--- a/tests/platform/steps/platform_steps.py
+++ b/tests/platform/steps/platform_steps.py
@@ -23,6 +23,7 @@
     GetRollout,
     MalformedCall,
     StartRollout,
+    UnknownRunError,
     Withdraw,
 )
 from tanagerturn.platform import control_calls, manifests, requests
@@ -573,3 +574,40 @@
         assert context.call.duration_ms > 0
     else:
         assert context.call.status == int(status), context.call
+
+
+def decode_runs(runs):
+    """Return the decoded list of a report whose other fields are valid."""
+    body = orjson.dumps({"leaves_ms": 900, "runs": runs})
+    report = requests.decode_report(200, body, "10.128.0.9:8080")
+    assert report.ok.leaving_in_ms == 900, report
+    return report.ok.runs
+
+
+@then("reports with valid lists of running requests state the events of each")
+def running_requests_read(context):
+    assert decode_runs([]) == {}
+    runs = [["r1", 1460, 12, 5], ["r2", 80, 0, 0, "new field"], ["r3", None, 1]]
+    assert decode_runs(runs) == {"r1": 12, "r2": 0, "r3": 1}
+
+
+@then("reports with invalid lists of running requests are read without them")
+def invalid_running_requests(context):
+    valid = ["r1", 1460, 12, 5]
+    for runs in (None, 3, "r1", {}, {"r1": valid}, valid):
+        assert decode_runs(runs) is None, runs
+    for entry in (None, 3, "r1x", [], ["r1"], ["r1", 2], {}):
+        assert decode_runs([valid, entry]) is None, entry
+    for run_id, events in ((1, 2), (None, 2), ("r2", "2"), ("r2", 2.5), ("r2", True)):
+        assert decode_runs([valid, [run_id, 1460, events, 5]]) is None, run_id
+    report = requests.decode_report(200, b"{}", "10.128.0.9:8080")
+    assert report.ok.runs is None
+
+
+@then(
+    "of the answers to a move with status 404, 409, 500 and 503 only 404 states no run"
+)
+def move_answers_differ(context):
+    for status in (404, 409, 500, 503):
+        decoded = requests.decode_migration(status, b"{}", "10.128.0.9:8080")
+        assert isinstance(decoded.error, UnknownRunError) == (status == 404), decoded
--- a/tests/support/ending_engine.py
+++ b/tests/support/ending_engine.py
@@ -42,6 +42,8 @@
 """Time in seconds after which a late answer to a move is sent; more than the gateway
 waits."""
 
+STATUSES_WITHOUT_BODY = ("204", "304")
+
 BODY_PARTS = (b"the first half, ", b"the second half")
 """Body of a whole plain response."""
 
@@ -65,8 +67,13 @@
     - `whole`: the run makes all events and ends.
     - `crossed`: the run makes all events; it ends when the order to move it arrives,
       which is answered with 404.
+    - `counted`: as `crossed`, and the order is answered with 503.
+    - `ended`: as `whole`, and the response ends once `release` is set.
+    - `cut`: the run makes `STOPPED_AFTER` events, and its connection is closed once
+      `release` is set, while reports list a later event.
     - `wait`: the run makes `STOPPED_AFTER` events and then nothing. A plain body stops
       after its first half.
+    - `204` and `304`, on routes with a plain body: the response has no body.
 
     Args:
         backend_id: Id of the backend server.
@@ -84,6 +91,8 @@
         """Number of reports that still list a run which has ended."""
         self.stops: dict[str, asyncio.Event] = {}
         """Set once a move has arrived, by run."""
+        self.release = asyncio.Event()
+        """Set once responses of the stories `ended` and `cut` end."""
         self.stories: dict[str, str] = {}
         """Story of each run."""
         self.moved_ids: list[str] = []
@@ -111,6 +120,11 @@
 
     async def send_body(self, call: ReceivedRequest, framing: str, story: str) -> None:
         """Send a plain response."""
+        if call.method == "HEAD" or story in STATUSES_WITHOUT_BODY:
+            status = 200 if call.method == "HEAD" else int(story)
+            await self.send_head(call, "Connection: close", status=status)
+            call.writer.close()
+            return
         size = sum(map(len, BODY_PARTS))
         line = "Connection: close" if framing == "close" else f"Content-Length: {size}"
         await self.send_head(call, line)
@@ -119,11 +133,15 @@
         if story == "wait":
             await call.is_closed.wait()
         await call.send(BODY_PARTS[1])
+        if story == "ended":
+            await self.release.wait()
         call.writer.close()
 
-    async def send_head(self, call: ReceivedRequest, *lines: str) -> None:
+    async def send_head(
+        self, call: ReceivedRequest, *lines: str, status: int = 200
+    ) -> None:
         """Send the head of a response."""
-        first = "HTTP/1.1 200 OK"
+        first = f"HTTP/1.1 {status} X"
         own = f"X-Request-Id: {call.headers['x-request-id']}"
         await call.send("\r\n".join([first, own, STAMP, *lines, "", ""]))
 
@@ -132,16 +150,20 @@
         run_id = call.headers["x-request-id"]
         self.stories[run_id] = story
         self.stops[run_id] = asyncio.Event()
-        is_whole = story in ("whole", "crossed")
+        is_whole = story in ("whole", "crossed", "counted", "ended")
         count = EVENT_COUNT if is_whole else STOPPED_AFTER
         await self.begin(call, framing)
         for number in range(1, count + 1):
             self.runs[run_id] = number
             await self.send_event(call, framing, number)
-        if story != "whole":
+        if story in ("ended", "cut"):
+            await self.release.wait()
+        elif story != "whole":
             await self.stops[run_id].wait()
         if framing == "chunked" and is_whole:
             await call.send("0\r\n\r\n")
+        if story == "cut":
+            self.runs[run_id] += 1
         self.ended[run_id] = STALE_REPORTS
         call.writer.close()
 
@@ -193,6 +215,8 @@
             await call.answer(200, handle, stamp=False)
         elif story == "503-with-handle":
             await call.answer(503, handle, stamp=False)
+        elif story == "counted":
+            await call.answer(503, "{}", stamp=False)
         elif story == "crossed":
             await call.answer(404, "{}", stamp=False)
         else:
@@ -204,7 +228,7 @@
         runs = []
         for run_id, made in self.runs.items():
             left = self.ended.get(run_id, 1)
-            if left or self.stories[run_id] == "404":
+            if left or self.stories.get(run_id) in ("404", "cut"):
                 runs.append([run_id, 100, made, 5])
             if run_id in self.ended:
                 self.ended[run_id] = max(0, left - 1)
--- a/tests/support/ending_world.py
+++ b/tests/support/ending_world.py
@@ -45,6 +45,10 @@
 BEGIN_TIMEOUT_S = 10.0
 """Time limit in seconds within which all responses have begun."""
 
+RETRY_ALLOWANCE = 300
+"""Retries that a service may get in a window; all streams of a scenario may be
+resumed."""
+
 SLOTS = 200
 """Slots of each engine; all streams of a scenario fit."""
 
@@ -83,6 +87,8 @@
         """The engines; moves go from the first to the second."""
         self.address = ("127.0.0.1", 0)
         """IP address and port for callers."""
+        self.prompt = dict(PROMPT_HEADERS)
+        """Headers that describe the generations."""
         self.numbers = count(1)
         """Numbers of the requests."""
 
@@ -117,11 +123,15 @@
         """Announce the second engine."""
         self.world.announce(self.engines[1].backend, slots=SLOTS)
 
+    def announce_leaving(self) -> None:
+        """Announce that the first engine leaves, without a move."""
+        first = self.engines[0].backend
+        self.world.announce(first, slots=SLOTS, leaving=True, leaving_in_ms=LEAVES_MS)
+
     async def leave(self) -> None:
         """Announce the second engine and that the first one leaves; begin moves."""
         self.announce_second()
-        first = self.engines[0].backend
-        self.world.announce(first, slots=SLOTS, leaving=True, leaving_in_ms=LEAVES_MS)
+        self.announce_leaving()
         self.world.relay.start_migrations(boot_s())
 
     async def close(self) -> None:
@@ -131,15 +141,12 @@
         self,
         path: str,
         method: str = "POST",
-        headers: dict[str, str] | None = None,
     ) -> CallerResponse:
         """Send one request and read its response.
 
         Args:
             path: Path of the request.
             method: HTTP method.
-            headers: Headers that replace those of a generation; empty ones are not
-                sent.
         """
         reader, writer = await asyncio.open_connection(*self.address)
         sent = {
@@ -149,8 +156,7 @@
             "Authorization": f"Bearer {KEY}",
             "Content-Length": "0",
             "Connection": "close",
-            **PROMPT_HEADERS,
-            **(headers or {}),
+            **self.prompt,
         }
         lines = [f"{method} {path} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in sent.items() if value]
@@ -204,6 +210,7 @@
         self.closers.append(lambda: shutil.rmtree(folder, ignore_errors=True))
         programs = make_programs(folder, 3, 0)
         for program in programs:
+            program.bounds = {"retry_allowance": RETRY_ALLOWANCE}
             program.start()
             self.closers.append(program.kill)
             self.log_paths.append(program.log_path)
--- a/tests/support/gateway_programs.py
+++ b/tests/support/gateway_programs.py
@@ -55,6 +55,8 @@
     """Number of starts of the process."""
     limits: dict[str, int] = field(default_factory=dict)
     """Further `limits.*` fields of the settings file and their values."""
+    bounds: dict[str, int] = field(default_factory=dict)
+    """Further `bounds.*` fields of the settings file and their values."""
 
     @property
     def settings_path(self) -> Path:
@@ -79,6 +81,7 @@
             "fault_tolerance.machines=1",
         ]
         lines += [f"limits.{name}={value}" for name, value in self.limits.items()]
+        lines += [f"bounds.{name}={value}" for name, value in self.bounds.items()]
         if self.has_disk:
             lines += [f"data_dir={self.folder / self.name}", "limits.disk_mb=64"]
         if self.contracts:
