End no answer before its request is acknowledged

What callers saw: a backend server that answered a long upload without a length, ended its side in order after a part (by a half-close, or a close with an empty receive queue, as also the kernel does for a killed process) and reset what was still sent of the upload. The end in order came first, so the caller got the part as a complete 200. asyncio reads no more after that end, so the reset was noticed by chance only.

Change: the end of a connection ends a response only once the peer's kernel has acknowledged the whole request. Until then `HttpReader` waits, with the upload going on: a server that reads on ends its answer in order as before; one that is gone resets the connection, and the answer is incomplete. Responses with a length or chunks don't wait.

--- a/src/tanagerturn/gateway/callers/response_end.py
+++ b/src/tanagerturn/gateway/callers/response_end.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
 import socket
 import struct
-import termios
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.clocks import boot_s
+from tanagerturn.gateway.connection import SENT_CHECK_INTERVAL_S
 
 if TYPE_CHECKING:
     from tanagerturn.gateway.connection import TcpConnection
@@ -23,8 +22,6 @@
 """Longest time in seconds for the written bytes of an incomplete response to be
 acknowledged: a reset drops all others, and some round trips suffice."""
 
-SEND_CHECK_INTERVAL_S: Final = 0.005
-
 
 class ResponseEnd:
     """The end of a response that the close of its connection marks as complete.
@@ -64,10 +61,10 @@
         task = asyncio.current_task()
         assert task is not None
         end_s = boot_s() + SEND_TIME_S
-        while self._unacknowledged_bytes() and boot_s() < end_s:
+        while self.tcp.unacknowledged_bytes and boot_s() < end_s:
             if task.cancelling():
                 break
-            await asyncio.sleep(SEND_CHECK_INTERVAL_S)
+            await asyncio.sleep(SENT_CHECK_INTERVAL_S)
         self.tcp.abort()
 
     def _set_linger(self, value: bytes) -> None:
@@ -75,11 +72,3 @@
             assert self.tcp.transport is not None
             sock = self.tcp.transport.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
-
-    def _unacknowledged_bytes(self) -> int:
-        if self.tcp.is_closing:
-            return 0
-        assert self.tcp.transport is not None
-        sock = self.tcp.transport.get_extra_info("socket")
-        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
-        return self.tcp.unsent_bytes + int(struct.unpack("i", queued)[0])
--- a/src/tanagerturn/gateway/connection.py
+++ b/src/tanagerturn/gateway/connection.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import contextlib
+import fcntl
 import socket
+import struct
+import termios
 import threading
 from collections import deque
 from typing import TYPE_CHECKING, Final
@@ -31,6 +34,10 @@
 """The same for idle connections, whose loss costs nothing; one that a partition has cut
 must not get a request that can't be repeated."""
 
+SENT_CHECK_INTERVAL_S: Final = 0.005
+"""Interval in seconds at which it is checked whether the peer has acknowledged what was
+written; the kernel does not report it."""
+
 KEEP_ALIVE_IDLE_S: Final = 1
 """Idle time in seconds after which the kernel sends keep-alive probes."""
 
@@ -104,6 +111,7 @@
         self._discard_left: int | None = None
         self._is_reading_paused = False
         self._can_write = True
+        self._is_writing_body = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the open transport and set the socket's options."""
@@ -184,6 +192,15 @@
         """Number of written bytes that the kernel has not accepted yet."""
         return self.transport.get_write_buffer_size() if self.transport else 0
 
+    @property
+    def unacknowledged_bytes(self) -> int:
+        """Number of written bytes that the peer's kernel has not acknowledged."""
+        if self.transport is None or self.transport.is_closing():
+            return 0
+        sock = self.transport.get_extra_info("socket")
+        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+        return self.unsent_bytes + int(struct.unpack("i", queued)[0])
+
     async def read(self, limit_bytes: int | None = None) -> bytes:
         """Return received bytes; empty once the peer has closed the connection.
 
@@ -268,11 +285,29 @@
 
     async def write_body(self, body: memoryview) -> None:
         """Write a large body as the peer reads it, without a copy of the whole."""
-        for start in range(0, len(body), WRITE_WINDOW_BYTES):
-            if self.is_closing:
+        self._is_writing_body = True
+        try:
+            for start in range(0, len(body), WRITE_WINDOW_BYTES):
+                if self.is_closing:
+                    return
+                self.write(body[start : start + WRITE_WINDOW_BYTES])
+                await self.drain()
+        finally:
+            self._is_writing_body = False
+
+    async def wait_until_acknowledged(self) -> None:
+        """Wait until a peer that sends no more has acknowledged what was written.
+
+        Raises:
+            ConnectionError: The peer has reset the connection instead.
+        """
+        while True:
+            self._check_reset()
+            if self.error is not None:
+                raise ConnectionResetError(str(self.error))
+            if not self._is_writing_body and not self.unacknowledged_bytes:
                 return
-            self.write(body[start : start + WRITE_WINDOW_BYTES])
-            await self.drain()
+            await asyncio.sleep(SENT_CHECK_INTERVAL_S)
 
     def set_idle(self, *, is_idle: bool) -> None:
         """Set how long the peer may be silent before the connection is closed."""
@@ -298,6 +333,15 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _check_reset(self) -> None:
+        """Record a reset that asyncio does not notice, since it reads no more."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        sock = self.transport.get_extra_info("socket")
+        if number := sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self.error = OSError(number, "the peer reset the connection")
+            self.transport.abort()
+
     def _on_end(self, error: Exception | None) -> None:
         if error is not None:
             self.error = error
--- a/src/tanagerturn/gateway/http_reader.py
+++ b/src/tanagerturn/gateway/http_reader.py
@@ -63,5 +63,13 @@
             # Other tasks run between two pieces.
             await asyncio.sleep(0)
         data = await self.tcp.read(PIECE_BYTES)
+        if not data and self._may_end_body():
+            # A peer that ends with a part of the request unread resets the connection.
+            await self.tcp.wait_until_acknowledged()
         self.http.receive_data(data)
         return len(data)
+
+    def _may_end_body(self) -> bool:
+        """Return whether the end of the connection may be that of a response."""
+        is_client = self.http.our_role is h11.CLIENT
+        return is_client and self.http.their_state is h11.SEND_BODY
--- a/tests/gateway/backends/early_ends/early_ends.feature
+++ b/tests/gateway/backends/early_ends/early_ends.feature
@@ -14,6 +14,21 @@
       | directly       |
       | through a peer |
 
+  # Guards against a part of an answer that the caller gets as a complete one when the
+  # backend server, or what is left of it, ends it in order and resets what it has not
+  # read of the request.
+  Scenario Outline: An answer that ends in order is <how> when the rest of its request is <rest>
+    Given a gateway that forwards <path> to a backend server
+    When answers to uploads of 300 kB to 3.5 MB end in order, and the rest is <rest>
+    Then 48 of 48 callers get an answer that is <how>
+
+    Examples:
+      | path           | rest  | how        |
+      | directly       | reset | incomplete |
+      | through a peer | reset | incomplete |
+      | directly       | read  | complete   |
+      | through a peer | read  | complete   |
+
   # Guards against answers whose status is none.
   Scenario Outline: An answer with the status line "<line>" does not reach the caller
     Given a gateway that forwards directly to a backend server
--- a/tests/gateway/backends/early_ends/steps/early_ends_steps.py
+++ b/tests/gateway/backends/early_ends/steps/early_ends_steps.py
@@ -111,6 +111,35 @@
     return answer.status in (502, 504)
 
 
+@when("answers to uploads of 300 kB to 3.5 MB end in order, and the rest is {rest}")
+def end_in_order(context, rest):
+    end = EarlyEnd(0.0, "event", pause_s=0.02, is_half_closed=True)
+    end = replace(end, reads_on=rest == "read", is_reset=rest == "reset")
+    ends = [end, replace(end, read_share=0.5)] * 2
+
+    async def play():
+        world = await start(context)
+        context.answers = [
+            (path, size, each, await request(context, world, path, size, each))
+            for path in PATHS
+            for size, each in itertools.product(SIZES[-3:], ends)
+        ]
+
+    asyncio.run(play())
+
+
+@then("{count:d} of {total:d} callers get an answer that is {how}")
+def answers_are(context, count, total, how):
+    assert len(context.answers) == total
+    is_right = is_refused_or_cut if how == "incomplete" else is_complete
+    wrong = [each for each in context.answers if not is_right(each[3])]
+    assert len(wrong) == total - count, (len(wrong), wrong[:3])
+
+
+def is_complete(answer):
+    return answer is not None and answer.status == 200 and answer.is_whole
+
+
 @when('the backend server answers requests of all kinds with "{line}"')
 def answers_with(context, line):
     end = EarlyEnd(1.0, "part", status_line=line, is_reset=False)
--- a/tests/support/early_engine.py
+++ b/tests/support/early_engine.py
@@ -18,8 +18,17 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-PART: Final = b"id: 1\ndata: word\n\n" + b"id: 2\ndata: " + b"x" * 400
-"""First part of an answer: a whole event and half of the next."""
+EVENT: Final = b"id: 1\ndata: word\n\n"
+
+BODIES: Final = {
+    "head": b"",
+    "event": EVENT,
+    "part": EVENT + b"id: 2\ndata: " + b"x" * 400,
+}
+"""What is sent of the body of an answer, by the name of the part; of the last one, the
+second event is cut."""
+
+RECEIVE_BUFFER_BYTES: Final = 16_384
 
 DELIVERY_S: Final = 1.0
 """Longest time in seconds for written bytes to reach the gateway."""
@@ -32,12 +41,16 @@
     read_share: float
     """Share of the request's body that is read before the answer; 0 to 1."""
     sent: str
-    """What is sent before the end: `nothing`, `head` or `part`."""
+    """What is sent before the end: `nothing`, or a key of `BODIES`."""
     is_reset: bool = True
     """Whether the connection is reset at the end; else it is closed, in order if the
     request was read."""
     pause_s: float = 0.0
     """Time in seconds between what is sent and the end."""
+    is_half_closed: bool = False
+    """Whether the engine closes its side in order before the pause."""
+    reads_on: bool = False
+    """Whether the engine reads the rest of the body before the end."""
     status_line: str = "HTTP/1.1 200 OK"
     """First line of the answer."""
     framing: str = ""
@@ -62,6 +75,11 @@
     async def start(self) -> None:
         """Listen on a free port on loopback."""
         self.listener = socket.create_server(("127.0.0.1", 0))
+        # Connections inherit it; without a bound, the kernel acknowledges up to some MB
+        # that the engine has not read.
+        self.listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         threading.Thread(target=self._serve_all, daemon=True).start()
 
@@ -97,13 +115,9 @@
             name, _, value = line.partition(":")
             headers[name.lower()] = value.strip()
         end = self.end
-        due = int(int(headers.get("content-length", "0")) * end.read_share)
-        left = due - len(body)
-        while left > 0:
-            received = sock.recv(min(left, 65_536))
-            if not received:
-                break
-            left -= len(received)
+        size = int(headers.get("content-length", "0"))
+        due = int(size * end.read_share)
+        _read(sock, due - len(body))
         lines = [
             end.status_line,
             f"X-Request-Id: {headers.get('x-request-id', '')}",
@@ -112,16 +126,28 @@
             *([end.framing] if end.framing else []),
         ]
         answer = ("\r\n".join(lines) + "\r\n\r\n").encode()
-        if end.sent != "nothing":
-            sock.sendall(answer + (PART if end.sent == "part" else b""))
+        if end.sent in BODIES:
+            sock.sendall(answer + BODIES[end.sent])
         _wait_for_delivery(sock)
+        if end.is_half_closed:
+            sock.shutdown(socket.SHUT_WR)
         time.sleep(end.pause_s)
+        if end.reads_on:
+            _read(sock, size - max(due, len(body)))
         self.on_part_sent()
         if end.is_reset:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         sock.close()
 
 
+def _read(sock: socket.socket, size: int) -> None:
+    while size > 0:
+        received = sock.recv(min(size, 65_536))
+        if not received:
+            return
+        size -= len(received)
+
+
 def _wait_for_delivery(sock: socket.socket) -> None:
     end_s = time.monotonic() + DELIVERY_S
     while time.monotonic() < end_s:
