Refuse cut heads at the cloud client, the operator's command and the replay

What users saw: a connection that ended in order within the head of a response counted as a whole, empty response where a client made its own urllib3 pools: `tanager-control` took the release of a host for done, `tanager` printed a wrong or failed result, and `tanager-replay` counted an answer that is not the expected one where there was none.

Change: the three use `make_pools`, whose responses need complete heads; a cut one is no answer. No program makes pools of its own any more (stand-ins do).

--- a/src/tanagerturn/control/cloud.py
+++ b/src/tanagerturn/control/cloud.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import http.client
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final, TypeVar
 from urllib.parse import quote
@@ -12,6 +13,7 @@
 from expression import Error, Ok, Result
 
 from tanagerturn.coordination.errors import RefusedError, StepError, UnavailableError
+from tanagerturn.shared.http_pools import make_pools
 
 if TYPE_CHECKING:
     from tanagerturn.schema.serving_pb2 import HostStart
@@ -19,6 +21,8 @@
 REQUEST_TIMEOUT_S: Final = 2.0
 """Timeout for connecting, and for each read of a response, in seconds."""
 
+MAX_POOLS: Final = 10
+
 MAX_RESPONSE_BYTES: Final = 4 * 1024 * 1024
 """Maximum size of a response body in bytes."""
 
@@ -100,7 +104,7 @@
     def __init__(self, url: str) -> None:
         self.url = url.rstrip("/")
         """Base URL of the cloud API, without a trailing slash."""
-        self.http = urllib3.PoolManager(maxsize=2, retries=False)
+        self.http = make_pools(MAX_POOLS, maxsize=2)
         """HTTP connection pool."""
 
     def notices(self, after: int) -> Result[list[CloudNotice], StepError]:
@@ -209,7 +213,11 @@
             if len(data) > MAX_RESPONSE_BYTES:
                 response.close()
             response.release_conn()
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+        except (
+            urllib3.exceptions.HTTPError,
+            http.client.HTTPException,
+            OSError,
+        ) as error:
             return Error(UnavailableError(step, self.url, str(error)))
         if len(data) > MAX_RESPONSE_BYTES:
             return Error(
--- a/src/tanagerturn/operator/session.py
+++ b/src/tanagerturn/operator/session.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import sys
 from dataclasses import dataclass, field
 from enum import IntEnum
@@ -21,6 +22,7 @@
     SettingsInvalid,
 )
 from tanagerturn.settings import SettingsError, load_process
+from tanagerturn.shared.http_pools import make_pools
 
 if TYPE_CHECKING:
     from expression import Result
@@ -33,6 +35,9 @@
 HTTP_TIMEOUT_S: Final = 5.0
 """Timeout of a request to an operations listener, in seconds."""
 
+MAX_POOLS: Final = 10
+"""Maximum number of processes to which connections are pooled."""
+
 
 class ExitCode(IntEnum):
     """Exit codes of `tanager`, as its help text lists them."""
@@ -60,9 +65,7 @@
     settings file names, or plain TCP if it names no TLS files."""
     timeout_s: float = 5.0
     """Timeout of one call to a state member, in seconds."""
-    http: urllib3.PoolManager = field(
-        default_factory=lambda: urllib3.PoolManager(retries=False)
-    )
+    http: urllib3.PoolManager = field(default_factory=lambda: make_pools(MAX_POOLS))
     """HTTP client for operations listeners, without retries."""
 
     @cached_property
@@ -120,7 +123,7 @@
             response = self.http.request(
                 method, f"http://{address}{path}", timeout=HTTP_TIMEOUT_S
             )
-        except urllib3.exceptions.HTTPError as error:
+        except (urllib3.exceptions.HTTPError, http.client.HTTPException) as error:
             fail(ExitCode.UNAVAILABLE, f"{method} http://{address}{path}: {error}")
         if response.status != 200:
             fail(
--- a/src/tanagerturn/replay/caller.py
+++ b/src/tanagerturn/replay/caller.py
@@ -17,6 +17,7 @@
 )
 from tanagerturn.replay.results import CallerOutcome, RequestResult
 from tanagerturn.replay.trace import AnswerMode, CallKind
+from tanagerturn.shared.http_pools import make_pools
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -98,9 +99,7 @@
         """Whether a backend server is called directly."""
         self.request_counter = count()
         """Counts requests; selects entry hosts in turn, as a load balancer does."""
-        self.pool = urllib3.PoolManager(
-            num_pools=256, maxsize=connections, retries=False
-        )
+        self.pool = make_pools(256, connections)
         """Connection pool of the entry hosts."""
 
     def call(self, request: TraceRequest, due_s: float) -> RequestResult:
--- a/tests/entry/transport/steps/transport_steps.py
+++ b/tests/entry/transport/steps/transport_steps.py
@@ -5,9 +5,11 @@
 import contextlib
 import socket
 import threading
+import time
 
 from behave import given, then
 
+from tanagerturn.control.cloud import CloudClient
 from tanagerturn.control.transport import HttpEngineTransport
 from tanagerturn.deploy import free_port
 from tanagerturn.entry.transport import (
@@ -16,6 +18,11 @@
     BrokenCallError,
     NothingSentError,
 )
+from tanagerturn.operator.output import Output
+from tanagerturn.operator.session import ExitCode, Session
+from tanagerturn.replay.caller import Caller
+from tanagerturn.replay.results import CallerOutcome
+from tanagerturn.replay.trace import CallKind, Priority, TraceRequest
 from tanagerturn.schema import serving_pb2
 from tanagerturn.serving.orders.messages import SendAnswer
 
@@ -97,6 +104,33 @@
     assert answer is SendAnswer.LOST, answer
 
 
+@then("a release of a host at the cloud gets no answer")
+def release_unanswered(context):
+    client = CloudClient(f"http://{context.address}")
+    assert client.release_host("h1").is_error()
+
+
+@then("an operator's request ends with the exit code for no answer")
+def operator_unanswered(context):
+    session = Session(Output("json"))
+    try:
+        session.request_json(context.address, "/drain", "POST")
+    except SystemExit as error:
+        assert error.code == ExitCode.UNAVAILABLE, error.code
+    else:
+        raise AssertionError("the request was answered")
+
+
+@then("a caller of the replay has no answer")
+def replay_unanswered(context):
+    caller = Caller([context.address])
+    request = TraceRequest(
+        0, "r1", "a", "s", "c", CallKind.IDEMPOTENT, Priority.NORMAL, deadline_ms=1
+    )
+    result = caller.call(request, time.monotonic() - 1.9)
+    assert result.outcome is CallerOutcome.NO_ANSWER, result
+
+
 @then("a call without permission sends nothing and the server receives no byte")
 def without_permission(context):
     request = request_to(context.address)
--- a/tests/entry/transport/transport.feature
+++ b/tests/entry/transport/transport.feature
@@ -19,6 +19,9 @@
     Then a repeatable call fails as possibly sent
     And a non-repeatable call fails as possibly sent
     And an order to an engine gets no answer
+    And a release of a host at the cloud gets no answer
+    And an operator's request ends with the exit code for no answer
+    And a caller of the replay has no answer
 
     Examples:
       | cut                    |
