Stop to lead, and to name a leader, once a disk is full for an election timeout

What callers saw: as long as the disk of the gateway that led the state group was full, each change sent to it was refused with 'the disk is full', though another member led after a second. The paused member still took itself for the leader, and the gateway asks its own member first. The same holds for a follower that names the last leader.

After an election timeout without a write the member becomes a follower without a known leader, which needs no write; its proposals are answered as of unknown outcome, and the gateway asks the leader that the others name. A member whose disk is full does not take the leadership either: its elections could not be written, and would all be asked for at once when there is room.

--- a/src/tanagerturn/coordination/log/core.py
+++ b/src/tanagerturn/coordination/log/core.py
@@ -216,6 +216,14 @@
             default=None,
         )
 
+    def forget_leader(self, now_s: float) -> None:
+        """Become a follower without a known leader, because nothing can be written.
+
+        It may also be called between `take_ready` and `synced`.
+        """
+        if self.leader:
+            _election.become_follower(self, self.term, "", now_s)
+
     def take_leadership(self, now_s: float) -> None:
         """Start an election now, as if the leader had transferred its leadership."""
         if self.role is not Role.LEADER:
--- a/src/tanagerturn/coordination/replica.py
+++ b/src/tanagerturn/coordination/replica.py
@@ -105,7 +105,8 @@
         """Number of batches synced since the start."""
         self.applied_entries = 0
         """Number of entries applied since the start."""
-        self._is_disk_full_logged = False
+        self._is_disk_full = False
+        self._full_since_s = 0.0
         self._applied_bytes = 0
         self._is_save_overdue = False
         self._save_begun_s = 0.0
@@ -124,7 +125,8 @@
     def tick(self, moment: Moment) -> None:
         """Advance the timers.
 
-        Not while the disk is full, so that another member can become leader.
+        While the disk is full, the others elect a leader, which this member does not
+        receive messages of; it stops to lead or to name the last one.
         """
         now_s = moment.monotonic_s
         if self.core.leader:
@@ -132,6 +134,9 @@
         elif self._leaderless_since_s is None:
             self._leaderless_since_s = now_s
         if self.unwritten_ready is not None:
+            if now_s - self._full_since_s > self.core.options.election_timeout_s:
+                self.core.forget_leader(now_s)
+                self._on_role_change(moment)
             return
         self.core.tick(now_s)
         self._expire_leases(moment)
@@ -212,8 +217,10 @@
         """Start an election although the present leader responds.
 
         A voter with entries that this member lacks refuses its vote. Without effect at
-        the leader and at learners.
+        the leader, at learners and while the disk is full.
         """
+        if self.unwritten_ready is not None:
+            return
         self.core.take_leadership(moment.monotonic_s)
 
     def snapshot_saved(self, meta: pb.SnapshotMeta | None) -> None:
@@ -241,7 +248,7 @@
             while self._process_ready_once(moment):
                 pass
         except DiskFullError as error:
-            self._log_disk_full(error)
+            self._on_disk_full(error, moment.monotonic_s)
         self._snapshot_if_due(moment.monotonic_s)
 
     def is_isolated(self, moment: Moment) -> bool:
@@ -276,7 +283,7 @@
             self.unwritten_ready = ready
             self.storage.write(ready.hard_state, ready.entries)
             self.unwritten_ready = None
-            self._is_disk_full_logged = False
+            self._is_disk_full = False
             self.synced_batches += 1
             self.core.synced()
         self.send(ready.after_sync)
@@ -295,12 +302,12 @@
             or ready.failed_reads
         )
 
-    def _log_disk_full(self, error: DiskFullError) -> None:
-        if not self._is_disk_full_logged:
-            log.warning(
-                "Disk is full; member pauses until a write succeeds: {}.", error
-            )
-        self._is_disk_full_logged = True
+    def _on_disk_full(self, error: DiskFullError, now_s: float) -> None:
+        if self._is_disk_full:
+            return
+        self._is_disk_full = True
+        self._full_since_s = now_s
+        log.warning("Disk is full; member pauses until a write succeeds: {}.", error)
 
     def _apply_and_reply(self, entry: pb.Entry) -> None:
         result = self.apply(entry)
--- a/tests/gateway/state_group/full_disks/full_disks.feature
+++ b/tests/gateway/state_group/full_disks/full_disks.feature
@@ -24,3 +24,16 @@
       | WRITES    |
       | NEW_FILES |
       | SYNCS     |
+
+  # Guards against changes that are refused at a gateway as long as its disk is full.
+  Scenario Outline: Changes are confirmed at a gateway that led with a disk now full: <calls>
+    Given 4 gateway processes, of which 3 have a disk
+    When the disk of the leader is full for <calls>
+    Then a configuration is confirmed at the same gateway within 4 s, and again
+    When that disk has room
+    Then a configuration is confirmed within 7 s and read at all
+
+    Examples:
+      | calls  |
+      | WRITES |
+      | SYNCS  |
--- a/tests/gateway/state_group/full_disks/steps/full_disks_steps.py
+++ b/tests/gateway/state_group/full_disks/steps/full_disks_steps.py
@@ -11,11 +11,11 @@
 
 from behave import given, then, when
 
-from soak.faulty_gateway import FullDisk
+from soak.faulty_gateway import REREAD_INTERVAL_S, FullDisk
 from support.full_disk_files import FullDiskFiles
 from support.full_disk_programs import FullDiskPrograms
 from support.gateway_world import gateway_settings
-from support.processes import wait_for
+from support.processes import START_TIMEOUT_S, wait_for
 from tanagerturn.gateway.state_group import opening
 
 
@@ -95,3 +95,27 @@
             await asyncio.sleep(0.05)
     assert member.committed_voters == [member.id]
     member.actor.stop()
+
+
+@when("the disk of the leader is full for {calls}")
+def leader_full(context, calls):
+    world = context.world
+    assert world.put_until(world.programs[-1], START_TIMEOUT_S)
+    wait_for(lambda: world.leader() is not None, "a gateway leads")
+    context.full = world.leader()
+    world.fill(context.full, FullDisk[calls])
+    time.sleep(2 * REREAD_INTERVAL_S)
+
+
+@then(
+    "a configuration is confirmed at the same gateway within {limit_s:g} s, and again"
+)
+def confirmed_at_full(context, limit_s):
+    for _ in range(2):
+        assert context.world.put_until(context.full, limit_s), "no change was confirmed"
+    assert context.world.leader() is not context.full
+
+
+@when("that disk has room")
+def has_room(context):
+    context.world.fill(context.full, FullDisk.NO)
--- a/tests/support/full_disk_programs.py
+++ b/tests/support/full_disk_programs.py
@@ -86,6 +86,16 @@
         status, body = self._call(program, "GET")
         return int(orjson.loads(body)["version"]) if status == 200 else 0
 
+    def leader(self) -> GatewayProgram | None:
+        """Return the gateway that became the leader last; None before the first."""
+        led = [
+            (orjson.loads(line)["at"], number)
+            for number, program in enumerate(self.programs)
+            for line in program.log_path.read_bytes().splitlines()
+            if b"Became leader" in line
+        ]
+        return self.programs[max(led)[1]] if led else None
+
     def close(self) -> None:
         """Kill all processes."""
         for program in self.programs:
