Start a state member's groups later if its disk is full

A member of tanager-state whose disk was full at its first start ended its process, or, if the folder of a group could not be made, lost the thread that starts its groups: the process ran on, listened, and never was a member.

The groups are started again each half second until there is room.

--- a/src/tanagerturn/state/server.py
+++ b/src/tanagerturn/state/server.py
@@ -7,6 +7,7 @@
 import threading
 import time
 from concurrent.futures import Future, ThreadPoolExecutor
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final
 
@@ -33,6 +34,7 @@
 from tanagerturn.state._log import log
 from tanagerturn.state._repair import REPAIR_AFTER_S
 from tanagerturn.state._repair_loop import RepairLoop
+from tanagerturn.state._starting import start_once_writable
 from tanagerturn.state._transport import Transport
 from tanagerturn.state.clocks import Clocks
 from tanagerturn.state.group import ReplicationGroup
@@ -273,7 +275,12 @@
     def _start_groups(self, membership: pb.Membership) -> None:
         started: dict[str, pykka.ActorRef[Any]] = {}
         for group in GROUPS:
-            started[group] = self._start_group(group, membership)
+            actor = start_once_writable(
+                partial(self._start_group, group, membership), self._stopped
+            )
+            if actor is None:
+                return
+            started[group] = actor
         self.groups = started
 
     def _start_group(
