Let the soak stop streams in order, move them and fill disks in turn

Model engines as processes: streams of 30 events with a length, in chunks or neither, over a route that may be resumed and one that may not; they leave as reclaimed ones do, stop a run at the last move and answer it 200, 404, 409, 503, late, not at all, with a reset or junk, are killed, or stop with their streams closed in order. One caller in four speaks HTTP/1.0. Full disks come in turn beside changes. The history checks that no stream is complete before its last event, has a gap, a repeat or parts of two runs, and that sound streams come through whole. Proxies closed connections in order where they claim to reset them; they send a reset now, and a close in order is a fault of its own, except towards callers of HTTP/1.0.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -9,6 +9,7 @@
 
 from soak.run import run_soak
 from soak.upgrade import run_upgrade
+from soak.world import DISKLESS_COUNT
 
 
 @click.command()
@@ -21,7 +22,10 @@
     is_flag=True,
     help="Replace all gateways instead: even seeds by the build before.",
 )
-def main(seeds: str, seconds: float, *, upgrades: bool) -> None:
+@click.option(
+    "--diskless", default=DISKLESS_COUNT, help="Number of gateways without a disk."
+)
+def main(seeds: str, seconds: float, diskless: int, *, upgrades: bool) -> None:
     """Run seeds one after the other; the logs of failed seeds are kept."""
     # Raise SystemExit on SIGTERM, so that the cleanup runs and stops the gateways.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
@@ -31,7 +35,7 @@
         if upgrades:
             outcome = run_upgrade(seed, to_earlier=seed % 2 == 0)
         else:
-            outcome = run_soak(seed, seconds)
+            outcome = run_soak(seed, seconds, diskless)
         failed_seeds += bool(outcome.violations)
         state = "FAILED" if outcome.violations else "ok"
         click.echo(f"seed {seed}: {state}, {outcome.summary}")
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -3,7 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
+from contextlib import contextmanager
 from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
 
 
 class ProxyFault(Enum):
@@ -37,6 +44,12 @@
         """IP address and port of the server."""
         self.fault = ProxyFault.NONE
         """Fault that is applied now."""
+        self.disturbances = 0
+        """Number of faults of the server, or of connections to it, in progress."""
+        self.disturbance_count = 0
+        """Number of such faults until now."""
+        self.is_earlier_build = False
+        """Whether the server runs an earlier build."""
         self.writers: set[asyncio.StreamWriter] = set()
         self.listener: asyncio.Server | None = None
 
@@ -48,7 +61,24 @@
 
     def reset(self) -> None:
         """Reset all connections."""
-        reset_connections(self.writers)
+        with self.disturbed():
+            reset_connections(self.writers)
+
+    def close_connections(self) -> None:
+        """Close all connections in order, also within a message."""
+        with self.disturbed():
+            for writer in self.writers:
+                writer.transport.abort()
+
+    @contextmanager
+    def disturbed(self) -> Iterator[None]:
+        """Count a fault of the server, or of connections to it, while it lasts."""
+        self.disturbances += 1
+        self.disturbance_count += 1
+        try:
+            yield
+        finally:
+            self.disturbances -= 1
 
     def close(self) -> None:
         """Stop listening and reset all connections."""
@@ -64,21 +94,26 @@
             server_reader, server_writer = await asyncio.open_connection(ip, int(port))
         except OSError:
             # The server is down: reset the client's connection.
-            writer.transport.abort()
+            reset_connections({writer})
             return
         pair = {writer, server_writer}
         self.writers |= pair
         try:
-            await asyncio.gather(
+            are_intact = await asyncio.gather(
                 self._forward(reader, server_writer, ProxyFault.CUT_TO_SERVER, pair),
                 self._forward(server_reader, writer, ProxyFault.CUT_TO_CLIENT, pair),
             )
+            if all(are_intact):
+                # The bytes on their way are delivered before the end.
+                server_writer.close()
+                writer.close()
+            else:
+                reset_connections(pair)
         except asyncio.CancelledError:
             # The run has ended.
-            return
+            reset_connections(pair)
         finally:
             self.writers -= pair
-            reset_connections(pair)
 
     async def _forward(
         self,
@@ -86,8 +121,8 @@
         writer: asyncio.StreamWriter,
         drop_fault: ProxyFault,
         pair: set[asyncio.StreamWriter],
-    ) -> None:
-        """Forward one direction until it ends or a fault drops bytes."""
+    ) -> bool:
+        """Forward one direction until its end; return whether all was forwarded."""
         is_intact = True
         try:
             while data := await reader.read(READ_BYTES):
@@ -101,14 +136,21 @@
                 if is_intact:
                     writer.write(data)
                     await writer.drain()
-            if is_intact and self.fault is not ProxyFault.SILENT:
+            is_intact = is_intact and self.fault is not ProxyFault.SILENT
+            if is_intact:
                 writer.write_eof()
         except OSError:
             # An error of one connection resets both.
             reset_connections(pair)
+            return False
+        return is_intact
 
 
 def reset_connections(writers: set[asyncio.StreamWriter]) -> None:
-    """Reset connections."""
+    """Reset connections, so that no peer takes the end for that of a message."""
     for writer in writers:
+        sock = writer.transport.get_extra_info("socket")
+        if sock is not None and sock.fileno() >= 0:
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         writer.transport.abort()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from soak.schedule import generate_schedule
-from soak.world import STOP_TIMEOUT_S, World
+from soak.world import DISKLESS_COUNT, STOP_TIMEOUT_S, World
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -50,13 +50,21 @@
     """Folder with logs and data; deleted when no guarantee is violated."""
 
 
-def run_soak(seed: int, length_s: float) -> Outcome:
-    """Run one seed with faults for `length_s` seconds and return the result."""
-    return asyncio.run(_run(seed, length_s))
+def run_soak(
+    seed: int, length_s: float, diskless_count: int = DISKLESS_COUNT
+) -> Outcome:
+    """Run one seed and return the result.
+
+    Args:
+        seed: Seed of the run.
+        length_s: Duration of the faults in seconds.
+        diskless_count: Number of gateways without a disk.
+    """
+    return asyncio.run(_run(seed, length_s, diskless_count))
 
 
-async def _run(seed: int, length_s: float) -> Outcome:
-    world = World(seed)
+async def _run(seed: int, length_s: float, diskless_count: int) -> Outcome:
+    world = World(seed, diskless_count=diskless_count)
     try:
         await world.start()
         await world.inject(generate_schedule(seed, length_s))
@@ -155,6 +163,7 @@
         program: The stopped gateway.
         incomplete_before: Ids of requests with an incomplete response before the stop.
     """
+    world.read_engine_steps()
     history = world.history
     caller_proxy = world.caller_proxies[world.programs.index(program)]
     # Responses that a backend server aborted are not caused by the stop.
@@ -162,6 +171,7 @@
         set(history.incomplete_responses)
         - incomplete_before
         - history.aborted_by_backend
+        - history.killed_streams()
     ):
         if (
             history.incomplete_responses[request_id] == caller_proxy.listen
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -30,6 +30,11 @@
     LEAVE = "a backend server leaves and comes back"
     REPLACE = "another backend server gets the address of one"
     CONFIGURE = "an operator sends a configuration"
+    FULL_DISKS = "the disks of all gateways are full, one after another"
+    ENGINE_LEAVES = "a model engine leaves as a reclaimed one does"
+    ENGINES_LEAVE = "two model engines leave at once"
+    ENGINE_KILL = "a model engine is killed"
+    ENGINE_STOP = "a model engine stops and closes its streams in order"
 
 
 FAULT_WEIGHTS = {
@@ -52,6 +57,28 @@
 }
 """Weight of each kind of fault in the random choice."""
 
+ENGINE_FAULT_WEIGHTS = {
+    Fault.ENGINE_LEAVES: 4.0,
+    Fault.ENGINES_LEAVE: 1.0,
+    Fault.ENGINE_KILL: 1.0,
+    Fault.ENGINE_STOP: 1.0,
+}
+"""Weight of each kind of fault of model engines in the random choice."""
+
+ENGINE_FAULT_INTERVAL_S = (0.5, 2.0)
+"""Minimum and maximum time in seconds between the starts of two faults of model
+engines, which go on beside the others."""
+
+FULL_DISKS_INTERVAL_S = (10.0, 20.0)
+"""Minimum and maximum time in seconds between the starts of two series of full disks;
+longer than a series, so that two disks are never full at once."""
+
+FULL_DISK_S = (1.0, 2.5)
+"""Minimum and maximum time in seconds for which one disk is full."""
+
+FULL_DISKS_MAX_S = 8.4
+"""Maximum time in seconds of a series: three disks and the pauses between them."""
+
 DISK_LOSS_INTERVAL_S = 14.0
 """Minimum time in seconds between two disk losses: the state group tolerates one, and
 is complete again within the recovery bound of 15 s less the time of a start."""
@@ -79,8 +106,49 @@
 
 
 def generate_schedule(seed: int, length_s: float) -> list[ScheduledFault]:
-    """Return the faults of a run of `length_s` seconds, ordered by start time."""
-    return list(_generate(Random(seed), length_s))
+    """Return the faults of a run of `length_s` seconds, ordered by start time.
+
+    Faults of model engines and full disks have schedules of their own, beside the rest.
+    """
+    full_disks = list(_generate_full_disks(Random(f"{seed} disks"), length_s))
+    faults = [
+        *(f for f in _generate(Random(seed), length_s) if _is_allowed(f, full_disks)),
+        *_generate_engine_faults(Random(f"{seed} engines"), length_s),
+        *full_disks,
+    ]
+    return sorted(faults, key=lambda scheduled: scheduled.at_s)
+
+
+def _is_allowed(fault: ScheduledFault, full_disks: list[ScheduledFault]) -> bool:
+    """Return whether a fault may come beside full disks.
+
+    A member that lost its disk can't be complete again while others have no room.
+    """
+    if fault.fault is not Fault.LOSE_DISK:
+        return True
+    return not any(
+        0 <= fault.at_s - each.at_s < FULL_DISKS_MAX_S + DISK_LOSS_INTERVAL_S
+        for each in full_disks
+    )
+
+
+def _generate_engine_faults(
+    random: Random, length_s: float
+) -> Iterator[ScheduledFault]:
+    kinds, weights = list(ENGINE_FAULT_WEIGHTS), list(ENGINE_FAULT_WEIGHTS.values())
+    at_s = random.uniform(*ENGINE_FAULT_INTERVAL_S)
+    while at_s < length_s:
+        (fault,) = random.choices(kinds, weights)
+        yield ScheduledFault(at_s, fault, random.randrange(1 << 16), 0.0)
+        at_s += random.uniform(*ENGINE_FAULT_INTERVAL_S)
+
+
+def _generate_full_disks(random: Random, length_s: float) -> Iterator[ScheduledFault]:
+    at_s = random.uniform(1.0, FULL_DISKS_INTERVAL_S[0])
+    while at_s < length_s:
+        number = random.randrange(1 << 16)
+        yield ScheduledFault(at_s, Fault.FULL_DISKS, number, FULL_DISKS_MAX_S)
+        at_s += random.uniform(*FULL_DISKS_INTERVAL_S)
 
 
 def _generate(random: Random, length_s: float) -> Iterator[ScheduledFault]:
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -41,6 +41,18 @@
       | /notes/c1 | its caller gets an event of another request                    | unexpected events                |
       | /buy/c1   | version 4 is read after version 5 was acknowledged             | read version 4                   |
 
+    # Guards against streams that end as complete where their engine stopped them.
+    Examples: streams of model engines
+      | path     | what                                                       | violation                       |
+      | /sing/c1 | its caller gets events 1 to 12 of an engine and the end    | complete response with 12 of 30 |
+      | /solo/c1 | its caller gets events 1 to 29 of an engine and the end    | complete response with 29 of 30 |
+      | /sing/c1 | its caller gets events 1 to 3 and 5 of an engine           | unexpected events               |
+      | /sing/c1 | its caller gets events 1 to 3 and 3 of an engine           | unexpected events               |
+      | /solo/c1 | its caller gets events of two runs of an engine            | parts of the runs               |
+      | /solo/c1 | an engine runs the stream again that was stopped for a move | executed repeatedly            |
+      | /sing/c1 | its caller gets events 1 to 9 of a sound stream            | did not come through whole      |
+      | /sing/c1 | its caller gets no response to a sound stream              | did not come through whole      |
+
   Scenario Outline: No violation is reported: <what>
     Given a caller that sent request "c1" to <path>
     When <what>
@@ -55,5 +67,15 @@
       | /notes/c1 | its caller gets events 1 to 12 and the end            |
       | /notes/c1 | its caller gets 7 events and a part of the next event |
 
+    Examples: streams of model engines
+      | path     | what                                                      |
+      | /sing/c1 | its caller gets events 1 to 30 of an engine and the end   |
+      | /sing/c1 | its caller gets events of two runs of an engine           |
+      | /solo/c1 | an engine resumes the stream that was stopped for a move  |
+      | /solo/c1 | its caller gets events 1 to 9 of an engine that then ends |
+
   Scenario: Schedules depend only on the seed and never lose two disks at once
     Then 200 schedules are repeatable, have all kinds, and lose at most one disk in 14 s
+
+  Scenario: Never two series of full disks at once, and no disk is lost beside one
+    Then 200 schedules have full disks, one series after another, without lost disks
--- a/tests/soak/steps/soak_steps.py
+++ b/tests/soak/steps/soak_steps.py
@@ -6,9 +6,14 @@
 
 from behave import given, then, use_step_matcher, when
 
-from soak.history import EVENTS_PER_STREAM, History
+from soak.history import EVENTS_PER_STREAM, LIFE_AFTER_END_S, MODEL_EVENTS, History
 from soak.run import run_soak
-from soak.schedule import DISK_LOSS_INTERVAL_S, Fault, generate_schedule
+from soak.schedule import (
+    DISK_LOSS_INTERVAL_S,
+    FULL_DISKS_MAX_S,
+    Fault,
+    generate_schedule,
+)
 from soak.upgrade import run_upgrade
 
 
@@ -106,6 +111,72 @@
     record_response(context, event_bytes(*range(1, 8)) + b"id: 8\nda", is_whole=False)
 
 
+def engine_events(*numbers, run="e1.1"):
+    return b"".join(f"id: {n}\ndata: c1/{run}/{n}\n\n".encode() for n in numbers)
+
+
+@when("its caller gets events 1 to {last:d} of an engine and the end")
+def engine_events_and_end(context, last):
+    record_response(context, engine_events(*range(1, last + 1)))
+
+
+@when("its caller gets events 1 to 3 and {number:d} of an engine")
+def engine_events_with_gap(context, number):
+    record_response(context, engine_events(1, 2, 3, number), is_whole=False)
+
+
+@when("its caller gets events of two runs of an engine")
+def events_of_two_runs(context):
+    first = engine_events(*range(1, 10))
+    rest = engine_events(*range(10, MODEL_EVENTS + 1), run="e2.7")
+    record_response(context, first + rest)
+
+
+def record_steps(context, *steps):
+    """Record the steps of the request's stream, each with further fields."""
+    common = {"at": 100.0, "engine": "e1", "request": "c1", "path": context.path}
+    context.history.on_engine_steps(
+        [common | {"framing": "close", "step": name} | more for name, more in steps]
+    )
+
+
+STOPPED = ("stopped", {"cause": "moved, answer 200"})
+
+
+@when("an engine runs the stream again that was stopped for a move")
+def run_again(context):
+    record_steps(context, ("run", {}), STOPPED, ("run", {"engine": "e2"}))
+
+
+@when("an engine resumes the stream that was stopped for a move")
+def resumed(context):
+    record_steps(context, ("run", {}), STOPPED, ("resumed", {"engine": "e2"}))
+
+
+def record_sound_stream(context, events):
+    record_steps(context, ("run", {}), ("done", {}))
+    context.history.statuses["c1"] = 0
+    context.history.sound_paths.add("c1")
+    if events:
+        record_response(context, engine_events(*events), is_whole=False)
+
+
+@when("its caller gets events 1 to 9 of a sound stream")
+def sound_stream_cut(context):
+    record_sound_stream(context, range(1, 10))
+
+
+@when("its caller gets no response to a sound stream")
+def sound_stream_lost(context):
+    record_sound_stream(context, ())
+
+
+@when("its caller gets events 1 to 9 of an engine that then ends")
+def engine_ends(context):
+    record_sound_stream(context, range(1, 10))
+    context.history.engine_ends_s["e1"] = 100.0 + LIFE_AFTER_END_S / 2
+
+
 use_step_matcher("re")
 
 
@@ -148,3 +219,15 @@
         ]
         assert all(b - a >= DISK_LOSS_INTERVAL_S for a, b in itertools.pairwise(lost))
     assert kinds == set(Fault)
+
+
+@then("200 schedules have full disks, one series after another, without lost disks")
+def full_disks_in_turn(context):
+    for seed in range(200):
+        schedule = generate_schedule(seed, 60.0)
+        full_s = [f.at_s for f in schedule if f.fault is Fault.FULL_DISKS]
+        lost_s = [f.at_s for f in schedule if f.fault is Fault.LOSE_DISK]
+        assert full_s, seed
+        assert all(b - a > FULL_DISKS_MAX_S for a, b in itertools.pairwise(full_s))
+        end_s = FULL_DISKS_MAX_S + DISK_LOSS_INTERVAL_S
+        assert not any(0 <= b - a < end_s for a in full_s for b in lost_s), seed
--- a/tests/soak/upgrade.py
+++ b/tests/soak/upgrade.py
@@ -21,7 +21,7 @@
 
     from support.gateway_programs import GatewayProgram
 
-EARLIER_COMMIT = "2fb1666"
+EARLIER_COMMIT = "d7c6c10"
 """Commit of the build that this one replaces."""
 
 DISKS = 4
@@ -30,6 +30,10 @@
 STOP_PAUSE_S = (0.0, 3.0)
 """Shortest and longest pause in seconds between a start and the next stop."""
 
+LEAVE_PAUSE_S = (0.0, 1.0)
+"""Minimum and maximum time in seconds between the return of a model engine and the
+departure of the next one."""
+
 EARLIER_BUILD_PAUSE_S = 5.0
 """Pause in seconds after a stop of the earlier build, whose voters are replaced only
 once they have been silent."""
@@ -53,6 +57,7 @@
         program.source = before
     try:
         await world.start()
+        leaving = asyncio.create_task(_let_engines_leave(world, random.random()))
         order = random.sample(world.programs, len(world.programs))
         for number, program in enumerate(order):
             stop = asyncio.create_task(_replace(world, program, after, current))
@@ -65,6 +70,7 @@
             pause_s = random.uniform(*STOP_PAUSE_S)
             is_earlier = before is earlier
             await asyncio.sleep(EARLIER_BUILD_PAUSE_S if is_earlier else pause_s)
+        leaving.cancel()
         await check_recovery(world)
         await check_served_fraction(world)
     finally:
@@ -75,6 +81,14 @@
     return Outcome(seed, violations, world.history.summary(), world.folder)
 
 
+async def _let_engines_leave(world: World, seed: float) -> None:
+    """Let one model engine after another leave, so that streams are moved."""
+    random = Random(seed)
+    while True:
+        await random.choice(world.engines).leave(world.programs)
+        await asyncio.sleep(random.uniform(*LEAVE_PAUSE_S))
+
+
 async def _replace(
     world: World, program: GatewayProgram, source: Path, current: Path
 ) -> None:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -5,26 +5,37 @@
 import asyncio
 import json
 import os
-import shutil
 import signal
 import tempfile
-from functools import partial
 from pathlib import Path
 from random import Random
+from typing import TYPE_CHECKING
 
 import orjson
 
 from soak import faulty_gateway
 from soak.backends import CALL_TIMEOUT_S, SoakBackend, call, call_control
-from soak.callers import Caller, caller_address
+from soak.callers import MODEL_DEMAND, Caller, caller_address
+from soak.engines import ENGINE_COUNT, SERVICE, ModelEngine
 from soak.history import History
-from soak.proxy import Proxy, ProxyFault
-from soak.schedule import Fault, ScheduledFault
-from support.gateway_programs import INTERNAL_PORTS, READINESS_PORT, make_programs
+from soak.injectors import INJECTORS
+from soak.proxy import Proxy
+from support.gateway_programs import (
+    INTERNAL_PORTS,
+    READINESS_PORT,
+    ROOT,
+    make_programs,
+)
 from support.gateway_world import manifest, route
 
+if TYPE_CHECKING:
+    from soak.schedule import ScheduledFault
+
 DISK_COUNT, DISKLESS_COUNT, BACKEND_COUNT, CALLER_COUNT = 3, 3, 4, 16
 
+MODEL_CALLER_COUNT = 24
+"""Number of callers of the model engines; an engine runs some streams at most times."""
+
 START_TIMEOUT_S = 30.0
 """Timeout in seconds for the start of all gateways; long enough for a busy machine."""
 
@@ -38,12 +49,6 @@
 CONFIGURE_TIMEOUT_S = 8.0
 """Time in seconds for which an operator retries one configuration during faults."""
 
-MAX_CLOCK_ERROR_MS = 4_000
-"""Maximum error of a wall clock in milliseconds, ahead or behind."""
-
-SYNC_DELAY_S = 0.3
-"""Delay in seconds of each sync of a stalled disk."""
-
 LINK_PORT = INTERNAL_PORTS[0]
 
 
@@ -53,14 +58,22 @@
     Args:
         seed: Seed of all random choices.
         disk_count: Number of gateways with a disk.
+        diskless_count: Number of gateways without one.
     """
 
-    def __init__(self, seed: int, disk_count: int = DISK_COUNT) -> None:
+    def __init__(
+        self,
+        seed: int,
+        disk_count: int = DISK_COUNT,
+        diskless_count: int = DISKLESS_COUNT,
+    ) -> None:
+        self.seed = seed
+        """Seed of all random choices."""
         self.random = Random(seed)
         """Source of all random choices but those of the schedule."""
         self.folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         """Folder with the settings, logs and data of the gateways."""
-        self.programs = make_programs(self.folder, disk_count, DISKLESS_COUNT)
+        self.programs = make_programs(self.folder, disk_count, diskless_count)
         """Gateway processes."""
         self.history = History()
         """Observations of the run."""
@@ -69,6 +82,14 @@
             for n in range(BACKEND_COUNT)
         ]
         """Backend servers."""
+        engine_ip = self.programs[0].ip.rpartition(".")[0]
+        self.engines = [
+            ModelEngine(
+                n, f"{engine_ip}.{100 + n}", self.folder, Random(f"{seed} engine {n}")
+            )
+            for n in range(ENGINE_COUNT)
+        ]
+        """Model engine processes."""
         self.caller_proxies = [
             Proxy(caller_address(p.ip), caller_address(p.ip)) for p in self.programs
         ]
@@ -81,6 +102,8 @@
             for p in self.programs
         ]
         """Proxies in front of the gateways' listeners for links."""
+        self.faults: dict[str, dict[str, float]] = {}
+        """Injected faults of each gateway process, by its name."""
         self.version = 0
         """Latest configuration version that was sent."""
         self.stopped_gateways: set[str] = set()
@@ -105,6 +128,9 @@
         for backend in self.backends:
             await backend.start()
             self._start_task(backend.announce_periodically(self.programs))
+        await asyncio.gather(*(engine.start() for engine in self.engines))
+        for engine in self.engines:
+            self._start_task(engine.announce_periodically(self.programs))
         await self.wait_until(self._is_configured, "a configuration is accepted")
         await self.wait_until(self.all_ready, "all gateways are ready")
         for number in range(CALLER_COUNT):
@@ -112,17 +138,32 @@
                 number, self.caller_proxies, self.history, Random(self.random.random())
             )
             self._start_task(caller.run())
+        for number in range(MODEL_CALLER_COUNT):
+            random = Random(f"{self.seed} caller {number}")
+            caller = Caller(
+                number, self.caller_proxies, self.history, random, MODEL_DEMAND
+            )
+            self._start_task(caller.run())
         self._start_task(self._watch_processes())
 
     def _start_program(self, program, *, is_first_start: bool = True) -> None:
         os.environ[faulty_gateway.FAULTS_VARIABLE] = str(self._faults_path(program))
         program.start(is_first_start=is_first_start)
+        proxy = self.caller_proxy(program)
+        proxy.is_earlier_build = program.source not in (None, ROOT / "src")
         self.stopped_gateways.discard(program.name)
 
+    def caller_proxy(self, program) -> Proxy:
+        """Return the proxy in front of a gateway's listener for callers."""
+        return self.caller_proxies[self.programs.index(program)]
+
     def _faults_path(self, program) -> Path:
         return self.folder / f"{program.name}.faults"
 
-    def _write_faults(self, program, **faults: float) -> None:
+    def write_faults(self, program, **changes: float) -> None:
+        """Change the injected faults of a gateway process; the others go on."""
+        faults = self.faults.setdefault(program.name, {})
+        faults.update(changes)
         path = self._faults_path(program)
         written = path.with_suffix(".new")
         written.write_text(json.dumps(faults), encoding="utf-8")
@@ -200,7 +241,7 @@
             elapsed_s = asyncio.get_running_loop().time() - started_s
             await asyncio.sleep(max(0.0, scheduled.at_s - elapsed_s))
             injections.append(
-                self._start_task(self.injectors[scheduled.fault](self, scheduled))
+                self._start_task(INJECTORS[scheduled.fault](self, scheduled))
             )
             self._start_task(self._read_at_random_gateway())
         await asyncio.gather(*injections)
@@ -220,41 +261,17 @@
                     self.stopped_gateways.add(program.name)
             await asyncio.sleep(0.1)
 
-    def _gateway(self, scheduled: ScheduledFault):
-        return self.programs[scheduled.target_number % len(self.programs)]
-
     async def restart(self, program, while_stopped=None) -> None:
         """Kill a gateway unless it is stopped, and restart it."""
         if program.name in self.stopped_gateways:
             return
         self.stopped_gateways.add(program.name)
-        program.kill()
-        if while_stopped is not None:
-            while_stopped()
-        await asyncio.sleep(RESTART_DELAY_S)
-        self._start_program(program, is_first_start=False)
-
-    async def _kill(self, scheduled: ScheduledFault) -> None:
-        await self.restart(self._gateway(scheduled))
-
-    async def _kill_all(self, scheduled: ScheduledFault) -> None:
-        await asyncio.gather(*(self.restart(p) for p in self.programs))
-
-    async def _lose_disk(self, scheduled: ScheduledFault) -> None:
-        program = self.programs[scheduled.target_number % DISK_COUNT]
-        data = self.folder / program.name
-        if scheduled.target_number & 64:
-            await self.restart(program, partial(shutil.rmtree, data))
-        else:
-            await self.restart(program, partial(flip_byte, data, self.random))
-
-    async def _tear_log(self, scheduled: ScheduledFault) -> None:
-        program = self.programs[scheduled.target_number % DISK_COUNT]
-        data = self.folder / program.name
-        await self.restart(program, partial(append_torn_write, data, self.random))
-
-    async def _stop(self, scheduled: ScheduledFault) -> None:
-        await self.stop(self._gateway(scheduled))
+        with self.caller_proxy(program).disturbed():
+            program.kill()
+            if while_stopped is not None:
+                while_stopped()
+            await asyncio.sleep(RESTART_DELAY_S)
+            self._start_program(program, is_first_start=False)
 
     async def stop(self, program) -> None:
         """Stop a gateway gracefully unless it is stopped, and restart it."""
@@ -280,99 +297,12 @@
             )
         self._start_program(program, is_first_start=False)
 
-    async def _reload(self, scheduled: ScheduledFault) -> None:
-        program = self._gateway(scheduled)
-        ips = [each.ip for each in self.programs]
-        program.seeds = self.random.sample(ips, 3)
-        program.write_settings(is_first_start=False)
-        if program.name not in self.stopped_gateways:
-            program.signal(signal.SIGHUP)
-
-    async def _pause(self, scheduled: ScheduledFault) -> None:
-        program = self._gateway(scheduled)
-        if program.name in self.stopped_gateways:
-            return
-        process = program.popen
-        process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(scheduled.length_s)
-        # The gateway may have been killed and restarted as another process meanwhile.
-        if process.poll() is None:
-            process.send_signal(signal.SIGCONT)
-
-    async def _clock(self, scheduled: ScheduledFault) -> None:
-        clock_error_ms = self.random.randint(-MAX_CLOCK_ERROR_MS, MAX_CLOCK_ERROR_MS)
-        await self._fault_for(scheduled, clock_ms=clock_error_ms)
-
-    async def _disk_stall(self, scheduled: ScheduledFault) -> None:
-        await self._fault_for(scheduled, disk_stall_s=SYNC_DELAY_S)
-
-    async def _fault_for(self, scheduled: ScheduledFault, **faults: float) -> None:
-        program = self._gateway(scheduled)
-        self._write_faults(program, **faults)
-        await asyncio.sleep(scheduled.length_s)
-        self._write_faults(program)
-
-    async def _apply_proxy_fault(self, proxy: Proxy, scheduled: ScheduledFault) -> None:
-        proxy_faults = [each for each in ProxyFault if each is not ProxyFault.NONE]
-        proxy.fault = proxy_faults[scheduled.target_number // 64 % len(proxy_faults)]
-        await asyncio.sleep(scheduled.length_s)
-        proxy.fault = ProxyFault.NONE
-
-    async def _fault_links(self, scheduled: ScheduledFault) -> None:
-        await self._apply_proxy_fault(
-            self.link_proxies[scheduled.target_number % len(self.link_proxies)],
-            scheduled,
-        )
-
-    async def _fault_caller_connections(self, scheduled: ScheduledFault) -> None:
-        await self._apply_proxy_fault(
-            self.caller_proxies[scheduled.target_number % len(self.caller_proxies)],
-            scheduled,
-        )
-
-    async def _fault_backend_connections(self, scheduled: ScheduledFault) -> None:
-        await self._apply_proxy_fault(
-            self.backends[scheduled.target_number % BACKEND_COUNT].proxy, scheduled
-        )
-
-    async def _reset(self, scheduled: ScheduledFault) -> None:
-        proxies = [
-            *self.link_proxies,
-            *self.caller_proxies,
-            *(b.proxy for b in self.backends),
-        ]
-        proxies[scheduled.target_number % len(proxies)].reset()
-
-    async def _leave(self, scheduled: ScheduledFault) -> None:
-        backend = self.backends[scheduled.target_number % BACKEND_COUNT]
-        backend.is_leaving = True
-        await asyncio.sleep(scheduled.length_s)
-        backend.is_leaving = False
-
-    async def _replace(self, scheduled: ScheduledFault) -> None:
-        self.backends[scheduled.target_number % BACKEND_COUNT].replace()
-
-    async def _configure(self, scheduled: ScheduledFault) -> None:
-        await self.configure(self._gateway(scheduled))
-
-    injectors = {
-        Fault.KILL: _kill,
-        Fault.KILL_ALL: _kill_all,
-        Fault.LOSE_DISK: _lose_disk,
-        Fault.TEAR_LOG: _tear_log,
-        Fault.STOP: _stop,
-        Fault.RELOAD: _reload,
-        Fault.PAUSE: _pause,
-        Fault.CLOCK: _clock,
-        Fault.DISK_STALL: _disk_stall,
-        Fault.LINK: _fault_links,
-        Fault.CALLERS: _fault_caller_connections,
-        Fault.ENGINE: _fault_backend_connections,
-        Fault.RESET: _reset,
-        Fault.LEAVE: _leave,
-        Fault.REPLACE: _replace,
-        Fault.CONFIGURE: _configure,
-    }
+    def read_engine_steps(self) -> None:
+        """Add the steps of the streams of model engines to the history."""
+        history = self.history
+        for engine in self.engines:
+            history.on_engine_steps(engine.read_steps())
+            history.engine_ends_s |= engine.ends_s
 
     async def close(self) -> None:
         """Stop all tasks, proxies and gateways of the run."""
@@ -389,13 +319,28 @@
             if program.alive():
                 program.signal(signal.SIGCONT)
             program.kill()
+        for engine in self.engines:
+            engine.kill()
+        self.read_engine_steps()
 
 
 def soak_manifest(version: int) -> dict[str, object]:
     """Return a configuration without effective rate limits and with one more route."""
     document = manifest(version=version)
     document["tenants"][0] |= {"rate_per_s": 1_000_000, "burst": 1_000_000}
-    document["routes"].append(route(f"/version/{version}/", "idempotent"))
+    stream = {
+        "gap_slo_ms": 300,
+        "slo_ms": 1000,
+        "timeout_ms": 4000,
+        "max_attempts": 3,
+        "service": SERVICE,
+    }
+    document["routes"] += [
+        route(f"/version/{version}/", "idempotent"),
+        route("/sing/", "streaming", stream_resume=True, **stream),
+        route("/solo/", "streaming", **stream),
+    ]
+    document["services"].append({"name": SERVICE, "health_path": "/healthz"})
     return document
 
 
@@ -405,23 +350,3 @@
         program.ip, READINESS_PORT, "GET", "/v1/readyz", b"", CALL_TIMEOUT_S
     )
     return status == 200
-
-
-def log_files(data: Path) -> list[Path]:
-    """Return the files of a member's replicated log, oldest first."""
-    return sorted(path for path in data.rglob("log-*") if path.stat().st_size)
-
-
-def append_torn_write(data: Path, random: Random) -> None:
-    """Append random bytes to the newest log file, as after a crash within a write."""
-    for path in log_files(data)[-1:]:
-        with path.open("ab") as file:
-            file.write(random.randbytes(random.randint(1, 200)))
-
-
-def flip_byte(data: Path, random: Random) -> None:
-    """Corrupt one byte of the newest log file of a member."""
-    for path in log_files(data)[-1:]:
-        content = bytearray(path.read_bytes())
-        content[random.randrange(len(content))] ^= 0x20
-        path.write_bytes(content)
