Let torn writes of the soak be torn, not damaged

The fault "a gateway is killed within a write" appended up to 200 random bytes to the log; from a record's prefix on, such bytes count as damage of synced data, so the member sets its state aside and joins as a new one. h2 lost its state so at 2.5 s and h1 at 8.4 s, beside a full disk: two of three voters within the time in which the soak allows one loss. The fault appends the first bytes of a record now, as a crash within a write leaves them; LOSE_DISK goes on to cover damage, at most once in 14 s. Steps of engines are also ordered by time, so that the end that is named is the last run's.

--- a/tests/soak/disks.py
+++ b/tests/soak/disks.py
@@ -8,6 +8,7 @@
 
 from soak.faulty_gateway import FullDisk
 from soak.schedule import FULL_DISK_S
+from tanagerturn.coordination.storage.records import RecordKind, decode_records, encode
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -48,10 +49,17 @@
 
 
 def append_torn_write(data: Path, random: Random) -> None:
-    """Append random bytes to the newest log file, as after a crash within a write."""
+    """Append the first bytes of a write, as after a crash within it.
+
+    Other bytes would count as damage, which is the loss of a disk.
+    """
     for path in log_files(data)[-1:]:
+        content = path.read_bytes()
+        batch = max((record.batch for record in decode_records(content)), default=0)
+        payload = random.randbytes(random.randint(1, 200))
+        record = encode(RecordKind.ENTRY, batch + 1, payload)
         with path.open("ab") as file:
-            file.write(random.randbytes(random.randint(1, 200)))
+            file.write(record[: random.randrange(1, len(record))])
 
 
 def flip_byte(data: Path, random: Random) -> None:
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -137,6 +137,7 @@
         for step in steps:
             request_id = str(step["request"])
             self.engine_steps[request_id].append(step)
+            self.engine_steps[request_id].sort(key=lambda each: float(str(each["at"])))
             if step["step"] == "run":
                 self.on_execution(str(step["engine"]), request_id, str(step["path"]))
             if step["step"] == "stopped":
