Let reports of the soak's engines lag by up to a third of a second

The platform's engines report the state as of some hundred ms before; those of the soak reported the present one, which a check of a stream's end would have had too easy.

--- a/tests/soak/engine_program.py
+++ b/tests/soak/engine_program.py
@@ -11,6 +11,7 @@
 import signal
 import sys
 import time
+from collections import deque
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -63,6 +64,13 @@
 """Number of events before the end within which half of the runs that should move
 complete instead, so that their end and the order cross."""
 
+SNAPSHOT_INTERVAL_S = 0.05
+"""Time in seconds between two states that a report may state."""
+
+REPORT_LAG_S = (0.05, 0.35)
+"""Minimum and maximum age in seconds of the state that the reports of an engine
+state."""
+
 LINGER_S = 0.2
 """Maximum time in seconds from the close of the streams of a leaving engine to its
 exit."""
@@ -113,6 +121,11 @@
         """Number of runs that began here."""
         self.used_handles: set[str] = set()
         """Handles of copies that were used here."""
+        lag_s = random.uniform(*REPORT_LAG_S)
+        self.snapshots: deque[dict[str, object]] = deque(
+            maxlen=1 + int(lag_s / SNAPSHOT_INTERVAL_S)
+        )
+        """Latest states of the runs, oldest first; a report states the oldest."""
         self.stops_at_s: float | None = None
         """Monotonic time in seconds at which it stops; None unless it leaves."""
 
@@ -151,20 +164,26 @@
         exit_s = 0.01 + self.random.uniform(0.0, linger_s)
         asyncio.get_running_loop().call_later(exit_s, os._exit, 0)
 
+    async def take_snapshots(self) -> None:
+        """Take a snapshot of the runs periodically."""
+        while True:
+            runs = [[id, 100, run.event_count, 1] for id, run in self.runs.items()]
+            state = "ready" if self.stops_at_s is None else "draining"
+            self.snapshots.append({"running": len(runs), "state": state, "runs": runs})
+            await asyncio.sleep(SNAPSHOT_INTERVAL_S)
+
     async def _report(self, call: ReceivedRequest) -> None:
         report: dict[str, object] = {
             "stage": "both",
             "busy": False,
             "sequence": 0,
             "waiting": 0,
-            "running": len(self.runs),
             "kv_used": 0,
             "kv_total": 90_000,
             "handles": 0,
-            "state": "ready" if self.stops_at_s is None else "draining",
-            "runs": [[id, 100, run.event_count, 1] for id, run in self.runs.items()],
+            **self.snapshots[0],
         }
-        if self.stops_at_s is not None:
+        if self.stops_at_s is not None and report["state"] == "draining":
             left_s = max(0.0, self.stops_at_s - time.monotonic())
             report["leaves_ms"] = int(left_s * 1000)
         await answer_call(call, 200, orjson.dumps(report))
@@ -301,8 +320,10 @@
     listener = await asyncio.start_server(server.serve, ip, int(port))
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, engine.stop, "stopped", 0.0)
+    snapshots = asyncio.create_task(engine.take_snapshots())
+    await asyncio.sleep(0)
     Path(f"{log_path}.{id}").touch()
-    await listener.serve_forever()
+    await asyncio.gather(listener.serve_forever(), snapshots)
 
 
 if __name__ == "__main__":
