--- a/src/tanagerturn/operator/explain.py
+++ b/src/tanagerturn/operator/explain.py
@@ -74,9 +74,18 @@
     "pending": "it had been ordered to move, without an answer until then",
     "moved": "its backend server had stopped and copied it",
     "failed": "an order to move it had failed, which may have stopped it",
+    "unknown_run": "its backend server no longer ran it when ordered to move it",
 }
 """State of the migration when a stream ended, by the field `move`."""
 
+PROOFS: Final[dict[str, str]] = {
+    "count": "the number of events, which allows no further one",
+    "report": "the backend server's report, which lists its requests",
+    "connection": "a new connection to the backend server",
+    "move": "the answer to the order to move it",
+}
+"""What shows, or had to show, that a response is complete, by the field `proof`."""
+
 STREAM_ENDS: Final[dict[str, str]] = {
     "answered": "counted as its complete end",
     "attempt_broke": "counted as a failure",
@@ -209,6 +218,9 @@
         )
         if line.get("cause") and line["event"] != "answered":
             sentence += f", since {line['cause']}"
+        check = _last_check(request_lines, backend, line["at"])
+        if check is not None:
+            sentence += f"; {_describe_check(check)}"
         order = _move_from(request_lines, backend)
         if order is not None:
             after_s = order["at"] - line["at"]
@@ -221,6 +233,29 @@
     return sentences
 
 
+def _last_check(
+    request_lines: list[LogLine], backend: str, end_s: float
+) -> LogLine | None:
+    """Return the line on the check of a stream's end at a backend server, if any."""
+    checks = [
+        line
+        for line in request_lines
+        if line["event"] == "end_checked"
+        and line["backend"] == backend
+        and line["at"] <= end_s
+    ]
+    return checks[-1] if checks else None
+
+
+def _describe_check(check: LogLine) -> str:
+    proof = check["proof"]
+    if proof == "none":
+        return "nothing can show that it is complete"
+    if check["complete"]:
+        return f"shown by {PROOFS.get(proof, proof)}"
+    return f"{PROOFS.get(proof, proof)} did not show that it is complete"
+
+
 def _last_backend(request_lines: list[LogLine], end: LogLine) -> str:
     """Return the backend server of the last attempt before the end of a request."""
     backends = [
--- a/tests/operator/explain/explain.feature
+++ b/tests/operator/explain/explain.feature
@@ -38,6 +38,20 @@
       | chunked | failed  | attempt_broke | in chunks                      | had failed, which may have      | counted as a failure after event 7, since i-1 | 0.500 s before that  |
       | close   | moved   | attempt_broke | by the close of its connection | had stopped and copied it       | counted as a failure after event 7, since i-1 | 0.500 s before that  |
 
+  Scenario Outline: What shows the end of a stream is explained: <proof>, complete <complete>
+    Given logs of a close stream whose end was checked by "<proof>", complete <complete>
+    When the request is explained
+    Then the stream end is explained
+    And the sentence has "<text>"
+
+    Examples:
+      | proof      | complete | text                                             |
+      | connection | true     | shown by a new connection to the backend server  |
+      | connection | false    | a new connection to the backend server did not   |
+      | report     | true     | shown by the backend server's report             |
+      | count      | true     | shown by the number of events                    |
+      | none       | false    | nothing can show that it is complete             |
+
   Scenario Outline: A stream that was not moved: <framing>
     Given logs of a <framing> stream with move none that ends as answered
     When the request is explained
--- a/tests/operator/explain/steps/explain_steps.py
+++ b/tests/operator/explain/steps/explain_steps.py
@@ -104,6 +104,22 @@
         assert text in context.sentence, (text, context.sentence)
 
 
+@given('logs of a close stream whose end was checked by "{proof}", complete {complete}')
+def logs_of_end_check(context, proof, complete):
+    is_complete = complete == "true"
+    check = {"backend": "i-1", "proof": proof, "complete": is_complete}
+    event = "answered" if is_complete else "attempt_broke"
+    logs_of_stream_end(context, "close", "none", event)
+    line = log_line(100.9, "end_checked", request="r1", **check)
+    context.log_text = f"{line}\n{context.log_text}"
+
+
+@then('the sentence has "{text}"')
+def check_sentence(context, text):
+    (sentence,) = stream_ends(context)
+    assert text in sentence, sentence
+
+
 @then('the answer to the move is "{outcome}" at {answered}')
 def check_move_answer(context, outcome, answered):
     assert outcome in context.sentence, context.sentence
--- a/tests/soak/engine_program.py
+++ b/tests/soak/engine_program.py
@@ -22,7 +22,7 @@
 from soak.history import MODEL_EVENTS
 from support.framed_streams import FramedStream, event_text
 from support.gateway_world import ScriptedBackend
-from tanagerturn.gateway.backends.exchange import Framing
+from tanagerturn.serving.streams.endings import Framing
 
 if TYPE_CHECKING:
     from support.gateway_world import ReceivedRequest
--- a/tests/support/framed_streams.py
+++ b/tests/support/framed_streams.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from support.gateway_world import STAMP
-from tanagerturn.gateway.backends.exchange import Framing
+from tanagerturn.serving.streams.endings import Framing
 
 if TYPE_CHECKING:
     from support.gateway_world import ReceivedRequest
