--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -201,6 +201,10 @@
     "founder_not_proposed": (
         "This host's vote on the founder of the state group could not be stored."
     ),
+    "vote_not_stored": (
+        "A peer's call for a vote on the founder failed, because the vote could not be "
+        "stored."
+    ),
     "founder_agreed": (
         "The hosts with a disk have agreed on the host that founds the state group."
     ),
@@ -216,6 +220,9 @@
     "member_not_opened": (
         "The data folder could not be opened; another attempt follows."
     ),
+    "member_not_started": (
+        "The member could not start because its disk is full; another attempt follows."
+    ),
     "state_set_aside": (
         "Damaged files were moved aside; the member joins the state group under a new "
         "id."
--- a/src/tanagerturn/gateway/state_group/member.py
+++ b/src/tanagerturn/gateway/state_group/member.py
@@ -198,10 +198,9 @@
 
     def initialize_group(self) -> None:
         """Initialize the group with this member alone; others are added later."""
-        if self.actor is None:
-            self._start_in_thread(
-                "group_founded", pb.Membership(members=[self.member_record])
-            )
+        if self.actor is None and self.start_task is None:
+            log.info("group_founded", member=self.id)
+            self._begin_start(pb.Membership(members=[self.member_record]))
 
     def deliver(self, messages: Sequence[pb.LogMessage]) -> None:
         """Process log messages from other members.
@@ -212,7 +211,9 @@
         if self.actor is None:
             if not any(message.receiver == self.id for message in messages):
                 return
-            self._start_in_thread("added_to_group", pb.Membership())
+            if self.start_task is None:
+                log.info("added_to_group", member=self.id)
+                self._begin_start(pb.Membership())
             return
         self.actor.tell(m.Deliver(messages))
 
@@ -354,13 +355,9 @@
                 self.actor.tell(m.TransferLeadership(voter))
                 return
 
-    def _start_in_thread(self, event: str, membership: pb.Membership) -> None:
+    def _begin_start(self, membership: pb.Membership) -> None:
         """Start the member in a thread; messages dropped meanwhile are sent again."""
-        if self.start_task is None:
-            log.info(event, member=self.id)
-            self.start_task = self.loop.create_task(
-                self._start_once_writable(membership)
-            )
+        self.start_task = self.loop.create_task(self._start_once_writable(membership))
 
     async def _start_once_writable(self, membership: pb.Membership) -> None:
         while self.actor is None:
