Take no body for complete whose end only a close marks, in entry and control

What callers saw: the body of a plain service that came without length and chunks and ended with its connection was the whole body for `tanager-entry`, also of a purchase, whose record then keeps it; a killed process closes its connections in order. The same in `tanager-control` (orders, engine states, cloud), `tanager` and `tanager-replay`. Statuses 101, 199, 600 and 999 reached callers (http.client rejects those below 100).

`WholeHeadResponse` rejects statuses that are none of a final response. Streams of engines end with `[DONE]` after their usage, which is unchanged.

The double of the cloud's response in control/notices states its length now, as the API does; its checks are as before.

--- a/src/tanagerturn/control/cloud.py
+++ b/src/tanagerturn/control/cloud.py
@@ -13,7 +13,7 @@
 from expression import Error, Ok, Result
 
 from tanagerturn.coordination.errors import RefusedError, StepError, UnavailableError
-from tanagerturn.shared.http_pools import make_pools
+from tanagerturn.shared.http_pools import is_delimited, make_pools
 
 if TYPE_CHECKING:
     from tanagerturn.schema.serving_pb2 import HostStart
@@ -209,6 +209,10 @@
                 redirect=False,
                 preload_content=False,
             )
+            if not is_delimited(response):
+                response.close()
+                reason = "the response has neither a length nor chunks"
+                return Error(UnavailableError(step, self.url, reason))
             data = response.read(MAX_RESPONSE_BYTES + 1)
             if len(data) > MAX_RESPONSE_BYTES:
                 response.close()
--- a/src/tanagerturn/control/transport.py
+++ b/src/tanagerturn/control/transport.py
@@ -11,7 +11,7 @@
 
 from tanagerturn.schema import serving_pb2
 from tanagerturn.serving.orders.messages import SendAnswer
-from tanagerturn.shared.http_pools import make_pools
+from tanagerturn.shared.http_pools import is_delimited, make_pools
 
 if TYPE_CHECKING:
     from urllib3 import BaseHTTPResponse
@@ -105,6 +105,9 @@
 
 def _read_response(response: BaseHTTPResponse) -> EngineResponse | None:
     """Return a response whose body is read; None if it is too large or incomplete."""
+    if not is_delimited(response):
+        response.close()
+        return None
     try:
         body = response.read(MAX_RESPONSE_BYTES + 1)
     except (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError):
--- a/src/tanagerturn/entry/transport.py
+++ b/src/tanagerturn/entry/transport.py
@@ -9,7 +9,7 @@
 import urllib3
 
 from tanagerturn.coordination.errors import StepError
-from tanagerturn.shared.http_pools import WholeHeadConnection, make_pools
+from tanagerturn.shared.http_pools import WholeHeadConnection, is_delimited, make_pools
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Mapping
@@ -241,7 +241,13 @@
             raise BrokenCallError("exchange", request.address, str(error)) from error
 
     def _read_whole(self, response: BaseHTTPResponse, address: str) -> BackendResponse:
-        """Read a complete response; a body over the limit is an error."""
+        """Read a complete response; a body over the limit is an error.
+
+        So is one that only the end of its connection would show to be complete.
+        """
+        if not is_delimited(response):
+            reason = "the answer has neither a length nor chunks"
+            raise BrokenCallError("read answer", address, reason)
         body_parts = []
         remaining_bytes = self.response_limit_bytes + 1
         # Only a read that reaches the end shows that the response is complete.
--- a/src/tanagerturn/operator/session.py
+++ b/src/tanagerturn/operator/session.py
@@ -22,7 +22,7 @@
     SettingsInvalid,
 )
 from tanagerturn.settings import SettingsError, load_process
-from tanagerturn.shared.http_pools import make_pools
+from tanagerturn.shared.http_pools import is_delimited, make_pools
 
 if TYPE_CHECKING:
     from expression import Result
@@ -125,6 +125,12 @@
             )
         except (urllib3.exceptions.HTTPError, http.client.HTTPException) as error:
             fail(ExitCode.UNAVAILABLE, f"{method} http://{address}{path}: {error}")
+        if not is_delimited(response):
+            fail(
+                ExitCode.UNAVAILABLE,
+                f"{method} http://{address}{path}: the response has neither a length"
+                " nor chunks",
+            )
         if response.status != 200:
             fail(
                 ExitCode.FAILED,
--- a/src/tanagerturn/replay/_responses.py
+++ b/src/tanagerturn/replay/_responses.py
@@ -9,6 +9,7 @@
 import orjson
 
 from tanagerturn.replay.results import CallerOutcome
+from tanagerturn.shared.http_pools import is_delimited
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -56,6 +57,10 @@
         prepared: Request that was sent.
         result: Result of the attempt, which is updated.
     """
+    if not is_delimited(response):
+        result.detail = "the answer has neither a length nor chunks"
+        response.close()
+        return
     value = _parse_object(response.data)
     if response.status >= 300:
         _read_problem(value, result)
--- a/src/tanagerturn/shared/http_pools.py
+++ b/src/tanagerturn/shared/http_pools.py
@@ -1,13 +1,14 @@
-"""HTTP connections that refuse responses whose head was cut off.
+"""HTTP connections that refuse responses whose head is cut off or has no status.
 
 `http.client` takes the end of a connection for the end of the head: a server that stops
-in the middle of its head would seem to have sent a whole, empty response.
+in the middle of its head would seem to have sent a whole, empty response. It also
+accepts statuses that are none, and the end of the connection as that of a body.
 """
 
 from __future__ import annotations
 
 import http.client
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING, Any, Final, cast
 
 import urllib3
 from urllib3.connection import HTTPConnection
@@ -15,11 +16,20 @@
 if TYPE_CHECKING:
     from io import BufferedIOBase
 
+    from urllib3.response import BaseHTTPResponse
+
+STATUSES: Final = range(200, 600)
+"""Statuses of final responses (RFC 9110, section 15)."""
+
 
 class CutHeadError(http.client.HTTPException):
     """The connection ended before the empty line that ends a response's head."""
 
 
+class InvalidStatusError(http.client.HTTPException):
+    """The status of a response is none of a final response."""
+
+
 class _HeadLines:
     """Reads the lines of a head, each of which has to be complete."""
 
@@ -43,7 +53,7 @@
 
 
 class WholeHeadResponse(http.client.HTTPResponse):
-    """Response whose head has to be complete."""
+    """Response whose head has to be complete, with the status of a final response."""
 
     fp: Any
 
@@ -52,6 +62,7 @@
 
         Raises:
             CutHeadError: The connection ended within the head.
+            InvalidStatusError: The status is none of a final response.
         """
         file = self.fp
         lines = self.fp = _HeadLines(file)
@@ -60,6 +71,8 @@
         finally:
             if self.fp is lines:
                 self.fp = file
+        if self.status not in STATUSES:
+            raise InvalidStatusError(f"{self.status} is no status of a response")
 
 
 class WholeHeadConnection(HTTPConnection):
@@ -87,3 +100,17 @@
         "http": WholeHeadPool,
     }
     return pools
+
+
+def is_delimited(response: BaseHTTPResponse) -> bool:
+    """Return whether a length or chunks end the body of a response.
+
+    Else the end of its connection does, which is the same for a process that was
+    killed in the middle of the body.
+
+    Args:
+        response: Response with its head read.
+    """
+    length = response.headers.get("Content-Length")
+    is_empty = response.status in (204, 304)
+    return response.chunked or is_empty or (length is not None and length.isdigit())
--- a/tests/control/notices/steps/notices_steps.py
+++ b/tests/control/notices/steps/notices_steps.py
@@ -104,6 +104,12 @@
 
     status: int
     data: bytes
+    chunked = False
+
+    @property
+    def headers(self):
+        """Return the headers, with the length of the body."""
+        return {"Content-Length": str(len(self.data))}
 
     def read(self, amount):
         """Return up to `amount` bytes of the body."""
--- a/tests/entry/transport/steps/transport_steps.py
+++ b/tests/entry/transport/steps/transport_steps.py
@@ -29,6 +29,7 @@
 LIMIT_BYTES = 100
 DRAIN_TIMEOUT_S = 0.2
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 RESPONSES = {
     "too large": HEAD % 200 + b"x" * 200,
     "incomplete": HEAD % 50 + b"x" * 20,
@@ -39,6 +40,17 @@
     "cut behind a header": b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n",
     "not HTTP": b"\x00\x01 this is not HTTP\r\n\r\n",
     "complete": HEAD % 5 + b"whole",
+    "without a length": b"HTTP/1.1 200 OK\r\n\r\n{}",
+    "with a length that is none": b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n{}",
+    "without its last chunk": CHUNKED_HEAD + b"2\r\n{}\r\n",
+    "cut in a chunk": CHUNKED_HEAD + b"5\r\n{}",
+    "with status 204": b"HTTP/1.1 204 No Content\r\n\r\n",
+    **{
+        f"with status {status}": (
+            f"HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\n{{}}".encode()
+        )
+        for status in ("000", "099", "101", "199", "600", "999", "abc", "-20")
+    },
 }
 
 
@@ -104,6 +116,18 @@
     assert answer is SendAnswer.LOST, answer
 
 
+@then("the state of an engine is not known")
+def state_unknown(context):
+    assert HttpEngineTransport().query_state(context.address, 5.0) is None
+
+
+@then("a non-repeatable call gets status {status:d}")
+def non_repeatable_call_gets(context, status):
+    request = request_to(context.address)
+    response = context.transport.call_once(request, lambda: True)
+    assert (response.status, response.body) == (status, b"")
+
+
 @then("a release of a host at the cloud gets no answer")
 def release_unanswered(context):
     client = CloudClient(f"http://{context.address}")
--- a/tests/entry/transport/transport.feature
+++ b/tests/entry/transport/transport.feature
@@ -30,6 +30,51 @@
       | cut in a header        |
       | cut behind a header    |
 
+  # Guards against the first part of a body that counts as the whole, since the process
+  # that sent it was killed and its connection closed in order.
+  Scenario Outline: A response <that> is no answer
+    Given a backend server whose response is "<response>"
+    Then a repeatable call fails as possibly sent
+    And a non-repeatable call fails as possibly sent
+    And an order to an engine gets no answer
+    And the state of an engine is not known
+    And a release of a host at the cloud gets no answer
+    And an operator's request ends with the exit code for no answer
+    And a caller of the replay has no answer
+
+    Examples:
+      | that                           | response                   |
+      | that ends with its connection  | without a length           |
+      | with a part of its length      | incomplete                 |
+      | with a part of its chunks      | without its last chunk     |
+      | with half a chunk              | cut in a chunk             |
+      | with a length that is none     | with a length that is none |
+
+  # Guards against answers whose status is none.
+  Scenario Outline: A response with the status <status> is no answer
+    Given a backend server whose response is "with status <status>"
+    Then a repeatable call fails as possibly sent
+    And a non-repeatable call fails as possibly sent
+    And an order to an engine gets no answer
+    And a release of a host at the cloud gets no answer
+    And an operator's request ends with the exit code for no answer
+    And a caller of the replay has no answer
+
+    Examples:
+      | status |
+      | 000    |
+      | 099    |
+      | 101    |
+      | 199    |
+      | 600    |
+      | 999    |
+      | abc    |
+      | -20    |
+
+  Scenario: A response without a body needs no length
+    Given a backend server whose response is "with status 204"
+    Then a non-repeatable call gets status 204
+
   Scenario: Nothing is sent without a connection or after the permission to send ended
     Given a backend server whose response is "complete"
     Then a call without permission sends nothing and the server receives no byte
