Pass on an engine's rejection only if it is whole

What callers of `tanager-entry` got: of an engine's rejection of a stream (400 and the like) one read of at most 4096 bytes as the whole body: the first part where it was larger, or where its connection ended in order before its length, or had no length.

--- a/src/tanagerturn/entry/generation_run.py
+++ b/src/tanagerturn/entry/generation_run.py
@@ -42,6 +42,7 @@
 PATIENT_ATTEMPT_LIMIT: Final = 1000
 NO_BACKEND_WAIT_S: Final = 0.25
 CANCEL_TIMEOUT_S: Final = 1.0
+MAX_DETAIL_BYTES: Final = 4096
 JSON_TYPE: Final = "application/json"
 
 AttemptError = (
@@ -321,12 +322,11 @@
         return stream
 
     def _raise_rejection(self, stream: BackendStream, decision: RouteDecision) -> None:
-        body = stream.response.read(4096)
-        stream.close()
+        body = stream.read_whole().body
         if 400 <= stream.status < 500 and stream.status not in (404, 408, 409, 429):
             headers = [("Content-Type", JSON_TYPE)]
             raise RejectedByEngineError(BackendResponse(stream.status, headers, body))
-        detail = body.decode("utf-8", "replace")
+        detail = body[:MAX_DETAIL_BYTES].decode("utf-8", "replace")
         reason = f"status {stream.status}: {detail}"
         raise BrokenCallError("open stream", decision.address, reason)
 
--- a/src/tanagerturn/entry/transport.py
+++ b/src/tanagerturn/entry/transport.py
@@ -104,6 +104,19 @@
         except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
             raise BrokenCallError("read stream", self.address, str(error)) from error
 
+    def read_whole(self) -> BackendResponse:
+        """Return the response with its whole body, and close the connection.
+
+        Raises:
+            BrokenCallError: The response is incomplete or too large.
+        """
+        try:
+            return _read_whole(self.response, self.address, READ_LIMIT_BYTES)
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise BrokenCallError("read answer", self.address, str(error)) from error
+        finally:
+            self.close()
+
     def set_silence_limit(self, limit_s: float) -> None:
         """Set the read timeout; no effect if the connection is not accessible.
 
@@ -143,7 +156,7 @@
         """
         response = self.open_stream(request).response
         try:
-            return self._read_whole(response, request.address)
+            return _read_whole(response, request.address, self.response_limit_bytes)
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise BrokenCallError("read answer", request.address, str(error)) from error
         except BrokenCallError:
@@ -232,7 +245,9 @@
                 headers=dict(request.headers),
                 preload_content=False,
             )
-            return self._read_whole(connection.getresponse(), request.address)
+            return _read_whole(
+                connection.getresponse(), request.address, self.response_limit_bytes
+            )
         except (
             urllib3.exceptions.HTTPError,
             http.client.HTTPException,
@@ -240,24 +255,27 @@
         ) as error:
             raise BrokenCallError("exchange", request.address, str(error)) from error
 
-    def _read_whole(self, response: BaseHTTPResponse, address: str) -> BackendResponse:
-        """Read a complete response; a body over the limit is an error.
 
-        So is one that only the end of its connection would show to be complete.
-        """
-        if not is_delimited(response):
-            reason = "the answer has neither a length nor chunks"
-            raise BrokenCallError("read answer", address, reason)
-        body_parts = []
-        remaining_bytes = self.response_limit_bytes + 1
-        # Only a read that reaches the end shows that the response is complete.
-        while part := response.read(remaining_bytes):
-            body_parts.append(part)
-            remaining_bytes -= len(part)
-            if remaining_bytes <= 0:
-                raise BrokenCallError("read answer", address, "the answer is too large")
-        headers = response.headers.items()
-        forwarded_headers = [
-            (n, v) for n, v in headers if n.lower() not in UNFORWARDED_HEADERS
-        ]
-        return BackendResponse(response.status, forwarded_headers, b"".join(body_parts))
+def _read_whole(
+    response: BaseHTTPResponse, address: str, limit_bytes: int
+) -> BackendResponse:
+    """Read a complete response; a body over the limit is an error.
+
+    So is one that only the end of its connection would show to be complete.
+    """
+    if not is_delimited(response):
+        reason = "the answer has neither a length nor chunks"
+        raise BrokenCallError("read answer", address, reason)
+    body_parts = []
+    remaining_bytes = limit_bytes + 1
+    # Only a read that reaches the end shows that the response is complete.
+    while part := response.read(remaining_bytes):
+        body_parts.append(part)
+        remaining_bytes -= len(part)
+        if remaining_bytes <= 0:
+            raise BrokenCallError("read answer", address, "the answer is too large")
+    headers = response.headers.items()
+    forwarded_headers = [
+        (n, v) for n, v in headers if n.lower() not in UNFORWARDED_HEADERS
+    ]
+    return BackendResponse(response.status, forwarded_headers, b"".join(body_parts))
--- a/tests/entry/transport/steps/transport_steps.py
+++ b/tests/entry/transport/steps/transport_steps.py
@@ -6,12 +6,15 @@
 import socket
 import threading
 import time
+from types import SimpleNamespace
 
 from behave import given, then
 
 from tanagerturn.control.cloud import CloudClient
 from tanagerturn.control.transport import HttpEngineTransport
 from tanagerturn.deploy import free_port
+from tanagerturn.entry.callers import CallerCall
+from tanagerturn.entry.generation_run import GenerationRun, RejectedByEngineError
 from tanagerturn.entry.transport import (
     BackendRequest,
     BackendTransport,
@@ -23,12 +26,13 @@
 from tanagerturn.replay.caller import Caller
 from tanagerturn.replay.results import CallerOutcome
 from tanagerturn.replay.trace import CallKind, Priority, TraceRequest
-from tanagerturn.schema import serving_pb2
+from tanagerturn.schema import serving_pb2, settings_pb2
 from tanagerturn.serving.orders.messages import SendAnswer
 
 LIMIT_BYTES = 100
 DRAIN_TIMEOUT_S = 0.2
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+REJECTION = b"HTTP/1.1 400 Bad Request\r\n"
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 RESPONSES = {
     "too large": HEAD % 200 + b"x" * 200,
@@ -44,6 +48,10 @@
     "with a length that is none": b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n{}",
     "without its last chunk": CHUNKED_HEAD + b"2\r\n{}\r\n",
     "cut in a chunk": CHUNKED_HEAD + b"5\r\n{}",
+    "a rejection": REJECTION + b"Content-Length: 50\r\n\r\n" + b"x" * 50,
+    "a large rejection": REJECTION + b"Content-Length: 10000\r\n\r\n" + b"x" * 10_000,
+    "a cut rejection": REJECTION + b"Content-Length: 50\r\n\r\n" + b"x" * 20,
+    "an undelimited rejection": REJECTION + b"\r\n" + b"x" * 20,
     "with status 204": b"HTTP/1.1 204 No Content\r\n\r\n",
     **{
         f"with status {status}": (
@@ -60,6 +68,7 @@
     context.closers.append(listener.close)
     context.address = f"127.0.0.1:{listener.getsockname()[1]}"
     context.received = []
+    context.response = response
 
     def serve() -> None:
         while True:
@@ -81,6 +90,15 @@
     context.transport = BackendTransport(LIMIT_BYTES)
 
 
+def make_call() -> CallerCall:
+    """Return a request of a stream."""
+    return CallerCall(
+        "r1", settings_pb2.ClientAccount(), settings_pb2.Service(),
+        serving_pb2.IDEMPOTENT, serving_pb2.NORMAL, 5_000, "", "POST",
+        "/v1/completions", [], b"{}", b"", is_model=True, stream=True, payload={},
+    )  # fmt: skip
+
+
 def request_to(address: str) -> BackendRequest:
     return BackendRequest(address, "POST", "/purchases", {}, b"{}", 5.0)
 
@@ -116,6 +134,23 @@
     assert answer is SendAnswer.LOST, answer
 
 
+@then("the rejected request of a stream is {outcome}")
+def rejected_stream(context, outcome):
+    components = SimpleNamespace(transport=BackendTransport())
+    run = GenerationRun(components, make_call())
+    decision = SimpleNamespace(address=context.address)
+    try:
+        run._open(decision)
+    except RejectedByEngineError as error:
+        assert outcome == "answered with its body", error.response
+        length = 10_000 if "large" in context.response else 50
+        assert error.response.body == b"x" * length, error.response
+    except BrokenCallError:
+        assert outcome == "lost"
+    else:
+        raise AssertionError("the request was not rejected")
+
+
 @then("the state of an engine is not known")
 def state_unknown(context):
     assert HttpEngineTransport().query_state(context.address, 5.0) is None
--- a/tests/entry/transport/transport.feature
+++ b/tests/entry/transport/transport.feature
@@ -71,6 +71,18 @@
       | abc    |
       | -20    |
 
+  # Guards against the first part of an engine's rejection that its caller gets as a whole.
+  Scenario Outline: A rejection by an engine that is <what> is <outcome>
+    Given a backend server whose response is "<response>"
+    Then the rejected request of a stream is <outcome>
+
+    Examples:
+      | what             | response                  | outcome                 |
+      | whole            | a rejection               | answered with its body  |
+      | of 10,000 bytes  | a large rejection         | answered with its body  |
+      | cut              | a cut rejection           | lost                    |
+      | without a length | an undelimited rejection  | lost                    |
+
   Scenario: A response without a body needs no length
     Given a backend server whose response is "with status 204"
     Then a non-repeatable call gets status 204
