--- a/tests/entry/transport/steps/transport_steps.py
+++ b/tests/entry/transport/steps/transport_steps.py
@@ -28,10 +28,22 @@
 from tanagerturn.replay.trace import CallKind, Priority, TraceRequest
 from tanagerturn.schema import serving_pb2, settings_pb2
 from tanagerturn.serving.orders.messages import SendAnswer
+from tanagerturn.serving.streams.assembler import OutOfOrderError
 
 LIMIT_BYTES = 100
 DRAIN_TIMEOUT_S = 0.2
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+TOKENS = [
+    b'data: {"choices": [{"text": "w"}], "tanager": {"request_id": "r1",'
+    b' "attempt": 1, "offset": %d, "tokens": 1}}\n\n' % offset
+    for offset in (0, 1)
+]
+USAGE = (
+    b'data: {"choices": [], "usage": {"completion_tokens": 2},'
+    b' "tanager": {"request_id": "r1", "attempt": 1, "offset": 2, "tokens": 0}}\n\n'
+)
+DONE = b"data: [DONE]\n\n"
 REJECTION = b"HTTP/1.1 400 Bad Request\r\n"
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 RESPONSES = {
@@ -52,6 +64,13 @@
     "a large rejection": REJECTION + b"Content-Length: 10000\r\n\r\n" + b"x" * 10_000,
     "a cut rejection": REJECTION + b"Content-Length: 50\r\n\r\n" + b"x" * 20,
     "an undelimited rejection": REJECTION + b"\r\n" + b"x" * 20,
+    "a stream of one of two tokens": STREAM + TOKENS[0],
+    "a stream of two tokens without usage": STREAM + TOKENS[0] + TOKENS[1],
+    "a stream of usage without the end": STREAM + TOKENS[0] + TOKENS[1] + USAGE,
+    "a stream of the end without a token": STREAM + TOKENS[0] + USAGE + DONE,
+    "a stream of two tokens, usage and end": (
+        STREAM + TOKENS[0] + TOKENS[1] + USAGE + DONE
+    ),
     "with status 204": b"HTTP/1.1 204 No Content\r\n\r\n",
     **{
         f"with status {status}": (
@@ -151,6 +170,18 @@
         raise AssertionError("the request was not rejected")
 
 
+@then("the stream of a generation is {outcome}")
+def generation_ends(context, outcome):
+    run = GenerationRun(SimpleNamespace(transport=BackendTransport()), make_call())
+    try:
+        events = list(run._attempt(SimpleNamespace(address=context.address)))
+    except (BrokenCallError, OutOfOrderError):
+        assert outcome == "lost"
+    else:
+        assert outcome == "complete", events
+        assert len(events) == 4, events
+
+
 @then("the state of an engine is not known")
 def state_unknown(context):
     assert HttpEngineTransport().query_state(context.address, 5.0) is None
--- a/tests/entry/transport/transport.feature
+++ b/tests/entry/transport/transport.feature
@@ -83,6 +83,19 @@
       | cut              | a cut rejection           | lost                    |
       | without a length | an undelimited rejection  | lost                    |
 
+  # Guards against a stream that counts as complete since its connection ended in order.
+  Scenario Outline: A stream whose engine closes it in order after <when> is <outcome>
+    Given a backend server whose response is "a stream of <when>"
+    Then the stream of a generation is <outcome>
+
+    Examples:
+      | when                       | outcome  |
+      | one of two tokens          | lost     |
+      | two tokens without usage   | lost     |
+      | usage without the end      | lost     |
+      | the end without a token    | lost     |
+      | two tokens, usage and end  | complete |
+
   Scenario: A response without a body needs no length
     Given a backend server whose response is "with status 204"
     Then a non-repeatable call gets status 204
