--- a/src/tanagerturn/coordination/replica.py
+++ b/src/tanagerturn/coordination/replica.py
@@ -41,6 +41,10 @@
 SNAPSHOT_LIMIT_BYTES: Final = 16 * 1024 * 1024
 """Size in bytes of the applied entries after which a snapshot is due."""
 
+SNAPSHOT_RETRY_S: Final = 1.0
+"""Time in seconds after a snapshot was not stored before another one is begun; a full
+disk has room again after some seconds."""
+
 ISOLATED_AFTER_TIMEOUTS: Final = 4
 """Number of election timeouts without a known leader after which a member is
 isolated."""
@@ -101,8 +105,11 @@
         """Number of batches synced since the start."""
         self.applied_entries = 0
         """Number of entries applied since the start."""
-        self._is_disk_full_logged = False
+        self._is_disk_full = False
+        self._full_since_s = 0.0
         self._applied_bytes = 0
+        self._is_save_overdue = False
+        self._save_begun_s = 0.0
         self._next_ticket = 1
         self._leader_term = 0
         self._clock = GroupClock()
@@ -118,7 +125,8 @@
     def tick(self, moment: Moment) -> None:
         """Advance the timers.
 
-        Not while the disk is full, so that another member can become leader.
+        While the disk is full, the others elect a leader, which this member does not
+        receive messages of; it stops to lead or to name the last one.
         """
         now_s = moment.monotonic_s
         if self.core.leader:
@@ -126,6 +134,9 @@
         elif self._leaderless_since_s is None:
             self._leaderless_since_s = now_s
         if self.unwritten_ready is not None:
+            if now_s - self._full_since_s > self.core.options.election_timeout_s:
+                self.core.forget_leader(now_s)
+                self._on_role_change(moment)
             return
         self.core.tick(now_s)
         self._expire_leases(moment)
@@ -206,8 +217,10 @@
         """Start an election although the present leader responds.
 
         A voter with entries that this member lacks refuses its vote. Without effect at
-        the leader and at learners.
+        the leader, at learners and while the disk is full.
         """
+        if self.unwritten_ready is not None:
+            return
         self.core.take_leadership(moment.monotonic_s)
 
     def snapshot_saved(self, meta: pb.SnapshotMeta | None) -> None:
@@ -217,6 +230,7 @@
             meta: Metadata of the new snapshot; None when the snapshot was not stored.
         """
         self.is_saving = False
+        self._is_save_overdue = meta is None
         if meta is None:
             return
         compact_index = self.snapshot_index
@@ -234,8 +248,8 @@
             while self._process_ready_once(moment):
                 pass
         except DiskFullError as error:
-            self._log_disk_full(error)
-        self._snapshot_if_due()
+            self._on_disk_full(error, moment.monotonic_s)
+        self._snapshot_if_due(moment.monotonic_s)
 
     def is_isolated(self, moment: Moment) -> bool:
         """Return whether no leader is known for `ISOLATED_AFTER_TIMEOUTS`."""
@@ -269,7 +283,7 @@
             self.unwritten_ready = ready
             self.storage.write(ready.hard_state, ready.entries)
             self.unwritten_ready = None
-            self._is_disk_full_logged = False
+            self._is_disk_full = False
             self.synced_batches += 1
             self.core.synced()
         self.send(ready.after_sync)
@@ -288,12 +302,12 @@
             or ready.failed_reads
         )
 
-    def _log_disk_full(self, error: DiskFullError) -> None:
-        if not self._is_disk_full_logged:
-            log.warning(
-                "Disk is full; member pauses until a write succeeds: {}.", error
-            )
-        self._is_disk_full_logged = True
+    def _on_disk_full(self, error: DiskFullError, now_s: float) -> None:
+        if self._is_disk_full:
+            return
+        self._is_disk_full = True
+        self._full_since_s = now_s
+        log.warning("Disk is full; member pauses until a write succeeds: {}.", error)
 
     def _apply_and_reply(self, entry: pb.Entry) -> None:
         result = self.apply(entry)
@@ -341,21 +355,27 @@
 
     def _receive_chunk(self, chunk: ReceivedChunk) -> None:
         if self.is_saving and chunk.last:
-            self.core.snapshot_rejected(chunk.meta)
+            self.core.chunk_dropped(chunk.meta, chunk.offset)
             return
         try:
             self.storage.store_chunk(chunk)
         except DiskFullError as error:
             log.warning("Could not store a snapshot chunk from the leader: {}.", error)
-            self.core.snapshot_rejected(chunk.meta)
+            self.core.chunk_dropped(chunk.meta, 0)
             return
-        if chunk.last and self.core.needs_snapshot(chunk.meta):
+        if not chunk.last:
+            self.core.chunk_stored(chunk)
+        elif self.core.needs_snapshot(chunk.meta):
             self._install(chunk.meta)
 
     def _install(self, meta: pb.SnapshotMeta) -> None:
         try:
             store = self.storage.install(meta)
-        except (DamageError, DiskFullError) as error:
+        except DiskFullError as error:
+            log.warning("No room for the snapshot from the leader: {}.", error)
+            self.core.chunk_dropped(meta, 0)
+            return
+        except DamageError as error:
             log.warning("Could not install the snapshot from the leader: {}.", error)
             self.core.snapshot_rejected(meta)
             return
@@ -366,16 +386,19 @@
         self._applied_bytes = 0
         log.debug("Installed a snapshot of {} bytes from the leader.", meta.size_bytes)
 
-    def _snapshot_if_due(self) -> None:
+    def _snapshot_if_due(self, now_s: float) -> None:
         if self.is_saving:
             return
+        if self._is_save_overdue and now_s < self._save_begun_s + SNAPSHOT_RETRY_S:
+            return
         unsaved_entries = self.applied_index - self.snapshot_index
-        is_due = unsaved_entries >= self.snapshot_entries
-        if not is_due and (
-            not unsaved_entries or self._applied_bytes < SNAPSHOT_LIMIT_BYTES
-        ):
+        is_due = unsaved_entries >= self.snapshot_entries or self._is_save_overdue
+        if not is_due and self._applied_bytes < SNAPSHOT_LIMIT_BYTES:
+            return
+        if not unsaved_entries:
             return
         self.is_saving = True
+        self._save_begun_s = now_s
         self._applied_bytes = 0
         meta = self.core.snapshot_meta(self.applied_index)
         self.save_snapshot(meta, self.store.image())
