--- a/src/tanagerturn/serving/streams/endings.py
+++ b/src/tanagerturn/serving/streams/endings.py
@@ -106,7 +106,7 @@
         return EndProof.REPORT
     if end.move is not MoveState.NONE:
         return EndProof.NONE
-    if end.is_leaving and end.is_generation:
+    if end.is_generation:
         return EndProof.REPORT
     return EndProof.CONNECTION
 
