Count a forwarded stream of the soak as sound only if its peer had no fault

The check knew only the gateway of the caller. It reads the forwarded lines now and compares the times of the peer's faults; a stream forwarded through a peer without a fault still has to come through whole.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -155,12 +156,13 @@
         lines = [f"{'GET' if route == '/look/' else 'POST'} {path} {version}"]
         lines += [f"{name}: {value}" for name, value in headers.items()]
         faults_before, was_earlier = proxy.disturbance_count, proxy.is_earlier_build
-        was_sound = not proxy.disturbances
+        was_sound, sent_s = not proxy.disturbances, time.monotonic()
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
         read = read_old_response if self.is_old else read_response
 
         def note_faults() -> bool:
             is_sound = was_sound and proxy.disturbance_count == faults_before
+            self.history.times_s[request_id] = (sent_s, time.monotonic())
             if is_sound:
                 self.history.sound_paths.add(request_id)
             return is_sound
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -49,6 +49,8 @@
     """Ids of requests whose stream of a model engine came through whole."""
     sound_paths: set[str] = field(default_factory=set)
     """Ids of requests whose gateway and connection had no fault meanwhile."""
+    times_s: dict[str, tuple[float, float]] = field(default_factory=dict)
+    """Monotonic time in seconds at which each request was sent and ended, by id."""
     earlier_builds: set[str] = field(default_factory=set)
     """Ids of requests that a gateway of an earlier build answered."""
     engine_steps: dict[str, list[dict[str, object]]] = field(
@@ -143,6 +145,19 @@
             if step["step"] == "stopped":
                 self.aborted_by_backend.add(request_id)
 
+    def on_forwarded(
+        self, request_id: str, disturbed_s: list[tuple[float, float]]
+    ) -> None:
+        """Record that a gateway sent a request through a peer.
+
+        Args:
+            request_id: Id of the request.
+            disturbed_s: Begin and end of each fault of the peer in monotonic seconds.
+        """
+        sent_s, ended_s = self.times_s.get(request_id, (0.0, math.inf))
+        if any(a <= ended_s and b >= sent_s for a, b in disturbed_s):
+            self.sound_paths.discard(request_id)
+
     def killed_streams(self) -> set[str]:
         """Return the ids of requests whose run was cut by the end of its engine."""
         return {
@@ -179,7 +194,7 @@
 
         A stream is sound if one run of it wrote all events and its end, no one ordered
         it to move without learning that it had ended, its engine lived on, and its
-        gateway and the connection of its caller had no fault.
+        gateways and the connection of its caller had no fault.
         """
         violations = []
         for request_id in self.sound_paths - self.whole_streams - self.earlier_builds:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 import struct
+import time
 from contextlib import contextmanager
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -48,6 +50,9 @@
         """Number of faults of the server, or of connections to it, in progress."""
         self.disturbance_count = 0
         """Number of such faults until now."""
+        self.disturbed_s: list[tuple[float, float]] = []
+        """Monotonic time in seconds of the begin and end of each such fault; the end of
+        one in progress is infinite."""
         self.is_earlier_build = False
         """Whether the server runs an earlier build."""
         self.writers: set[asyncio.StreamWriter] = set()
@@ -75,10 +80,13 @@
         """Count a fault of the server, or of connections to it, while it lasts."""
         self.disturbances += 1
         self.disturbance_count += 1
+        index, begin_s = len(self.disturbed_s), time.monotonic()
+        self.disturbed_s.append((begin_s, math.inf))
         try:
             yield
         finally:
             self.disturbances -= 1
+            self.disturbed_s[index] = (begin_s, time.monotonic())
 
     def close(self) -> None:
         """Stop listening and reset all connections."""
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -52,6 +52,7 @@
       | /solo/c1 | an engine runs the stream again that was stopped for a move | executed repeatedly            |
       | /sing/c1 | its caller gets events 1 to 9 of a sound stream            | did not come through whole      |
       | /sing/c1 | its caller gets no response to a sound stream              | did not come through whole      |
+      | /sing/c1 | a stream is cut off that went through a sound gateway      | did not come through whole      |
 
   Scenario Outline: No violation is reported: <what>
     Given a caller that sent request "c1" to <path>
@@ -73,6 +74,7 @@
       | /sing/c1 | its caller gets events of two runs of an engine           |
       | /solo/c1 | an engine resumes the stream that was stopped for a move  |
       | /solo/c1 | its caller gets events 1 to 9 of an engine that then ends |
+      | /solo/c1 | a stream is cut off that went through a suspended gateway |
 
   Scenario: Schedules depend only on the seed and never lose two disks at once
     Then 200 schedules are repeatable, have all kinds, and lose at most one disk in 14 s
--- a/tests/soak/steps/soak_steps.py
+++ b/tests/soak/steps/soak_steps.py
@@ -177,6 +177,14 @@
     context.history.engine_ends_s["e1"] = 100.0 + LIFE_AFTER_END_S / 2
 
 
+@when("a stream is cut off that went through a {state} gateway")
+def forwarded_stream_cut(context, state):
+    context.history.times_s["c1"] = (98.0, 101.0)
+    record_sound_stream(context, range(1, 10))
+    faults_s = [(97.0, 100.0)] if state == "suspended" else [(90.0, 97.0)]
+    context.history.on_forwarded("c1", faults_s)
+
+
 use_step_matcher("re")
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -322,6 +322,16 @@
         for engine in self.engines:
             engine.kill()
         self.read_engine_steps()
+        self._read_forwarded_requests()
+
+    def _read_forwarded_requests(self) -> None:
+        """Add to the history which requests went through which other gateways."""
+        proxies = {p.name: self.caller_proxy(p) for p in self.programs}
+        for program in self.programs:
+            for line in program.events("forwarded"):
+                self.history.on_forwarded(
+                    str(line["request"]), proxies[str(line["peer"])].disturbed_s
+                )
 
 
 def soak_manifest(version: int) -> dict[str, object]:
