--- a/tests/gateway/backends/endings/steps/unproven_steps.py
+++ b/tests/gateway/backends/endings/steps/unproven_steps.py
@@ -9,7 +9,7 @@
 import orjson
 from behave import then, when
 
-from support.ending_engine import BODY_PARTS, STOPPED_AFTER
+from support.ending_engine import BODY_PARTS, STOPPED_AFTER, is_wrong
 from support.ending_world import NOT_RESUMABLE, RESUMABLE
 from support.gateway_world import HOST, KEY, STAMP, read_response
 from tanagerturn.clocks import boot_s
@@ -146,6 +146,16 @@
     assert len(engine.moved_ids) == 1
 
 
+@then("no caller gets a success without all events")
+def no_part_succeeds(context):
+    wrong = [
+        path
+        for path, each in context.responses.items()
+        if each.status == 200 and is_wrong(each)
+    ]
+    assert not wrong, context.responses
+
+
 @then("no stream ends as complete")
 def none_complete(context):
     whole = [path for path, each in context.responses.items() if each.is_whole]
