Ask a backend server that lives, not one that still accepts connections

Cause: the kernel closes the listener of a dying process after some of its connections, so a connection that it accepts does not show that it lives; and a report that does not list a request may be older than it.

A generation needs an HTTP response of its engine now, leaving or not, from 0.05 s after the close on; one that states another request state than the end, or can't be had, is asked for again, up to five times. A request that is not listed counts as ended only in a report of 0.5 s after its first event. Plain bodies wait for 0.05 s before the connection is opened. A generation without any event is never complete, and ids count as a number of events only if they do. The connection that verified a response keeps the announced idle timeout, and a cancelled check loses none.

A cancelled check may also leave its connection to the pool, as there is no wait any more in which it could be lost. A check of a staying engine reads reports now, which endings.feature stated it does not.

--- a/src/tanagerturn/gateway/backends/endings.py
+++ b/src/tanagerturn/gateway/backends/endings.py
@@ -11,7 +11,6 @@
 from tanagerturn.gateway.calls import call
 from tanagerturn.gateway.logs import component_log
 from tanagerturn.serving.streams.endings import (
-    MAX_REPORTS,
     EndProof,
     Framing,
     ReportVerdict,
@@ -25,17 +24,26 @@
 
     from tanagerturn.coordination.errors import StepError
     from tanagerturn.gateway.backends.exchange import BackendExchange
-    from tanagerturn.gateway.messages import BackendReport
+    from tanagerturn.gateway.calls import CallResponse
     from tanagerturn.gateway.request_run import RequestRun
     from tanagerturn.gateway.state import GatewayState
     from tanagerturn.serving.backends.backend import Backend
 
-REPORT_TIMEOUT_S: Final = 0.3
+REPORT_TIMEOUT_S: Final = 0.5
 """Timeout of one report in seconds; many times a round trip within a region."""
 
 REPORT_INTERVAL_S: Final = 0.2
 """Pause between two reports in seconds."""
 
+MAX_REPORTS: Final = 5
+"""Maximum number of reports that are read for one response; the last ones are of a time
+after its end, although reports are some hundred ms old."""
+
+EXIT_TIME_S: Final = 0.05
+"""Time in seconds after the close of a connection before its backend server is asked
+whether it lives: a process that ends closes its connections and its listener one after
+another, and accepts connections until the last of these."""
+
 log = component_log("relay")
 
 
@@ -80,7 +88,7 @@
         if proof is EndProof.REPORT:
             reason = await self._check_reports(run, backend)
         elif proof is EndProof.CONNECTION:
-            reason = await self._check_connection(run, backend)
+            reason = await self._check_connection(run, backend, exchange.keep_alive_s)
         elif proof in (EndProof.MOVE, EndProof.NONE):
             reason = "the order to move the stream may have stopped it"
         if is_stream:
@@ -97,8 +105,8 @@
             proof=proof.value,
             reason=reason,
             move=end.move.value,
-            leaving=end.is_leaving,
-            events=run.progress.event_count,
+            leaving=self.state.fleet.view.is_leaving(backend),
+            events=end.event_count,
             last_event=end.last_event_id,
             max_output_tokens=end.max_output_tokens,
         )
@@ -121,7 +129,7 @@
             exchange.framing,
             is_stream and prompt is not None,
             run.move,
-            self.state.fleet.view.is_leaving(backend),
+            run.progress.event_count,
             run.progress.last_id,
             prompt.max_output_tokens if prompt else 0,
         )
@@ -129,56 +137,65 @@
     async def _check_reports(self, run: RequestRun, backend: Backend) -> str:
         """Return why the reports do not show that a stream is complete; else empty."""
         events = max(run.progress.last_id or 0, run.progress.event_count)
+        reason = ""
         for number in range(MAX_REPORTS):
-            if number:
-                await asyncio.sleep(REPORT_INTERVAL_S)
+            await asyncio.sleep(REPORT_INTERVAL_S if number else EXIT_TIME_S)
             if self.state.backend_limits.is_paused(backend.id, boot_s()):
                 return "the backend server asked for a pause and can't be queried"
-            report = await self._read_report(backend)
-            if report.is_error():
-                return str(report.error)
+            asked_s = boot_s()
+            answered = await self._ask_report(backend)
+            if answered.is_error():
+                # A full backend server refuses connections for a moment.
+                reason = str(answered.error)
+                continue
+            report = self.state.dialect.decode_report(
+                answered.ok.status, answered.ok.body, backend.address
+            )
             verdict = judge_report(
-                report.ok.runs, run.request.attempt_id, events, run.move
+                report.ok.runs if report.is_ok() else None,
+                run.request.attempt_id,
+                events,
+                run.move,
+                asked_s - run.writing_since_s,
             )
             if verdict is ReportVerdict.COMPLETE:
                 return ""
             if verdict is ReportVerdict.INCOMPLETE:
                 return "the report does not show that the stream has ended"
-        return "the backend server still reports the stream"
+            reason = "the backend server still reports the stream"
+        return reason
 
-    async def _read_report(self, backend: Backend) -> Result[BackendReport, StepError]:
-        dialect = self.state.dialect
+    async def _ask_report(self, backend: Backend) -> Result[CallResponse, StepError]:
+        """Ask for a report; any response shows that the backend server lives."""
+        path = self.state.dialect.report_path
         answered = await call(
-            backend.address,
-            dialect.report_path,
-            [],
-            b"",
-            REPORT_TIMEOUT_S,
-            method="GET",
+            backend.address, path, [], b"", REPORT_TIMEOUT_S, method="GET"
         )
         if answered.is_ok():
             read_call_statements(self.state, backend, answered.ok, boot_s())
-        return answered.bind(
-            lambda a: dialect.decode_report(a.status, a.body, backend.address)
-        )
+        return answered
 
-    async def _check_connection(self, run: RequestRun, backend: Backend) -> str:
+    async def _check_connection(
+        self, run: RequestRun, backend: Backend, keep_alive_s: float | None
+    ) -> str:
         """Open a connection to a backend server, which the pool keeps.
 
+        Args:
+            run: The request.
+            backend: Backend server that closed the connection of the response.
+            keep_alive_s: Idle timeout in seconds that the response announced; None if
+                it announced none.
+
         Returns:
             Why it could not be opened; empty if it was.
         """
         pool = self.state.pool
+        await asyncio.sleep(EXIT_TIME_S)
         try:
             connection = await pool.open(
                 backend.id, backend.address, run.time_left_s(boot_s())
             )
         except OSError as error:
             return f"it accepts no connection: {str(error) or 'connect timeout'}"
-        # Lets the event loop receive a reset of a listener that is being closed.
-        await asyncio.sleep(0)
-        if not connection.tcp.is_usable:
-            connection.close()
-            return "it closed a new connection at once"
-        pool.release(connection, None, boot_s())
+        pool.release(connection, keep_alive_s, boot_s())
         return ""
--- a/src/tanagerturn/serving/streams/endings.py
+++ b/src/tanagerturn/serving/streams/endings.py
@@ -15,9 +15,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-MAX_REPORTS: Final = 4
-"""Maximum number of reports that are read for one response; with pauses between them,
-the last one is of a time after the end, since reports are some hundred ms old."""
+REPORT_AGE_S: Final = 0.5
+"""Time in seconds by which the state in a report may be older than its request."""
 
 
 class Framing(Enum):
@@ -83,11 +82,11 @@
     """Whether the response is the event stream of a generation."""
     move: MoveState = MoveState.NONE
     """State of the order to move the stream."""
-    is_leaving: bool = False
-    """Whether the backend server is known to be about to stop."""
+    event_count: int = 0
+    """Number of events that were forwarded during this request."""
     last_event_id: int | None = None
-    """Id of the last event that the caller has; None before the first. Ids count the
-    events from 1."""
+    """Id of the last event that the caller has; None before the first. It equals
+    `event_count` if the ids count the events of the whole stream."""
     max_output_tokens: int = 0
     """Maximum number of tokens of the generation, each event having one or more; 0 if
     it is unknown."""
@@ -97,22 +96,25 @@
     """Return what shows, or has to show, that a response is complete."""
     if end.framing is not Framing.CLOSE:
         return EndProof.FRAMING
-    if end.is_generation and 0 < end.max_output_tokens <= (end.last_event_id or 0):
-        return EndProof.COUNT
+    if end.is_generation:
+        if not end.event_count and end.last_event_id is None:
+            return EndProof.NONE
+        if end.last_event_id == end.event_count >= end.max_output_tokens > 0:
+            return EndProof.COUNT
     if end.move is MoveState.PENDING:
         return EndProof.MOVE
-    if end.move is MoveState.UNKNOWN_RUN:
-        # The stream may have ended while the order was on its way.
-        return EndProof.REPORT
-    if end.move is not MoveState.NONE:
+    if end.move in (MoveState.MOVED, MoveState.FAILED):
         return EndProof.NONE
-    if end.is_generation:
-        return EndProof.REPORT
-    return EndProof.CONNECTION
+    # After `UNKNOWN_RUN` too: the stream may have ended while the order was on its way.
+    return EndProof.REPORT if end.is_generation else EndProof.CONNECTION
 
 
 def judge_report(
-    runs: Mapping[str, int] | None, attempt_id: str, event_count: int, move: MoveState
+    runs: Mapping[str, int] | None,
+    attempt_id: str,
+    event_count: int,
+    move: MoveState,
+    written_s: float,
 ) -> ReportVerdict:
     """Return what a report shows that was requested after the end of a response.
 
@@ -122,6 +124,7 @@
         attempt_id: Id of the attempt.
         event_count: Number of events of the stream that the caller has.
         move: State of the order to move the stream.
+        written_s: Time in seconds from the first event to the request of the report.
     """
     if runs is None:
         # Without an order, it is enough that the backend server has not exited.
@@ -129,7 +132,9 @@
         return ReportVerdict.COMPLETE if is_enough else ReportVerdict.INCOMPLETE
     made = runs.get(attempt_id)
     if made is None:
-        return ReportVerdict.COMPLETE
+        # An older state does not list the request yet.
+        is_newer = written_s > REPORT_AGE_S
+        return ReportVerdict.COMPLETE if is_newer else ReportVerdict.UNDECIDED
     if made > event_count:
         return ReportVerdict.INCOMPLETE
     return ReportVerdict.UNDECIDED
