--- a/tests/gateway/state_group/full_disks/full_disks.feature
+++ b/tests/gateway/state_group/full_disks/full_disks.feature
@@ -37,3 +37,9 @@
       | calls  |
       | WRITES |
       | SYNCS  |
+
+  # Guards against changes that are refused for good after all disks have room again.
+  Scenario: Disks are full one after another while configurations are sent
+    Given 4 gateway processes, of which 3 have a disk
+    When the disk of each is full for 2.5 s, each in another way, and 0.5 s pass
+    Then a configuration is confirmed within 7 s and read at all
--- a/tests/gateway/state_group/full_disks/steps/full_disks_steps.py
+++ b/tests/gateway/state_group/full_disks/steps/full_disks_steps.py
@@ -119,3 +119,21 @@
 @when("that disk has room")
 def has_room(context):
     context.world.fill(context.full, FullDisk.NO)
+
+
+@when(
+    "the disk of each is full for {full_s:g} s, each in another way, "
+    "and {pause_s:g} s pass"
+)
+def full_in_turn(context, full_s, pause_s):
+    world = context.world
+    assert world.put_until(world.programs[-1], START_TIMEOUT_S)
+    kinds = (FullDisk.WRITES, FullDisk.NEW_FILES, FullDisk.SYNCS)
+    for full, fullness in zip(world.programs, kinds, strict=False):
+        world.fill(full, fullness)
+        end_s = time.monotonic() + full_s
+        while time.monotonic() < end_s:
+            for program in world.programs:
+                world.put(program)
+        world.fill(full, FullDisk.NO)
+        time.sleep(pause_s)
