--- a/tests/support/gateway_world.py
+++ b/tests/support/gateway_world.py
@@ -29,6 +29,7 @@
 HOST = "desk.example"
 KEY = "key-1"
 STAMP = "X-Server-Stamp: 1a.2b"
+REPORT_PATH = "/v1/report"
 
 
 def gateway_settings(folder: Path | None = None) -> GatewaySettings:
@@ -205,6 +206,8 @@
     """Received requests."""
     address: str = ""
     """IP address and port; empty before the start."""
+    reports_no_runs: bool = False
+    """Whether reports list no requests; otherwise the scripts handle them."""
 
     async def start(self) -> None:
         """Listen on a free port on loopback."""
@@ -229,6 +232,9 @@
                 size = int(headers.get("content-length", "0"))
                 body = await reader.readexactly(size)
                 call = ReceivedRequest(method, target, headers, body, writer, closed)
+                if self.reports_no_runs and target == REPORT_PATH:
+                    await call.answer(200, '{"runs":[]}', stamp=False)
+                    continue
                 self.calls.append(call)
                 script = self.scripts[min(len(self.calls), len(self.scripts)) - 1]
                 await script(call)
