--- a/src/tanagerturn/gateway/backends/endings.py
+++ b/src/tanagerturn/gateway/backends/endings.py
@@ -90,7 +90,11 @@
         elif proof is EndProof.CONNECTION:
             reason = await self._check_connection(run, backend, exchange.keep_alive_s)
         elif proof in (EndProof.MOVE, EndProof.NONE):
-            reason = "the order to move the stream may have stopped it"
+            reason = (
+                "the order to move the stream may have stopped it"
+                if end.event_count
+                else "the stream has no event"
+            )
         if is_stream:
             shown_by = (EndProof.NONE if reason else proof).value
             labels = (end.framing.value, end.move.value, shown_by)
