Log how a gateway learns that a backend server leaves

Cause: a gateway logged departures that were announced to it, but not those that it learned from a peer, so that a request at a leaving backend server could not be put down to a lost update, a late digest or a fetch. Updates state the number of their sending. No logic changed.

--- a/src/tanagerturn/gateway/control.py
+++ b/src/tanagerturn/gateway/control.py
@@ -8,6 +8,10 @@
 
 from tanagerturn.clocks import boot_s, to_ms
 from tanagerturn.coordination.errors import RefusedError
+from tanagerturn.gateway.backends.departure_sources import (
+    DepartureSource,
+    log_departure,
+)
 from tanagerturn.gateway.logs import component_log
 from tanagerturn.gateway.messages import (
     Announce,
@@ -113,6 +117,7 @@
             )
             self.mesh.send_update(gpb.BackendNews(announcements=[announcement]))
             if announcement.leaving:
+                log_departure(self.state, announcement.id, DepartureSource.ANNOUNCEMENT)
                 self.departures.on_leaving(BackendId(announcement.id))
         if not self.state.fleet.is_in_force(announcement):
             log.info(
@@ -133,6 +138,7 @@
         )
         if news is not None:
             log.info("backend_withdrawn", backend=call.backend_id)
+            log_departure(self.state, call.backend_id, DepartureSource.WITHDRAWAL)
             self.mesh.send_update(gpb.BackendNews(announcements=[news]))
             self.departures.on_leaving(call.backend_id)
         elif now_s - self.started_s < STARTUP_GRACE_S:
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -15,6 +15,10 @@
 from tanagerturn.gateway import stream_origins
 from tanagerturn.gateway.backends import indirect_checks
 from tanagerturn.gateway.backends.brittle import encode_brittle
+from tanagerturn.gateway.backends.departure_sources import (
+    DepartureSource,
+    log_departure,
+)
 from tanagerturn.gateway.backends.departures import DepartureTracker
 from tanagerturn.gateway.callers import preview
 from tanagerturn.gateway.callers.descriptors import connection_limits
@@ -473,6 +477,7 @@
             self.mesh.send_update(gpb.BackendNews(announcements=leaving))
             for announcement in leaving:
                 log.info("backend_withdrawn", backend=announcement.id)
+                log_departure(self.state, announcement.id, DepartureSource.RESPONSE)
                 self.control.departures.on_leaving(BackendId(announcement.id))
         if self.state.stream_origins.unsent:
             stream_origins.send_unsent(
--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -108,6 +108,11 @@
     "backend_withdrawn": (
         "A backend server announced, or stated in a response, that it is about to stop."
     ),
+    "departure_learned": (
+        "This gateway learned that a backend server leaves: from its `announcement`, "
+        "`withdrawal` or `response`, or from `peer` by `update` (the `sending`, from "
+        "1) or `registry`."
+    ),
     "departure_told": "A leaving backend server reported when it will stop.",
     "departure_unknown": "A leaving backend server did not report when it will stop.",
     "limit_named": (
--- a/src/tanagerturn/gateway/metrics.py
+++ b/src/tanagerturn/gateway/metrics.py
@@ -88,6 +88,8 @@
     unknown_load_fields: Gauge
     """Number of load reports of backend servers with more fields than are known. Like
     `connections`, a gauge: the samples of a counter take twice the bytes."""
+    departures: Counter
+    """Backend servers that this gateway learned to be leaving, by source."""
     refusals: Counter
     """Requests and connections that were refused or closed for want of memory or
     descriptors, by kind."""
@@ -241,6 +243,12 @@
         unknown_load_fields=gauge(
             "tanager_gateway_unknown_load_fields", "Load reports with unknown fields."
         ),
+        departures=Counter(
+            "tanager_gateway_departures",
+            "Leaving backend servers learned of, by source.",
+            ("source",),
+            registry=registry,
+        ),
         refusals=Counter(
             "tanager_gateway_overload_refusals",
             "Refusals for want of memory or descriptors.",
--- a/src/tanagerturn/gateway/spread/digests.py
+++ b/src/tanagerturn/gateway/spread/digests.py
@@ -6,6 +6,11 @@
 
 from tanagerturn.clocks import boot_s
 from tanagerturn.gateway.backends.brittle import apply_brittle, encode_brittle
+from tanagerturn.gateway.backends.departure_sources import (
+    DepartureSource,
+    log_departure,
+    staying_ids,
+)
 from tanagerturn.gateway.backends.speed_reports import add_speeds, apply_speeds
 from tanagerturn.gateway.backends.state import Work
 from tanagerturn.gateway.callers import scarcity
@@ -264,13 +269,21 @@
         if answered.is_error():
             log.info("registry_not_fetched", peer=address, reason=str(answered.error))
             return
-        self.on_backend_updates(answered.ok.news, boot_s())
+        self.on_backend_updates(
+            answered.ok.news, DepartureSource.REGISTRY, address, boot_s()
+        )
+
+    def on_news(self, datagram: gpb.Datagram, peer: str, now_s: float) -> None:
+        """Apply what a peer sends to all at once, ahead of its next digest.
 
-    def on_news(self, datagram: gpb.Datagram, now_s: float) -> None:
-        """Apply what a peer sends to all at once, ahead of its next digest."""
+        Args:
+            datagram: The received datagram.
+            peer: IP address and port of the peer.
+            now_s: Current boot-clock time in seconds.
+        """
         state, kind = self.state, datagram.WhichOneof("kind")
         if kind == "news":
-            self.on_backend_updates(datagram.news, now_s)
+            self.on_backend_updates(datagram.news, DepartureSource.UPDATE, peer, now_s)
         elif kind == "suspects":
             apply_suspects(state.quarantine, datagram.suspects, now_s)
         elif kind == "suspect_requests":
@@ -291,9 +304,28 @@
             self.rollouts.add_knowledge(news)
         return news
 
-    def on_backend_updates(self, news: gpb.BackendNews, now_s: float) -> None:
-        """Apply backend server updates from a peer gateway."""
+    def on_backend_updates(
+        self,
+        news: gpb.BackendNews,
+        source: DepartureSource,
+        peer: str,
+        now_s: float,
+    ) -> None:
+        """Apply backend server updates from a peer gateway.
+
+        Args:
+            news: The updates.
+            source: How they were received.
+            peer: IP address and port of the peer.
+            now_s: Current boot-clock time in seconds.
+        """
         if self.rollouts is not None:
             self.rollouts.apply_knowledge(news, now_s)
-        if self.state.fleet.on_backend_updates(news, now_s):
+        state, fleet = self.state, self.state.fleet
+        staying = staying_ids(fleet, news)
+        if fleet.on_backend_updates(news, now_s):
             self.on_changed()
+        for backend_id in staying:
+            backend = fleet.view.backends.get(backend_id)
+            if backend is not None and backend.leaving:
+                log_departure(state, backend_id, source, peer, news.sending)
--- a/src/tanagerturn/gateway/spread/mesh.py
+++ b/src/tanagerturn/gateway/spread/mesh.py
@@ -106,7 +106,7 @@
             boot-clock time in seconds.
         on_digest: Called with each newer digest of a peer.
         on_news: Called with each other datagram of a peer, except those that announce a
-            configuration version.
+            configuration version, and with the peer's IP address and port.
         on_version: Called with the configuration version that a peer announced, and its
             IP address.
     """
@@ -118,7 +118,7 @@
         fill_digest: Callable[[gpb.Digest, float], None],
         stamp_digest: Callable[[gpb.Digest, float], None],
         on_digest: Callable[[gpb.Digest, float], None],
-        on_news: Callable[[gpb.Datagram, float], None],
+        on_news: Callable[[gpb.Datagram, str, float], None],
         on_version: Callable[[int, str], None],
     ) -> None:
         self.settings = settings
@@ -134,7 +134,7 @@
         """Called with each newer digest of a peer."""
         self.on_news = on_news
         """Called with each other datagram of a peer, except those that announce a
-        configuration version."""
+        configuration version, and with the peer's IP address and port."""
         self.on_version = on_version
         """Called with the configuration version that a peer announced, and its IP
         address."""
@@ -228,10 +228,12 @@
 
     def send_update(self, update: gpb.BackendNews) -> None:
         """Send a backend server update to all peers after each of `UPDATE_DELAYS_S`."""
-        data = gpb.Datagram(news=update).SerializeToString()
         loop = asyncio.get_running_loop()
-        for wait_s in UPDATE_DELAYS_S:
-            loop.call_later(wait_s, lambda: self._broadcast(data, boot_s()))
+        for sending, wait_s in enumerate(UPDATE_DELAYS_S, start=1):
+            datagram = gpb.Datagram(news=update)
+            datagram.news.sending = sending
+            data = datagram.SerializeToString()
+            loop.call_later(wait_s, self._broadcast_now, data)
 
     def send_once(self, datagram: gpb.Datagram, now_s: float) -> None:
         """Send news to all peers once; digests repeat it."""
@@ -351,6 +353,9 @@
             if member is not self.core.local_member and _is_recipient(member, now_ms)
         )
 
+    def _broadcast_now(self, data: bytes) -> None:
+        self._broadcast(data, boot_s())
+
     def _broadcast(self, data: bytes, now_s: float) -> None:
         self._send_all(data, self._recipient_ips(now_s))
 
@@ -400,7 +405,7 @@
             ip = address.rpartition(":")[0]
             self.on_version(datagram.configuration_version, ip)
         else:
-            self.on_news(datagram, now_s)
+            self.on_news(datagram, address, now_s)
 
     def _apply_digest(self, digest: gpb.Digest, now_s: float) -> None:
         if digest.host == self.settings.host:
