Reproduce departures that do not reach all gateways within the bound

Requests reached backend servers that had said that they leave (DRAIN). Twelve gateways in one process; a backend server withdraws at one of them, whose datagrams are lost for 0.8 s, so that none of the three sendings of the update arrives, while others come and go each 0.5 s; or that is killed after its response with no datagram sent; or that reaches no peer.

--- /dev/null
+++ b/tests/gateway/spread/departures/steps/departures_steps.py
@@ -0,0 +1,214 @@
+"""Steps of departures.feature."""
+
+from __future__ import annotations
+
+import asyncio
+from itertools import count
+
+from behave import given, then, when
+from expression import Error
+
+from support.gateway_cluster import Cluster
+from tanagerturn.clocks import boot_s
+from tanagerturn.coordination.errors import UnavailableError
+from tanagerturn.gateway.messages import Announce, Withdraw
+from tanagerturn.schema import serving_pb2
+
+KNOWN_TIMEOUT_S = 3.0
+"""Time in seconds in which all gateways know a new backend server."""
+
+
+def make_announcement(backend_id, number=1):
+    return serving_pb2.Announcement(
+        id=backend_id,
+        address=f"127.0.0.1:{number}",
+        incarnation="b1",
+        sequence=1,
+        services=["desk"],
+        availability_zone="z1",
+        slots=6,
+        heartbeat_ms=60_000,
+        born_ms=1,
+    )
+
+
+def run(context, coroutine):
+    return context.loop.run_until_complete(coroutine)
+
+
+def selecting_hosts(context, backend_id):
+    """Return the hosts of the gateways that may send requests to a backend server."""
+    return {
+        host
+        for host, gateway in context.cluster.gateways.items()
+        if any(
+            backend.id == backend_id
+            for backend in gateway.state.fleet.candidates("desk", (), boot_s())
+        )
+    }
+
+
+async def announce(context, host, announcement):
+    control = context.cluster.gateways[host].control
+    status, _ = await control.execute(Announce(announcement))
+    assert status == 200, status
+
+
+@given(
+    "{with_disk:d} gateways with a disk and {diskless:d} without, which know the "
+    'backend server "{backend_id}"'
+)
+def gateways_know_backend(context, with_disk, diskless, backend_id):
+    context.loop = asyncio.new_event_loop()
+    context.cluster = Cluster(with_disk, diskless)
+
+    def close():
+        context.loop.run_until_complete(context.cluster.close())
+        context.loop.close()
+
+    context.closers.append(close)
+
+    async def start():
+        cluster = context.cluster
+        await cluster.start_all()
+        known = cluster.gateways.values()
+        await cluster.wait_until(
+            lambda: all(len(g.mesh.present_hosts()) == len(known) - 1 for g in known)
+        )
+        await announce(context, "g2", make_announcement(backend_id))
+        await announce(context, "g3", make_announcement("i-stays", 2))
+        await cluster.wait_until(
+            lambda: len(selecting_hosts(context, backend_id)) == len(known),
+            KNOWN_TIMEOUT_S,
+        )
+
+    run(context, start())
+
+
+@given("other backend servers stay")
+def others_stay(context):
+    pass
+
+
+@given("other backend servers come and go each {interval_s:g} s for {time_s:g} s")
+def others_come_and_go(context, interval_s, time_s):
+    """Let backend servers come and go, also after this step."""
+
+    async def change():
+        for number in count(3):
+            others = [h for h in context.cluster.gateways if h != "g6"]
+            host = others[number % len(others)]
+            announcement = make_announcement(f"i-{number}", number)
+            await announce(context, host, announcement)
+            previous = Withdraw(f"i-{number - 1}", 1)
+            await context.cluster.gateways[host].control.execute(previous)
+            await asyncio.sleep(interval_s)
+
+    task = context.loop.create_task(change())
+    context.closers.append(task.cancel)
+    run(context, asyncio.sleep(time_s))
+
+
+def lose_datagrams(gateway):
+    """Let all datagrams of a gateway be lost; return the function that ends it."""
+    socket = gateway.mesh.datagram_socket
+    send, socket.send = socket.send, lambda data, ip, port: None
+
+    def restore():
+        socket.send = send
+
+    return restore
+
+
+async def withdraw(context, backend_id, host):
+    sent_s = boot_s()
+    control = context.cluster.gateways[host].control
+    context.status, _ = await control.execute(Withdraw(backend_id, 1))
+    context.answered_s = boot_s()
+    context.took_s = context.answered_s - sent_s
+
+
+@when('"{backend_id}" withdraws at "{host}"')
+def withdraws(context, backend_id, host):
+    run(context, withdraw(context, backend_id, host))
+
+
+@when('"{backend_id}" withdraws at "{host}", whose datagrams are lost for {lost_s:g} s')
+def withdraws_at_lossy(context, backend_id, host, lost_s):
+    restore = lose_datagrams(context.cluster.gateways[host])
+
+    async def lose():
+        context.loop.call_later(lost_s, restore)
+        await withdraw(context, backend_id, host)
+
+    run(context, lose())
+
+
+@when(
+    '"{backend_id}" withdraws at "{host}", whose datagrams are lost until it is killed '
+    "after its response"
+)
+def withdraws_at_dying(context, backend_id, host):
+    lose_datagrams(context.cluster.gateways[host])
+
+    async def die():
+        await withdraw(context, backend_id, host)
+        await context.cluster.kill(host)
+
+    run(context, die())
+
+
+@when('"{backend_id}" withdraws at "{host}", which reaches no peer')
+def withdraws_at_cut_off(context, backend_id, host):
+    gateway = context.cluster.gateways[host]
+    lose_datagrams(gateway)
+
+    class UnreachableLink:
+        """Link whose calls find no peer."""
+
+        async def call(self, frame, timeout_s):
+            """Time out."""
+            await asyncio.sleep(timeout_s)
+            return Error(UnavailableError("call gateway", "", "no response"))
+
+        def send_one_way(self, frame):
+            """Lose a frame."""
+
+        def close(self):
+            """Close nothing."""
+
+    gateway.links.link_to = lambda address: UnreachableLink()
+    run(context, withdraw(context, backend_id, host))
+
+
+@then("it is acknowledged within 1 s")
+def acknowledged(context):
+    assert context.status == 200, context.status
+    assert context.took_s < 1.0, context.took_s
+
+
+@then("it gets status 503 within 1 s")
+def refused(context):
+    assert context.status == 503, context.status
+    assert context.took_s < 1.0, context.took_s
+
+
+def assert_bound(context, backend_id, excluded):
+    """Assert that no gateway selects a backend server when the bound has passed."""
+    gateways = context.cluster.gateways
+    bound_s = next(iter(gateways.values())).settings.drain_s
+    run(context, asyncio.sleep(max(0.0, context.answered_s + bound_s - boot_s())))
+    late = selecting_hosts(context, backend_id) - excluded
+    assert not late, f"{len(late)} of {len(gateways)} gateways: {sorted(late)}"
+
+
+@then('within the bound for draining no gateway selects "{backend_id}"')
+def none_selects(context, backend_id):
+    assert_bound(context, backend_id, set())
+
+
+@then(
+    'within the bound for draining no gateway but "{host}" selects "{backend_id}"',
+)
+def none_but_selects(context, backend_id, host):
+    assert_bound(context, backend_id, {host})
