Repeat departures in digests, and have them confirmed before they are acknowledged

Callers' requests reached backend servers that had said that they leave (DRAIN).

Cause: a departure was spread by the gateway that acknowledged it alone, in three sendings within 0.4 s, each to all peers in one burst and in the same order. A full link drops the end of a burst, so the three sendings were lost for the same peers. What was left is the hash of the registry, which is not compared for 1 to 3 s while backend servers come and go, and then with whoever differs.

Change: a departure is a fact of one start that never reverts. Each gateway that knows it repeats it in its digests, as of their sending, for 4 s and in every fourth digest for 12 s, also for starts that the receiver does not know yet. The first one sends it once, 40 bytes instead of 112, and waits until up to two peers confirm it over links; without any it answers 503, and the backend server asks another gateway. A withdrawal of an unknown start is spread as well. Broadcasts begin at another peer each time and are paced below a link of 2.5 Mbit/s. Peers of older versions get the update as before, and are not asked to confirm.

--- a/src/tanagerturn/gateway/backends/departure_sources.py
+++ b/src/tanagerturn/gateway/backends/departure_sources.py
@@ -27,6 +27,12 @@
     """The backend server stated it in a response."""
     UPDATE = "update"
     """A peer gateway sent an update to all others."""
+    DEPARTURES = "departures"
+    """A peer gateway that had just learned of it sent it to all others."""
+    CONFIRMATION = "confirmation"
+    """A peer gateway had it confirmed."""
+    DIGEST = "digest"
+    """The digest of a peer gateway repeats it."""
     REGISTRY = "registry"
     """This gateway fetched the registry of a peer gateway."""
 
--- a/src/tanagerturn/gateway/control.py
+++ b/src/tanagerturn/gateway/control.py
@@ -24,6 +24,7 @@
     Withdraw,
 )
 from tanagerturn.schema import gateway_pb2 as gpb
+from tanagerturn.serving.backends.departures import start_key
 from tanagerturn.serving.backends.messages import BackendId
 
 if TYPE_CHECKING:
@@ -32,6 +33,7 @@
     from tanagerturn.gateway.configuration_distributor import ConfigurationDistributor
     from tanagerturn.gateway.messages import RawHeaders
     from tanagerturn.gateway.rollouts.rollouts import Rollouts
+    from tanagerturn.gateway.spread.departures import DepartureSpread
     from tanagerturn.gateway.spread.mesh import Mesh
     from tanagerturn.gateway.state import GatewayState
 
@@ -52,6 +54,7 @@
         mesh: Membership of gateways and datagrams to peers.
         configurations: Stores, distributes and applies configurations.
         departures: Queries leaving backend servers for their departure time.
+        spread: Sends departures to the peers and has them confirmed.
         started_s: Boot-clock time of the process start in seconds.
         rollouts: Rollouts of services; None unless the settings allow them.
     """
@@ -62,6 +65,7 @@
         mesh: Mesh,
         configurations: ConfigurationDistributor,
         departures: DepartureTracker,
+        spread: DepartureSpread,
         started_s: float,
         rollouts: Rollouts | None = None,
     ) -> None:
@@ -73,6 +77,8 @@
         """Stores, distributes and applies configurations."""
         self.departures = departures
         """Queries leaving backend servers for their departure time."""
+        self.spread = spread
+        """Sends departures to the peers and has them confirmed."""
         self.started_s = started_s
         """Boot-clock time of the process start in seconds."""
         self.rollouts = rollouts
@@ -104,9 +110,11 @@
 
     @execute.register
     async def _(self, call: Announce) -> tuple[int, bytes]:
-        now_s = boot_s()
+        now_s, fleet = boot_s(), self.state.fleet
         announcement = call.announcement
-        if self.state.fleet.on_announcement(announcement, now_s, heard=True):
+        backend_id = BackendId(announcement.id)
+        start = start_key(backend_id, announcement.born_ms)
+        if fleet.on_announcement(announcement, now_s, heard=True):
             log.info(
                 "backend_announced",
                 backend=announcement.id,
@@ -115,11 +123,14 @@
                 leaving=announcement.leaving,
                 leaving_in_ms=announcement.leaving_in_ms,
             )
-            self.mesh.send_update(gpb.BackendNews(announcements=[announcement]))
+            update = gpb.BackendNews(announcements=[announcement])
             if announcement.leaving:
-                log_departure(self.state, announcement.id, DepartureSource.ANNOUNCEMENT)
-                self.departures.on_leaving(BackendId(announcement.id))
-        if not self.state.fleet.is_in_force(announcement):
+                log_departure(self.state, backend_id, DepartureSource.ANNOUNCEMENT)
+                self.spread.send(start, update, now_s)
+                self.departures.on_leaving(backend_id)
+            else:
+                self.mesh.send_update(update)
+        if not fleet.is_in_force(announcement):
             log.info(
                 "announcement_ignored",
                 backend=announcement.id,
@@ -127,23 +138,36 @@
                 sequence=announcement.sequence,
             )
             return 409, b"{}"
+        if announcement.leaving and not await self.spread.confirm(start):
+            return 503, b"{}"
         return 200, b"{}"
 
     @execute.register
     async def _(self, call: Withdraw) -> tuple[int, bytes]:
-        now_s = boot_s()
-        leaving_in_ms = to_ms(self.state.settings.drain_s)
-        news = self.state.fleet.on_withdrawal(
-            call.backend_id, call.born_ms, leaving_in_ms, now_s
-        )
-        if news is not None:
+        now_s, fleet = boot_s(), self.state.fleet
+        drain_s = self.state.settings.drain_s
+        known = fleet.view.backends.get(call.backend_id)
+        was_leaving = known is not None and known.leaving
+        born_ms = call.born_ms
+        if not born_ms and known is not None:
+            born_ms = known.announcement.born_ms
+        news = fleet.on_withdrawal(call.backend_id, born_ms, to_ms(drain_s), now_s)
+        is_unknown = known is None and born_ms > 0
+        if news is None and not is_unknown:
+            is_starting = now_s - self.started_s < STARTUP_GRACE_S
+            return (503 if is_starting else 200), b"{}"
+        # Of an unknown start, peers may know, and this gateway may learn later.
+        start = start_key(call.backend_id, born_ms)
+        fleet.departures.record(start, now_s + drain_s, now_s)
+        if is_unknown or not was_leaving:
             log.info("backend_withdrawn", backend=call.backend_id)
             log_departure(self.state, call.backend_id, DepartureSource.WITHDRAWAL)
-            self.mesh.send_update(gpb.BackendNews(announcements=[news]))
+            announcements = [] if news is None else [news]
+            update = gpb.BackendNews(announcements=announcements)
+            self.spread.send(start, update, now_s)
+        if news is not None:
             self.departures.on_leaving(call.backend_id)
-        elif now_s - self.started_s < STARTUP_GRACE_S:
-            return 503, b"{}"
-        return 200, b"{}"
+        return (200 if await self.spread.confirm(start) else 503), b"{}"
 
     @execute.register
     async def _(self, call: PutConfiguration) -> tuple[int, bytes]:
--- a/src/tanagerturn/gateway/fleet.py
+++ b/src/tanagerturn/gateway/fleet.py
@@ -22,6 +22,7 @@
 )
 from tanagerturn.schema import gateway_pb2 as gpb
 from tanagerturn.serving.backends._check import SEQUENCE_MAX
+from tanagerturn.serving.backends.departures import Departures, StartKey, start_key
 from tanagerturn.serving.backends.messages import BackendId
 from tanagerturn.serving.backends.paths import Paths
 from tanagerturn.serving.backends.view import make_backend_view
@@ -68,6 +69,10 @@
 requests take up the remainder."""
 
 
+MAX_STARTS_PER_BACKEND: Final = 3
+"""Number of known starts per backend server from which replaced ones are forgotten."""
+
+
 class Fleet:
     """All backend servers known to one gateway.
 
@@ -107,6 +112,10 @@
         self.reported_parts: list[tuple[gpb.SentPart, int]] = []
         """Sent prompt parts to report to peers, each with the number of digests that
         still have to report it."""
+        self.departures = Departures()
+        """Departures of backend servers that this gateway knows."""
+        self.id_by_start: dict[StartKey, BackendId] = {}
+        """Backend server ids by the hash of their start, as departures state it."""
         self.stated_departures: list[serving_pb2.Announcement] = []
         """Announcements of backend servers that stated in a response that they leave,
         until peers are informed."""
@@ -146,6 +155,7 @@
         self.change_count += applied_announcement.ok.eligibility_changed
         if earlier:
             self.paths.on_restarted(backend_id)
+        self._on_start_known(self.view.backends[backend_id], now_s)
         return applied_announcement.ok.eligibility_changed
 
     def on_withdrawal(
@@ -214,6 +224,40 @@
         if leaving is not None:
             self.stated_departures.append(leaving)
 
+    def on_departed(
+        self, start: StartKey, stops_at_s: float, now_s: float
+    ) -> Backend | None:
+        """Record a departure that a peer stated, also of a start that is not known yet.
+
+        Args:
+            start: The start that leaves.
+            stops_at_s: Boot-clock time in seconds at which it is expected to stop.
+            now_s: Current boot-clock time in seconds.
+
+        Returns:
+            The backend server if it was not known to leave; None otherwise.
+        """
+        if not self.departures.record(start, stops_at_s, now_s):
+            return None
+        backend = self.backend_of(start)
+        if backend is None or backend.leaving:
+            return None
+        self._mark_leaving(backend, stops_at_s)
+        return backend
+
+    def on_departure_reported(self, start: StartKey, stops_at_s: float) -> None:
+        """Record when a leaving backend server stops, as it reported to a peer."""
+        if not self.departures.report(start, stops_at_s):
+            return
+        backend = self.backend_of(start)
+        if backend is not None:
+            backend.on_departure(to_ms(stops_at_s))
+
+    def backend_of(self, start: StartKey) -> Backend | None:
+        """Return the backend server of a start; None if unknown or replaced."""
+        backend = self.view.backends.get(self.id_by_start.get(start, BackendId("")))
+        return backend if backend is not None and start_of(backend) == start else None
+
     def take_replaced(self) -> list[Backend]:
         """Return the backend servers that were replaced without leaving; clear them."""
         replaced, self.replaced = self.replaced, []
@@ -224,7 +268,10 @@
         backend = self.view.backends.get(BackendId(departure.backend))
         if backend is None or backend.announcement.born_ms != departure.born_ms:
             return
-        backend.on_departure(to_ms(now_s) + departure.leaving_in_ms)
+        stops_at_s = now_s + departure.leaving_in_ms / 1000
+        backend.on_departure(to_ms(stops_at_s))
+        self.departures.record(start_of(backend), stops_at_s, now_s)
+        self.departures.report(start_of(backend), stops_at_s)
 
     def on_heard_by_peer(self, hashes: Iterable[int], now_s: float) -> None:
         """Record that a peer gateway heard from backend servers directly.
@@ -482,6 +529,11 @@
                 self.directly_heard_s.pop(backend.id, None)
                 self.id_by_hash.pop(backend_hash(backend.id), None)
                 self.entry_hashes.pop(backend.id, None)
+                self.id_by_start.pop(start_of(backend), None)
+        if len(self.id_by_start) > MAX_STARTS_PER_BACKEND * len(self.view.backends):
+            # Those that later starts have replaced.
+            known = self.view.backends.values()
+            self.id_by_start = {start_of(backend): backend.id for backend in known}
 
     def state(self, backend_id: BackendId) -> BackendState:
         """Return the state of a backend server; an empty one is added if missing."""
@@ -610,6 +662,32 @@
                 news.heard_ago_ms.append(max(0, to_ms(now_s) - backend.last_heard_ms))
         return news
 
+    def _on_start_known(self, backend: Backend, now_s: float) -> None:
+        """Reconcile a start, which may have just become known, with the departures."""
+        start = start_of(backend)
+        self.id_by_start[start] = backend.id
+        if backend.leaving:
+            stops_at_ms = backend.stops_at_ms
+            stops_at_s = now_s if stops_at_ms is None else stops_at_ms / 1000
+            self.departures.record(start, stops_at_s, now_s)
+            return
+        departure = self.departures.by_start.get(start)
+        if departure is not None:
+            # A late announcement, or one of a peer that does not know the departure.
+            self._mark_leaving(backend, departure.stops_at_s)
+
+    def _mark_leaving(self, backend: Backend, stops_at_s: float) -> None:
+        """Mark a backend server as leaving, without a message of its own."""
+        heard_s = backend.last_heard_ms / 1000
+        leaving_in_ms = max(0, to_ms(stops_at_s - heard_s))
+        self.on_withdrawal(
+            backend.id,
+            backend.announcement.born_ms,
+            leaving_in_ms,
+            heard_s,
+            backend.sequence,
+        )
+
     def on_backend_updates(self, news: gpb.BackendNews, now_s: float) -> bool:
         """Apply backend server updates from a peer gateway or a warm start.
 
@@ -626,6 +704,9 @@
                 continue
             heard_s = now_s - silence_ms / 1000
             has_changed |= self.on_announcement(announcement, heard_s, heard=False)
+            if announcement.leaving:
+                start = start_key(BackendId(announcement.id), announcement.born_ms)
+                self.departures.confirm(start)
         for departure in news.departures:
             self.on_departure(departure, now_s)
         return has_changed
@@ -636,6 +717,11 @@
     return xxhash.xxh64_intdigest(backend_id.encode())
 
 
+def start_of(backend: Backend) -> StartKey:
+    """Return the hash of a backend server's present start."""
+    return start_key(backend.id, backend.announcement.born_ms)
+
+
 def service_of(backend: Backend) -> str:
     """Return the first service that a backend server announces; empty if none."""
     services = backend.announcement.services
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -35,6 +35,7 @@
 from tanagerturn.gateway.repeats import encode_suspect_requests, log_repeat_changes
 from tanagerturn.gateway.rollouts.rollouts import make_rollouts
 from tanagerturn.gateway.server import HttpServer
+from tanagerturn.gateway.spread.departures import DepartureSpread
 from tanagerturn.gateway.spread.digests import DigestExchange
 from tanagerturn.gateway.spread.mesh import BATCH_INTERVAL_S, TICK_S, Mesh
 from tanagerturn.gateway.startup import SAVE_INTERVAL_S, Startup
@@ -46,6 +47,7 @@
 from tanagerturn.gateway.state_group.opening import open_member
 from tanagerturn.gateway.state_group.replicated_store import ReplicatedStore
 from tanagerturn.schema import gateway_pb2 as gpb
+from tanagerturn.serving.backends.departures import start_key
 from tanagerturn.serving.backends.messages import BackendId
 
 if TYPE_CHECKING:
@@ -172,11 +174,14 @@
         """Rollouts of services; None unless the settings allow them."""
         if self.rollouts is not None:
             self.digests.rollouts = self.rollouts.spread
+        self.departure_spread = DepartureSpread(self.state, self.mesh, self.links)
+        """Sends departures of backend servers to the peers."""
         self.control = Control(
             self.state,
             self.mesh,
             self.configurations,
             DepartureTracker(self.state, self.mesh.send_update),
+            self.departure_spread,
             self.started_s,
             self.rollouts,
         )
@@ -371,6 +376,11 @@
             if self.member is None:
                 return gpb.Frame(failure=gpb.Failure(reason="no member here"))
             return await self.member.agreement.respond(frame.founding)
+        elif kind == "departures":
+            self.digests.on_departures(
+                frame.departures, DepartureSource.CONFIRMATION, peer, boot_s()
+            )
+            return gpb.Frame(done=gpb.Done())
         elif kind == "ask_news":
             return gpb.Frame(news=self.digests.backend_updates(boot_s()))
         elif kind == "correction":
@@ -468,17 +478,21 @@
     def _exchange_datagrams(self) -> None:
         self.mesh.receive()
         now_s = boot_s()
+        self.mesh.send_broadcasts(now_s)
         self.mesh.send_next_batch(now_s)
         if self.rollouts is not None:
             self.rollouts.exchange(now_s)
         fleet = self.state.fleet
         if fleet.stated_departures:
             leaving, fleet.stated_departures = fleet.stated_departures, []
-            self.mesh.send_update(gpb.BackendNews(announcements=leaving))
             for announcement in leaving:
-                log.info("backend_withdrawn", backend=announcement.id)
-                log_departure(self.state, announcement.id, DepartureSource.RESPONSE)
-                self.control.departures.on_leaving(BackendId(announcement.id))
+                backend_id = BackendId(announcement.id)
+                log.info("backend_withdrawn", backend=backend_id)
+                log_departure(self.state, backend_id, DepartureSource.RESPONSE)
+                start = start_key(backend_id, announcement.born_ms)
+                update = gpb.BackendNews(announcements=[announcement])
+                self.departure_spread.send(start, update, now_s)
+                self.control.departures.on_leaving(backend_id)
         if self.state.stream_origins.unsent:
             stream_origins.send_unsent(
                 self.state.stream_origins,
--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -110,8 +110,12 @@
     ),
     "departure_learned": (
         "This gateway learned that a backend server leaves: from its `announcement`, "
-        "`withdrawal` or `response`, or from `peer` by `update` (the `sending`, from "
-        "1) or `registry`."
+        "`withdrawal` or `response`, or from `peer`: by its `departures` message, a "
+        "`confirmation` that it asks for, its `digest`, its `registry`, or an `update` "
+        "(the `sending`, from 1) of an older version."
+    ),
+    "departure_unconfirmed": (
+        "None of the `asked` peers confirmed a departure, so it is not acknowledged."
     ),
     "departure_told": "A leaving backend server reported when it will stop.",
     "departure_unknown": "A leaving backend server did not report when it will stop.",
--- a/src/tanagerturn/gateway/spread/digests.py
+++ b/src/tanagerturn/gateway/spread/digests.py
@@ -26,6 +26,11 @@
     encode_suspect_requests,
     reported_requests,
 )
+from tanagerturn.gateway.spread.departures import (
+    EXTENDED_DIGEST_INTERVAL,
+    apply_departures,
+    fill_departures,
+)
 from tanagerturn.schema import gateway_pb2 as gpb
 
 if TYPE_CHECKING:
@@ -67,9 +72,6 @@
 """Number of report windows in an extended digest, from which a lease holder that has
 just started receives the counts of older windows."""
 
-EXTENDED_DIGEST_INTERVAL: Final = 4
-"""One digest in this number is extended; the older windows are half of its bytes."""
-
 log = component_log("digests")
 
 
@@ -135,6 +137,7 @@
         digest.configuration_version = state.configuration.version
         digest.registry_hash = state.fleet.registry_hash(now_s)
         digest.draining = state.is_draining
+        digest.repeats_departures = True
         digest.unreached_services.extend(state.unreached_services(now_s))
         for backend_id, heard_s in state.fleet.directly_heard_s.items():
             if now_s - heard_s < DIRECTLY_HEARD_MAX_AGE_S:
@@ -192,8 +195,13 @@
             self.rollouts.fill_digest(digest, now_s)
 
     def stamp_digest(self, digest: gpb.Digest, now_s: float) -> None:
-        """Set the send time of a digest to the corrected wall-clock time."""
+        """Set what has to be as of the sending of a digest.
+
+        This is its time on the corrected wall clock, and the departures: a digest is
+        sent for over a second in a large deployment.
+        """
         digest.sent_at_ms = int(self.state.wall_clock.read(now_s) * 1000)
+        fill_departures(self.state.fleet, digest, now_s)
 
     def on_digest(self, digest: gpb.Digest, now_s: float) -> None:
         """Apply the digest of a peer gateway."""
@@ -227,8 +235,30 @@
         if self.rollouts is not None:
             self.rollouts.on_permissions(digest.rollouts, now_s)
             self.rollouts.on_reports(digest.rollout_reports)
+        if digest.HasField("departures"):
+            self.on_departures(
+                digest.departures, DepartureSource.DIGEST, digest.host, now_s
+            )
         self._compare_registries(digest, now_s)
 
+    def on_departures(
+        self,
+        departures: gpb.Departures,
+        source: DepartureSource,
+        peer: str,
+        now_s: float,
+    ) -> None:
+        """Apply departures that a peer states.
+
+        Args:
+            departures: The departures.
+            source: How they were received.
+            peer: Host or address of the peer.
+            now_s: Current boot-clock time in seconds.
+        """
+        if apply_departures(self.state, departures, source, peer, now_s):
+            self.on_changed()
+
     def _compare_registries(self, digest: gpb.Digest, now_s: float) -> None:
         """Fetch a peer's registry if it differs from the local one."""
         if now_s - self.registry_hashed_at_s > REGISTRY_HASH_MAX_AGE_S:
@@ -284,6 +314,10 @@
         state, kind = self.state, datagram.WhichOneof("kind")
         if kind == "news":
             self.on_backend_updates(datagram.news, DepartureSource.UPDATE, peer, now_s)
+        elif kind == "departures":
+            self.on_departures(
+                datagram.departures, DepartureSource.DEPARTURES, peer, now_s
+            )
         elif kind == "suspects":
             apply_suspects(state.quarantine, datagram.suspects, now_s)
         elif kind == "suspect_requests":
--- a/src/tanagerturn/gateway/spread/mesh.py
+++ b/src/tanagerturn/gateway/spread/mesh.py
@@ -14,12 +14,13 @@
 from tanagerturn.coordination.membership.config import MembershipConfig
 from tanagerturn.coordination.membership.core import MembershipCore
 from tanagerturn.gateway.logs import component_log
+from tanagerturn.gateway.spread.broadcasts import ORDER_STEP, Broadcasts
 from tanagerturn.gateway.spread.sockets import PolledUdpSocket, UdpEndpoint
 from tanagerturn.schema import gateway_pb2 as gpb
 from tanagerturn.schema import membership_pb2 as mpb
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Sequence
     from random import Random
 
     from tanagerturn.coordination.membership._sender import Datagram
@@ -60,10 +61,6 @@
 """Number of recipients in a batch: a host's network link of 5 Mbit/s carries four
 digests of 2 KB in 13 ms, and drops the end of a longer queue."""
 
-START_FRACTION_STEP: Final = 0.382
-"""Fraction of the peer list by which the first recipient moves from one digest to the
-next; the golden section, so that no peer is last again soon."""
-
 DEAD_PEER_SEND_MS: Final = 60_000
 """Time in milliseconds for which datagrams are still sent to a dead gateway: it may
 only be partitioned, and then receives updates as soon as the partition heals."""
@@ -126,6 +123,8 @@
         self.start_fraction = random.random()
         """Position of the first recipient of a digest in the peer list, as a fraction
         from 0 to 1."""
+        self.broadcasts = Broadcasts(random.random())
+        """Datagrams to all peers that are not sent yet."""
         self.fill_digest = fill_digest
         """Adds the values that other components report to a digest."""
         self.stamp_digest = stamp_digest
@@ -181,6 +180,11 @@
         """Apply the datagrams that have arrived since the last call."""
         self.datagram_socket.poll()
 
+    def send_broadcasts(self, now_s: float) -> None:
+        """Send the queued datagrams that the pace allows."""
+        for data, ip in self.broadcasts.take(now_s):
+            self.datagram_socket.send(data, ip, self.settings.digest_port)
+
     def tick(self, now_s: float) -> None:
         """Run failure detection, and make a new digest if one is due."""
         self._send_probes(self.core.tick(to_ms(now_s)))
@@ -213,7 +217,7 @@
         # peers starts at a different peer each time, so that an overloaded network
         # link does not always drop the digests to the same peers.
         ips = self._recipient_ips(now_s)
-        self.start_fraction = (self.start_fraction + START_FRACTION_STEP) % 1.0
+        self.start_fraction = (self.start_fraction + ORDER_STEP) % 1.0
         start_index = int(self.start_fraction * len(ips))
         ips = ips[start_index:] + ips[:start_index]
         unsent_ips = [ip for ip in self.pending_ips if ip in ips]
@@ -226,18 +230,44 @@
         data = gpb.Datagram(digest=self.last_digest).SerializeToString()
         self._send_all(data, batch)
 
-    def send_update(self, update: gpb.BackendNews) -> None:
-        """Send a backend server update to all peers after each of `UPDATE_DELAYS_S`."""
+    def send_update(self, update: gpb.BackendNews, *, only_older: bool = False) -> None:
+        """Send a backend server update to all peers after each of `UPDATE_DELAYS_S`.
+
+        Args:
+            update: The update.
+            only_older: Send it only to peers that do not repeat departures.
+        """
         loop = asyncio.get_running_loop()
         for sending, wait_s in enumerate(UPDATE_DELAYS_S, start=1):
             datagram = gpb.Datagram(news=update)
             datagram.news.sending = sending
             data = datagram.SerializeToString()
-            loop.call_later(wait_s, self._broadcast_now, data)
+            if wait_s:
+                loop.call_later(wait_s, self._broadcast_now, data, only_older)
+            else:
+                self._broadcast_now(data, only_older)
+
+    def send_to_repeating(self, datagram: gpb.Datagram, now_s: float) -> None:
+        """Send news once, and first, to all peers that repeat departures."""
+        data = datagram.SerializeToString()
+        ips = self._recipient_ips(now_s, repeating=True)
+        self._broadcast(data, ips, now_s, is_urgent=True)
+
+    def repeating_peers(self, now_s: float) -> dict[str, str]:
+        """Return the link address of each present peer that repeats departures."""
+        present = self.present_gateways()
+        digests = (digest for digest in self.recent_digests(now_s))
+        repeating = {d.host for d in digests if d.repeats_departures}
+        return {host: present[host] for host in present.keys() & repeating}
+
+    def is_alone(self, now_s: float) -> bool:
+        """Return whether no peer is known, not even one that was lost lately."""
+        return self.known_count(now_s) <= 1
 
     def send_once(self, datagram: gpb.Datagram, now_s: float) -> None:
         """Send news to all peers once; digests repeat it."""
-        self._broadcast(datagram.SerializeToString(), now_s)
+        ips = self._recipient_ips(now_s)
+        self._broadcast(datagram.SerializeToString(), ips, now_s)
 
     def send_to(self, datagram: gpb.Datagram, host: str) -> None:
         """Send news to one peer once; nothing is sent to an unknown one."""
@@ -251,7 +281,7 @@
         data = gpb.Datagram(configuration_version=version).SerializeToString()
         loop = asyncio.get_running_loop()
         for wait_s in UPDATE_DELAYS_S[:2]:
-            loop.call_later(wait_s, lambda: self._broadcast(data, boot_s()))
+            loop.call_later(wait_s, self._broadcast_now, data)
 
     def set_seeds(self, seed_ips: Iterable[str]) -> None:
         """Replace the seeds through which gateways are discovered.
@@ -353,11 +383,19 @@
             if member is not self.core.local_member and _is_recipient(member, now_ms)
         )
 
-    def _broadcast_now(self, data: bytes) -> None:
-        self._broadcast(data, boot_s())
+    def _broadcast_now(self, data: bytes, only_older: bool = False) -> None:
+        now_s = boot_s()
+        repeating = False if only_older else None
+        self._broadcast(data, self._recipient_ips(now_s, repeating=repeating), now_s)
 
-    def _broadcast(self, data: bytes, now_s: float) -> None:
-        self._send_all(data, self._recipient_ips(now_s))
+    def _broadcast(
+        self, data: bytes, ips: Sequence[str], now_s: float, *, is_urgent: bool = False
+    ) -> None:
+        if len(data) > DATAGRAM_LIMIT_BYTES:
+            log.warning("datagram_too_large", bytes=len(data))
+            return
+        self.broadcasts.add(data, ips, is_urgent=is_urgent)
+        self.send_broadcasts(now_s)
 
     def _send_all(self, data: bytes, ips: Iterable[str]) -> None:
         if len(data) > DATAGRAM_LIMIT_BYTES:
@@ -366,15 +404,28 @@
         for ip in ips:
             self.datagram_socket.send(data, ip, self.settings.digest_port)
 
-    def _recipient_ips(self, now_s: float) -> list[str]:
-        """Return the IP addresses of all peers that datagrams are sent to."""
+    def _recipient_ips(
+        self, now_s: float, *, repeating: bool | None = None
+    ) -> list[str]:
+        """Return the IP addresses of all peers that datagrams are sent to.
+
+        Args:
+            now_s: Current boot-clock time in seconds.
+            repeating: Only peers that repeat departures, or only others; None for all.
+        """
         now_ms = to_ms(now_s)
         return [
             member.info.address.rpartition(":")[0]
             for member in self.core.table.members.values()
-            if member is not self.core.local_member and _is_recipient(member, now_ms)
+            if member is not self.core.local_member
+            and _is_recipient(member, now_ms)
+            and repeating in (None, self._repeats_departures(member))
         ]
 
+    def _repeats_departures(self, member: Member) -> bool:
+        peer = self.peers.get(member.process)
+        return peer is not None and peer.digest.repeats_departures
+
     def _send_probes(self, datagrams: Iterable[Datagram]) -> None:
         for datagram in datagrams:
             ip, _, port = datagram.address.rpartition(":")
