--- a/src/tanagerturn/gateway/backends/departures.py
+++ b/src/tanagerturn/gateway/backends/departures.py
@@ -41,11 +41,12 @@
 
     Args:
         state: State of the gateway.
-        broadcast: Sends an update to all peer gateways.
+        broadcast: Sends an update to all peer gateways; called with the update and the
+            boot-clock time in seconds.
     """
 
     def __init__(
-        self, state: GatewayState, broadcast: Callable[[gpb.BackendNews], None]
+        self, state: GatewayState, broadcast: Callable[[gpb.BackendNews, float], None]
     ) -> None:
         self.state = state
         """State of the gateway."""
@@ -105,4 +106,4 @@
         )
         self.state.fleet.on_departure(departure, boot_s())
         log.info("departure_told", backend=backend.id, leaving_in_ms=leaving_in_ms)
-        self.broadcast(gpb.BackendNews(departures=[departure]))
+        self.broadcast(gpb.BackendNews(departures=[departure]), boot_s())
--- a/src/tanagerturn/gateway/configuration_distributor.py
+++ b/src/tanagerturn/gateway/configuration_distributor.py
@@ -138,7 +138,7 @@
             elif proposed.ok.status == pb.CommandResult.APPLIED:
                 log.info("configuration_accepted", version=version)
                 self.adopt_stored(value)
-                self.mesh.send_version(version)
+                self.mesh.send_version(version, boot_s())
                 return Ok(AcceptedVersion(version))
 
     async def read_newest(self) -> Result[bytes, StepError]:
@@ -164,7 +164,7 @@
             if event.entry.key == CURRENT_KEY and not event.deleted:
                 stored = gpb.StoredConfiguration.FromString(event.entry.value)
                 if self.adopt_stored(stored):
-                    self.mesh.send_version(stored.version)
+                    self.mesh.send_version(stored.version, boot_s())
 
     def on_peer_version(self, version: int, link_address: str) -> None:
         """Record the configuration version of a peer gateway; fetch it if it is newer.
--- a/src/tanagerturn/gateway/control.py
+++ b/src/tanagerturn/gateway/control.py
@@ -129,7 +129,7 @@
                 self.spread.send(start, update, now_s)
                 self.departures.on_leaving(backend_id)
             else:
-                self.mesh.send_update(update)
+                self.mesh.send_update(update, now_s)
         if not fleet.is_in_force(announcement):
             log.info(
                 "announcement_ignored",
--- a/src/tanagerturn/gateway/spread/departures.py
+++ b/src/tanagerturn/gateway/spread/departures.py
@@ -152,7 +152,7 @@
             datagram = gpb.Datagram(departures=message)
             self.mesh.send_to_repeating(datagram, now_s)
         if update.announcements:
-            self.mesh.send_update(update, only_older=True)
+            self.mesh.send_update(update, now_s, only_older=True)
 
     async def confirm(self, start: StartKey) -> bool:
         """Wait until peers have confirmed that they know a departure.
--- a/src/tanagerturn/gateway/spread/mesh.py
+++ b/src/tanagerturn/gateway/spread/mesh.py
@@ -91,6 +91,18 @@
     """Boot-clock time in seconds at which the digest was received."""
 
 
+@dataclass(frozen=True)
+class Delayed:
+    """A datagram that is sent to all peers later."""
+
+    due_s: float
+    """Boot-clock time in seconds at which it is sent."""
+    data: bytes
+    """The datagram."""
+    only_older: bool = False
+    """Whether peers that repeat departures do not get it."""
+
+
 class Mesh:
     """Membership of gateways, and datagrams between this gateway and its peers.
 
@@ -124,7 +136,9 @@
         """Position of the first recipient of a digest in the peer list, as a fraction
         from 0 to 1."""
         self.broadcasts = Broadcasts(random.random())
-        """Datagrams to all peers that are not sent yet."""
+        """Datagrams to all peers that are being sent."""
+        self.delayed: list[Delayed] = []
+        """Datagrams to all peers that are due later."""
         self.fill_digest = fill_digest
         """Adds the values that other components report to a digest."""
         self.stamp_digest = stamp_digest
@@ -181,7 +195,14 @@
         self.datagram_socket.poll()
 
     def send_broadcasts(self, now_s: float) -> None:
-        """Send the queued datagrams that the pace allows."""
+        """Send the broadcasts that are due, as far as their pace allows."""
+        due = [each for each in self.delayed if now_s >= each.due_s]
+        if due:
+            self.delayed = [each for each in self.delayed if now_s < each.due_s]
+        for each in due:
+            repeating = False if each.only_older else None
+            ips = self._recipient_ips(now_s, repeating=repeating)
+            self.broadcasts.add(each.data, ips, is_urgent=False)
         for data, ip in self.broadcasts.take(now_s):
             self.datagram_socket.send(data, ip, self.settings.digest_port)
 
@@ -189,6 +210,10 @@
         """Run failure detection, and make a new digest if one is due."""
         self._send_probes(self.core.tick(to_ms(now_s)))
         self._log_changes()
+        self.prepare_digest(now_s)
+
+    def prepare_digest(self, now_s: float) -> None:
+        """Make a new digest if one is due."""
         if now_s >= self.next_digest_s:
             self.next_digest_s = now_s + self.digest_interval_s()
             self._make_digest(now_s)
@@ -230,22 +255,22 @@
         data = gpb.Datagram(digest=self.last_digest).SerializeToString()
         self._send_all(data, batch)
 
-    def send_update(self, update: gpb.BackendNews, *, only_older: bool = False) -> None:
+    def send_update(
+        self, update: gpb.BackendNews, now_s: float, *, only_older: bool = False
+    ) -> None:
         """Send a backend server update to all peers after each of `UPDATE_DELAYS_S`.
 
         Args:
             update: The update.
+            now_s: Current boot-clock time in seconds.
             only_older: Send it only to peers that do not repeat departures.
         """
-        loop = asyncio.get_running_loop()
         for sending, wait_s in enumerate(UPDATE_DELAYS_S, start=1):
             datagram = gpb.Datagram(news=update)
             datagram.news.sending = sending
             data = datagram.SerializeToString()
-            if wait_s:
-                loop.call_later(wait_s, self._broadcast_now, data, only_older)
-            else:
-                self._broadcast_now(data, only_older)
+            self.delayed.append(Delayed(now_s + wait_s, data, only_older))
+        self.send_broadcasts(now_s)
 
     def send_to_repeating(self, datagram: gpb.Datagram, now_s: float) -> None:
         """Send news once, and first, to all peers that repeat departures."""
@@ -276,12 +301,12 @@
             ip = member.info.address.rpartition(":")[0]
             self._send_all(datagram.SerializeToString(), [ip])
 
-    def send_version(self, version: int) -> None:
+    def send_version(self, version: int, now_s: float) -> None:
         """Send a newer configuration version to all peers twice, some 0.1 s apart."""
         data = gpb.Datagram(configuration_version=version).SerializeToString()
-        loop = asyncio.get_running_loop()
         for wait_s in UPDATE_DELAYS_S[:2]:
-            loop.call_later(wait_s, self._broadcast_now, data)
+            self.delayed.append(Delayed(now_s + wait_s, data))
+        self.send_broadcasts(now_s)
 
     def set_seeds(self, seed_ips: Iterable[str]) -> None:
         """Replace the seeds through which gateways are discovered.
@@ -383,11 +408,6 @@
             if member is not self.core.local_member and _is_recipient(member, now_ms)
         )
 
-    def _broadcast_now(self, data: bytes, only_older: bool = False) -> None:
-        now_s = boot_s()
-        repeating = False if only_older else None
-        self._broadcast(data, self._recipient_ips(now_s, repeating=repeating), now_s)
-
     def _broadcast(
         self, data: bytes, ips: Sequence[str], now_s: float, *, is_urgent: bool = False
     ) -> None:
--- a/tests/gateway/backends/statements/steps/statements_steps.py
+++ b/tests/gateway/backends/statements/steps/statements_steps.py
@@ -174,7 +174,7 @@
 
     async def play():
         world.announce(world.engines[0], leaving=True, reclaimable=True)
-        tracker = departures.DepartureTracker(world.state, lambda update: None)
+        tracker = departures.DepartureTracker(world.state, lambda update, now_s: None)
         tracker.on_leaving("i-1")
         await asyncio.gather(*tracker.queries.values())
 
--- a/tests/gateway/departures/steps/departures_steps.py
+++ b/tests/gateway/departures/steps/departures_steps.py
@@ -49,7 +49,7 @@
         world.announce(context.engine, **fields)
     first, second = (world.state.fleet for world in context.worlds)
     context.departures = DepartureTracker(
-        context.worlds[0].state, lambda news: second.on_backend_updates(news, boot_s())
+        context.worlds[0].state, second.on_backend_updates
     )
     return first, second
 
