Test the ledger of departures, paced broadcasts and departures beside older gateways

Cause: the spread of departures rests on a ledger, on the pace of broadcasts and on what an older peer leaves out, which only the tests of whole gateways covered. Change: tests of each, of a withdrawal of an unknown start, and of one that was refused and is sent again.

--- a/tests/gateway/spread/departures/departures.feature
+++ b/tests/gateway/spread/departures/departures.feature
@@ -33,3 +33,40 @@
     When "i-1" withdraws at "g7"
     Then it is acknowledged within 1 s
     And within the bound for draining no gateway but "g6" selects "i-1"
+
+  # Guards against a withdrawal that is acknowledged but spread to no one, since the
+  # announcement was lost on the way to this gateway.
+  Scenario: A gateway that does not know a backend server spreads its departure
+    Given 4 gateways with a disk and 8 without, which know the backend server "i-1"
+    And "g6" does not know "i-1"
+    When "i-1" withdraws at "g6"
+    Then it is acknowledged within 1 s
+    And within the bound for draining no gateway selects "i-1"
+    When a late announcement of "i-1" reaches "g6"
+    Then within the bound for draining no gateway selects "i-1"
+
+  # Guards against a peer of an older version that ignores or never confirms departures.
+  Scenario Outline: Departures bind gateways of older and newer versions (at <host>)
+    Given 4 gateways with a disk and 8 without, which know the backend server "i-1"
+    And <older> of them are of an older version
+    When "i-1" withdraws at "<host>"
+    Then it is acknowledged within 1 s
+    And within the bound for draining no gateway selects "i-1"
+
+    Examples:
+      | host | older        |
+      | g6   | "g7, g8, g9" |
+      | g7   | "g7, g8, g9" |
+      | g6   | all but "g6" |
+      | g2   | all but "g6" |
+
+  # Guards against an acknowledgment that is repeated though no peer ever confirmed it.
+  Scenario: A departure that was refused is refused again until a peer knows it
+    Given 4 gateways with a disk and 8 without, which know the backend server "i-1"
+    When "i-1" withdraws at "g6", which reaches no peer
+    Then it gets status 503 within 1 s
+    When "i-1" withdraws at "g6" immediately again
+    Then it gets status 503 within 1 s
+    When the datagrams of "g6" arrive again for 1 s
+    And "i-1" withdraws at "g6"
+    Then it is acknowledged within 1 s
--- a/tests/gateway/spread/departures/steps/departures_steps.py
+++ b/tests/gateway/spread/departures/steps/departures_steps.py
@@ -14,6 +14,9 @@
 from tanagerturn.gateway.messages import Announce, Withdraw
 from tanagerturn.schema import serving_pb2
 
+DIGESTS_S = 1.0
+"""Time in seconds in which each gateway receives several digests of each peer."""
+
 KNOWN_TIMEOUT_S = 3.0
 """Time in seconds in which all gateways know a new backend server."""
 
@@ -85,6 +88,61 @@
     run(context, start())
 
 
+@given('"{host}" does not know "{backend_id}"')
+def does_not_know(context, host, backend_id):
+    context.cluster.gateways[host].state.fleet.view.forget(backend_id)
+
+
+@when('a late announcement of "{backend_id}" reaches "{host}"')
+def late_announcement(context, backend_id, host):
+    run(context, announce(context, host, make_announcement(backend_id)))
+
+
+def make_older(gateway):
+    """Let a gateway ignore, and not send, what older versions do not know."""
+    digests = gateway.digests
+    fill_digest, stamp_digest = digests.fill_digest, digests.stamp_digest
+
+    def fill(digest, now_s):
+        fill_digest(digest, now_s)
+        digest.repeats_departures = False
+
+    def stamp(digest, now_s):
+        stamp_digest(digest, now_s)
+        digest.ClearField("departures")
+
+    gateway.mesh.fill_digest, gateway.mesh.stamp_digest = fill, stamp
+    digests.on_departures = lambda departures, source, peer, now_s: None
+    gateway.departure_spread.confirm = confirm_nothing
+    gateway.mesh._repeats_departures = lambda member: False
+
+
+async def confirm_nothing(start):
+    """Acknowledge without confirmation, as older versions do."""
+    return True
+
+
+@given("{which} of them are of an older version")
+def some_are_older(context, which):
+    names = set(which.partition('"')[2].rstrip('"').split(", "))
+    is_complement = which.startswith("all but")
+    for host, gateway in context.cluster.gateways.items():
+        if (host in names) != is_complement:
+            make_older(gateway)
+    run(context, asyncio.sleep(DIGESTS_S))
+
+
+@when('"{backend_id}" withdraws at "{host}" immediately again')
+def withdraws_again(context, backend_id, host):
+    run(context, withdraw(context, backend_id, host))
+
+
+@when('the datagrams of "{host}" arrive again for {time_s:g} s')
+def datagrams_arrive(context, host, time_s):
+    context.restore_datagrams()
+    run(context, asyncio.sleep(time_s))
+
+
 @given("other backend servers stay")
 def others_stay(context):
     pass
@@ -161,7 +219,7 @@
 @when('"{backend_id}" withdraws at "{host}", which reaches no peer')
 def withdraws_at_cut_off(context, backend_id, host):
     gateway = context.cluster.gateways[host]
-    lose_datagrams(gateway)
+    context.restore_datagrams = lose_datagrams(gateway)
 
     class UnreachableLink:
         """Link whose calls find no peer."""
--- /dev/null
+++ b/tests/serving/backends/departures.feature
@@ -0,0 +1,27 @@
+@routing
+Feature: Departures that a gateway repeats to its peers
+
+  Scenario: A departure is recorded once and repeated for a limited time
+    Given a gateway that learns that "i-1" leaves at 10 s and "i-2" at 12 s
+    Then recording "i-1" again changes nothing
+    And each digest at 13 s repeats just "i-2, i-1"
+    And each digest at 15 s repeats "i-2", some "i-2, i-1"
+    And each digest at 23 s repeats nothing, some "i-2"
+    And each digest at 25 s repeats nothing, some nothing
+
+  # Guards against digests without a bound after the departure of a whole zone.
+  Scenario: Digests repeat a bounded number of departures, the latest ones
+    Given a gateway that learns of 1500 departures at 10 s
+    Then each digest at 11 s repeats the last 128
+    And 1000 departures are known
+
+  Scenario: The earliest time that a backend server reported applies
+    Given a gateway that learns that "i-1" leaves at 10 s and "i-2" at 12 s
+    When "i-1" reports that it stops at 14 s, then at 13 s, then at 15 s
+    Then only the first report is new, and it stops at 13 s
+    And a report on an unknown start is ignored
+
+  Scenario: A departure is unconfirmed until a peer is known to have it
+    Given a gateway that learns that "i-1" leaves at 10 s and "i-2" at 12 s
+    When a peer confirms the departure of "i-1"
+    Then only that of "i-2" is unconfirmed
