State the configuration version and draining as of a digest's sending

Cause: a digest is made once and then sent to all peers in batches, for 1.25 s at 200 gateways, so that peers were told of a configuration or of a stop by what was known before it. The same class as departures: the repair was older than the fact. Change: both are set as a batch is sent. Measured: tests/gateway/spread/digests, with a scenario that fails without the change.

--- a/src/tanagerturn/gateway/spread/digests.py
+++ b/src/tanagerturn/gateway/spread/digests.py
@@ -197,11 +197,14 @@
     def stamp_digest(self, digest: gpb.Digest, now_s: float) -> None:
         """Set what has to be as of the sending of a digest.
 
-        This is its time on the corrected wall clock, and the departures: a digest is
-        sent for over a second in a large deployment.
+        This is its time on the corrected wall clock, and what has to bind the peers
+        soon: in a large deployment, sending a digest to all takes over a second.
         """
-        digest.sent_at_ms = int(self.state.wall_clock.read(now_s) * 1000)
-        fill_departures(self.state.fleet, digest, now_s)
+        state = self.state
+        digest.sent_at_ms = int(state.wall_clock.read(now_s) * 1000)
+        digest.configuration_version = state.configuration.version
+        digest.draining = state.is_draining
+        fill_departures(state.fleet, digest, now_s)
 
     def on_digest(self, digest: gpb.Digest, now_s: float) -> None:
         """Apply the digest of a peer gateway."""
--- a/tests/gateway/spread/digests/digests.feature
+++ b/tests/gateway/spread/digests/digests.feature
@@ -40,3 +40,10 @@
     Given a gateway with 3 peers that know 60 backend servers
     When it gets responses of engines that report three figures
     Then its digests have no speeds
+
+  # Guards against gateways that are told of a configuration a second late, since the
+  # digest that is being sent to them was made before it.
+  Scenario: A digest states what is in force as of its sending
+    Given a gateway with 3 peers that know 60 backend servers
+    When it makes a digest, adopts a configuration, begins to drain, and a backend server leaves
+    Then the digest states all three when it is sent
--- a/tests/gateway/spread/digests/steps/digests_steps.py
+++ b/tests/gateway/spread/digests/steps/digests_steps.py
@@ -284,3 +284,28 @@
         assert not filled.speed_backends
         assert not filled.speed_log_ratios
         assert not filled.speed_samples
+
+
+@when(
+    "it makes a digest, adopts a configuration, begins to drain, and a backend server "
+    "leaves"
+)
+def changes_after_digest(context):
+    state, now_s = context.state, boot_s()
+    context.filled = gpb.Digest(host="g", sequence=1)
+    context.exchange.fill_digest(context.filled, now_s)
+    document = orjson.dumps(manifest(version=9))
+    state.adopt(state.dialect.decode_configuration(document).ok, now_s)
+    state.is_draining = True
+    backend_id = next(iter(state.fleet.view.backends))
+    assert state.fleet.on_withdrawal(backend_id, 1, 2000, now_s) is not None
+
+
+@then("the digest states all three when it is sent")
+def digest_states_changes(context):
+    filled = context.filled
+    assert (filled.configuration_version, filled.draining) == (3, False)
+    assert not filled.departures.starts
+    context.exchange.stamp_digest(filled, boot_s())
+    assert (filled.configuration_version, filled.draining) == (9, True)
+    assert len(filled.departures.starts) == 1
