Let the soak lose datagrams, and withdraw a backend server while they are lost

Cause: the soak's only check of departures was an announcement that is repeated to random gateways, over a network that loses nothing, so no update was ever missed. Change: datagrams of a gateway are lost for 0.4 to 1.2 s, in a schedule of its own; at the end a backend server withdraws once, at a gateway whose datagrams are lost for 0.8 s, while another one is replaced each 0.4 s.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -66,6 +66,8 @@
         """Number of the last announcement."""
         self.is_leaving = False
         """Whether it announces that it leaves."""
+        self.is_withdrawn = False
+        """Whether it has withdrawn, and announces nothing any more."""
         self.forbidden_from_s: float | None = None
         """Event loop time in seconds from which a request is a violation; None while
         requests are allowed."""
@@ -82,6 +84,7 @@
         self.start_number += 1
         self.id = f"{self.engine.id}-{self.start_number}"
         self.sequence = 0
+        self.is_withdrawn = False
 
     async def serve(self, call: ReceivedRequest) -> None:
         """Execute one request."""
@@ -151,10 +154,19 @@
         status, _ = await call_control(program, "PUT", path, orjson.dumps(announcement))
         return status == 200
 
+    async def withdraw(self, program: GatewayProgram) -> bool:
+        """Withdraw at a gateway; return whether it acknowledged."""
+        self.is_withdrawn = True
+        body = orjson.dumps({"born": self.start_number})
+        path = f"/v1/instances/{self.id}"
+        status, _ = await call_control(program, "DELETE", path, body)
+        return status == 200
+
     async def announce_periodically(self, programs: list[GatewayProgram]) -> None:
         """Announce the backend server to randomly chosen gateways."""
         while True:
-            await self.announce(self.random.choice(programs))
+            if not self.is_withdrawn:
+                await self.announce(self.random.choice(programs))
             await asyncio.sleep(ANNOUNCE_INTERVAL_S)
 
 
--- a/tests/soak/faulty_gateway.py
+++ b/tests/soak/faulty_gateway.py
@@ -1,9 +1,9 @@
-"""Runs one gateway with injected faults of its clock, disk and link listener.
+"""Runs one gateway with injected faults of its clock, disk, datagrams and links.
 
 The real program runs with some functions replaced: a file controls the errors of the
-wall clock, the delay of fdatasync and whether the disk is full, and the link listener
-binds to another port than the one that peers know. A proxy listens on the port that
-peers know.
+wall clock, the delay of fdatasync, whether the disk is full and whether datagrams are
+lost, and the link listener binds to another port than the one that peers know. A proxy
+listens on the port that peers know.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 import io
 import json
 import os
+import socket
 import stat
 import sys
 import time
@@ -23,8 +24,8 @@
 
 FAULTS_VARIABLE = "SOAK_FAULTS"
 """Environment variable with the path of the JSON file of injected faults: clock_ms, the
-error of the wall clock, disk_stall_s, the delay of each fdatasync, and disk_full, a
-`FullDisk`."""
+error of the wall clock, disk_stall_s, the delay of each fdatasync, disk_full, a
+`FullDisk`, and datagrams_lost, 1 while all sent datagrams are lost."""
 
 LINK_OFFSET_VARIABLE = "SOAK_LINK_OFFSET"
 """Environment variable that replaces `LINK_PORT_OFFSET`; 0 without proxies."""
@@ -136,6 +137,21 @@
         super().close()
 
 
+def inject_lost_datagrams(faults: Faults) -> None:
+    """Lose the datagrams that are sent while the fault is injected."""
+
+    class LossySocket(socket.socket):
+        """Socket that may lose what it sends as datagrams."""
+
+        def sendto(self, data, *arguments):
+            """Send a datagram, or lose it."""
+            if faults.get("datagrams_lost"):
+                return len(data)
+            return super().sendto(data, *arguments)
+
+    socket.socket = LossySocket
+
+
 def no_space() -> OSError:
     """Return the error of a full disk."""
     return OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
@@ -153,6 +169,7 @@
     time.time_ns = lambda: real_time_ns() + int(faults.get("clock_ms")) * 1_000_000
     os.fdatasync = fdatasync
     inject_full_disk(faults)
+    inject_lost_datagrams(faults)
     from tanagerturn.gateway.links import Links
     from tanagerturn.platform.main import main as run_gateway
 
--- a/tests/soak/injectors.py
+++ b/tests/soak/injectors.py
@@ -96,6 +96,10 @@
     await _fault_for(world, scheduled, disk_stall_s=SYNC_DELAY_S)
 
 
+async def _lose_datagrams(world: World, scheduled: ScheduledFault) -> None:
+    await _fault_for(world, scheduled, datagrams_lost=1)
+
+
 async def _fault_for(world: World, scheduled: ScheduledFault, **faults: float) -> None:
     program = _gateway(world, scheduled)
     world.write_faults(program, **faults)
@@ -198,6 +202,7 @@
     Fault.LEAVE: _leave,
     Fault.REPLACE: _replace,
     Fault.CONFIGURE: _configure,
+    Fault.DATAGRAMS: _lose_datagrams,
     Fault.FULL_DISKS: fill_disks,
     Fault.ENGINE_LEAVES: _engine_leaves,
     Fault.ENGINES_LEAVE: _engines_leave,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from soak.faulty_gateway import REREAD_INTERVAL_S
 from soak.schedule import generate_schedule
 from soak.world import DISKLESS_COUNT, STOP_TIMEOUT_S, World
 
@@ -28,6 +29,12 @@
 """Time in seconds after which a backend server that announced its departure to one
 gateway gets no requests."""
 
+LOST_S = 0.8
+"""Time in seconds after that for which the datagrams of the gateway are lost."""
+
+REPLACE_INTERVAL_S = 0.4
+"""Time in seconds between two replacements of another backend server meanwhile."""
+
 MEASUREMENT_S = 4.0
 """Duration in seconds of the measurement without injected faults."""
 
@@ -126,19 +133,30 @@
 
 
 async def _check_backend_drain(world: World) -> None:
-    """Check that a backend server gets no requests after it announced its departure."""
-    backend = world.backends[0]
-    backend.is_leaving = True
-    if not await backend.announce(world.programs[-1]):
+    """Check that a backend server gets no requests after it withdrew.
+
+    The datagrams of the gateway that acknowledges it are lost meanwhile, and another
+    backend server is replaced again and again.
+    """
+    backend, program = world.backends[0], world.programs[-1]
+    world.write_faults(program, datagrams_lost=1)
+    await asyncio.sleep(2 * REREAD_INTERVAL_S)
+    if not await backend.withdraw(program):
         world.history.violations.append(
-            "an announcement was not acknowledged without injected faults"
+            "a withdrawal was not acknowledged without other faults"
         )
         return
-    backend.forbidden_from_s = asyncio.get_running_loop().time() + DRAIN_S
-    await asyncio.sleep(DRAIN_S + 1.0)
+    now_s = asyncio.get_running_loop().time()
+    backend.forbidden_from_s = now_s + DRAIN_S
+    end_s, lost_until_s = now_s + DRAIN_S + 1.0, now_s + LOST_S
+    while (now_s := asyncio.get_running_loop().time()) < end_s:
+        world.write_faults(program, datagrams_lost=int(now_s < lost_until_s))
+        world.backends[1].replace()
+        await world.backends[1].announce(world.random.choice(world.programs[:-1]))
+        await asyncio.sleep(REPLACE_INTERVAL_S)
     backend.forbidden_from_s = None
-    backend.is_leaving = False
-    await backend.announce(world.programs[-1])
+    backend.replace()
+    await backend.announce(program)
 
 
 async def _check_graceful_stop(world: World) -> None:
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -30,6 +30,7 @@
     LEAVE = "a backend server leaves and comes back"
     REPLACE = "another backend server gets the address of one"
     CONFIGURE = "an operator sends a configuration"
+    DATAGRAMS = "the datagrams that a gateway sends are lost"
     FULL_DISKS = "the disks of all gateways are full, one after another"
     ENGINE_LEAVES = "a model engine leaves as a reclaimed one does"
     ENGINES_LEAVE = "two model engines leave at once"
@@ -79,6 +80,14 @@
 FULL_DISKS_MAX_S = 8.4
 """Maximum time in seconds of a series: three disks and the pauses between them."""
 
+DATAGRAM_LOSS_INTERVAL_S = (3.0, 9.0)
+"""Minimum and maximum time in seconds between the starts of two losses of datagrams,
+which go on beside the other faults."""
+
+DATAGRAM_LOSS_S = (0.4, 1.2)
+"""Minimum and maximum time in seconds for which the datagrams of a gateway are lost:
+longer than all sendings of an update, shorter than the detection of failures."""
+
 DISK_LOSS_INTERVAL_S = 14.0
 """Minimum time in seconds between two disk losses: the state group tolerates one, and
 is complete again within the recovery bound of 15 s less the time of a start."""
@@ -108,12 +117,14 @@
 def generate_schedule(seed: int, length_s: float) -> list[ScheduledFault]:
     """Return the faults of a run of `length_s` seconds, ordered by start time.
 
-    Faults of model engines and full disks have schedules of their own, beside the rest.
+    Faults of model engines, lost datagrams and full disks have schedules of their own,
+    beside the rest.
     """
     full_disks = list(_generate_full_disks(Random(f"{seed} disks"), length_s))
     faults = [
         *(f for f in _generate(Random(seed), length_s) if _is_allowed(f, full_disks)),
         *_generate_engine_faults(Random(f"{seed} engines"), length_s),
+        *_generate_datagram_losses(Random(f"{seed} datagrams"), length_s),
         *full_disks,
     ]
     return sorted(faults, key=lambda scheduled: scheduled.at_s)
@@ -143,6 +154,16 @@
         at_s += random.uniform(*ENGINE_FAULT_INTERVAL_S)
 
 
+def _generate_datagram_losses(
+    random: Random, length_s: float
+) -> Iterator[ScheduledFault]:
+    at_s = random.uniform(*DATAGRAM_LOSS_INTERVAL_S)
+    while at_s < length_s:
+        number, lost_s = random.randrange(1 << 16), random.uniform(*DATAGRAM_LOSS_S)
+        yield ScheduledFault(at_s, Fault.DATAGRAMS, number, lost_s)
+        at_s += random.uniform(*DATAGRAM_LOSS_INTERVAL_S)
+
+
 def _generate_full_disks(random: Random, length_s: float) -> Iterator[ScheduledFault]:
     at_s = random.uniform(1.0, FULL_DISKS_INTERVAL_S[0])
     while at_s < length_s:
