Send no request to a backend server that left while the connection opened

Cause: a request chooses its backend server before it has a connection; a pause and a rollout were checked again afterwards, a departure was not, so a request that waited up to 0.5 s for its connection was sent after the news. Change: all three are checked in one place once the connection is open, and another one is chosen. Measured: tests/gateway/backends/statements, a scenario that failed before (two requests instead of one); relay, decisions, endings and early_ends pass.

--- a/src/tanagerturn/gateway/backends/sender.py
+++ b/src/tanagerturn/gateway/backends/sender.py
@@ -164,14 +164,10 @@
         except asyncio.CancelledError:
             self._on_attempt_finished(backend, attempt)
             raise
-        if state.backend_limits.is_paused(backend.id, boot_s()):
+        cause = self._find_obstacle(run, backend, boot_s())
+        if cause:
             state.pool.release(connection, None, boot_s())
-            run.cause = f"{backend.id} asked for a pause while a connection opened"
-            self._on_attempt_finished(backend, attempt)
-            return AttemptOutcome.NOT_SENT
-        if not state.may_send(run, backend, boot_s()):
-            state.pool.release(connection, None, boot_s())
-            run.cause = f"{backend.id} may not get it any more during a rollout"
+            run.cause = f"{backend.id} {cause} while a connection opened"
             self._on_attempt_finished(backend, attempt)
             return AttemptOutcome.NOT_SENT
         sent_s = boot_s()
@@ -212,6 +208,25 @@
             del self.running[run]
             self._on_attempt_finished(backend, attempt)
 
+    def _find_obstacle(self, run: RequestRun, backend: Backend, now_s: float) -> str:
+        """Return why a chosen backend server may no longer get a request.
+
+        Args:
+            run: The request.
+            backend: The backend server.
+            now_s: Current boot-clock time in seconds.
+
+        Returns:
+            What happened since it was chosen; empty if it may get the request.
+        """
+        if self.state.backend_limits.is_paused(backend.id, now_s):
+            return "asked for a pause"
+        if self.state.fleet.view.is_leaving(backend):
+            return "left"
+        if not self.state.may_send(run, backend, now_s):
+            return "was withdrawn from the request by a rollout"
+        return ""
+
     async def _connect(
         self, run: RequestRun, backend: Backend, now_s: float
     ) -> BackendConnection:
--- a/tests/gateway/backends/statements/statements.feature
+++ b/tests/gateway/backends/statements/statements.feature
@@ -33,6 +33,13 @@
     When two callers send "/look/1" and "/look/2" at the same time
     Then the backend server gets 1 request
 
+  # Guards against new work for a backend server that left while a request was waiting for
+  # its connection.
+  Scenario: A request whose connection opens after the departure is not sent
+    Given a backend server that states that it leaves while a second connection opens
+    When two callers send "/look/1" and "/look/2" at the same time
+    Then the backend server gets 1 request
+
   # Guards against queries and migrations that ignore a pause.
   Scenario: A leaving backend server in its pause is not queried
     Given a leaving backend server that asked for a pause
--- a/tests/gateway/backends/statements/steps/statements_steps.py
+++ b/tests/gateway/backends/statements/steps/statements_steps.py
@@ -117,11 +117,22 @@
 
 @given("a backend server that asks for a pause while a second connection opens")
 def pause_while_opening(context):
-    async def refuse(call):
+    answer_while_opening(context, 503, *PAUSE)
+
+
+@given("a backend server that states that it leaves while a second connection opens")
+def departure_while_opening(context):
+    answer_while_opening(context, 200, "Server-Leaving: 1")
+
+
+def answer_while_opening(context, status, *headers):
+    """Let the first request be answered while the connection for a second one opens."""
+
+    async def answer(call):
         await asyncio.sleep(SLOW_OPEN_S / 2)
-        await call.answer(503, "", *PAUSE)
+        await call.answer(status, "", *headers)
 
-    start(context, ScriptedBackend("i-1", [refuse]))
+    start(context, ScriptedBackend("i-1", [answer]))
     opened = []
     original = pool.connect
 
