Send updates of new backend servers after all other broadcasts

Cause: found while reading the change again: paced updates of many new backend servers could hold up configuration versions, limits and quarantines for seconds, and the limit on the size of a datagram was not applied to delayed ones. Change: only updates wait; both queues are bounded to some seconds. Measured: spread, cluster, quarantine, brittle and logs pass.

--- a/src/tanagerturn/gateway/spread/broadcasts.py
+++ b/src/tanagerturn/gateway/spread/broadcasts.py
@@ -22,8 +22,9 @@
 """Fraction of the recipients by which the first one moves from one broadcast to the
 next; the golden section, so that no recipient is last again soon."""
 
-MAX_QUEUED: Final = 20_000
-"""Maximum number of queued datagrams; the oldest that are not urgent are dropped."""
+MAX_QUEUED: Final = 4_000
+"""Maximum number of queued datagrams of each urgency, some seconds' worth; the oldest
+are dropped."""
 
 
 class Broadcasts:
@@ -37,7 +38,7 @@
     def __init__(self, order_fraction: float) -> None:
         self.order_fraction = order_fraction
         """Position of the first recipient of the next broadcast."""
-        self.urgent: deque[tuple[bytes, str]] = deque()
+        self.urgent: deque[tuple[bytes, str]] = deque(maxlen=MAX_QUEUED)
         """Urgent datagrams with the IP addresses of their recipients."""
         self.others: deque[tuple[bytes, str]] = deque(maxlen=MAX_QUEUED)
         """Other datagrams with the IP addresses of their recipients."""
--- a/src/tanagerturn/gateway/spread/mesh.py
+++ b/src/tanagerturn/gateway/spread/mesh.py
@@ -99,6 +99,8 @@
     """Boot-clock time in seconds at which it is sent."""
     data: bytes
     """The datagram."""
+    is_urgent: bool
+    """Whether it is sent before those that are not urgent."""
     only_older: bool = False
     """Whether peers that repeat departures do not get it."""
 
@@ -202,7 +204,7 @@
         for each in due:
             repeating = False if each.only_older else None
             ips = self._recipient_ips(now_s, repeating=repeating)
-            self.broadcasts.add(each.data, ips, is_urgent=False)
+            self._broadcast(each.data, ips, is_urgent=each.is_urgent)
         for data, ip in self.broadcasts.take(now_s):
             self.datagram_socket.send(data, ip, self.settings.digest_port)
 
@@ -269,14 +271,16 @@
             datagram = gpb.Datagram(news=update)
             datagram.news.sending = sending
             data = datagram.SerializeToString()
-            self.delayed.append(Delayed(now_s + wait_s, data, only_older))
+            self.delayed.append(
+                Delayed(now_s + wait_s, data, is_urgent=False, only_older=only_older)
+            )
         self.send_broadcasts(now_s)
 
     def send_to_repeating(self, datagram: gpb.Datagram, now_s: float) -> None:
         """Send news once, and first, to all peers that repeat departures."""
         data = datagram.SerializeToString()
-        ips = self._recipient_ips(now_s, repeating=True)
-        self._broadcast(data, ips, now_s, is_urgent=True)
+        self._broadcast(data, self._recipient_ips(now_s, repeating=True))
+        self.send_broadcasts(now_s)
 
     def repeating_peers(self, now_s: float) -> dict[str, str]:
         """Return the link address of each present peer that repeats departures."""
@@ -291,8 +295,8 @@
 
     def send_once(self, datagram: gpb.Datagram, now_s: float) -> None:
         """Send news to all peers once; digests repeat it."""
-        ips = self._recipient_ips(now_s)
-        self._broadcast(datagram.SerializeToString(), ips, now_s)
+        self._broadcast(datagram.SerializeToString(), self._recipient_ips(now_s))
+        self.send_broadcasts(now_s)
 
     def send_to(self, datagram: gpb.Datagram, host: str) -> None:
         """Send news to one peer once; nothing is sent to an unknown one."""
@@ -305,7 +309,7 @@
         """Send a newer configuration version to all peers twice, some 0.1 s apart."""
         data = gpb.Datagram(configuration_version=version).SerializeToString()
         for wait_s in UPDATE_DELAYS_S[:2]:
-            self.delayed.append(Delayed(now_s + wait_s, data))
+            self.delayed.append(Delayed(now_s + wait_s, data, is_urgent=True))
         self.send_broadcasts(now_s)
 
     def set_seeds(self, seed_ips: Iterable[str]) -> None:
@@ -409,20 +413,16 @@
         )
 
     def _broadcast(
-        self, data: bytes, ips: Sequence[str], now_s: float, *, is_urgent: bool = False
+        self, data: bytes, ips: Sequence[str], *, is_urgent: bool = True
     ) -> None:
-        if len(data) > DATAGRAM_LIMIT_BYTES:
-            log.warning("datagram_too_large", bytes=len(data))
-            return
-        self.broadcasts.add(data, ips, is_urgent=is_urgent)
-        self.send_broadcasts(now_s)
+        """Queue a datagram for some peers."""
+        if _fits(data):
+            self.broadcasts.add(data, ips, is_urgent=is_urgent)
 
     def _send_all(self, data: bytes, ips: Iterable[str]) -> None:
-        if len(data) > DATAGRAM_LIMIT_BYTES:
-            log.warning("datagram_too_large", bytes=len(data))
-            return
-        for ip in ips:
-            self.datagram_socket.send(data, ip, self.settings.digest_port)
+        if _fits(data):
+            for ip in ips:
+                self.datagram_socket.send(data, ip, self.settings.digest_port)
 
     def _recipient_ips(
         self, now_s: float, *, repeating: bool | None = None
@@ -501,6 +501,14 @@
         self.core.take_peer_settings()
 
 
+def _fits(data: bytes) -> bool:
+    """Return whether a datagram can be sent; log one that is too large."""
+    if len(data) > DATAGRAM_LIMIT_BYTES:
+        log.warning("datagram_too_large", bytes=len(data))
+        return False
+    return True
+
+
 def _digest_order(digest: gpb.Digest) -> tuple[int, int]:
     return digest.started_ms, digest.sequence
 
