Let a migrated stream go on at an engine that leaves too, and pause between its tries

Callers of other streams at the same gateway waited for seconds, and some got theirs cut at the deadline.

Only that engine can go on, so it was chosen again at once: some 11,000 tries a second, until the caller's deadline, with the event loop busy. The same loop was there before for an engine that asked for a pause: 1,682 tries in 0.4 s.

Change: a migrated stream goes on at the engine with its copy though that one leaves, as before; if it must not get the request for another reason, the next try comes 50 ms later.

--- a/src/tanagerturn/gateway/backends/sender.py
+++ b/src/tanagerturn/gateway/backends/sender.py
@@ -56,6 +56,10 @@
 """Maximum size in bytes of the response of a plain service, which is read whole before
 it is forwarded."""
 
+COPY_RETRY_S: Final = 0.05
+"""Time in seconds after which the engine with the copy of a migrated request is tried
+again if it must not get the request now, such as during a pause."""
+
 SLOW_OPEN_S: Final = 0.12
 """Time in seconds after which a connection that is not open yet causes a check of the
 paths to backend servers: many round trips, and less than the retransmission timeout of
@@ -164,11 +168,14 @@
         except asyncio.CancelledError:
             self._on_attempt_finished(backend, attempt)
             raise
-        cause = self._find_obstacle(run, backend, boot_s())
+        cause = self._find_obstacle(run, backend, kv_copy, boot_s())
         if cause:
             state.pool.release(connection, None, boot_s())
             run.cause = f"{backend.id} {cause} while a connection opened"
             self._on_attempt_finished(backend, attempt)
+            if kv_copy is not None:
+                # No other engine has the copy, so this one is tried again.
+                await asyncio.sleep(COPY_RETRY_S)
             return AttemptOutcome.NOT_SENT
         sent_s = boot_s()
 
@@ -208,12 +215,21 @@
             del self.running[run]
             self._on_attempt_finished(backend, attempt)
 
-    def _find_obstacle(self, run: RequestRun, backend: Backend, now_s: float) -> str:
+    def _find_obstacle(
+        self,
+        run: RequestRun,
+        backend: Backend,
+        kv_copy: KvCopy | None,
+        now_s: float,
+    ) -> str:
         """Return why a chosen backend server may no longer get a request.
 
+        A migrated request goes on at the engine with its copy even if that one leaves.
+
         Args:
             run: The request.
             backend: The backend server.
+            kv_copy: Copy of the KV cache there; None for requests that do not migrate.
             now_s: Current boot-clock time in seconds.
 
         Returns:
@@ -221,7 +237,7 @@
         """
         if self.state.backend_limits.is_paused(backend.id, now_s):
             return "asked for a pause"
-        if self.state.fleet.view.is_leaving(backend):
+        if kv_copy is None and self.state.fleet.view.is_leaving(backend):
             return "left"
         if not self.state.may_send(run, backend, now_s):
             return "was withdrawn from the request by a rollout"
--- a/tests/gateway/relay/relay.feature
+++ b/tests/gateway/relay/relay.feature
@@ -131,6 +131,20 @@
       | at the third attempt | events 1 to 6 and the end     |
       | never                | events 1 to 3 without the end |
 
+  # Guards against a gateway that does nothing but try the engine with the copy again, while
+  # that engine must not get the request.
+  Scenario Outline: The engine with a migrated stream's copy <what> as its connection opens
+    Given an engine that stops a stream when asked to migrate it
+    And an engine that resumes the stream from a copy of the KV cache
+    When a caller posts a prompt to "/draft/1", the first engine leaves, and the second <what>
+    Then the caller gets events 1 to 6 and the end
+    And at most 20 connections to the second engine are used
+
+    Examples:
+      | what                   |
+      | leaves too             |
+      | asks for a 0.4 s pause |
+
   # Guards against a stream that is handed over to an engine of another software version.
   Scenario: A stream migrates only to an engine of its software version
     Given an engine that stops a stream when asked to migrate it
--- a/tests/gateway/relay/steps/relay_steps.py
+++ b/tests/gateway/relay/steps/relay_steps.py
@@ -20,7 +20,7 @@
     World,
 )
 from support.loop_turns import LoopTurns
-from tanagerturn.clocks import boot_s
+from tanagerturn.clocks import boot_s, to_ms
 from tanagerturn.gateway.backends.state import Work
 from tanagerturn.gateway.configuration import empty_configuration
 from tanagerturn.gateway.connection import TcpConnection
@@ -296,6 +296,63 @@
     context.answer = run_logged(context, action)
 
 
+@when(
+    'a caller posts a prompt to "{path}", the first engine leaves, and the second '
+    "leaves too"
+)
+def posts_with_leaving_target(context, path):
+    def leave(world, backend):
+        backend.on_departure(to_ms(boot_s() + 2.0))
+
+    migrate_to_hindered(context, path, leave)
+
+
+@when(
+    'a caller posts a prompt to "{path}", the first engine leaves, and the second '
+    "asks for a 0.4 s pause"
+)
+def posts_with_paused_target(context, path):
+    def pause(world, backend):
+        world.state.backend_limits.on_pause_asked(backend, 0.4, boot_s())
+
+    migrate_to_hindered(context, path, pause)
+
+
+def migrate_to_hindered(context, path, hinder):
+    """Let a stream move to an engine that is hindered as its connection opens."""
+    context.opened = []
+
+    async def action(world):
+        acquire = world.state.pool.acquire
+
+        async def acquire_and_hinder(backend_id, *rest):
+            connection = await acquire(backend_id, *rest)
+            if backend_id == "i-2":
+                if not context.opened:
+                    hinder(world, world.state.fleet.view.backends[backend_id])
+                context.opened.append(boot_s())
+            return connection
+
+        world.state.pool.acquire = acquire_and_hinder
+        first, second = world.engines
+        world.state.fleet.view.forget(second.id)
+        request_task = asyncio.create_task(
+            world.send_request(path, headers=PROMPT_HEADERS)
+        )
+        await asyncio.sleep(0.1)
+        world.announce(second)
+        world.announce(first, leaving=True, leaving_in_ms=500)
+        world.relay.start_migrations(boot_s())
+        return await request_task
+
+    context.answer = run_logged(context, action)
+
+
+@then("at most {limit:d} connections to the second engine are used")
+def few_connections(context, limit):
+    assert 1 <= len(context.opened) <= limit, len(context.opened)
+
+
 @when(
     'a caller posts a prompt to "{path}" at version v1, which leaves beside v2 and v1'
 )
