--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -13,6 +13,11 @@
       | seed | length_s |
       | 6    | 25       |
 
+    Examples: seeds that failed because a migrated stream was tried without a pause
+      | seed | length_s |
+      | 5950 | 10       |
+      | 5960 | 10       |
+
   Scenario Outline: All gateways are replaced by <build>, and one is killed meanwhile
     When the gateways of seed <seed> are replaced by <build>
     Then no guarantee is violated
