Review: a stream whose engine crashed ends as complete once the engine is back

Cause: a stream without length and chunks counts as complete if the engine reports no such run, also if the report is that of a start after the crash.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,72 +1,135 @@
-"""The first seed is lost before the state group is founded; does a manifest pass?"""
+"""Does a stream whose engine crashed end as complete once the engine is back?"""
 
 from __future__ import annotations
 
 import asyncio
 import os
-import signal
+import subprocess
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "support-2"))
 
-from deployment import Deployment, call, manifest, send_manifest  # noqa: E402
+from deployment import (  # noqa: E402
+    FRONT,
+    HOST,
+    KEY,
+    Deployment,
+    manifest,
+    send_manifest,
+)
+from stream_engine import EVENTS  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE") != "0"
-LOST_AT_S = 0.7
-"""Time after the start at which the machine is lost."""
+ENGINES, STREAMS = 4, 12
+CRASH_AT_S = 1.2
+"""Time after the first stream at which one engine of four crashes."""
 
-CONTACT_S, ACK_S = 3.0, 4.0
-"""`contact_ms` and `ack_ms` of the site."""
+DOWN_S = 0.3
+"""Time for which it is down; `srv_crash` at the site lasts up to 4.5 s."""
 
-OPERATOR_S = 30.0
-"""Time for which the operator sends; many times `ack_ms`."""
 
+def start_engine(deployment: Deployment, number: int) -> subprocess.Popen:
+    controls = ",".join(g.control for g in deployment.gateways)
+    script = FOLDER.parent / "support-2" / "stream_engine.py"
+    return subprocess.Popen(
+        [sys.executable, str(script), f"i-7f3a{number:04x}",
+         f"{deployment.subnet}.{100 + number}:8080", deployment.gateways[0].zone,
+         str(deployment.folder / f"engine-{number}.log"), controls],
+    )
 
-async def run(deployment: Deployment) -> int:
-    gateways, record = deployment.gateways, deployment.record
-    for gateway in gateways:
+
+async def stream(deployment: Deployment, number: int) -> tuple[str, int, bool]:
+    """Send one request; return its id, its last event, and whether it ended whole."""
+    request = f"9c41d07be2a3{number:04x}"
+    gateway = deployment.gateways[number % len(deployment.gateways)]
+    body = b"p" * 400
+    fields = {
+        "Host": HOST,
+        "X-Request-Id": request,
+        "X-Model": "m",
+        "X-Token-Usage": "1460,400",
+        "X-Prefix-Hash": f"5c1e07a2:800,91bd{number:04x}:660",
+        "X-Deadline-Ms": "12000",
+        "Authorization": f"Bearer {KEY}",
+        "Content-Length": str(len(body)),
+    }
+    lines = ["POST /draft/2f HTTP/1.1", *(f"{n}: {v}" for n, v in fields.items())]
+    last, whole, status = 0, False, 0
+    writer = None
+    try:
+        async with asyncio.timeout(14):
+            reader, writer = await asyncio.open_connection(gateway.ip, FRONT)
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+            status = int(head.split()[1])
+            if status == 200 and "chunked" in head.lower():
+                while size := int((await reader.readline()).strip() or b"x", 16):
+                    chunk = await reader.readexactly(size + 2)
+                    for line in chunk.split(b"\n"):
+                        if line.startswith(b"id: "):
+                            last = int(line[4:])
+                whole = await reader.readline() == b"\r\n"
+    except (OSError, ValueError, asyncio.IncompleteReadError):
+        pass
+    finally:
+        if writer is not None:
+            writer.transport.abort()
+    deployment.record.write(
+        f"{request} sent to {gateway.name}: {status}, last event {last} of {EVENTS},"
+        f" {'ends as complete' if whole else 'is broken off'}"
+    )
+    return request, last, whole
+
+
+async def run(deployment: Deployment, engines: list[subprocess.Popen]) -> int:
+    record = deployment.record
+    for gateway in deployment.gateways:
         gateway.start(bootstrap=True)
-    first = gateways[0]
-    await asyncio.sleep(LOST_AT_S)
-    if TROUBLE:
-        first.signal(signal.SIGKILL)
-        first.process.wait()
-        record.write(f"{first.name} is lost for good; {len(gateways) - 1} others run")
-    # From here on nothing is disturbed. The operator's list lags by 3 s, so it may
-    # still name the lost machine; the others answer.
-    await asyncio.sleep(CONTACT_S)
-    began = record.now()
-    accepted = await send_manifest(deployment, manifest(7), OPERATOR_S)
-    took = record.now() - began
-    record.write(f"version 7 acknowledged: {accepted}, after {took:.1f} s")
-    statuses = {}
-    for gateway in gateways:
-        if gateway.is_running():
-            status, _, _ = await call(gateway.control, "GET", "/v1/config")
-            statuses[gateway.name] = status
-            record.write(f"GET /v1/config at {gateway.name}: {status}")
-    others = [g for g in gateways if g is not first]
-    if not all(g.is_running() for g in others):
-        record.write("another gateway ended: the case couldn't run")
+    if not await send_manifest(deployment, manifest(7), 40):
+        record.write("no manifest was acknowledged: the case couldn't run")
         return 2
-    if accepted and took <= ACK_S:
-        record.write("HELD")
-        return 0
-    if not accepted and 200 not in statuses.values():
-        record.write("BROKEN: no acknowledgment, and the manifest can't be read back")
+    engines += [start_engine(deployment, n) for n in range(ENGINES)]
+    await asyncio.sleep(6)
+    streams = [asyncio.create_task(stream(deployment, n)) for n in range(STREAMS)]
+    await asyncio.sleep(CRASH_AT_S)
+    logs = [deployment.folder / f"engine-{n}.log" for n in range(ENGINES)]
+    runs = [log.read_text().count(" runs ") for log in logs]
+    if TROUBLE:
+        victim = runs.index(max(runs))
+        engines[victim].kill()
+        engines[victim].wait()
+        record.write(f"SIGKILL to engine i-7f3a{victim:04x}, which runs {runs[victim]}")
+        await asyncio.sleep(DOWN_S)
+        engines[victim] = start_engine(deployment, victim)
+        record.write(f"engine i-7f3a{victim:04x} starts again at its address")
+    results = await asyncio.gather(*streams)
+    for log in logs:
+        for line in log.read_text().splitlines():
+            record.write(f"  engine's own record: {line}")
+    cut = [(request, last) for request, last, whole in results if whole and last < EVENTS]
+    whole = sum(1 for _, last, ended in results if ended and last == EVENTS)
+    record.write(f"{whole} of {STREAMS} streams whole")
+    if cut:
+        record.write(f"BROKEN: {len(cut)} streams end as complete too early: {cut}")
         return 1
-    record.write(f"BROKEN: acknowledged after {took:.1f} s" if accepted else "unclear")
-    return 1 if accepted else 2
+    if not TROUBLE and whole < STREAMS:
+        record.write("streams failed in calm: the case couldn't run")
+        return 2
+    record.write("HELD: no stream ends as complete before its last event")
+    return 0
 
 
 async def main() -> int:
-    # Four machines with a disk, of which one may be lost, and two without.
-    deployment = Deployment(FOLDER, with_disk=4, diskless=2)
+    deployment = Deployment(FOLDER, with_disk=4)
+    engines: list[subprocess.Popen] = []
     try:
-        return await run(deployment)
+        return await run(deployment, engines)
     finally:
+        for engine in engines:
+            engine.kill()
+            engine.wait()
         deployment.close()
 
 
