--- a/review/support-2/deployment.py
+++ b/review/support-2/deployment.py
@@ -173,6 +173,11 @@
         return int(line.split()[1]) / 1024
 
 
+def _on_terminate(number: int, frame: object) -> None:
+    """End by an exception, so that all processes that were started are ended."""
+    sys.exit(2)
+
+
 class Deployment:
     """Gateways 1 to `with_disk` have a disk; the others have none."""
 
@@ -186,6 +191,7 @@
         cloud: str = "",
         memory_mb: int = 300,
     ) -> None:
+        signal.signal(signal.SIGTERM, _on_terminate)
         self.record = Record(folder / "record.txt")
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.subnet = free_subnet()
