Ignore a departure time that another start of an engine reports

What could happen: a reclaimed engine is asked when it stops, and a new start at its address answers. Its time was taken for that of the start that leaves, so streams were moved too early or too late. No caller was seen to be affected.

Change: a report that states another `born` than the start that leaves ends the query, and the default time applies. Reports without `born` are applied as before.

--- a/src/tanagerturn/gateway/backends/departures.py
+++ b/src/tanagerturn/gateway/backends/departures.py
@@ -15,10 +15,12 @@
 from tanagerturn.gateway.calls import call
 from tanagerturn.gateway.logs import component_log
 from tanagerturn.schema import gateway_pb2 as gpb
+from tanagerturn.serving.streams.endings import StartVerdict, judge_start
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from tanagerturn.gateway.messages import BackendReport
     from tanagerturn.gateway.state import GatewayState
     from tanagerturn.serving.backends.backend import Backend
     from tanagerturn.serving.backends.messages import BackendId
@@ -92,6 +94,9 @@
             )
             if report.is_error():
                 reason = str(report.error)
+            elif _is_of_other_start(report.ok, backend):
+                reason = "another start of the backend server reports"
+                break
             elif report.ok.leaving_in_ms is not None:
                 self._apply(backend, report.ok.leaving_in_ms)
                 return
@@ -107,3 +112,9 @@
         self.state.fleet.on_departure(departure, boot_s())
         log.info("departure_told", backend=backend.id, leaving_in_ms=leaving_in_ms)
         self.broadcast(gpb.BackendNews(departures=[departure]), boot_s())
+
+
+def _is_of_other_start(report: BackendReport, backend: Backend) -> bool:
+    """Return whether a report states another start than the one that is leaving."""
+    verdict = judge_start(report.born_ms, backend.announcement.born_ms)
+    return verdict is StartVerdict.OTHER
--- a/tests/gateway/departures/departures.feature
+++ b/tests/gateway/departures/departures.feature
@@ -26,6 +26,12 @@
       | 200 [1]               |
       | 503 {}                |
 
+  # Guards against the departure of a new start that is taken for that of the one before it.
+  Scenario: A report of a later start does not state when the earlier one stops
+    Given an engine that responds to queries with 200 {"leaves_ms":1300,"born":2}
+    When the reclaimable engine announces to one gateway that it leaves
+    Then both gateways expect its stop after 2500 ms
+
   Scenario: An engine that is not reclaimable is not queried
     Given an engine that reports from the second query on that it stops in 1300 ms
     When the on-demand engine announces to one gateway that it leaves
