Let engines of the soak crash and be served again at once

Engines and backend servers crash in a schedule of their own and are back after 0.05 to 1 s, under the same id or a new one. The process of the next start waits with its imports done. Half of the engines have a listening socket that outlives them, so that connections wait in the kernel for the next start. Plain bodies come with a length, in chunks or without either, in two parts; a part that passes for the whole is a wrong body. A copy of a KV cache is unknown to a start that came after it.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -10,7 +10,12 @@
 from soak.history import EVENTS_PER_STREAM
 from soak.proxy import Proxy
 from support.gateway_programs import CONTROL_PORT
-from support.gateway_world import ReceivedRequest, ScriptedBackend, read_response
+from support.gateway_world import (
+    STAMP,
+    ReceivedRequest,
+    ScriptedBackend,
+    read_response,
+)
 
 if TYPE_CHECKING:
     from random import Random
@@ -42,6 +47,10 @@
 request; a few of each in a run of half a minute."""
 
 
+BODY_DELIMITERS = ("length", "chunks", "close")
+"""How a plain body may be delimited, drawn for each response."""
+
+
 class SoakBackend:
     """One backend server behind a proxy, which announces itself.
 
@@ -68,6 +77,8 @@
         """Whether it announces that it leaves."""
         self.is_withdrawn = False
         """Whether it has withdrawn, and announces nothing any more."""
+        self.running: set[str] = set()
+        """Ids of the requests that it executes."""
         self.forbidden_from_s: float | None = None
         """Event loop time in seconds from which a request is a violation; None while
         requests are allowed."""
@@ -86,6 +97,19 @@
         self.sequence = 0
         self.is_withdrawn = False
 
+    async def crash(self, down_s: float, *, keeps_id: bool) -> None:
+        """Crash, and serve again after a time in seconds as another start."""
+        self.history.aborted_by_backend |= self.running
+        self.engine.crash()
+        self.engine.is_down = True
+        await asyncio.sleep(down_s)
+        self.engine.is_down = False
+        if keeps_id:
+            self.start_number += 1
+            self.sequence = 0
+        else:
+            self.replace()
+
     async def serve(self, call: ReceivedRequest) -> None:
         """Execute one request."""
         request_id = call.headers["x-request-id"]
@@ -103,7 +127,15 @@
             await call.answer(503, "", "X-Not-Executed: 1")
             return
         self.history.on_execution(self.id, request_id, call.target)
-        draw -= REJECT_PROBABILITY
+        self.running.add(request_id)
+        try:
+            await self._execute(call, request_id, draw - REJECT_PROBABILITY)
+        finally:
+            self.running.discard(request_id)
+
+    async def _execute(
+        self, call: ReceivedRequest, request_id: str, draw: float
+    ) -> None:
         if draw < SILENT_PROBABILITY:
             self.history.aborted_by_backend.add(request_id)
             await asyncio.sleep(NO_RESPONSE_S)
@@ -116,7 +148,27 @@
             if draw < SILENT_PROBABILITY + FAIL_PROBABILITY + RESET_PROBABILITY:
                 self._reset(call, request_id)
                 return
-            await call.answer(200, f"{request_id}:{call.target}")
+            await self._send_body(call, f"{request_id}:{call.target}")
+
+    async def _send_body(self, call: ReceivedRequest, body: str) -> None:
+        """Send a plain body in two parts, with a pause between them."""
+        delimiter = self.random.choice(BODY_DELIMITERS)
+        line = {
+            "length": f"Content-Length: {len(body)}\r\n",
+            "chunks": "Transfer-Encoding: chunked\r\n",
+            "close": "Connection: close\r\n",
+        }[delimiter]
+        own = f"X-Request-Id: {call.headers['x-request-id']}\r\n{STAMP}\r\n"
+        await call.send(f"HTTP/1.1 200 X\r\n{own}{line}\r\n")
+        middle = len(body) // 2
+        for part in (body[:middle], body[middle:]):
+            is_chunk = delimiter == "chunks"
+            await call.send(f"{len(part):x}\r\n{part}\r\n" if is_chunk else part)
+            await asyncio.sleep(SERVICE_TIME_S)
+        if delimiter == "chunks":
+            await call.send("0\r\n\r\n")
+        if delimiter == "close":
+            call.writer.close()
 
     async def _stream(self, call: ReceivedRequest, request_id: str) -> None:
         await call.begin_stream()
--- a/tests/soak/engine_program.py
+++ b/tests/soak/engine_program.py
@@ -1,7 +1,9 @@
 """A model engine as a process, whose streams can be moved to another engine.
 
-It is started with its id, its address, a seed and the path of a file, to which it
-appends one JSON object for each step of a stream. The file survives a kill.
+It is started with the name of the start, its address, a seed, the path of a file, to
+which it appends one JSON object for each step of a stream, and the descriptor of a
+listening socket, or -1. The file survives a kill. It serves once it has read its id
+from the standard input.
 """
 
 from __future__ import annotations
@@ -9,6 +11,7 @@
 import asyncio
 import os
 import signal
+import socket
 import sys
 import time
 from collections import deque
@@ -104,13 +107,18 @@
 
     Args:
         id: Id of the engine.
+        name: Name of the start, which no other start has.
         random: Chooses delimiters, delays, faults and answers.
         log: Descriptor of the file to which the steps of streams are written.
     """
 
-    def __init__(self, id: str, random: Random, log: int) -> None:
+    def __init__(self, id: str, name: str, random: Random, log: int) -> None:
         self.id = id
         """Id of the engine."""
+        self.name = name
+        """Name of the start, which no other start has."""
+        self.started_s = time.monotonic()
+        """Monotonic time in seconds of the start."""
         self.random = random
         """Chooses delimiters, delays, faults and answers."""
         self.log = log
@@ -131,7 +139,7 @@
 
     def record(self, step: str, request: str, **fields: object) -> None:
         """Write one step of a stream."""
-        line = {"at": time.monotonic(), "engine": self.id, "step": step}
+        line = {"at": time.monotonic(), "engine": self.name, "step": step}
         os.write(self.log, orjson.dumps({**line, "request": request, **fields}) + b"\n")
 
     async def serve(self, call: ReceivedRequest) -> None:
@@ -205,7 +213,8 @@
             run.stop(f"moved, answer {kind}", self.random.uniform(0.0, MOVE_DELAY_S))
         self.record("move", request_id, answer=kind)
         await asyncio.sleep(self.random.uniform(0.0, MOVE_DELAY_S))
-        handle = f"{request_id}~{run.id}~{run.event_count}"
+        made_s = time.monotonic()
+        handle = f"{request_id}~{run.id}~{run.event_count}~{made_s}"
         made = orjson.dumps({"handle": handle, "made": run.event_count})
         if kind == "200":
             await answer_call(call, 200, made)
@@ -231,12 +240,14 @@
             return
         copy = call.headers.get("kv-from", "").rpartition("/")[2]
         if copy and (
-            copy in self.used_handles or not copy.startswith(f"{request_id}~")
+            copy in self.used_handles
+            or not copy.startswith(f"{request_id}~")
+            or float(copy.rpartition("~")[2]) < self.started_s
         ):
             await call.answer(503, "", "X-Not-Executed: 1")
             return
         self.run_count += 1
-        run = Run(copy.split("~")[1] if copy else f"{self.id}.{self.run_count}")
+        run = Run(copy.split("~")[1] if copy else f"{self.name}.{self.run_count}")
         if copy:
             self.used_handles.add(copy)
         first = int(call.headers.get("last-event-id", "0")) + 1
@@ -311,18 +322,25 @@
     await call.send("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
 
-async def run_engine(id: str, address: str, seed: str, log_path: str) -> None:
+async def run_engine(
+    name: str, address: str, seed: str, log_path: str, descriptor: str
+) -> None:
     """Run an engine until it stops itself."""
     log = os.open(log_path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
-    engine = Engine(id, Random(seed), log)
-    ip, _, port = address.rpartition(":")
-    server = ScriptedBackend(id, [engine.serve])
-    listener = await asyncio.start_server(server.serve, ip, int(port))
+    id = sys.stdin.readline().strip()
+    engine = Engine(id, name, Random(seed), log)
+    server = ScriptedBackend(id, [engine.serve], scripts_calls=True)
+    if int(descriptor) >= 0:
+        listening = socket.socket(fileno=int(descriptor))
+        listener = await asyncio.start_server(server.serve, sock=listening)
+    else:
+        ip, _, port = address.rpartition(":")
+        listener = await asyncio.start_server(server.serve, ip, int(port))
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, engine.stop, "stopped", 0.0)
     snapshots = asyncio.create_task(engine.take_snapshots())
     await asyncio.sleep(0)
-    Path(f"{log_path}.{id}").touch()
+    Path(f"{log_path}.{name}").touch()
     await asyncio.gather(listener.serve_forever(), snapshots)
 
 
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import os
+import signal
+import socket
 import subprocess
 import sys
 import time
@@ -17,7 +19,6 @@
 from support.processes import ChildProcess
 
 if TYPE_CHECKING:
-    import signal
     from random import Random
 
     from support.gateway_programs import GatewayProgram
@@ -63,51 +64,81 @@
         self.random = random
         """Chooses seeds, times and the gateways that get announcements."""
         self.start_count = 0
-        """Number of starts, each of which has an id of its own."""
+        """Number of starts."""
+        self.id = ""
+        """Id of the engine since its last start; empty before the first one."""
+        self.standby: subprocess.Popen[bytes] | None = None
+        """Process of the next start, which waits to serve; None before the first."""
+        self.listening: socket.socket | None = None
+        """Socket that listens on even while no process serves; None without one."""
+        if number % 2:
+            self.listening = socket.create_server((ip, PORT))
         self.sequence = 0
         """Number of the last announcement."""
         self.read_bytes = 0
         """Number of bytes of the file of steps that were read."""
         self.ends_s: dict[str, float] = {}
-        """Monotonic time in seconds of each end of the process, by the engine's id."""
+        """Monotonic time in seconds of each end of the process, by the name of the
+        start."""
         self.is_leaving = False
         """Whether it announces that it leaves."""
         self.is_faulted = False
         """Whether it is about to end, or has ended and is not started again yet."""
 
-    @property
-    def id(self) -> str:
-        """Id of the engine since its last start."""
-        return f"e-{self.number}-{self.start_count}"
-
     @property
     def steps_path(self) -> Path:
         """Path of the file with the steps of its streams."""
         return self.folder / f"engine-{self.number}.steps"
 
-    async def start(self) -> None:
+    def name_of(self, start_number: int) -> str:
+        """Return the name of a start."""
+        return f"e-{self.number}-{start_number}"
+
+    async def start(self, *, keeps_id: bool = False) -> None:
         """Start the process and wait until it listens."""
+        self.popen = self.standby or self._spawn()
         self.start_count += 1
+        name = self.name_of(self.start_count)
         self.sequence, self.is_leaving = 0, False
-        seed = str(self.random.random())
+        self.id = self.id if keeps_id else name
+        assert self.popen.stdin is not None
+        self.popen.stdin.write(f"{self.id}\n".encode())
+        self.popen.stdin.close()
+        started_path = Path(f"{self.steps_path}.{name}")
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not started_path.exists():
+                await asyncio.sleep(0.01)
+        self.standby = self._spawn()
+
+    def _spawn(self) -> subprocess.Popen[bytes]:
+        """Start the process of the next start, which waits for its id."""
+        descriptor = -1 if self.listening is None else self.listening.fileno()
         with (self.folder / f"engine-{self.number}.log").open("ab") as log:
-            self.popen = subprocess.Popen(
+            return subprocess.Popen(
                 [
                     sys.executable,
                     engine_program.__file__,
-                    self.id,
+                    self.name_of(self.start_count + 1),
                     self.address,
-                    seed,
+                    str(self.random.random()),
                     str(self.steps_path),
+                    str(descriptor),
                 ],
                 env=os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)},
+                stdin=subprocess.PIPE,
                 stdout=log,
                 stderr=log,
+                pass_fds=[] if descriptor < 0 else [descriptor],
             )
-        started_path = Path(f"{self.steps_path}.{self.id}")
-        async with asyncio.timeout(START_TIMEOUT_S):
-            while not started_path.exists():
-                await asyncio.sleep(0.05)
+
+    def kill(self) -> None:
+        """Kill the process and the one that waits to follow it."""
+        super().kill()
+        if self.standby is not None:
+            self.standby.kill()
+            self.standby.wait()
+        if self.listening is not None:
+            self.listening.close()
 
     async def announce(self, program: GatewayProgram) -> bool:
         """Announce the engine to a gateway; return whether it acknowledged."""
@@ -171,10 +202,22 @@
             await asyncio.sleep(0.02)
         await self._start_again()
 
-    async def _start_again(self) -> None:
-        self.ends_s[self.id] = time.monotonic()
-        await asyncio.sleep(RESTART_DELAY_S)
-        await self.start()
+    async def crash(self, down_s: float, *, keeps_id: bool) -> None:
+        """Kill the engine, and start it again after a time in seconds."""
+        if self.is_faulted:
+            return
+        self.is_faulted = True
+        if self.popen is not None:
+            self.popen.send_signal(signal.SIGKILL)
+            self.popen.wait()
+        await self._start_again(down_s, keeps_id=keeps_id)
+
+    async def _start_again(
+        self, delay_s: float = RESTART_DELAY_S, *, keeps_id: bool = False
+    ) -> None:
+        self.ends_s[self.name_of(self.start_count)] = time.monotonic()
+        await asyncio.sleep(delay_s)
+        await self.start(keeps_id=keeps_id)
         self.is_faulted = False
 
     def read_steps(self) -> list[dict[str, object]]:
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -58,7 +58,8 @@
     )
     """Steps of the streams of model engines, in order, by request id."""
     engine_ends_s: dict[str, float] = field(default_factory=dict)
-    """Monotonic time in seconds at which each model engine ended, by its id."""
+    """Monotonic time in seconds at which each start of a model engine ended, by its
+    name."""
     acknowledged_version: int = 0
     """Latest configuration version that a gateway acknowledged; 0 for none."""
     violations: list[str] = field(default_factory=list)
--- a/tests/soak/injectors.py
+++ b/tests/soak/injectors.py
@@ -181,6 +181,16 @@
     await _engine(world, scheduled).end(signal.SIGTERM)
 
 
+async def _engine_crash(world: World, scheduled: ScheduledFault) -> None:
+    keeps_id = scheduled.target_number & 64 == 0
+    await _engine(world, scheduled).crash(scheduled.length_s, keeps_id=keeps_id)
+
+
+async def _backend_crash(world: World, scheduled: ScheduledFault) -> None:
+    keeps_id = scheduled.target_number & 64 == 0
+    await _backend(world, scheduled).crash(scheduled.length_s, keeps_id=keeps_id)
+
+
 def _engine(world: World, scheduled: ScheduledFault) -> ModelEngine:
     return world.engines[scheduled.target_number % ENGINE_COUNT]
 
@@ -208,4 +218,6 @@
     Fault.ENGINES_LEAVE: _engines_leave,
     Fault.ENGINE_KILL: _engine_kill,
     Fault.ENGINE_STOP: _engine_stop,
+    Fault.ENGINE_CRASH: _engine_crash,
+    Fault.BACKEND_CRASH: _backend_crash,
 }
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -36,6 +36,8 @@
     ENGINES_LEAVE = "two model engines leave at once"
     ENGINE_KILL = "a model engine is killed"
     ENGINE_STOP = "a model engine stops and closes its streams in order"
+    ENGINE_CRASH = "a model engine crashes and its address is served again at once"
+    BACKEND_CRASH = "a backend server crashes and its address is served again at once"
 
 
 FAULT_WEIGHTS = {
@@ -70,6 +72,14 @@
 """Minimum and maximum time in seconds between the starts of two faults of model
 engines, which go on beside the others."""
 
+CRASH_INTERVAL_S = (0.8, 3.0)
+"""Minimum and maximum time in seconds between the starts of two crashes, which go on
+beside the other faults."""
+
+DOWN_S = (0.05, 1.0)
+"""Minimum and maximum time in seconds until the address of a crashed process is served
+again."""
+
 FULL_DISKS_INTERVAL_S = (10.0, 20.0)
 """Minimum and maximum time in seconds between the starts of two series of full disks;
 longer than a series, so that two disks are never full at once."""
@@ -117,13 +127,14 @@
 def generate_schedule(seed: int, length_s: float) -> list[ScheduledFault]:
     """Return the faults of a run of `length_s` seconds, ordered by start time.
 
-    Faults of model engines, lost datagrams and full disks have schedules of their own,
-    beside the rest.
+    Faults of model engines, crashes, lost datagrams and full disks have schedules of
+    their own, beside the rest.
     """
     full_disks = list(_generate_full_disks(Random(f"{seed} disks"), length_s))
     faults = [
         *(f for f in _generate(Random(seed), length_s) if _is_allowed(f, full_disks)),
         *_generate_engine_faults(Random(f"{seed} engines"), length_s),
+        *_generate_crashes(Random(f"{seed} crashes"), length_s),
         *_generate_datagram_losses(Random(f"{seed} datagrams"), length_s),
         *full_disks,
     ]
@@ -154,6 +165,15 @@
         at_s += random.uniform(*ENGINE_FAULT_INTERVAL_S)
 
 
+def _generate_crashes(random: Random, length_s: float) -> Iterator[ScheduledFault]:
+    at_s = random.uniform(*CRASH_INTERVAL_S)
+    while at_s < length_s:
+        fault = random.choice((Fault.ENGINE_CRASH, Fault.BACKEND_CRASH))
+        number, down_s = random.randrange(1 << 16), random.uniform(*DOWN_S)
+        yield ScheduledFault(at_s, fault, number, down_s)
+        at_s += random.uniform(*CRASH_INTERVAL_S)
+
+
 def _generate_datagram_losses(
     random: Random, length_s: float
 ) -> Iterator[ScheduledFault]:
