Expect delimited responses only after eight of them

Cause: engines of the soak mix the ways to delimit a response; after a restart the gateway had received one in chunks, took this for the habit, and had no witness for the next one. Eight responses are needed now. The scenario of responses without a body has its earlier count of 3 connections again, after plain responses that have had a length.

--- a/src/tanagerturn/serving/streams/framings.py
+++ b/src/tanagerturn/serving/streams/framings.py
@@ -8,21 +8,25 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 from tanagerturn.serving.streams.endings import Framing
 
 if TYPE_CHECKING:
     from tanagerturn.serving.backends.messages import SoftwareVersion
 
+MIN_DELIMITED: Final = 8
+"""Number of responses with a length or chunks, and none without, from which the next
+one is expected to have them too; backend servers may mix them."""
+
 
 class FramingHabit(Enum):
     """How the responses of one kind have been delimited."""
 
     UNKNOWN = "unknown"
-    """None was received."""
+    """Too few were received."""
     DELIMITED = "delimited"
-    """Each one had a length or chunks."""
+    """Each of `MIN_DELIMITED` or more had a length or chunks."""
     CLOSING = "closing"
     """At least one ended with its connection."""
 
@@ -43,7 +47,10 @@
 
     def __init__(self) -> None:
         self.habits: dict[ResponseKind, FramingHabit] = {}
-        """Habit of each kind with a response; the others are unknown."""
+        """Habit of each kind that is known."""
+        self.delimited_counts: dict[ResponseKind, int] = {}
+        """Number of responses with a length or chunks of each kind that is not known,
+        and has one."""
         self.start_is_stated: dict[ResponseKind, bool] = {}
         """Whether all reports of the backend servers of each kind stated their start;
         kinds without a report are missing."""
@@ -52,8 +59,10 @@
         """Record a successful response that may have a body."""
         if framing is Framing.CLOSE:
             self.habits[kind] = FramingHabit.CLOSING
-        else:
-            self.habits.setdefault(kind, FramingHabit.DELIMITED)
+        elif kind not in self.habits:
+            count = self.delimited_counts[kind] = self.delimited_counts.get(kind, 0) + 1
+            if count >= MIN_DELIMITED:
+                self.habits[kind] = FramingHabit.DELIMITED
 
     def on_report(self, kind: ResponseKind, *, states_start: bool) -> None:
         """Record whether a backend server's report states its start."""
--- a/tests/support/gateway_world.py
+++ b/tests/support/gateway_world.py
@@ -21,7 +21,7 @@
 from tanagerturn.serving.backends.messages import SoftwareVersion
 from tanagerturn.serving.limits.terms import Tolerance
 from tanagerturn.serving.streams.endings import Framing
-from tanagerturn.serving.streams.framings import ResponseKind
+from tanagerturn.serving.streams.framings import MIN_DELIMITED, ResponseKind
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -345,7 +345,8 @@
         """Record that plain responses have had a length, as after earlier ones."""
         kind = ResponseKind("desk", SoftwareVersion(""), is_stream=False)
         framings = self.relay.sender.end_verifier.framings
-        framings.on_response(kind, Framing.LENGTH)
+        for _ in range(MIN_DELIMITED):
+            framings.on_response(kind, Framing.LENGTH)
 
     async def send_request(
         self,
