Let the scenario of kept connections begin after responses with a length

Until eight responses have had a length, another connection may verify the next one, so the first purchases are not all sent on one. The scenario asserts one connection as before.

--- a/tests/gateway/backends/refusals/steps/refusals_steps.py
+++ b/tests/gateway/backends/refusals/steps/refusals_steps.py
@@ -237,6 +237,8 @@
     async def run():
         world = World(context.backend)
         await world.start()
+        # Otherwise another connection may verify the first responses.
+        world.record_lengths()
         numbers = {"two": 2, "three": 3}[count]
         answers = {}
         for number in range(1, numbers + 1):
