Let the last idle connection carry the request, not its witness

What callers saw: a gateway whose new connections to engines were refused, while open ones lived on, refused all its callers for seconds instead of serving them through peers.

Cause, a fault of: a witness was claimed before the request had its own connection, so it took the last idle one; the request could not open another. Then it was put back with a new idle time although nothing had been sent on it, so the gateway took the engine for reached, as it has an idle connection, at each further request. The new idle time was also longer than the engine had announced.

Change: the request's connection is acquired first and the witness claimed after it. Where responses close their connection, a new connection is preferred, so that idle ones stay for witnesses and each response costs one call as before. A witness is put back with the idle time that it had. `Witness.refresh_s` is gone, the idle time of the connection is used; the call of a witness is built only where one is claimed.

--- a/src/tanagerturn/gateway/backends/endings.py
+++ b/src/tanagerturn/gateway/backends/endings.py
@@ -77,8 +77,6 @@
     """Backend server that the request is sent to."""
     kind: ResponseKind
     """Kind of the response."""
-    call: WitnessCall
-    """Call that a witness answers."""
     sent_s: float = 0.0
     """Boot-clock time in seconds at which the request was sent; 0 before that."""
     witness: Witness | None = None
@@ -107,28 +105,32 @@
         self.witnesses = Witnesses(state)
         """Connections that show that backend servers have not restarted."""
 
-    async def watch(self, run: RequestRun, backend: Backend) -> ProcessWatch:
-        """Prepare to verify the response to a request that is about to be sent.
-
-        If its end may be that of its connection, a witness is claimed, which
-        `end_watch` releases.
+    def watch(self, run: RequestRun, backend: Backend) -> ProcessWatch:
+        """Return what `claim_witness` fills in and `end_watch` has to release.
 
         Args:
-            run: The request.
+            run: A request that is about to be sent.
             backend: Backend server that it will be sent to.
         """
         is_stream = run.route.kind is RequestKind.STREAM
         kind = ResponseKind(run.service, backend.software_version, is_stream)
-        watch = ProcessWatch(backend, kind, self._witness_call(run))
-        is_paused = self.state.backend_limits.is_paused(backend.id, boot_s())
-        if not is_paused and self.framings.needs_witness(kind):
-            is_expected = self.framings.habit(kind) is FramingHabit.CLOSING
-            watch.witness = await self.witnesses.claim(
-                backend,
-                watch.call,
-                is_shared=run.is_repeatable or not is_expected,
-            )
-        return watch
+        return ProcessWatch(backend, kind)
+
+    def expects_close(self, watch: ProcessWatch) -> bool:
+        """Return whether the response is expected to end with its connection."""
+        return self.framings.habit(watch.kind) is FramingHabit.CLOSING
+
+    async def claim_witness(self, watch: ProcessWatch, run: RequestRun) -> None:
+        """Claim a witness if the end of the response may be that of its connection."""
+        if not self.framings.needs_witness(watch.kind):
+            return
+        if self.state.backend_limits.is_paused(watch.backend.id, boot_s()):
+            return
+        watch.witness = await self.witnesses.claim(
+            watch.backend,
+            self._witness_call(run),
+            is_shared=run.is_repeatable or not self.expects_close(watch),
+        )
 
     def on_head(
         self,
@@ -148,7 +150,7 @@
         if not watch.has_witness:
             self._release_witness(watch)
             watch.witness = self.witnesses.claim_idle(
-                watch.backend, watch.call, watch.sent_s
+                watch.backend, self._witness_call(run), watch.sent_s
             )
         if watch.witness is not None:
             watch.witness.on_keep_alive(exchange.keep_alive_s)
@@ -197,7 +199,9 @@
                 return
             await asyncio.sleep(REPORT_AGE_S)
             self._release_witness(watch)
-            witness = await self.witnesses.claim(backend, watch.call, is_shared=True)
+            witness = await self.witnesses.claim(
+                backend, self._witness_call(run), is_shared=True
+            )
             if witness is None:
                 continue
             is_shown = False
--- a/src/tanagerturn/gateway/backends/pool.py
+++ b/src/tanagerturn/gateway/backends/pool.py
@@ -74,7 +74,13 @@
         """Number of connections opened since the start."""
 
     async def acquire(
-        self, backend_id: BackendId, address: str, timeout_s: float, now_s: float
+        self,
+        backend_id: BackendId,
+        address: str,
+        timeout_s: float,
+        now_s: float,
+        *,
+        prefers_new: bool = False,
     ) -> BackendConnection:
         """Return an idle connection, or open a new one.
 
@@ -83,10 +89,18 @@
             address: IP address and port of the backend server.
             timeout_s: Maximum time for opening a connection in seconds.
             now_s: Current boot-clock time in seconds.
+            prefers_new: Whether an idle connection is taken only if a new one can't be
+                opened, as for a response that will close its connection.
 
         Raises:
             OSError: The connection could not be opened, or `TimeoutError`.
         """
+        if prefers_new:
+            try:
+                return await self.open(backend_id, address, timeout_s)
+            except OSError:
+                if not self.has_idle(backend_id, now_s):
+                    raise
         idle_connections = self.idle_connections.get(backend_id, [])
         while idle_connections:
             connection = idle_connections.pop()
@@ -144,6 +158,14 @@
                 None if it announced none.
             now_s: Current boot-clock time in seconds.
         """
+        connection.idle_until_s = now_s + max_idle_s(keep_alive_s)
+        self.put_back(connection)
+
+    def put_back(self, connection: BackendConnection) -> None:
+        """Return a connection to the pool until its idle time ends.
+
+        It is closed if it can't be reused.
+        """
         idle_connections = self.idle_connections.setdefault(connection.backend_id, [])
         if (
             len(idle_connections) >= MAX_IDLE_CONNECTIONS
@@ -152,7 +174,6 @@
             connection.close()
             return
         connection.tcp.set_idle(is_idle=True)
-        connection.idle_until_s = now_s + max_idle_s(keep_alive_s)
         idle_connections.append(connection)
         connection.tcp.on_disconnect = lambda: self._on_disconnect(connection)
 
--- a/src/tanagerturn/gateway/backends/sender.py
+++ b/src/tanagerturn/gateway/backends/sender.py
@@ -162,11 +162,7 @@
             time_left_s=round(run.time_left_s(now_s), 3),
             copied_from=kv_copy.source_address if kv_copy else "",
         )
-        try:
-            watch = await self.end_verifier.watch(run, backend)
-        except asyncio.CancelledError:
-            self._on_attempt_finished(backend, attempt)
-            raise
+        watch = self.end_verifier.watch(run, backend)
         try:
             return await self._attempt(run, backend, kv_copy, watch, now_s)
         finally:
@@ -183,7 +179,7 @@
         """Connect to a backend server, and send a request that is counted there."""
         state, attempt = self.state, run.request.attempt_id
         try:
-            connection = await self._connect(run, backend, now_s)
+            connection = await self._connect(run, backend, watch, now_s)
         except OSError as error:
             run.unreachable_count += 1
             run.cause = f"{backend.id} unreachable: {str(error) or 'connect timeout'}"
@@ -282,11 +278,13 @@
             )
 
     async def _connect(
-        self, run: RequestRun, backend: Backend, now_s: float
+        self, run: RequestRun, backend: Backend, watch: ProcessWatch, now_s: float
     ) -> BackendConnection:
         """Return a connection to a backend server; check the paths if it is slow.
 
-        What peers have stated is read before it is used.
+        The witness that the response may need is claimed afterwards, since the last
+        idle connection has to carry the request if no other can be opened. What peers
+        have stated is read before the connection is used.
 
         Raises:
             OSError: The connection could not be opened, or `TimeoutError`.
@@ -297,23 +295,28 @@
         )
         try:
             connection = await self.state.pool.acquire(
-                backend.id, backend.address, run.time_left_s(now_s), now_s
+                backend.id,
+                backend.address,
+                run.time_left_s(now_s),
+                now_s,
+                prefers_new=self.end_verifier.expects_close(watch),
             )
         finally:
             slow.cancel()
         if connection.is_new:
             self.state.fleet.on_path_opened(backend.id, now_s)
         backlog = self.state.backlog
-        if not backlog.is_unread(boot_s()):
-            return connection
         try:
-            await backlog.wait_until_read(boot_s())
+            await self.end_verifier.claim_witness(watch, run)
+            if backlog.is_unread(boot_s()):
+                await backlog.wait_until_read(boot_s())
         except asyncio.CancelledError:
             connection.close()
             raise
         if connection.tcp.is_usable:
             return connection
-        # It broke while this gateway was suspended, and has not been written to.
+        # It broke while a witness was opened or this gateway was suspended, and has not
+        # been written to.
         connection.close()
         return await self.state.pool.open(
             backend.id, backend.address, run.time_left_s(boot_s())
--- a/src/tanagerturn/gateway/backends/witnesses.py
+++ b/src/tanagerturn/gateway/backends/witnesses.py
@@ -75,9 +75,6 @@
         self.keep_alive_s: float | None = None
         """Shortest idle timeout in seconds that the backend server announced; None if
         it announced none."""
-        self.refresh_s = 0.0
-        """Boot-clock time in seconds at which a call has to keep the connection
-        open."""
         self.claim_count = 0
         """Number of requests whose response may have to be verified with it."""
         self.opening: asyncio.Task[None] | None = None
@@ -189,7 +186,8 @@
         if connection is None:
             return
         if is_idle and witness.is_usable:
-            self.state.pool.release(connection, witness.keep_alive_s, boot_s())
+            # Nothing may have been sent on it, so its idle time goes on.
+            self.state.pool.put_back(connection)
         else:
             connection.close()
 
@@ -239,15 +237,16 @@
         if connection is None:
             return False
         connection.tcp.set_idle(is_idle=False)
-        witness.connection, witness.refresh_s = connection, connection.idle_until_s
+        witness.connection = connection
         return True
 
     async def _keep_open(self, witness: Witness) -> None:
         """Call the backend server before its idle timeout closes the connection."""
         backend, state = witness.backend, self.state
-        while witness.is_usable:
+        while (connection := witness.connection) is not None and witness.is_usable:
             now_s = boot_s()
-            left_s = witness.refresh_s - now_s
+            refresh_s = max(connection.idle_until_s, witness.asked_s + MIN_REFRESH_S)
+            left_s = refresh_s - now_s
             if left_s > 0:
                 await asyncio.sleep(left_s)
             elif state.fleet.view.is_leaving(backend):
@@ -281,8 +280,7 @@
         reply = self.state.dialect.decode_reply(response.status, response.headers)
         witness.on_keep_alive(reply.keep_alive_s)
         connection.answered_s = connection.answered_s or now_s
-        idle_s = max_idle_s(witness.keep_alive_s)
-        witness.refresh_s = now_s + max(MIN_REFRESH_S, idle_s)
+        connection.idle_until_s = now_s + max_idle_s(witness.keep_alive_s)
         if not response.keeps_connection:
             connection.close()
         return Ok(response)
--- a/tests/gateway/backends/restarts/restarts.feature
+++ b/tests/gateway/backends/restarts/restarts.feature
@@ -84,3 +84,26 @@
     Given an engine that gets its first requests and another engine
     When 20 responses with a length or in chunks arrive
     Then the engine has got at most 2 calls, one for each kind of response
+
+  # Guards against a witness that takes the last connection over which an engine is reached.
+  Scenario Outline: The last connection to an engine that accepts no new ones carries requests
+    Given an engine that gets its first requests and another engine
+    When 3 <framing> requests follow one that left a single connection, and no new ones open
+    Then <whole> of the responses are whole, from the first engine alone
+
+    Examples:
+      | framing | whole |
+      | length  | 4     |
+      | chunked | 4     |
+
+  # Guards against a connection that is reused after its engine has closed it.
+  Scenario: A connection that carried no call stays idle no longer than was announced
+    Given an engine with an idle timeout of 3 s and another engine
+    When 4 requests that may need a witness are sent within 1 s
+    Then the connection without a later response is idle for at most 2 s
+
+  # Guards against a second call for each response that closes its connection.
+  Scenario: Responses without a length that follow one another cost a call each
+    Given an engine that gets its first requests and another engine
+    When 5 responses without a length are requested one after another
+    Then each response is whole, from the first engine alone, with at most 6 calls
--- a/tests/gateway/backends/restarts/steps/restarts_steps.py
+++ b/tests/gateway/backends/restarts/steps/restarts_steps.py
@@ -77,9 +77,9 @@
     start(context, listing=NO_LISTING)
 
 
-@given("an engine with an idle timeout of 1 s and another engine")
-def engine_with_timeout(context):
-    start(context, keep_alive_s=1)
+@given("an engine with an idle timeout of {keep_alive_s:d} s and another engine")
+def engine_with_timeout(context, keep_alive_s):
+    start(context, keep_alive_s=keep_alive_s)
 
 
 @given("an engine that is silent for 1.2 s at an end and another engine")
@@ -259,7 +259,7 @@
 
 @when("20 responses with a length or in chunks arrive")
 def delimited(context):
-    async def ask_in_turn():
+    async def ask_for_delimited():
         for _ in range(4):
             for path in ("/buy/length/x", "/look/chunked/x"):
                 await ask(context, path)
@@ -268,7 +268,65 @@
                     *(ask(context, f"/{name}/{f}/x") for f in ("chunked", "length"))
                 )
 
-    run(context, ask_in_turn())
+    run(context, ask_for_delimited())
+
+
+async def ask_in_turn(context, paths, interval_s=0.0):
+    responses = {}
+    for path in paths:
+        responses[path] = await ask(context, path)
+        await asyncio.sleep(interval_s)
+    return responses
+
+
+@when(
+    "{number:d} {framing} requests follow one that left a single connection, and no new"
+    " ones open"
+)
+def last_connection(context, number, framing):
+    async def end():
+        pool = context.world.state.pool
+        paths = [f"/look/{framing}/{turn}" for turn in range(number + 1)]
+        responses = await ask_in_turn(context, paths[:1])
+        for connection in pool.idle_connections["i-1"][1:]:
+            connection.close()
+        context.first.backend.refuse_connections()
+        return responses | await ask_in_turn(context, paths[1:])
+
+    context.responses = run(context, end())
+
+
+@then("{number:d} of the responses are whole, from the first engine alone")
+def number_whole(context, number):
+    whole = [path for path, each in context.responses.items() if is_whole(path, each)]
+    assert len(whole) == number, {p: r.status for p, r in context.responses.items()}
+    assert context.second.request_count == 0, context.second.request_count
+
+
+@when("4 requests that may need a witness are sent within 1 s")
+def witness_unasked(context):
+    async def end():
+        paths = [f"/look/chunked/{turn}" for turn in range(4)]
+        await ask_in_turn(context, paths[:1])
+        context.first_s = boot_s()
+        await ask_in_turn(context, paths[1:], interval_s=0.2)
+
+    run(context, end())
+    assert context.first.call_count == 1, context.first.call_count
+
+
+@then("the connection without a later response is idle for at most {idle_s:g} s")
+def idle_time(context, idle_s):
+    idle = context.world.state.pool.idle_connections["i-1"]
+    idle_until_s = min(connection.idle_until_s for connection in idle)
+    assert len(idle) == 2, len(idle)
+    assert idle_until_s <= context.first_s + idle_s, idle_until_s - context.first_s
+
+
+@when("5 responses without a length are requested one after another")
+def unframed_in_turn(context):
+    paths = [f"/look/close/{turn}" for turn in range(5)]
+    context.responses = run(context, ask_in_turn(context, paths))
 
 
 @then("the engine has got at most {number:d} calls, one for each kind of response")
--- a/tests/support/gateway_world.py
+++ b/tests/support/gateway_world.py
@@ -222,10 +222,14 @@
 
     async def start(self) -> None:
         """Listen on a free port on loopback."""
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
 
+    def refuse_connections(self) -> None:
+        """Refuse new connections; open ones live on."""
+        self.server.close()
+
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
