Cut a gateway off from its peers' calls too in the test of refused departures

The scenario 'A gateway that reaches no peer refuses a departure in time for another try' failed once: 200 where 503 is expected. Traced: the test lost the gateway's datagrams and its own calls, but the gateway still answered the calls of its peers; one read the departure 34 ms later and told the others, so the answer was true.

--- a/tests/gateway/spread/departures/steps/departures_steps.py
+++ b/tests/gateway/spread/departures/steps/departures_steps.py
@@ -283,7 +283,12 @@
         def close(self):
             """Close nothing."""
 
+    async def lose_frame(frame, peer):
+        """Leave a peer without a response, so that it learns nothing from this host."""
+        await asyncio.Event().wait()
+
     gateway.links.link_to = lambda address: UnreachableLink()
+    gateway.links.handler = lose_frame
     run(context, withdraw(context, backend_id, host))
 
 
