Let test doubles of the connection pool take its keyword arguments

Cause: gave ConnectionPool.acquire a keyword argument. Change: the doubles pass keyword arguments on; they check what they checked before.

--- a/tests/gateway/relay/steps/relay_steps.py
+++ b/tests/gateway/relay/steps/relay_steps.py
@@ -273,11 +273,11 @@
     async def action(world):
         acquire, failed = world.state.pool.acquire, []
 
-        async def acquire_late(backend_id, *rest):
+        async def acquire_late(backend_id, *rest, **options):
             if backend_id == "i-2" and len(failed) < failures_before_success:
                 failed.append(backend_id)
                 raise OSError("unreachable")
-            return await acquire(backend_id, *rest)
+            return await acquire(backend_id, *rest, **options)
 
         world.state.pool.acquire = acquire_late
         first, second, third = world.engines
@@ -346,8 +346,8 @@
     async def action(world):
         acquire = world.state.pool.acquire
 
-        async def acquire_and_hinder(backend_id, *rest):
-            connection = await acquire(backend_id, *rest)
+        async def acquire_and_hinder(backend_id, *rest, **options):
+            connection = await acquire(backend_id, *rest, **options)
             if backend_id == "i-2":
                 if not context.opened:
                     hinder(world, world.state.fleet.view.backends[backend_id])
--- a/tests/gateway/spread/backlog/steps/backlog_steps.py
+++ b/tests/gateway/spread/backlog/steps/backlog_steps.py
@@ -108,8 +108,8 @@
     acquire = pool.acquire
     polling = []
 
-    async def acquire_and_suspend(backend_id, *rest):
-        connection = await acquire(backend_id, *rest)
+    async def acquire_and_suspend(backend_id, *rest, **options):
+        connection = await acquire(backend_id, *rest, **options)
         if not polling:
             suspend(context, time_s)
             polling.append(asyncio.create_task(poll(context, 1)))
@@ -145,8 +145,8 @@
     state, engine = context.world.state, context.world.engines[0]
     acquire, polling = state.pool.acquire, []
 
-    async def acquire_and_break(backend_id, *rest):
-        connection = await acquire(backend_id, *rest)
+    async def acquire_and_break(backend_id, *rest, **options):
+        connection = await acquire(backend_id, *rest, **options)
         if not polling:
             suspend(context, time_s)
             engine.calls[0].writer.transport.abort()
