Found the state group with a list of first members that any host may propose

What operators saw: one host with a disk that is lost for good in the first seconds of a first start leaves the deployment without a configuration for good, though three of four hosts with a disk run undisturbed. One cause on two paths: the founding depended on single hosts. Only the first seed began it, and the founder alone was the group until two more voters were promoted, 1.6 s later, while the others agreed on that lost founder for good.

Change: the hosts with a disk agree (the same single-decree Paxos) on the list of the first 2 f + 1 members, which start the group together; any of them proposes, the seeds first. The decisions are one state machine without I/O, coordination/founding; gateway/state_group/founding.py runs it. Seeds count as hosts with a disk from the start, and gateways without one are asked for hosts that a split hides. A disk that was replaced or set aside grants no votes; the latter did.

Why it works: nothing starts before the whole list is agreed on, which is final, and from then on the replicated log bears f losses; no step needs a particular host.

--- a/src/tanagerturn/coordination/ids.py
+++ b/src/tanagerturn/coordination/ids.py
@@ -33,3 +33,7 @@
 
 ChangeId = NewType("ChangeId", str)
 """Idempotency key of a change; a change whose id is stored is not applied again."""
+
+FoundingValue = NewType("FoundingValue", str)
+"""Encoded first members of a replication group, on which the hosts with a disk agree;
+empty for none."""
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -41,8 +41,7 @@
 from tanagerturn.gateway.spread.receiver import DatagramReceiver
 from tanagerturn.gateway.startup import SAVE_INTERVAL_S, Startup
 from tanagerturn.gateway.state import make_state
-from tanagerturn.gateway.state_group import handover
-from tanagerturn.gateway.state_group.group_initializer import GroupInitializer
+from tanagerturn.gateway.state_group import founding, handover
 from tanagerturn.gateway.state_group.member import TICK_S as MEMBER_TICK_S
 from tanagerturn.gateway.state_group.member import StateMember
 from tanagerturn.gateway.state_group.opening import open_member
@@ -151,6 +150,7 @@
             self.state, self.links, loop, self.on_peer_version, self.relay.wake
         )
         """Builds and applies the digests that gateways exchange."""
+        self.digests.has_disk = settings.data_folder is not None
         self.mesh = Mesh(
             settings,
             self.state.random,
@@ -235,8 +235,6 @@
             most.checks,
         )
         """Listener for metrics."""
-        self.group_initializer = GroupInitializer()
-        """Decides which gateway initializes the state group."""
         self.startup = Startup(
             self.state, self.configurations, self.mesh, self.digests, loop
         )
@@ -372,14 +370,9 @@
         if kind == "log" and self.member is not None:
             self.member.deliver(frame.log.messages)
         elif kind == "found" and self.member is not None:
-            hosts = ((h.host, h.link_address) for h in frame.found.hosts)
-            self.member.agreement.add_hosts(hosts)
-            self.member.propose_founder()
-            return gpb.Frame(done=gpb.Done())
+            return await self.member.founding.on_order(frame.found)
         elif kind == "founding":
-            if self.member is None:
-                return gpb.Frame(failure=gpb.Failure(reason="no member here"))
-            return await self.member.agreement.respond(frame.founding)
+            return await self._serve_ballot(frame.founding)
         elif kind == "departures":
             self.digests.on_departures(
                 frame.departures, DepartureSource.CONFIRMATION, peer, boot_s()
@@ -411,6 +404,13 @@
             return await self.store.serve(frame)
         return None
 
+    async def _serve_ballot(self, call: gpb.FoundingCall) -> gpb.Frame:
+        if self.member is not None:
+            return await self.member.founding.respond(call)
+        if self.settings.data_folder is None:
+            return founding.serve_witness(self._peer_digests())
+        return gpb.Frame(failure=gpb.Failure(reason="the member is not open"))
+
     def _limits(self, *, is_backend: bool) -> AccountLimits:
         return self.state.backend_limits.limits if is_backend else self.state.limits
 
@@ -542,36 +542,15 @@
             | self._member_addresses()
         )
         if self.member is not None:
-            self.member.agreement.add_hosts(
-                (d.host, d.link_address) for d in digests if d.member.id
-            )
             present = self.mesh.present_hosts()
             self.member.repair(self.member.view(digests, present), now_s)
-        settings = self.settings
-        is_first_seed = settings.seed_ips[:1] == (settings.ip,)
-        if (
-            not settings.is_first_start
-            or not is_first_seed
-            or self.group_initializer.group_exists
-        ):
-            return
-        local_digest = gpb.Digest(host=settings.host)
-        self.digests.fill_digest(local_digest, now_s)
-        chosen = self.group_initializer.choose(
-            [local_digest, *digests], settings.state_members, now_s
-        )
-        if chosen is None:
-            return
-        if chosen.host == settings.host and self.member is not None:
-            self.member.propose_founder()
-        else:
-            order = gpb.FoundCall(hosts=self.group_initializer.known_hosts())
-            self.links.link_to(chosen.link_address).send_one_way(gpb.Frame(found=order))
+            self.member.tick_founding(digests)
 
     def _member_addresses(self) -> set[str]:
         if self.member is None:
             return set()
-        return set(self.member.transport.addresses.values())
+        addresses = set(self.member.transport.addresses.values())
+        return addresses | self.member.founding.addresses
 
     def on_peer_version(self, version: int, link_address: str) -> None:
         """Fetch the configuration of a peer if its version is newer."""
--- a/src/tanagerturn/gateway/log_events.py
+++ b/src/tanagerturn/gateway/log_events.py
@@ -219,21 +219,28 @@
     "limit_owner_changed": (
         "This gateway no longer owns the limit of a client account."
     ),
-    "group_founded": "This member initializes the state group.",
+    "group_founded": (
+        "This member starts the state group, with the others of `members`."
+    ),
     "added_to_group": "This member was added to the state group.",
     "member_change": (
         "The leader added, promoted or removed a member of the state group, or failed "
         "to; see `outcome`."
     ),
-    "founder_not_proposed": (
-        "This host's vote on the founder of the state group could not be stored."
-    ),
     "vote_not_stored": (
-        "A peer's call for a vote on the founder failed, because the vote could not be "
-        "stored."
-    ),
-    "founder_agreed": (
-        "The hosts with a disk have agreed on the host that founds the state group."
+        "This host's vote on the first members of the state group could not be stored; "
+        "what depends on it is tried again."
+    ),
+    "founding_state": (
+        "What this host believes of the founding of the state group has changed: it "
+        "is `awaiting hosts`, `proposing`, the first members are `agreed`, or it has "
+        "`ended`, since a group exists. `hosts` is the number of known hosts with a "
+        "disk, `required` how many have to agree, `unheard` the addresses of seeds "
+        "without a message until now, and `awaited` those that did not answer in the "
+        "last round."
+    ),
+    "first_members_agreed": (
+        "The hosts with a disk have agreed on the first members of the state group."
     ),
     "leadership_taken": (
         "This member started an election: the leader is of a version that does not "
--- a/src/tanagerturn/gateway/settings.py
+++ b/src/tanagerturn/gateway/settings.py
@@ -104,6 +104,11 @@
         """Address at which this gateway accepts links of its peers."""
         return f"{self.ip}:{self.link_port}"
 
+    @property
+    def seed_link_addresses(self) -> tuple[str, ...]:
+        """Addresses at which the seeds accept links."""
+        return tuple(f"{ip}:{self.link_port}" for ip in self.seed_ips)
+
     @property
     def forwarding_address(self) -> str:
         """Address at which this gateway accepts requests that its peers forward."""
--- a/src/tanagerturn/gateway/spread/digests.py
+++ b/src/tanagerturn/gateway/spread/digests.py
@@ -114,6 +114,8 @@
         self.member: StateMember | None = None
         """Local member of the state group; None on hosts without a disk, and until the
         member is open."""
+        self.has_disk = False
+        """Whether the host has a disk."""
         self.rollouts: RolloutSpread | None = None
         """Permissions and evidence of rollouts; None unless the settings allow them."""
         self.registry_fetched_at_s = 0.0
@@ -196,10 +198,18 @@
             if member.core is not None:
                 digest.term = member.core.term
                 digest.leader_address = member.leader_address
-
+        if not state.configuration.version:
+            digest.founding_part = self._founding_part()
         if self.rollouts is not None:
             self.rollouts.fill_digest(digest, now_s)
 
+    def _founding_part(self) -> gpb.FoundingPart.ValueType:
+        if self.member is not None:
+            return self.member.founding.part
+        if self.has_disk:
+            return gpb.FOUNDING_PART_UNKNOWN
+        return gpb.FOUNDING_PART_WITNESS
+
     def stamp_digest(self, digest: gpb.Digest, now_s: float) -> None:
         """Set what has to be as of the sending of a digest.
 
--- a/src/tanagerturn/gateway/state_group/member.py
+++ b/src/tanagerturn/gateway/state_group/member.py
@@ -15,6 +15,8 @@
 
 from tanagerturn.clocks import boot_s
 from tanagerturn.coordination.errors import StorageError
+from tanagerturn.coordination.founding.core import FoundingCore, FoundingOptions
+from tanagerturn.coordination.founding.votes import Vote
 from tanagerturn.coordination.ids import ClusterId, GroupId, MemberId
 from tanagerturn.coordination.log.core import Core
 from tanagerturn.coordination.log.membership import voters
@@ -27,7 +29,7 @@
     MemberTransport,
     exit_process,
 )
-from tanagerturn.gateway.state_group.founder import FounderAgreement
+from tanagerturn.gateway.state_group.founding import GroupFounding, load_vote
 from tanagerturn.gateway.state_group.handover import (
     GroupView,
     must_take_leadership,
@@ -115,17 +117,6 @@
         self.folder = folder
         """The open data folder."""
         has_group = folder.has_state((GROUP,))
-        self.agreement = FounderAgreement(
-            settings.host,
-            settings.link_address,
-            settings.tolerated_losses,
-            links,
-            folder.files,
-            has_group=has_group,
-        )
-        """Agreement on the host that founds the group."""
-        self.founding_task: asyncio.Task[None] | None = None
-        """The last proposal of a founder; None before the first one."""
         self.id = MemberId(f"{settings.host}-{self.folder.incarnation}")
         """Id of the member; an emptied disk gives the member a new id."""
         self.actor: pykka.ActorRef[Any] | None = None
@@ -146,6 +137,21 @@
         self.start_task: asyncio.Task[None] | None = None
         """Starts the member after it was added to a group or founds one; None before
         that."""
+        self.founding_task: asyncio.Task[None] | None = None
+        """The last step of the founding; None before the first one."""
+        self.learning_task: asyncio.Task[None] | None = None
+        """Asks a member of the group for its first members; None before."""
+        vote = load_vote(
+            folder.files, has_group=has_group, is_first_start=settings.is_first_start
+        )
+        self.founding = GroupFounding(
+            self._make_founding(vote, has_group=has_group),
+            links,
+            folder.files,
+            self.start_with,
+            self.take_leadership,
+        )
+        """This host's part in founding the group."""
         if has_group:
             self._start(pb.Membership())
 
@@ -179,43 +185,83 @@
             return ""
         return self.transport.addresses.get(self.core.leader, "")
 
-    def propose_founder(self) -> None:
-        """Propose this host as the founder, and found the group if enough agree."""
-        in_progress = self.founding_task is not None and not self.founding_task.done()
-        if self.actor is None and not in_progress:
-            self.founding_task = self.loop.create_task(self._propose_founder())
-
-    async def _propose_founder(self) -> None:
-        try:
-            founder = await self.agreement.propose()
-        except StorageError as error:
-            log.warning("founder_not_proposed", reason=str(error))
-            return
-        if founder == self.settings.host:
-            self.initialize_group()
-        elif founder:
-            self.agreement.send_order(founder)
+    def _make_founding(self, vote: Vote | None, *, has_group: bool) -> FoundingCore:
+        settings = self.settings
+        options = FoundingOptions(
+            settings.host,
+            self.member_record,
+            settings.seed_link_addresses,
+            settings.tolerated_losses,
+            may_vote=vote is not None and not has_group,
+        )
+        core = FoundingCore(options, vote or Vote(), Random(os.urandom(16)), boot_s())
+        if has_group:
+            core.on_started()
+        return core
+
+    async def start_with(self, members: Sequence[pb.Member]) -> None:
+        """Start the group with its first members, and return once this one has started.
 
-    def initialize_group(self) -> None:
-        """Initialize the group with this member alone; others are added later."""
+        Args:
+            members: All first members, with this one.
+        """
         if self.actor is None and self.start_task is None:
-            log.info("group_founded", member=self.id)
-            self._begin_start(pb.Membership(members=[self.member_record]))
+            ids = ",".join(member.id for member in members)
+            log.info("group_founded", member=self.id, members=ids)
+            self._begin_start(pb.Membership(members=members))
+        if self.start_task is not None:
+            await asyncio.shield(self.start_task)
+
+    def take_leadership(self) -> None:
+        """Start an election, unless this member leads."""
+        if self.actor is not None:
+            self.actor.tell(m.TakeLeadership())
+
+    def tick_founding(self, digests: Sequence[gpb.Digest]) -> None:
+        """Take part in founding the group, until one is known to exist.
+
+        Args:
+            digests: Recent digests of the peer gateways.
+        """
+        self.founding.on_digests(digests)
+        if self.leader_address:
+            self.founding.core.on_group_known()
+        if self.founding_task is None or self.founding_task.done():
+            self.founding_task = self.loop.create_task(self.founding.tick())
 
     def deliver(self, messages: Sequence[pb.LogMessage]) -> None:
         """Process log messages from other members.
 
-        The first message for this member means that a leader has added it to a group;
-        the member is then started.
+        The first message for this member means that it belongs to a group; the member
+        is then started. Messages that are dropped until then are sent again.
         """
-        if self.actor is None:
-            if not any(message.receiver == self.id for message in messages):
-                return
-            if self.start_task is None:
-                log.info("added_to_group", member=self.id)
-                self._begin_start(pb.Membership())
+        if self.actor is not None:
+            self.actor.tell(m.Deliver(messages))
+            return
+        sender = next((e.sender for e in messages if e.receiver == self.id), None)
+        if sender is None or self.start_task is not None:
             return
-        self.actor.tell(m.Deliver(messages))
+        if self.learning_task is None or self.learning_task.done():
+            address = self.transport.addresses.get(sender, "")
+            self.learning_task = self.loop.create_task(self._join(address))
+
+    async def _join(self, address: str) -> None:
+        """Start as a first member, or as one that was added later.
+
+        A first member that started without the others' list could not be elected.
+
+        Args:
+            address: Link address of a member of the group; empty if it is unknown.
+        """
+        core = self.founding.core
+        may_be_first = core.options.may_vote and not core.vote.agreed
+        if may_be_first and not (address and await self.founding.learn_agreed(address)):
+            return
+        await self.founding.tick()
+        # A first member whose disk is full is tried again at the next message.
+        if self.start_task is None and not core.members_to_start():
+            log.info("added_to_group", member=self.id)
+            self._begin_start(pb.Membership())
 
     def tick(self) -> None:
         """Advance the member's timers, and replace a watch that has ended."""
@@ -275,7 +321,7 @@
         if now_s >= self.next_election_s and must_take_leadership(view):
             self.next_election_s = now_s + ELECTION_INTERVAL_S
             log.info("leadership_taken", leader=view.leader_address)
-            self.actor.tell(m.TakeLeadership())
+            self.take_leadership()
             return
         if self.repair_task is None or self.repair_task.done():
             self.repair_task = self.loop.create_task(self._repair(view))
@@ -363,6 +409,7 @@
         while self.actor is None:
             try:
                 await self.loop.run_in_executor(None, self._start, membership)
+                self.founding.core.on_started()
             except SyncFailedError as error:
                 exit_process(error)
             except (StorageError, OSError) as error:
--- a/src/tanagerturn/gateway/state_group/opening.py
+++ b/src/tanagerturn/gateway/state_group/opening.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from tanagerturn.clocks import wall_ms
@@ -47,6 +48,8 @@
         damaged_folder = settings.data_folder / f"{DAMAGED_FOLDER}-{wall_ms()}"
         log.error("state_set_aside", reason=str(error), kept=str(damaged_folder))
         folder.rename(damaged_folder)
+    # Whatever the member has voted at the first start is lost.
+    settings = replace(settings, is_first_start=False)
     return _open(settings, links, loop, on_batch)
 
 
