Wait for the leader of a cluster's state group in tests

Cause: the members found the group together, so a group may be complete a moment before it has a leader. Clusters of gateways in tests start once a complete group has a leader with a committed membership, which was implied before, when the leader had added the others.

--- a/tests/support/gateway_cluster.py
+++ b/tests/support/gateway_cluster.py
@@ -75,10 +75,15 @@
         return gateway
 
     async def start_all(self) -> None:
-        """Start all gateways and wait until the state group is complete."""
+        """Start all gateways and wait for a complete state group with a leader."""
         for number in range(1, self.with_disk + self.diskless + 1):
             await self.start(number)
-        await self.wait_until(lambda: any(self.is_complete(g) for g in self.members()))
+        await self.wait_until(
+            lambda: any(
+                self.is_complete(g) and g.member.committed_voters
+                for g in self.members()
+            )
+        )
 
     def members(self) -> list[Gateway]:
         """Return the gateways with a disk."""
