Wait for another host's round only as long as a first one takes

Traced: the syncs of all hosts stalled for 2 s at the same time, so three hosts began rounds before they had received each other's ballots, and after the third of them all waited 3.4 s, since the wait had grown with the rounds. Change: only a host's own timeouts grow. In that trace the next round would have begun 1.5 s earlier.

--- a/src/tanagerturn/coordination/founding/core.py
+++ b/src/tanagerturn/coordination/founding/core.py
@@ -302,7 +302,7 @@
         answer = self._vote_on(ballot)
         if answer.granted:
             # The other round would fail if this host began one of its own.
-            wait_s = self.round_timeout_s() + RANK_DELAY_S * self._rank()
+            wait_s = ROUND_TIMEOUT_S + RANK_DELAY_S * self._rank()
             self.next_round_s = max(self.next_round_s, now_s + wait_s)
         return answer
 
