Ask for promises while the proposer stores its own

Traced: a proposer told the others of its round only after its own sync, so they began rounds that broke it, for 12 s in one trace. Change: ballots without a value leave at once; a round that is begun again after a crash does no harm before a value is named in it, which still waits for the sync.

--- a/src/tanagerturn/coordination/founding/core.py
+++ b/src/tanagerturn/coordination/founding/core.py
@@ -38,8 +38,7 @@
 """The same while a seed has not been heard from, or too few hosts have."""
 
 RANK_DELAY_S: Final = 0.8
-"""Time in seconds for which a host leaves the proposal to the one before it, whose
-ballots are sent only after a sync."""
+"""Time in seconds for which a host leaves the proposal to the one before it."""
 
 ROUND_TIMEOUT_S: Final = 1.5
 """Time in seconds after which a phase of the first round is given up without enough
@@ -105,7 +104,11 @@
 
 @dataclass
 class FoundingReady:
-    """Output of the core; promises and accepted values have to be stored before it."""
+    """Output of the core.
+
+    What `vote` promises and accepts has to be stored before it takes effect, but for
+    ballots without a value.
+    """
 
     ballots: list[tuple[str, Ballot]] = field(default_factory=list)
     """Ballots to send, with the link address of each receiver."""
@@ -141,7 +144,8 @@
     Each host that may vote proposes; a host leaves it to the seeds, and to hosts at
     lower addresses, as long as they may have it done in time. Before any answer or
     other output leaves the host, what `vote` promises and accepts has to be stored;
-    what is agreed on is final, and may be stored later.
+    what is agreed on is final, and may be stored later. Ballots that ask for a promise
+    may be sent earlier: without a value, a round that is begun again does no harm.
 
     Args:
         options: The host's part.
--- a/src/tanagerturn/gateway/state_group/founding.py
+++ b/src/tanagerturn/gateway/state_group/founding.py
@@ -165,6 +165,10 @@
         The core repeats all output of which nothing comes.
         """
         ready, vote = self.core.take_ready(), self.core.vote
+        # A round may become known before its proposer has stored its own promise.
+        for address, ballot in ready.ballots:
+            if not ballot.value:
+                self._track(self._ask(address, ballot))
         if replace(vote, agreed=self.stored_vote.agreed) != self.stored_vote:
             if not await self._store():
                 return False
@@ -173,7 +177,8 @@
             self._track(self._store_agreed())
         self._log_state()
         for address, ballot in ready.ballots:
-            self._track(self._ask(address, ballot))
+            if ballot.value:
+                self._track(self._ask(address, ballot))
         for address, order in ready.orders:
             self._track(self._order(address, order))
         if ready.start and self.starting is None:
--- a/tests/support/founding_explorer.py
+++ b/tests/support/founding_explorer.py
@@ -254,6 +254,10 @@
             delay_s = 0.001 + self.random.random() ** 4 * 0.2
         node.synced_s = max(node.synced_s, self.now + delay_s)
 
+        for receiver, ballot in ready.ballots:
+            if not ballot.value:
+                self._call(node, receiver, ballot)
+
         def take_effect() -> None:
             if core.vote != Vote() or node.disk.vote is not None:
                 node.disk.vote = stored
@@ -264,7 +268,8 @@
                 if self.random.random() < 0.15:
                     self._leave_one_acceptor(node)
             for receiver, ballot in ready.ballots:
-                self._call(node, receiver, ballot)
+                if ballot.value:
+                    self._call(node, receiver, ballot)
             for receiver, order in ready.orders:
                 self._order(node, receiver, order)
             if ready.start and not node.disk.started:
