Count hosts of the first start by one predicate, also once they have started

Found by reading the change again: witnesses counted a host whose digest says that its member has started among those that have to agree, a proposer that first received such a digest did not, and the explorer did until a restart. Both use one predicate now, which leaves out only hosts with a new disk; more hosts that have to agree is the safe side. A wrapper of one call is removed.

--- a/src/tanagerturn/coordination/founding/core.py
+++ b/src/tanagerturn/coordination/founding/core.py
@@ -266,7 +266,7 @@
             address: Link address of the host.
             host: Name of the host.
             member: Its member, which may be a first member; None if it can't be one.
-            may_vote: Whether it takes part. One that does not, since its disk is new,
+            may_vote: Whether its disk may hold votes. One that does not, being new,
                 counts if it is known from before, or else too few hosts are known.
         """
         if may_vote or address in self.hosts:
--- a/src/tanagerturn/gateway/state_group/founding.py
+++ b/src/tanagerturn/gateway/state_group/founding.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from dataclasses import replace
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from tanagerturn.clocks import boot_s
 from tanagerturn.coordination.errors import StorageError
@@ -77,7 +77,7 @@
         """State that was logged last; empty before the first one."""
         self.has_logged_agreed = False
         """Whether what was agreed on was logged."""
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks: set[asyncio.Task[object]] = set()
         """Calls to other hosts in progress."""
 
     @property
@@ -99,10 +99,6 @@
         for digest in digests:
             part = digest.founding_part
             if digest.member.id:
-                may_vote = part in (
-                    gpb.FOUNDING_PART_VOTER,
-                    gpb.FOUNDING_PART_UNKNOWN,
-                )
                 can_start = part in (
                     gpb.FOUNDING_PART_VOTER,
                     gpb.FOUNDING_PART_NEW_DISK,
@@ -111,7 +107,7 @@
                     digest.link_address,
                     digest.host,
                     digest.member if can_start else None,
-                    may_vote=may_vote,
+                    may_vote=_has_voted_disk(digest),
                 )
             elif part == gpb.FOUNDING_PART_WITNESS:
                 self.core.add_witnesses([digest.link_address])
@@ -174,7 +170,7 @@
                 return False
         elif vote != self.stored_vote and not self.lock.locked():
             # What is agreed on is final, so it may take effect before it is stored.
-            self._track(self._store_agreed())
+            self._track(self._store())
         self._log_state()
         for address, ballot in ready.ballots:
             if ballot.value:
@@ -203,9 +199,6 @@
             self.stored_vote = vote
             return True
 
-    async def _store_agreed(self) -> None:
-        await self._store()
-
     async def _start(self, members: Sequence[pb.Member]) -> None:
         await self.start_member(members)
         self._lead()
@@ -257,7 +250,7 @@
             self.has_taken_leadership = True
             self.take_leadership()
 
-    def _track(self, call: Coroutine[None, None, None]) -> None:
+    def _track(self, call: Coroutine[Any, Any, object]) -> None:
         task = asyncio.get_running_loop().create_task(call)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -317,11 +310,17 @@
     hosts = {
         digest.link_address: digest.host
         for digest in digests
-        if digest.member.id and digest.founding_part != gpb.FOUNDING_PART_NEW_DISK
+        if _has_voted_disk(digest)
     }
     return gpb.Frame(founding_vote=gpb.FoundingVote(hosts=encode_hosts(hosts)))
 
 
+def _has_voted_disk(digest: gpb.Digest) -> bool:
+    """Return whether a host has a disk that may hold votes of the first start."""
+    is_new = digest.founding_part == gpb.FOUNDING_PART_NEW_DISK
+    return bool(digest.member.id) and not is_new
+
+
 def encode_hosts(hosts: Mapping[str, str]) -> list[gpb.FoundingHost]:
     """Return the message form of hosts by link address."""
     return [
--- a/tests/support/founding_explorer.py
+++ b/tests/support/founding_explorer.py
@@ -330,7 +330,7 @@
         self.run_on(node, DIGEST_INTERVAL_S, lambda: self._send_digests(node))
         core, own, may_vote = node.core, None, False
         if core is not None:
-            may_vote = core.options.may_vote
+            may_vote = core.options.may_vote or core.has_started
             own = None if core.has_started else node.own
         is_open = core is not None
         leader = node.knows_leader
