Give the hosts of tests a disk of their own, with a stated sync time

All hosts of a scenario, and those of the three other folders that run beside it, shared the machine's disk. The log of a failed one shows one leader throughout: each confirmed read waits behind a sync of the leader and one of a follower, which is more than the 0.6 s of an attempt. So the bounds in time of these tests hold for hosts with disks of their own, which hosts of a deployment have, and the tests did not have them: the tests were wrong, not the bounds.

Change: clusters of gateways in one process, the gateway processes of the founding tests and of the soak get a data folder in memory, and each sync waits for 10 to 30 ms, which is longer than a sync of this machine's calm disk. No bound changes. New and stricter: rollouts, and the loss of the first seed, with disks whose syncs take 50 to 150 ms. Folders that start other processes, and those of the storage, use the machine's disk as before.

--- a/tests/gateway/rollouts/cluster/cluster.feature
+++ b/tests/gateway/rollouts/cluster/cluster.feature
@@ -23,6 +23,20 @@
       | failing later  | the holder is killed       | 12       | rolled_back | 0.95   |
       | slow to buy    | nothing happens            | 8        | rolled_back | 0.95   |
 
+  # Guards against decisions that come late since each of them waits for syncs.
+  Scenario Outline: Disks are slow, and a version whose responses are <quality> is ordered
+    Given 4 gateways with rollouts, slow disks and backend servers of v1
+    When v2, whose responses are <quality>, is ordered in 12 s, and 4 s later <event>
+    Then the rollout is <state> in time
+    And the exposure of v2 is within its bound
+    And no request runs on a version that is not allowed
+    And at least <served> of the requests are served
+
+    Examples:
+      | quality | event                | state       | served |
+      | good    | the holder is killed | completed   | 0.98   |
+      | failing | the holder is killed | rolled_back | 0.95   |
+
   # Guards against a gateway that uses the target since it has not heard of the order.
   Scenario: A gateway that is cut off uses the old version only
     Given 4 gateways with rollouts and backend servers of v1
--- a/tests/gateway/rollouts/cluster/steps/cluster_steps.py
+++ b/tests/gateway/rollouts/cluster/steps/cluster_steps.py
@@ -7,6 +7,7 @@
 import orjson
 from behave import given, then, when
 
+from support.host_disks import SLOW_SYNC_S, SYNC_S
 from support.rollout_fleet import BOUND, OLD, TARGET, Arrivals, Fault, RolloutFleet
 from tanagerturn.clocks import boot_s
 
@@ -29,9 +30,9 @@
     return context.loop.run_until_complete(coroutine)
 
 
-def start(context, gateways, without=()):
+def start(context, gateways, without=(), sync_s=SYNC_S):
     context.loop = asyncio.new_event_loop()
-    context.fleet = RolloutFleet(gateways, 1, without)
+    context.fleet = RolloutFleet(gateways, 1, without, sync_s)
 
     def close():
         context.loop.run_until_complete(context.fleet.close())
@@ -69,6 +70,12 @@
     run(context, wait_for_support(context.fleet))
 
 
+@given("{gateways:d} gateways with rollouts, slow disks and backend servers of v1")
+def slow_fleet_started(context, gateways):
+    start(context, gateways, sync_s=SLOW_SYNC_S)
+    run(context, wait_for_support(context.fleet))
+
+
 @given(
     "{gateways:d} gateways of which {hosts} have no rollouts, and backend servers of v1"
 )
--- a/tests/gateway/state_group/founding/founding.feature
+++ b/tests/gateway/state_group/founding/founding.feature
@@ -24,14 +24,17 @@
 
   # Guards against a deployment that never has a group (review/7).
   Scenario Outline: The first seed is lost for good <at> s after the first start
-    Given 4 gateway processes of which the first is killed <at> s after their start
+    Given 4 gateway processes with <disks> disks
+    When they start, and the first is killed <at> s later
     Then a configuration is confirmed at the others within 7 s
     And one group has been founded
 
     Examples:
-      | at  |
-      | 0.3 |
-      | 1.5 |
+      | at  | disks |
+      | 0.3 | usual |
+      | 1.5 | usual |
+      | 0.3 | slow  |
+      | 1.5 | slow  |
 
   # Guards against a group that depends on its founder alone (review/9).
   Scenario: A first member is lost as soon as the group is founded
@@ -40,8 +43,9 @@
     And one group has been founded
 
   Scenario: A host that is killed at the first start returns at a later one
-    Given 4 gateway processes of which the first is killed 1.2 s after their start
-    When it starts again 1 s later, not for the first time
+    Given 4 gateway processes with usual disks
+    When they start, and the first is killed 1.2 s later
+    And it starts again 1 s later, not for the first time
     Then a configuration is confirmed at all within 7 s
     And one group has been founded
 
--- a/tests/gateway/state_group/founding/steps/founding_steps.py
+++ b/tests/gateway/state_group/founding/steps/founding_steps.py
@@ -5,10 +5,8 @@
 import asyncio
 import shutil
 import signal
-import tempfile
 import time
 from dataclasses import replace
-from pathlib import Path
 from random import Random
 from unittest import mock
 
@@ -18,6 +16,7 @@
 
 from support.gateway_programs import CONTROL_PORT, extract_build, make_programs
 from support.gateway_world import gateway_settings, manifest
+from support.host_disks import SLOW_SYNC_S, SYNC_S, make_data_folder
 from support.processes import wait_for
 from tanagerturn.coordination.founding.core import FoundingCore, FoundingOptions
 from tanagerturn.coordination.founding.votes import Round, Vote
@@ -34,9 +33,11 @@
 EARLIER_BUILD = "7f5c039"
 """Last build whose hosts agree on one founder, with which the group begins alone."""
 
+SYNC_RANGES = {"usual": SYNC_S, "slow": SLOW_SYNC_S}
+
 
 def make_folder(context):
-    folder = Path(tempfile.mkdtemp())
+    folder = make_data_folder()
     context.closers.append(lambda: shutil.rmtree(folder, ignore_errors=True))
     return folder
 
@@ -117,10 +118,12 @@
     assert member.founding.part == gpb.FOUNDING_PART_NEW_DISK
 
 
-def prepare_programs(context):
+def prepare_programs(context, sync_s=SYNC_S):
     folder = make_folder(context)
     context.http = urllib3.PoolManager(retries=False)
     context.programs = make_programs(folder, 4, 0)
+    for program in context.programs:
+        program.sync_s = sync_s
     context.undisturbed = list(context.programs)
     context.log_paths += [program.log_path for program in context.programs]
 
@@ -159,9 +162,13 @@
     time.sleep(2.0)
 
 
-@given("4 gateway processes of which the first is killed {at_s:g} s after their start")
+@given("4 gateway processes with {disks} disks")
+def programs_with_disks(context, disks):
+    prepare_programs(context, SYNC_RANGES[disks])
+
+
+@when("they start, and the first is killed {at_s:g} s later")
 def first_killed(context, at_s):
-    prepare_programs(context)
     start_programs(context)
     listen(context)
     time.sleep(at_s)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -6,7 +6,6 @@
 import json
 import os
 import signal
-import tempfile
 from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING
@@ -27,6 +26,7 @@
     make_programs,
 )
 from support.gateway_world import manifest, route
+from support.host_disks import SYNC_S, make_data_folder
 
 if TYPE_CHECKING:
     from soak.schedule import ScheduledFault
@@ -71,7 +71,7 @@
         """Seed of all random choices."""
         self.random = Random(seed)
         """Source of all random choices but those of the schedule."""
-        self.folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        self.folder = make_data_folder(f"soak-{seed}-")
         """Folder with the settings, logs and data of the gateways."""
         self.programs = make_programs(self.folder, disk_count, diskless_count)
         """Gateway processes."""
@@ -124,6 +124,7 @@
             await proxy.start()
         for program in self.programs:
             program.script = Path(faulty_gateway.__file__)
+            program.sync_s = SYNC_S
             self._start_program(program)
         for backend in self.backends:
             await backend.start()
--- a/tests/support/engine_fleet.py
+++ b/tests/support/engine_fleet.py
@@ -279,7 +279,8 @@
 
     def __init__(self, gateways: int, engines: int, seed: int) -> None:
         self.random = random.Random(seed)
-        self.cluster = Cluster(3, gateways - 3)
+        self.cluster = self.make_cluster(3, gateways - 3)
+        """Gateways."""
         self.fields = FIELDS
         """Fields of the manifest."""
         self.first_event_s = 0.0
@@ -303,6 +304,10 @@
         self.request_count = 0
         self.attempt_count = 0
 
+    def make_cluster(self, with_disk: int, diskless: int) -> Cluster:
+        """Return the gateways, of which the first `with_disk` have a disk."""
+        return Cluster(with_disk, diskless)
+
     def make_engine(self, number: int) -> FleetEngine:
         """Return an engine that has not started yet."""
         return FleetEngine(self, number)
--- a/tests/support/gateway_cluster.py
+++ b/tests/support/gateway_cluster.py
@@ -5,14 +5,19 @@
 import asyncio
 import random
 import shutil
-import tempfile
 from contextvars import ContextVar, copy_context
 from dataclasses import replace
-from pathlib import Path
 
 import orjson
 
 from support.gateway_world import gateway_settings, manifest
+from support.host_disks import (
+    SYNC_S,
+    SyncRange,
+    make_data_folder,
+    simulate_syncs,
+    stop_simulating,
+)
 from tanagerturn.gateway.gateway import Gateway
 from tanagerturn.platform.dialect import PlatformDialect
 
@@ -30,11 +35,15 @@
     Args:
         with_disk: Number of gateways with a disk.
         diskless: Number of gateways without a disk.
+        sync_s: Shortest and longest time in seconds of a sync of a disk.
     """
 
-    def __init__(self, with_disk: int, diskless: int) -> None:
+    def __init__(
+        self, with_disk: int, diskless: int, sync_s: SyncRange = SYNC_S
+    ) -> None:
         self.with_disk, self.diskless = with_disk, diskless
-        self.folder = Path(tempfile.mkdtemp())
+        self.folder = make_data_folder()
+        simulate_syncs(sync_s)
         self.subnet = random.randrange(2, 250)
         self.port = random.randrange(20_000, 30_000)
         self.gateways: dict[str, Gateway] = {}
@@ -145,4 +154,5 @@
         """Stop all gateways and delete their data."""
         for host in list(self.gateways):
             await self.kill(host)
+        stop_simulating()
         shutil.rmtree(self.folder, ignore_errors=True)
--- a/tests/support/gateway_programs.py
+++ b/tests/support/gateway_programs.py
@@ -13,6 +13,7 @@
 import orjson
 import urllib3
 
+from support.host_disks import child_environment
 from support.processes import ChildProcess
 from tanagerturn import platform
 from tanagerturn.platform.settings import SETTINGS_VARIABLE
@@ -20,6 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from support.host_disks import SyncRange
+
 ROOT = Path(__file__).parents[2]
 SCRIPT = Path(platform.__file__).with_name("run.py")
 CALLERS_PORT = 8221
@@ -57,6 +60,8 @@
     """Further `limits.*` fields of the settings file and their values."""
     bounds: dict[str, int] = field(default_factory=dict)
     """Further `bounds.*` fields of the settings file and their values."""
+    sync_s: SyncRange | None = None
+    """Shortest and longest time in seconds of a sync; None for the machine's disk."""
 
     @property
     def settings_path(self) -> Path:
@@ -95,6 +100,9 @@
         environment = {**os.environ, SETTINGS_VARIABLE: str(self.settings_path)}
         if self.source is not None:
             environment["PYTHONPATH"] = str(self.source)
+        if self.sync_s is not None:
+            import_path = environment.get("PYTHONPATH", "")
+            environment |= child_environment(self.sync_s, import_path)
         with self.log_path.open("ab") as log:
             self.popen = subprocess.Popen(
                 [sys.executable, str(self.script)],
--- a/tests/support/rollout_fleet.py
+++ b/tests/support/rollout_fleet.py
@@ -12,6 +12,7 @@
 from support.engine_fleet import HEARTBEAT_S, WORK_S, EngineFleet, FleetEngine
 from support.gateway_cluster import Cluster
 from support.gateway_world import KEY, CallerResponse, route
+from support.host_disks import SYNC_S, SyncRange
 from tanagerturn.clocks import boot_s
 from tanagerturn.coordination.errors import UnavailableError
 from tanagerturn.serving.rollouts.messages import ExposureBound
@@ -122,12 +123,21 @@
         gateways: Number of gateways, three of them with a disk.
         seed: Seed of all random choices.
         without: Numbers of the gateways whose settings do not allow rollouts.
+        sync_s: Shortest and longest time in seconds of a sync of a disk.
     """
 
-    def __init__(self, gateways: int, seed: int, without: tuple[int, ...] = ()) -> None:
+    def __init__(
+        self,
+        gateways: int,
+        seed: int,
+        without: tuple[int, ...] = (),
+        sync_s: SyncRange = SYNC_S,
+    ) -> None:
+        self.without = without
+        """Numbers of the gateways whose settings do not allow rollouts."""
+        self.sync_s = sync_s
+        """Shortest and longest time in seconds of a sync of a disk."""
         super().__init__(gateways, 3, seed)
-        self.cluster = RolloutCluster(3, gateways - 3)
-        self.cluster.without = without
         self.fields = FIELDS
         self.arrivals: dict[str, Arrivals] = {}
         """Requests by version."""
@@ -147,6 +157,12 @@
         for engine in self.engines:
             engine.software_version = OLD
 
+    def make_cluster(self, with_disk: int, diskless: int) -> Cluster:
+        """Return the gateways, of which the first `with_disk` have a disk."""
+        cluster = RolloutCluster(with_disk, diskless, self.sync_s)
+        cluster.without = self.without
+        return cluster
+
     def make_engine(self, number: int) -> FleetEngine:
         """Return a backend server that has not started yet."""
         return RolloutEngine(self, number)
