Give the state members of the tests with full disks a disk of their own

Change: the members have data folders in memory and syncs of 10 to 30 ms, as the clusters of gateways; no bound changes.

--- a/tests/state/full_disks/steps/full_disks_steps.py
+++ b/tests/state/full_disks/steps/full_disks_steps.py
@@ -4,7 +4,6 @@
 
 import shutil
 import socket
-import tempfile
 import threading
 import time
 from unittest import mock
@@ -13,6 +12,12 @@
 
 from soak.faulty_gateway import FullDisk
 from support.full_disk_files import FullDiskFiles
+from support.host_disks import (
+    SYNC_S,
+    make_data_folder,
+    simulate_syncs,
+    stop_simulating,
+)
 from support.processes import wait_for
 from tanagerturn.coordination.groups import CONTROL_GROUP
 from tanagerturn.coordination.remote import connect
@@ -67,8 +72,10 @@
 
 @given("three members, the last of which has a disk that becomes full for {calls}")
 def three_members(context, calls):
-    context.folder = tempfile.mkdtemp()
+    context.folder = make_data_folder()
     context.closers.append(lambda: shutil.rmtree(context.folder, ignore_errors=True))
+    simulate_syncs(SYNC_S)
+    context.closers.append(stop_simulating)
     context.ports = free_ports(3)
     context.fatal_errors = []
     context.confirmed = {}
