Bound what all connections decode in a turn of the event loop

Cause: BodyReader bounds what one connection decodes in a turn, 1,365 tiny chunks and about 1 ms, but not what all connections decode in the same turn.

Change: all connections of callers and forwarding peers share the room for decoding in a turn (gateway/callers/decoding_turns.py). A piece of a body waits for room; pieces of tiny chunks have room of their own, so that honest bodies don't wait behind them, and pieces of few chunks need none. Control calls have room of their own.

--- a/src/tanagerturn/gateway/callers/body_reader.py
+++ b/src/tanagerturn/gateway/callers/body_reader.py
@@ -12,10 +12,12 @@
     ChunkedDecoder,
     InvalidChunks,
 )
+from tanagerturn.gateway.callers.decoding_turns import needs_room
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from tanagerturn.gateway.callers.decoding_turns import DecodingTurns
     from tanagerturn.gateway.callers.memory_budget import Reservation
     from tanagerturn.gateway.callers.memory_gate import MemoryGate
     from tanagerturn.gateway.configuration import IngressLimits
@@ -29,8 +31,8 @@
 loop."""
 
 CHUNKED_PIECE_BYTES: Final = 8 * 1024
-"""Number of bytes of a chunked body that are decoded in one turn of the event loop;
-1,360 of the smallest chunks take about 1 ms."""
+"""Number of bytes of a chunked body that are decoded at once; 1,360 of the smallest
+chunks take about 1 ms."""
 
 BUFFER_BYTES: Final = 48 * 1024
 """What an unfinished request holds besides its body: unread bytes and the parser."""
@@ -126,6 +128,7 @@
             body.
         limits: Limits on the request.
         memory: What the request holds.
+        turns: Room for decoding, which all connections share.
         send_continue: Tells the caller to send the body.
     """
 
@@ -134,6 +137,7 @@
         reader: HttpReader,
         limits: IngressLimits,
         memory: RequestMemory,
+        turns: DecodingTurns,
         send_continue: Callable[[], None],
     ) -> None:
         self.reader = reader
@@ -142,6 +146,8 @@
         """Limits on the request."""
         self.memory = memory
         """What the request holds."""
+        self.turns = turns
+        """Room for decoding, which all connections share."""
         self.send_continue = send_continue
         """Tells the caller to send the body."""
 
@@ -213,11 +219,17 @@
         decoder = ChunkedDecoder(body, limits.body_bytes, limits.header_bytes)
         data, _ = self.reader.http.trailing_data
         try:
-            decoder.feed(data)
+            for start in range(0, len(data), CHUNKED_PIECE_BYTES):
+                piece = data[start : start + CHUNKED_PIECE_BYTES]
+                if needs_room(piece, decoder.data_left):
+                    await self.turns.wait(piece)
+                decoder.feed(piece)
             while not decoder.is_done:
                 data = await self._receive(len(body), CHUNKED_PIECE_BYTES)
                 if not data:
                     raise _incomplete()
+                if needs_room(data, decoder.data_left):
+                    await self.turns.wait(data)
                 decoder.feed(data)
         except BodyTooLarge:
             raise _too_large(limits.body_bytes) from None
--- a/src/tanagerturn/gateway/callers/chunked_bodies.py
+++ b/src/tanagerturn/gateway/callers/chunked_bodies.py
@@ -53,8 +53,9 @@
         """Number of bytes that the trailers may still take."""
         self.rest = b""
         """Bytes that are not decoded yet; after the body, those that follow it."""
+        self.data_left = 0
+        """Number of bytes that are missing of the present chunk."""
         self._part = _Part.HEAD
-        self._data_left = 0
 
     @property
     def is_done(self) -> bool:
@@ -74,10 +75,10 @@
             if self._part is _Part.HEAD:
                 at = self._read_chunks(data, position)
             elif self._part is _Part.DATA:
-                at = min(end, position + self._data_left)
+                at = min(end, position + self.data_left)
                 self.body += data[position:at]
-                self._data_left -= at - position
-                if not self._data_left:
+                self.data_left -= at - position
+                if not self.data_left:
                     self._part = _Part.END
             elif self._part is _Part.END:
                 at = _skip_line_end(data, position)
@@ -104,7 +105,7 @@
                 raise BodyTooLarge
             after = start + size
             if after + 2 > end:
-                self._part, self._data_left = _Part.DATA, size
+                self._part, self.data_left = _Part.DATA, size
                 return start
             if data[after : after + 2] != b"\r\n":
                 raise InvalidChunks("no line end after the data of a chunk")
--- a/src/tanagerturn/gateway/callers/http_connection.py
+++ b/src/tanagerturn/gateway/callers/http_connection.py
@@ -171,7 +171,9 @@
         arrived_s = boot_s()
         self._count_headers(request)
         limits = self.server.limits()
-        body_reader = BodyReader(self.reader, limits, self.memory, self._send_continue)
+        body_reader = BodyReader(
+            self.reader, limits, self.memory, self.server.turns, self._send_continue
+        )
         body = await body_reader.read(request)
         self.is_receiving = False
         exchange = Exchange(self, request, body, arrived_s)
--- a/src/tanagerturn/gateway/gateway.py
+++ b/src/tanagerturn/gateway/gateway.py
@@ -21,6 +21,7 @@
 )
 from tanagerturn.gateway.backends.departures import DepartureTracker
 from tanagerturn.gateway.callers import preview
+from tanagerturn.gateway.callers.decoding_turns import DecodingTurns
 from tanagerturn.gateway.callers.descriptors import connection_limits
 from tanagerturn.gateway.callers.memory_budget import Purpose
 from tanagerturn.gateway.callers.stopping import STOPPING_RETRY_S, Shutdown
@@ -193,6 +194,8 @@
         self.duties = Duties(self.state, self.store, self.member)
         """Calls to the cloud API."""
         memory, most = self.state.memory, connection_limits(settings.max_fds)
+        # Callers, of whom peers forward some, can't delay the bodies of control calls.
+        turns = DecodingTurns()
         refusals = self.state.metrics.refusals
         memory.refusals.on_refused = lambda kind: refusals.labels(kind).inc()
         self.caller_server = HttpServer(
@@ -201,6 +204,7 @@
             memory,
             Purpose.CALLER,
             most.callers,
+            turns,
         )
         """Listener for callers."""
         self.forwarding_server = HttpServer(
@@ -209,6 +213,7 @@
             memory,
             Purpose.PEER,
             most.peers,
+            turns,
         )
         """Listener for requests that peers forward."""
         self.readiness_server = HttpServer(
--- a/src/tanagerturn/gateway/server.py
+++ b/src/tanagerturn/gateway/server.py
@@ -7,6 +7,7 @@
 
 from tanagerturn.clocks import boot_s
 from tanagerturn.gateway.callers.body_reader import READ_AHEAD_BYTES
+from tanagerturn.gateway.callers.decoding_turns import DecodingTurns
 from tanagerturn.gateway.callers.http_connection import HttpConnection
 from tanagerturn.gateway.callers.memory_budget import (
     DEFAULT_MEMORY_BYTES,
@@ -50,6 +51,7 @@
         purpose: What requests hold memory for.
         max_connections: Number of open connections from which on idle ones are closed
             for new ones; None for no limit.
+        turns: Room for decoding in the process; None for room of its own.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         memory: MemoryGate | None = None,
         purpose: Purpose = Purpose.CALLER,
         max_connections: int | None = None,
+        turns: DecodingTurns | None = None,
     ) -> None:
         self.handler = handler
         """Responds to one request."""
@@ -73,6 +76,8 @@
         self.max_connections = max_connections
         """Number of open connections from which on idle ones are closed for new ones;
         None for no limit."""
+        self.turns = turns or DecodingTurns()
+        """Room for decoding in the process."""
         self.idle_connections: dict[HttpConnection, None] = {}
         """Connections without a request, the one that is idle longest first."""
         self.running_count = 0
--- a/tests/support/caller_crowds.py
+++ b/tests/support/caller_crowds.py
@@ -194,6 +194,10 @@
 
     folder: Path
     """Folder of the gateways' files."""
+    memory_mb: int = MEMORY_MB
+    """Memory of each host in its settings."""
+    max_fds: int = MAX_FDS
+    """Descriptor limit of each host in its settings."""
     http: urllib3.PoolManager = field(
         default_factory=lambda: urllib3.PoolManager(retries=False)
     )
@@ -203,7 +207,7 @@
         self.programs = make_programs(self.folder, 3, 0)
         self.gateway = self.programs[0]
         for program in self.programs:
-            program.limits = {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS}
+            program.limits = {"memory_mb": self.memory_mb, "max_fds": self.max_fds}
             program.start()
         ips = [program.ip for program in self.programs]
         self.engine = UploadEngine(f"{ips[0].rpartition('.')[0]}.100", ips)
@@ -243,9 +247,14 @@
 
     def send_single(self) -> tuple[int, int]:
         """Send one large request in tiny chunks; return status and peak memory."""
+        status = self.send(*_tiny_chunked(BODY_BYTES, is_whole=True))
+        return status, self.loaded.memory("VmHWM")
+
+    def send(self, *parts: bytes) -> int:
+        """Send the parts of one request; return the status of the response."""
         sock = socket.create_connection((self.gateway.ip, CALLERS_PORT), timeout=300)
         with sock:
-            for part in _tiny_chunked(BODY_BYTES, is_whole=True):
+            for part in parts:
                 sock.sendall(part)
             response = sock.recv(65_536)
-        return int(response.split()[1]), self.loaded.memory("VmHWM")
+        return int(response.split()[1])
